--- /dev/null
+++ b/node/doc.go
@@ -0,0 +1,2 @@
+// Package node is the module of the running entry node.
+package node
--- /dev/null
+++ b/node/events/catalogue.go
@@ -0,0 +1,12 @@
+package events
+
+// Catalogue lists every event by number. Each area has its own file and its
+// own range of numbers.
+func Catalogue() []Definition {
+	var all []Definition
+	all = append(all, nodeEvents...)
+	all = append(all, controlEvents...)
+	all = append(all, peerEvents...)
+	all = append(all, forwardEvents...)
+	return all
+}
--- /dev/null
+++ b/node/events/control.go
@@ -0,0 +1,4 @@
+package events
+
+// The events of the control area, 100 to 199.
+var controlEvents = []Definition{}
