--- /dev/null
+++ b/dispatch/scheduler/stats.go
@@ -0,0 +1,24 @@
+package scheduler
+
+import (
+	"slices"
+	"strings"
+)
+
+// Stats returns a picture of the scheduler.
+func (s *Scheduler) Stats() Stats {
+	st := Stats{
+		QueuedUrgent: s.lanes[laneUrgent].queue.Len(),
+		QueuedShort:  s.lanes[laneShort].queue.Len(),
+		QueuedLong:   s.lanes[laneLong].queue.Len(),
+		InProgress:   s.running,
+		Long:         s.lanes[laneLong].running,
+		FreeSlots:    s.workers.free,
+		Violations:   s.violations,
+	}
+	for _, w := range s.workers.byID {
+		st.Workers = append(st.Workers, WorkerStats{ID: w.ID, InProgress: w.inProgress, Slots: w.Slots})
+	}
+	slices.SortFunc(st.Workers, func(a, b WorkerStats) int { return strings.Compare(a.ID, b.ID) })
+	return st
+}
