--- /dev/null
+++ b/node/telemetry/recorder.go
@@ -0,0 +1,127 @@
+// Package telemetry carries a node's events to its structured log, its time
+// line and its metrics.
+//
+//	metrics, err := telemetry.NewMetrics()
+//	rec := telemetry.NewRecorder(telemetry.Identity{Node: "entry-1", Zone: "a"}, logger, ring, clock, metrics)
+//	rec.Record(events.NodeReady, events.Fields{})
+package telemetry
+
+import (
+	"sync/atomic"
+
+	"github.com/sirupsen/logrus"
+
+	"wigeonwinch/node/events"
+	"wigeonwinch/node/timeline"
+)
+
+// Identity names the process that records.
+type Identity struct {
+	Node string
+	Zone string
+}
+
+// Recorder implements events.Recorder.
+type Recorder struct {
+	identity   Identity
+	logger     *logrus.Logger
+	ring       *timeline.Ring
+	clock      *timeline.Clock
+	metrics    *Metrics
+	catalogue  map[events.Number]events.Definition
+	violations atomic.Int64
+}
+
+// NewRecorder returns a recorder; metrics may be nil.
+func NewRecorder(identity Identity, logger *logrus.Logger, ring *timeline.Ring, clock *timeline.Clock, metrics *Metrics) *Recorder {
+	catalogue := map[events.Number]events.Definition{}
+	for _, d := range events.Catalogue() {
+		catalogue[d.Number] = d
+	}
+	return &Recorder{identity: identity, logger: logger, ring: ring, clock: clock, metrics: metrics, catalogue: catalogue}
+}
+
+// Violations returns the number of broken invariants recorded so far.
+func (r *Recorder) Violations() int64 { return r.violations.Load() }
+
+// Record implements events.Recorder.
+func (r *Recorder) Record(n events.Number, f events.Fields) {
+	definition, ok := r.catalogue[n]
+	if !ok {
+		definition = events.Definition{Number: n, Name: "not_in_catalogue", Severity: events.SeverityError}
+	}
+	if definition.Severity == events.SeverityViolation {
+		r.violations.Add(1)
+	}
+	detail := f.Detail
+	if f.Err != nil {
+		detail = joinDetail(detail, f.Err.Error())
+	}
+	r.ring.Add(r.entry(definition, f, detail))
+	r.metrics.countEvent(definition)
+	r.log(definition, f, detail)
+}
+
+func joinDetail(detail, err string) string {
+	if detail == "" {
+		return err
+	}
+	return detail + ": " + err
+}
+
+func (r *Recorder) entry(d events.Definition, f events.Fields, detail string) timeline.Entry {
+	return timeline.Entry{
+		Stamp:    r.clock.Now(),
+		Node:     r.identity.Node,
+		Zone:     r.identity.Zone,
+		Number:   int(d.Number),
+		Name:     d.Name,
+		Severity: string(d.Severity),
+		Offset:   f.Offset,
+		Request:  f.Request,
+		VM:       f.VM,
+		Pool:     f.Pool,
+		Service:  f.Service,
+		Team:     f.Team,
+		Peer:     f.Peer,
+		Detail:   detail,
+	}
+}
+
+func (r *Recorder) log(d events.Definition, f events.Fields, detail string) {
+	level := levelOf(d.Severity)
+	if !r.logger.IsLevelEnabled(level) {
+		return
+	}
+	fields := logrus.Fields{"event": int(d.Number), "name": d.Name, "node": r.identity.Node, "zone": r.identity.Zone}
+	addField(fields, "request", f.Request)
+	addField(fields, "vm", f.VM)
+	addField(fields, "pool", f.Pool)
+	addField(fields, "service", f.Service)
+	addField(fields, "team", f.Team)
+	addField(fields, "peer", f.Peer)
+	addField(fields, "detail", detail)
+	addField(fields, "remedy", d.Remedy)
+	if f.Offset != 0 {
+		fields["offset"] = uint64(f.Offset)
+	}
+	r.logger.WithFields(fields).Log(level, d.Meaning)
+}
+
+func addField(fields logrus.Fields, key, value string) {
+	if value != "" {
+		fields[key] = value
+	}
+}
+
+func levelOf(s events.Severity) logrus.Level {
+	switch s {
+	case events.SeverityDebug:
+		return logrus.DebugLevel
+	case events.SeverityInfo:
+		return logrus.InfoLevel
+	case events.SeverityWarning:
+		return logrus.WarnLevel
+	}
+	return logrus.ErrorLevel
+}
