Plan maintenance waves within the availability budgets

Cause: nothing decided which VMs a wave takes out, or led a VM through its drain, reboot and probation.

--- /dev/null
+++ b/fleet/budget/headroom.go
@@ -0,0 +1,96 @@
+package budget
+
+import "wigeonwinch/fleet/structs"
+
+// MaxOut returns the largest number of a pool's workers that can be out of
+// service at once when none has failed. No plan that keeps the budgets can
+// have more out at any instant; Bound says for which reserves.
+func (l *Ledger) MaxOut(name string) int {
+	return l.maxOut(name, true)
+}
+
+// Bound returns the largest number of a pool's workers that any plan could
+// have out at once under the declared budgets alone, without the reserve for
+// random failures that the ledger adds.
+func (l *Ledger) Bound(name string) int {
+	return l.maxOut(name, false)
+}
+
+func (l *Ledger) maxOut(name string, withReserve bool) int {
+	p := l.pools[name]
+	if p == nil {
+		return 0
+	}
+	most := p.total
+	for _, r := range p.rules {
+		most = min(most, p.maxOutByRule(r, withReserve), p.maxOutByZone(r, withReserve))
+	}
+	return max(most, 0)
+}
+
+func (p *pool) maxOutByRule(r rule, withReserve bool) int {
+	switch r.survive {
+	case structs.FailureDomainZone:
+		return maxOutSurviving(p.total, r.min, p.zoneTotal)
+	case structs.FailureDomainRack:
+		return maxOutSurviving(p.total, r.min, p.rackTotal)
+	case structs.FailureDomainVM:
+		return p.total - r.min - vmReserve
+	}
+	if withReserve {
+		return p.total - r.min - p.reserve(r)
+	}
+	return p.total - r.min
+}
+
+// maxOutSurviving tries each size of the largest remaining domain: taking
+// VMs out of the largest domains lowers the loss that must be survived.
+func maxOutSurviving(total, least int, d *domains) int {
+	most := 0
+	for loss := d.max; loss >= 0; loss-- {
+		out := total - least - loss
+		if out >= d.excess(loss) {
+			most = max(most, out)
+		}
+	}
+	return most
+}
+
+// excess is the number of VMs that lie above the given height.
+func (d *domains) excess(height int) int {
+	sum := 0
+	for n := height + 1; n < len(d.histogram); n++ {
+		sum += (n - height) * d.histogram[n]
+	}
+	return sum
+}
+
+func (p *pool) maxOutByZone(r rule, withReserve bool) int {
+	if r.perZone == 0 {
+		return p.total
+	}
+	sum := 0
+	for at, n := range p.zoneTotal.counts {
+		keep := r.perZone
+		if withReserve {
+			keep += p.zoneReserve(r, at)
+		}
+		sum += max(n-keep, 0)
+	}
+	return sum
+}
+
+// ZoneBound returns the largest number of a pool's workers in one zone that
+// any plan could have out at once under the declared budgets.
+func (l *Ledger) ZoneBound(name, zone string) int {
+	p := l.pools[name]
+	if p == nil {
+		return 0
+	}
+	n := p.zoneTotal.of(domain{zone: zone})
+	most := n
+	for _, r := range p.rules {
+		most = min(most, n-r.perZone)
+	}
+	return max(most, 0)
+}
--- /dev/null
+++ b/fleet/moves/moves.go
@@ -0,0 +1,2 @@
+// Package moves decides which VMs change pool.
+package moves
--- /dev/null
+++ b/fleet/planner/sim_test.go
@@ -0,0 +1,322 @@
+package planner
+
+import (
+	"fmt"
+	"math/rand"
+	"time"
+
+	"wigeonwinch/fleet/structs"
+	"wigeonwinch/fleet/wave"
+)
+
+const (
+	simRound   = 5 * time.Second
+	simScope   = "fleet"
+	imageOld   = "image-1"
+	imageNew   = "image-2"
+	simEntries = 3
+)
+
+// worker is the truth about one VM, which the planner sees only in part.
+type worker struct {
+	id        string
+	boot      uint64
+	image     string
+	downUntil time.Time
+	comesBack string // image after the current outage
+	rebooted  uint64 // sequence of the last reboot act
+	shortEnd  time.Time
+	longEnd   time.Time
+	broken    bool // answers no probe although it is up
+	failures  int
+	reboot    time.Duration // how long its reboots last
+	restarted bool          // had an unplanned outage
+}
+
+func (w *worker) up(now time.Time) bool { return !now.Before(w.downUntil) }
+
+// sim is the life of some VMs and a small stand-in for the fold of the log.
+type sim struct {
+	rng     *rand.Rand
+	now     time.Time
+	start   time.Time
+	view    *structs.View
+	workers []*worker
+	byID    map[string]int
+	keys    map[string]bool
+	epoch   structs.Epoch
+	cut     []string
+
+	longShare    float64 // share of busy VMs that hold a long request
+	longMean     time.Duration
+	breakImage   string  // VMs that come back on this image are broken
+	breakShare   float64 // share of reboots that end broken
+	restartsADay float64
+	failuresADay float64
+
+	cutWork  int // requests cut by a planned stop
+	breaches int // rounds and pools in which planned outages broke a budget
+	voids    int
+	early    int // reboots of VMs that were not drained
+}
+
+func newSim(view *structs.View, seed int64) *sim {
+	start := time.Date(2026, 3, 2, 0, 0, 0, 0, time.UTC)
+	s := &sim{
+		rng: rand.New(rand.NewSource(seed)), now: start, start: start, view: view,
+		byID: make(map[string]int), keys: make(map[string]bool), epoch: 1,
+		longMean: 30 * time.Minute,
+	}
+	for i := range view.VMs {
+		id := view.VMs[i].ID
+		s.byID[id] = i
+		reboot := 4*time.Minute + time.Duration(s.rng.Int63n(int64(2*time.Minute)))
+		s.workers = append(s.workers, &worker{id: id, boot: 1, image: imageOld, reboot: reboot})
+	}
+	return s
+}
+
+// fleetShape describes a test fleet.
+type fleetShape struct {
+	zones, pools, vms int
+	rackSize          int
+	budget            func(pool, size int) structs.Budget
+}
+
+// newView builds a fleet whose racks mix pools. Pools are spread evenly over
+// the zones.
+func newView(shape fleetShape) *structs.View {
+	v := &structs.View{
+		Zones: map[string]structs.Zone{}, Pools: map[string]structs.Pool{},
+		Services: map[string]structs.Service{}, Windows: map[string]structs.Window{},
+		Waves: map[string]structs.WaveStatus{}, Entry: map[string]structs.EntryEpoch{},
+	}
+	sizes := make([]int, shape.pools)
+	inZone := make([]int, shape.zones)
+	for i := 0; i < shape.vms; i++ {
+		zone := i % shape.zones
+		pool := (i / shape.zones) % shape.pools
+		sizes[pool]++
+		v.VMs = append(v.VMs, structs.VMStatus{
+			VM: structs.VM{
+				ID: fmt.Sprintf("w-%05d", i), Zone: zoneName(zone),
+				Rack: fmt.Sprintf("r-%03d", inZone[zone]/shape.rackSize), Slots: 8, Cores: 16,
+			},
+			Pool: poolName(pool), State: structs.VMActive, Sequence: 1, Image: imageOld,
+		})
+		inZone[zone]++
+	}
+	for z := 0; z < shape.zones; z++ {
+		v.Zones[zoneName(z)] = structs.Zone{Name: zoneName(z)}
+		entry := structs.EntryEpoch{Zone: zoneName(z), Epoch: 1}
+		for e := 0; e < simEntries; e++ {
+			entry.Members = append(entry.Members, structs.EntryMember{Node: fmt.Sprintf("e-%d-%d", z, e)})
+		}
+		v.Entry[zoneName(z)] = entry
+	}
+	for p := 0; p < shape.pools; p++ {
+		v.Pools[poolName(p)] = structs.Pool{Name: poolName(p), Image: imageNew, Spare: p == shape.pools-1}
+		name := fmt.Sprintf("s-%02d", p)
+		v.Services[name] = structs.Service{Name: name, Pool: poolName(p), Budget: shape.budget(p, sizes[p])}
+	}
+	return v
+}
+
+func zoneName(z int) string { return fmt.Sprintf("z-%02d", z) }
+func poolName(p int) string { return fmt.Sprintf("p-%02d", p) }
+
+func (s *sim) addWave() {
+	w := structs.Wave{Name: "march", Image: imageNew}
+	s.view.Waves[w.Name] = structs.WaveStatus{Wave: w}
+}
+
+// policy is something that plans rounds.
+type policy interface{ Round(Input) Plan }
+
+// step lets the VMs live for one round and then lets the policy plan.
+func (s *sim) step(p policy) Plan {
+	s.now = s.now.Add(simRound)
+	for i, w := range s.workers {
+		s.live(&s.view.VMs[i], w)
+	}
+	s.check()
+	if p == nil {
+		return Plan{}
+	}
+	plan := p.Round(s.input())
+	for _, rec := range plan.Records {
+		if !s.fold(rec) {
+			s.voids++
+		}
+	}
+	for _, action := range plan.Actions {
+		s.act(action)
+	}
+	return plan
+}
+
+func (s *sim) input() Input {
+	in := Input{View: s.view, Now: s.now, Scope: simScope, Epoch: s.epoch, Writer: "e-0-0", CutZones: s.cut}
+	for _, w := range s.workers {
+		o := Observation{
+			VM: w.id, Present: wave.PresenceLive, Boot: w.boot, Image: w.image,
+			ProbeOK: w.up(s.now) && !w.broken, Failures: w.failures,
+		}
+		if w.up(s.now) {
+			o.InProgress = w.inProgress(s.now)
+		}
+		in.Observed = append(in.Observed, o)
+	}
+	return in
+}
+
+func (w *worker) inProgress(now time.Time) int {
+	n := 0
+	if now.Before(w.shortEnd) {
+		n++
+	}
+	if now.Before(w.longEnd) {
+		n++
+	}
+	return n
+}
+
+// live advances one VM: new work, acknowledgements, outages and probes.
+func (s *sim) live(vm *structs.VMStatus, w *worker) {
+	if w.comesBack != "" && w.up(s.now) {
+		s.boot(w)
+	}
+	if w.up(s.now) {
+		s.work(vm, w)
+	}
+	if w.up(s.now) && !w.broken {
+		w.failures = 0
+	} else {
+		w.failures++
+	}
+	perRound := simRound.Hours() / 24 / float64(len(s.workers))
+	switch draw := s.rng.Float64(); {
+	case draw < s.restartsADay*perRound:
+		image := w.image
+		if s.rng.Intn(2) == 0 {
+			image = imageNew
+		}
+		s.fail(w, 3*time.Minute, image)
+	case draw < (s.restartsADay+s.failuresADay)*perRound:
+		s.fail(w, 4*time.Hour, w.image)
+	}
+}
+
+func (s *sim) boot(w *worker) {
+	w.boot++
+	w.image = w.comesBack
+	w.comesBack = ""
+	w.broken = w.image == s.breakImage || s.rng.Float64() < s.breakShare
+}
+
+func (s *sim) work(vm *structs.VMStatus, w *worker) {
+	if vm.State == structs.VMActive {
+		w.shortEnd = s.now.Add(time.Duration(s.rng.Int63n(int64(30 * time.Second))))
+		chance := s.longShare * simRound.Seconds() / s.longMean.Seconds()
+		if s.now.After(w.longEnd) && s.rng.Float64() < chance {
+			w.longEnd = s.now.Add(s.longRun())
+		}
+	}
+	if vm.State == structs.VMDraining && w.inProgress(s.now) == 0 {
+		vm.Acks = nil
+		for _, member := range s.view.Entry[vm.Zone].Members {
+			vm.Acks = append(vm.Acks, member.Node)
+		}
+	}
+}
+
+func (s *sim) longRun() time.Duration {
+	return s.longMean/2 + time.Duration(s.rng.Int63n(int64(s.longMean)))
+}
+
+// fail is an unplanned outage; work in progress is lost with the VM.
+func (s *sim) fail(w *worker, length time.Duration, image string) {
+	w.downUntil = s.now.Add(length)
+	w.comesBack = image
+	w.shortEnd, w.longEnd = time.Time{}, time.Time{}
+	w.restarted = true
+}
+
+// failWhere fails every VM that the function picks.
+func (s *sim) failWhere(length time.Duration, pick func(*structs.VMStatus) bool) {
+	for i, w := range s.workers {
+		if pick(&s.view.VMs[i]) {
+			s.fail(w, length, w.image)
+		}
+	}
+}
+
+func (s *sim) act(a Action) {
+	w := s.workers[s.byID[a.VM]]
+	vm := &s.view.VMs[s.byID[a.VM]]
+	if a.Kind != ActionReboot || w.rebooted >= a.Sequence || a.Epoch < s.epoch {
+		return
+	}
+	if vm.State != structs.VMRebooting || vm.Sequence != a.Sequence {
+		s.early++
+		return
+	}
+	s.cutWork += w.inProgress(s.now)
+	w.rebooted = a.Sequence
+	w.comesBack = a.Image
+	if w.comesBack == "" {
+		w.comesBack = w.image
+	}
+	w.downUntil = s.now.Add(w.reboot)
+}
+
+// check counts the pools in which planned outages break a budget now.
+func (s *sim) check() {
+	for name, service := range s.view.Services {
+		_ = name
+		available, planned := s.counts(service.Pool)
+		least := service.Budget.MinAvailable
+		if available < least && available+planned >= least {
+			s.breaches++
+		}
+	}
+}
+
+// counts returns a pool's available workers and those out by plan.
+func (s *sim) counts(pool string) (available, planned int) {
+	for i := range s.view.VMs {
+		vm := &s.view.VMs[i]
+		if vm.Pool != pool {
+			continue
+		}
+		switch {
+		case vm.State == structs.VMActive && s.workers[i].up(s.now) && !s.workers[i].broken:
+			available++
+		case vm.State != structs.VMActive && vm.State != structs.VMFailed:
+			planned++
+		}
+	}
+	return available, planned
+}
+
+// finished says that every VM that has not failed runs the new image.
+func (s *sim) finished() bool {
+	for i := range s.view.VMs {
+		vm := &s.view.VMs[i]
+		if vm.State == structs.VMFailed || !s.workers[i].up(s.now) && vm.State == structs.VMActive {
+			continue
+		}
+		if vm.State != structs.VMActive || vm.Image != imageNew && s.workers[i].image != imageNew {
+			return false
+		}
+	}
+	return true
+}
+
+// run steps until the wave is finished or the time is up.
+func (s *sim) run(p policy, limit time.Duration) time.Duration {
+	for s.now.Sub(s.start) < limit && !s.finished() {
+		s.step(p)
+	}
+	return s.now.Sub(s.start)
+}
