--- /dev/null
+++ b/node/peer/mesh_test.go
@@ -0,0 +1,358 @@
+package peer
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/stretchr/testify/require"
+
+	"wigeonwinch/fleet/structs"
+	"wigeonwinch/node/events"
+	"wigeonwinch/node/peer/peertest"
+)
+
+const (
+	methodEcho uint16 = 900 + iota
+	methodBlock
+	methodFail
+)
+
+// bench is a set of meshes on one in-memory network.
+type bench struct {
+	t       *testing.T
+	network *peertest.Network
+	nodes   map[string]*testNode
+}
+
+type testNode struct {
+	*Mesh
+	server *http.Server
+	cancel context.CancelFunc
+	done   chan struct{}
+	events *eventCounter
+}
+
+type eventCounter struct {
+	mu     sync.Mutex
+	counts map[events.Number]int
+}
+
+func (c *eventCounter) Record(n events.Number, _ events.Fields) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.counts[n]++
+}
+
+func (c *eventCounter) count(n events.Number) int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.counts[n]
+}
+
+func newBench(t *testing.T) *bench {
+	return &bench{t: t, network: peertest.NewNetwork(), nodes: make(map[string]*testNode)}
+}
+
+func host(i int) string { return fmt.Sprintf("10.0.0.%d", i) }
+
+func seed(i int, zone string) Address {
+	return Address{Node: fmt.Sprintf("e-%d", i), Zone: zone, Address: host(i) + ":7000"}
+}
+
+func (b *bench) start(i int, zone string, incarnation uint64, change func(*Config), seeds ...Address) *testNode {
+	counter := &eventCounter{counts: make(map[events.Number]int)}
+	own := seed(i, zone)
+	cfg := Config{
+		Node: own.Node, Zone: zone, Incarnation: incarnation, Address: own.Address,
+		Key: []byte("shared"), Seeds: seeds, Events: counter, Dial: b.network.Dialer(host(i)),
+	}
+	if change != nil {
+		change(&cfg)
+	}
+	n := &testNode{Mesh: New(cfg), events: counter, done: make(chan struct{})}
+	n.Handle(methodEcho, func(_ context.Context, from string, body []byte) ([]byte, error) {
+		return append([]byte(from+":"), body...), nil
+	})
+	n.Handle(methodBlock, func(ctx context.Context, _ string, _ []byte) ([]byte, error) {
+		<-ctx.Done()
+		return nil, ctx.Err()
+	})
+	n.Handle(methodFail, func(context.Context, string, []byte) ([]byte, error) {
+		return nil, errors.New("no such claim")
+	})
+	n.server = &http.Server{Handler: n.Handler()}
+	listener := b.network.Listen(own.Address)
+	go func() { _ = n.server.Serve(listener) }()
+	ctx, cancel := context.WithCancel(context.Background())
+	n.cancel = cancel
+	go func() {
+		defer close(n.done)
+		_ = n.Run(ctx)
+	}()
+	b.nodes[own.Node] = n
+	return n
+}
+
+func (n *testNode) stop() {
+	n.cancel()
+	<-n.done
+	_ = n.server.Close()
+}
+
+func (b *bench) stop() {
+	for _, n := range b.nodes {
+		n.stop()
+	}
+	synctest.Wait()
+}
+
+func (n *testNode) echo(to string) (string, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	reply, err := n.Call(ctx, to, methodEcho, []byte("x"))
+	return string(reply), err
+}
+
+func TestPairKeepsOneConnection(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench(t)
+		defer b.stop()
+		one := b.start(1, "north", 1, nil, seed(2, "north"))
+		two := b.start(2, "north", 1, nil, seed(1, "north"))
+		time.Sleep(10 * time.Second)
+		require.Equal(t, 1, b.network.OpenConnections(host(1), host(2)))
+		reply, err := one.echo("e-2")
+		require.NoError(t, err)
+		require.Equal(t, "e-1:x", reply)
+		reply, err = two.echo("e-1")
+		require.NoError(t, err)
+		require.Equal(t, "e-2:x", reply)
+		require.Len(t, one.Alive(), 1)
+		require.Equal(t, "10.0.0.2:7000", one.Alive()[0].PeerAddress)
+	})
+}
+
+func TestSilentConnectionIsReplaced(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench(t)
+		defer b.stop()
+		one := b.start(1, "north", 1, nil, seed(2, "north"))
+		b.start(2, "north", 1, nil, seed(1, "north"))
+		time.Sleep(5 * time.Second)
+		b.network.Silence(host(1), host(2))
+		_, err := one.echo("e-2")
+		require.Equal(t, KindLost, KindOf(err))
+		time.Sleep(DefaultPingInterval + DefaultPingTimeout + 2*time.Second)
+		_, err = one.echo("e-2")
+		require.NoError(t, err)
+		require.Positive(t, one.events.count(events.PeerSilent))
+	})
+}
+
+func TestCutPeerIsNotAliveAndReturns(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench(t)
+		defer b.stop()
+		one := b.start(1, "north", 1, nil, seed(2, "north"))
+		b.start(2, "north", 1, nil, seed(1, "north"))
+		time.Sleep(5 * time.Second)
+		b.network.Cut(host(1), host(2))
+		time.Sleep(DefaultSilenceBound + 5*time.Second)
+		require.Empty(t, one.Alive())
+		_, err := one.echo("e-2")
+		require.Equal(t, KindUnreachable, KindOf(err))
+		b.network.Heal(host(1), host(2))
+		time.Sleep(DefaultMaxBackoff + 5*time.Second)
+		require.Len(t, one.Alive(), 1)
+	})
+}
+
+func TestHandshakeRefusals(t *testing.T) {
+	cases := []struct {
+		name   string
+		change func(*Config)
+		want   Refusal
+	}{
+		{"wrong key", func(c *Config) { c.Key = []byte("other") }, RefusalKey},
+		{"too old", func(c *Config) { c.maxVersion = -1 }, RefusalVersion},
+		{"own name", func(c *Config) { c.Node = "e-2" }, RefusalSelf},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				b := newBench(t)
+				defer b.stop()
+				b.start(2, "north", 1, nil)
+				one := b.start(1, "north", 1, c.change)
+				_, err := one.dial("e-2", host(2)+":7000")
+				require.Equal(t, KindHandshake, KindOf(err))
+				require.Equal(t, c.want, RefusalOf(err))
+				require.Empty(t, one.Alive())
+			})
+		})
+	}
+}
+
+func TestKeyIsReplacedWithoutACut(t *testing.T) {
+	keys := func(key, other string) func(*Config) {
+		return func(c *Config) {
+			c.Key = []byte(key)
+			c.OtherKey = []byte(other)
+		}
+	}
+	steps := []struct{ one, two func(*Config) }{
+		{keys("old", ""), keys("old", "new")},
+		{keys("old", "new"), keys("new", "old")},
+		{keys("new", "old"), keys("new", "")},
+	}
+	for i, step := range steps {
+		t.Run(fmt.Sprint(i), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				b := newBench(t)
+				defer b.stop()
+				one := b.start(1, "north", 1, step.one, seed(2, "north"))
+				two := b.start(2, "north", 1, step.two, seed(1, "north"))
+				time.Sleep(5 * time.Second)
+				_, err := one.echo("e-2")
+				require.NoError(t, err)
+				_, err = two.echo("e-1")
+				require.NoError(t, err)
+			})
+		})
+	}
+}
+
+func TestOlderNodeTalksToNewer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench(t)
+		defer b.stop()
+		older := b.start(1, "north", 1, func(c *Config) { c.maxVersion = 1 }, seed(2, "north"))
+		newer := b.start(2, "north", 1, nil, seed(1, "north"))
+		time.Sleep(5 * time.Second)
+		_, err := newer.echo("e-1")
+		require.NoError(t, err)
+		_, err = older.echo("e-2")
+		require.NoError(t, err)
+		require.Equal(t, 1, newer.openLinks()[0].version)
+	})
+}
+
+func TestTypedErrorsOfCalls(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench(t)
+		defer b.stop()
+		one := b.start(1, "north", 1, nil, seed(2, "south"))
+		b.start(2, "south", 1, func(c *Config) { c.Limits.MaxHandlers = 1 })
+		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+		defer cancel()
+		_, err := one.Call(ctx, "e-2", 999, nil)
+		require.Equal(t, RefusalUnknownMethod, RefusalOf(err))
+		_, err = one.Call(ctx, "e-2", methodFail, nil)
+		require.Equal(t, KindFailed, KindOf(err))
+		require.ErrorContains(t, err, "no such claim")
+		_, err = one.Call(ctx, "e-9", methodEcho, nil)
+		require.Equal(t, KindUnreachable, KindOf(err))
+		_, err = one.Call(ctx, "e-2", methodEcho, make([]byte, MaxBodyBytes+1))
+		require.Equal(t, KindUnreachable, KindOf(err))
+		_, err = one.Call(ctx, "e-2", methodBlock, nil)
+		require.Equal(t, KindLost, KindOf(err))
+		synctest.Wait()
+		_, err = one.echo("e-2")
+		require.NoError(t, err, "the cancelled call must free its handler")
+	})
+}
+
+func TestBusyPeerRefuses(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench(t)
+		defer b.stop()
+		one := b.start(1, "north", 1, nil, seed(2, "north"))
+		b.start(2, "north", 1, func(c *Config) { c.Limits.MaxHandlers = 1 })
+		ctx, cancel := context.WithCancel(context.Background())
+		go func() { _, _ = one.Call(ctx, "e-2", methodBlock, nil) }()
+		time.Sleep(time.Second)
+		_, err := one.echo("e-2")
+		require.Equal(t, RefusalBusy, RefusalOf(err))
+		cancel()
+		synctest.Wait()
+	})
+}
+
+func TestDialOnDemandClosesWhenIdle(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench(t)
+		defer b.stop()
+		zones := []string{"a", "b", "c", "d"}
+		var seeds []Address
+		for i, zone := range zones {
+			seeds = append(seeds, seed(i+1, zone))
+		}
+		// e-5 is the second node of zone a: it has no share of the zone's links.
+		for i, zone := range zones {
+			b.start(i+1, zone, 1, nil, seeds...)
+		}
+		extra := b.start(5, "a", 1, nil, seeds...)
+		time.Sleep(5 * time.Second)
+		require.Zero(t, b.network.OpenConnections(host(5), host(4)))
+		_, err := extra.echo("e-4")
+		require.NoError(t, err)
+		require.Equal(t, 1, b.network.OpenConnections(host(5), host(4)))
+		time.Sleep(DefaultIdleTimeout + 3*time.Second)
+		require.Zero(t, b.network.OpenConnections(host(5), host(4)))
+	})
+}
+
+func TestRestartedNodeReplacesItsOlderRun(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench(t)
+		defer b.stop()
+		one := b.start(1, "north", 1, nil, seed(2, "north"))
+		b.start(2, "north", 5, nil, seed(1, "north"))
+		time.Sleep(2 * time.Second)
+		b.network.Silence(host(1), host(2))
+		b.nodes["e-2"].stop()
+		b.start(2, "north", 6, nil, seed(1, "north"))
+		time.Sleep(2 * time.Second)
+		require.Equal(t, uint64(6), one.Alive()[0].Incarnation)
+		require.Equal(t, RefusalIncarnation, one.admit(hello{Node: "e-2", Incarnation: 5}))
+	})
+}
+
+func TestLeavingPeerIsNotAlive(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench(t)
+		defer b.stop()
+		one := b.start(1, "north", 1, nil, seed(2, "north"))
+		two := b.start(2, "north", 1, nil)
+		time.Sleep(2 * time.Second)
+		require.Len(t, one.Alive(), 1)
+		two.Leave()
+		synctest.Wait()
+		require.Empty(t, one.Alive())
+		require.True(t, one.Peers()[0].Leaving)
+	})
+}
+
+func TestMembersAreDialedAndForgotten(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench(t)
+		defer b.stop()
+		one := b.start(1, "north", 1, nil)
+		two := b.start(2, "north", 1, nil)
+		member := structs.EntryMember{Node: "e-2", Incarnation: 1, PeerAddress: host(2) + ":7000"}
+		one.SetMembers([]Member{{EntryMember: member, Zone: "north"}})
+		time.Sleep(2 * time.Second)
+		require.Len(t, one.Alive(), 1)
+		two.stop()
+		delete(b.nodes, "e-2")
+		time.Sleep(10 * time.Second)
+		one.SetMembers(nil)
+		require.Empty(t, one.Peers())
+	})
+}
