--- /dev/null
+++ b/fleet/manifest/numbers.go
@@ -0,0 +1,62 @@
+package manifest
+
+import (
+	"encoding/json"
+	"fmt"
+	"maps"
+	"reflect"
+	"slices"
+	"strconv"
+)
+
+// numberKinds tells how the number under a key is stored; keys that are not
+// listed hold signed whole numbers.
+var numberKinds = findNumberKinds()
+
+func findNumberKinds() map[string]reflect.Kind {
+	kinds := map[string]reflect.Kind{}
+	for _, item := range itemTypes {
+		for i := range item.NumField() {
+			field := item.Field(i)
+			if kind := field.Type.Kind(); kind == reflect.Float64 || kind == reflect.Uint64 {
+				kinds[jsonKey(field)] = kind
+			}
+		}
+	}
+	return kinds
+}
+
+// numbers reports the numbers that the schema allows and their fields can't
+// hold. The key is the nearest one above the node.
+func (p *problems) numbers(node any, path, key string) {
+	switch node := node.(type) {
+	case map[string]any:
+		for _, k := range slices.Sorted(maps.Keys(node)) {
+			p.numbers(node[k], join(path, k), k)
+		}
+	case []any:
+		for i, item := range node {
+			p.numbers(item, fmt.Sprintf("%s[%d]", path, i), key)
+		}
+	case json.Number:
+		p.oneNumber(path, key, node.String())
+	}
+}
+
+func (p *problems) oneNumber(path, key, text string) {
+	var err error
+	remedy := "use a whole number that fits 64 bits, without fraction or exponent"
+	switch numberKinds[key] {
+	case reflect.Float64:
+		_, err = strconv.ParseFloat(text, 64)
+		remedy = "use a smaller number"
+	case reflect.Uint64:
+		_, err = strconv.ParseUint(text, 10, 64)
+		remedy = "use a whole number from 0 on, without fraction or exponent"
+	default:
+		_, err = strconv.ParseInt(text, 10, 64)
+	}
+	if err != nil {
+		p.add(path, shorten(text), "%s", remedy)
+	}
+}
--- /dev/null
+++ b/fleet/state/entry.go
@@ -0,0 +1,144 @@
+package state
+
+import (
+	"net/netip"
+	"slices"
+	"strings"
+
+	"wigeonwinch/fleet/structs"
+)
+
+// maxEntryMembers bounds the entry nodes of one zone.
+const maxEntryMembers = 64
+
+// applyEntryEpoch replaces the entry nodes of a zone.
+func (s *State) applyEntryEpoch(e *structs.EntryEpoch) *refusal {
+	if _, ok := s.zones.get(e.Zone); !ok {
+		return refuse(structs.VoidUnknownItem, "zone %s is not declared: add it to the manifest", shown(e.Zone))
+	}
+	now, _ := s.entry.get(e.Zone)
+	if e.Epoch != now.Epoch+1 {
+		return refuse(structs.VoidStale, "zone %s is at entry epoch %d: propose %d", shown(e.Zone), now.Epoch, now.Epoch+1)
+	}
+	if out := checkMembers(now.Members, e.Members); out != nil {
+		return out
+	}
+	members := slices.Clone(e.Members)
+	slices.SortFunc(members, func(a, b structs.EntryMember) int { return strings.Compare(a.Node, b.Node) })
+	s.entry.put(e.Zone, structs.EntryEpoch{Zone: e.Zone, Epoch: e.Epoch, Members: members})
+	s.pruneAcks(e.Zone, members)
+	return nil
+}
+
+func checkMembers(old, members []structs.EntryMember) *refusal {
+	if len(members) == 0 || len(members) > maxEntryMembers {
+		return refuse(structs.VoidInvalid, "the zone would have %d entry nodes: name 1 to %d", len(members), maxEntryMembers)
+	}
+	seen := make(map[string]bool, len(members))
+	for _, m := range members {
+		if m.Node == "" || len(m.Node) > maxTextBytes || seen[m.Node] {
+			return refuse(structs.VoidInvalid, "entry node %s is unnamed or listed twice", shown(m.Node))
+		}
+		seen[m.Node] = true
+		if m.PeerAddress != "" && !validAddress(m.PeerAddress) {
+			return refuse(structs.VoidInvalid, "entry node %s has the peer address %s: use an IP address and a port", shown(m.Node), shown(m.PeerAddress))
+		}
+		if before, ok := findMember(old, m.Node); ok && before.Incarnation > m.Incarnation {
+			return refuse(structs.VoidStale, "entry node %s is at incarnation %d, the record names %d", shown(m.Node), before.Incarnation, m.Incarnation)
+		}
+	}
+	return nil
+}
+
+func validAddress(address string) bool {
+	_, err := netip.ParseAddrPort(address)
+	return err == nil
+}
+
+func findMember(members []structs.EntryMember, node string) (structs.EntryMember, bool) {
+	for _, m := range members {
+		if m.Node == node {
+			return m, true
+		}
+	}
+	return structs.EntryMember{}, false
+}
+
+// applyDrainAck notes that an entry node has nothing more on a draining VM.
+func (s *State) applyDrainAck(writer string, a *structs.DrainAck) *refusal {
+	if a.Node != writer {
+		return refuse(structs.VoidNotHolder, "%s acknowledged for %s: each node acknowledges for itself", shown(writer), shown(a.Node))
+	}
+	vm, ok := s.vms.get(a.VM)
+	if !ok {
+		return refuse(structs.VoidUnknownItem, "VM %s does not exist", shown(a.VM))
+	}
+	if vm.Sequence != a.Sequence || vm.State != structs.VMDraining {
+		return refuse(structs.VoidStale, "VM %s is %s at sequence %d, the record names %d", shown(a.VM), vm.State, vm.Sequence, a.Sequence)
+	}
+	entry, _ := s.entry.get(vm.Zone)
+	member, ok := findMember(entry.Members, a.Node)
+	if !ok || member.Incarnation != a.Incarnation {
+		return refuse(structs.VoidNotHolder, "%s at incarnation %d is not an entry node of zone %s: join it first", shown(a.Node), a.Incarnation, shown(vm.Zone))
+	}
+	s.addAck(vm, ack{Node: a.Node, Incarnation: a.Incarnation})
+	return nil
+}
+
+// addAck notes one acknowledgement; a repeat changes nothing.
+func (s *State) addAck(vm structs.VMStatus, a ack) {
+	list := s.acks[vm.ID]
+	if slices.Contains(list, a) {
+		return
+	}
+	list = append(list, a)
+	slices.SortFunc(list, func(a, b ack) int { return strings.Compare(a.Node, b.Node) })
+	s.setAcks(vm, list)
+}
+
+// setAcks replaces the acknowledgements of a VM.
+func (s *State) setAcks(vm structs.VMStatus, list []ack) {
+	vm.Acks = nil
+	for _, a := range list {
+		vm.Acks = append(vm.Acks, a.Node)
+	}
+	if len(list) == 0 {
+		delete(s.acks, vm.ID)
+	} else {
+		s.acks[vm.ID] = list
+	}
+	s.vms.put(vm)
+}
+
+// pruneAcks forgets the acknowledgements of entry nodes that have left a zone
+// or were started again.
+func (s *State) pruneAcks(zone string, members []structs.EntryMember) {
+	for id, list := range s.acks {
+		vm, ok := s.vms.get(id)
+		if !ok || vm.Zone != zone {
+			continue
+		}
+		kept := slices.DeleteFunc(slices.Clone(list), func(a ack) bool {
+			member, ok := findMember(members, a.Node)
+			return !ok || member.Incarnation != a.Incarnation
+		})
+		if len(kept) != len(list) {
+			s.setAcks(vm, kept)
+		}
+	}
+}
+
+// drained checks that every entry node of a VM's zone has acknowledged.
+func (s *State) drained(vm structs.VMStatus) *refusal {
+	entry, _ := s.entry.get(vm.Zone)
+	if len(entry.Members) == 0 {
+		return refuse(structs.VoidNotDrained, "zone %s has no entry nodes that could acknowledge: form its entry epoch first", shown(vm.Zone))
+	}
+	list := s.acks[vm.ID]
+	for _, m := range entry.Members {
+		if !slices.Contains(list, ack{Node: m.Node, Incarnation: m.Incarnation}) {
+			return refuse(structs.VoidNotDrained, "entry node %s has not acknowledged the drain of VM %s: wait for it", shown(m.Node), shown(vm.ID))
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/fleet/state/snapshot.go
@@ -0,0 +1,176 @@
+package state
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/fxamacker/cbor/v2"
+	"github.com/pkg/errors"
+
+	"wigeonwinch/fleet/structs"
+)
+
+// Limits on snapshots.
+const (
+	// snapshotFormat is the layout of the encoded state.
+	snapshotFormat = 1
+	// partBytes is the state carried by one snapshot record, leaving room for
+	// the rest of the record.
+	partBytes = structs.MaxRecordBytes - 4096
+	// maxParts bounds the records of one snapshot.
+	maxParts = 64
+)
+
+// encodedState is the form in which a state is stored and compared.
+type encodedState struct {
+	Format      int                  `cbor:"1,keyasint"`
+	Next        structs.Offset       `cbor:"2,keyasint"`
+	Generation  structs.Generation   `cbor:"3,keyasint"`
+	PublishedAt structs.Offset       `cbor:"4,keyasint"`
+	Zones       []structs.Zone       `cbor:"5,keyasint"`
+	Teams       []structs.Team       `cbor:"6,keyasint"`
+	Pools       []structs.Pool       `cbor:"7,keyasint"`
+	Services    []structs.Service    `cbor:"8,keyasint"`
+	Windows     []structs.Window     `cbor:"9,keyasint"`
+	Waves       []encodedWave        `cbor:"10,keyasint"`
+	VMs         []encodedVM          `cbor:"11,keyasint"`
+	Entry       []structs.EntryEpoch `cbor:"12,keyasint"`
+	Leases      []structs.Lease      `cbor:"13,keyasint"`
+	Keys        []uint64             `cbor:"14,keyasint"`
+}
+
+type encodedWave struct {
+	Wave     structs.Wave `cbor:"1,keyasint"`
+	Stopped  string       `cbor:"2,keyasint,omitempty"`
+	Returned []string     `cbor:"3,keyasint,omitempty"`
+	Failed   []string     `cbor:"4,keyasint,omitempty"`
+}
+
+type encodedVM struct {
+	VM       structs.VM      `cbor:"1,keyasint"`
+	Pool     string          `cbor:"2,keyasint,omitempty"`
+	State    structs.VMState `cbor:"3,keyasint"`
+	Sequence uint64          `cbor:"4,keyasint,omitempty"`
+	Image    string          `cbor:"5,keyasint,omitempty"`
+	Wave     string          `cbor:"6,keyasint,omitempty"`
+	Acks     []ack           `cbor:"7,keyasint,omitempty"`
+	Removed  bool            `cbor:"8,keyasint,omitempty"`
+}
+
+var (
+	stateEncMode = mustStateEncMode()
+	stateDecMode = mustStateDecMode()
+)
+
+func mustStateEncMode() cbor.EncMode {
+	mode, err := cbor.CoreDetEncOptions().EncMode()
+	if err != nil {
+		panic(err)
+	}
+	return mode
+}
+
+func mustStateDecMode() cbor.DecMode {
+	mode, err := cbor.DecOptions{
+		MaxArrayElements: 1 << 17,
+		MaxMapPairs:      1 << 16,
+		MaxNestedLevels:  16,
+	}.DecMode()
+	if err != nil {
+		panic(err)
+	}
+	return mode
+}
+
+// encode returns the deterministic form of the state.
+func (s *State) encode() []byte {
+	data, err := stateEncMode.Marshal(s.export())
+	if err != nil {
+		panic(errors.Wrap(err, "encode the control state"))
+	}
+	return data
+}
+
+// Digest returns a hash of the whole state. Two nodes that have folded the
+// same records up to the same offset have the same digest.
+func (s *State) Digest() uint64 {
+	return xxhash.Sum64(s.encode())
+}
+
+func (s *State) export() encodedState {
+	e := encodedState{
+		Format:      snapshotFormat,
+		Next:        s.next,
+		Generation:  s.generation,
+		PublishedAt: s.publishedAt,
+		Zones:       s.zones.sorted(),
+		Teams:       s.teams.sorted(),
+		Pools:       s.pools.sorted(),
+		Services:    s.services.sorted(),
+		Windows:     s.windows.sorted(),
+		Entry:       s.entry.sorted(),
+		Leases:      s.leases.sorted(),
+		Keys:        s.keys.oldestFirst(),
+	}
+	for _, wave := range s.waves.sorted() {
+		e.Waves = append(e.Waves, s.exportWave(wave))
+	}
+	for _, vm := range s.vms.list {
+		e.VMs = append(e.VMs, s.exportVM(vm))
+	}
+	return e
+}
+
+func (s *State) exportWave(wave structs.WaveStatus) encodedWave {
+	p := s.progress[wave.Name]
+	return encodedWave{
+		Wave:     wave.Wave,
+		Stopped:  wave.Stopped,
+		Returned: slices.Sorted(maps.Keys(p.returned)),
+		Failed:   slices.Sorted(maps.Keys(p.failed)),
+	}
+}
+
+func (s *State) exportVM(vm structs.VMStatus) encodedVM {
+	return encodedVM{
+		VM:       vm.VM,
+		Pool:     vm.Pool,
+		State:    vm.State,
+		Sequence: vm.Sequence,
+		Image:    vm.Image,
+		Wave:     vm.Wave,
+		Acks:     s.acks[vm.ID],
+		Removed:  vm.Removed,
+	}
+}
+
+// SnapshotRecords returns the records of a snapshot of the state, in order.
+// The key must be new; part i has the key followed by a slash and i.
+func (s *State) SnapshotRecords(key, writer string) ([]structs.Record, error) {
+	if s.next == 0 {
+		return nil, errors.New("there is no record to take a snapshot of: fold the log first")
+	}
+	data := s.encode()
+	digest := xxhash.Sum64(data)
+	chunks := slices.Collect(slices.Chunk(data, partBytes))
+	if len(chunks) > maxParts {
+		return nil, errors.Errorf("the snapshot has %d parts, the limit is %d: reduce the number of VMs, teams or services", len(chunks), maxParts)
+	}
+	records := make([]structs.Record, 0, len(chunks))
+	for i, chunk := range chunks {
+		records = append(records, structs.Record{
+			Key:    fmt.Sprintf("%s/%d", key, i),
+			Writer: writer,
+			Snapshot: &structs.Snapshot{
+				Through: s.next - 1,
+				Part:    i,
+				Parts:   len(chunks),
+				Data:    chunk,
+				Digest:  digest,
+			},
+		})
+	}
+	return records, nil
+}
--- a/fleet/structs/view.go
+++ b/fleet/structs/view.go
@@ -85,6 +85,7 @@
 	VoidInvalid     Void = "invalid"      // its content is not valid
 	VoidNotDrained  Void = "not_drained"  // an entry node has not acknowledged
 	VoidUnknownItem Void = "unknown_item" // it names something that does not exist
+	VoidGap         Void = "gap"          // an earlier record is missing, so nothing was folded
 )
 
 // Verdict is what the fold made of one record.
