Learn run times, protect slots, eject failing workers, lend slots

Cause: short work waited behind long work, failing workers attracted work, and entry nodes had no agreed shares of a worker's slots. Change: runtimes learns run times for each route and weighs declared ones by their record; the scheduler queues long work apart, keeps slots from it and keeps a reserve for urgent work; eject takes failing workers out and probes them; retry bounds retries; quota shares between teams; slots divides a worker's slots and lends idle ones.

--- /dev/null
+++ b/dispatch/eject/eject_test.go
@@ -0,0 +1,152 @@
+package eject
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+var epoch = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+func pool(n int, opts Options) (*Tracker, []string) {
+	ids := make([]string, n)
+	for i := range ids {
+		ids[i] = fmt.Sprintf("w%02d", i)
+	}
+	t := New(opts)
+	t.SetWorkers(epoch, ids)
+	return t, ids
+}
+
+// rounds gives each worker one outcome a round.
+func rounds(t *Tracker, ids []string, from time.Time, n int, outcome func(id string, round int) (service string, ok bool)) time.Time {
+	for round := range n {
+		from = from.Add(100 * time.Millisecond)
+		for _, id := range ids {
+			service, ok := outcome(id, round)
+			t.Observe(from, id, service, ok)
+		}
+	}
+	return from
+}
+
+func TestWorkerThatFailsEverythingIsEjectedProbedAndReturned(t *testing.T) {
+	tr, ids := pool(10, Options{})
+	now := rounds(tr, ids, epoch, 4, func(id string, _ int) (string, bool) { return "review", id != "w03" })
+	require.Equal(t, Ejected, tr.State(now, "w03"))
+	require.Zero(t, tr.Share(now, "w03"))
+	require.Equal(t, 1, tr.Unavailable())
+
+	now = tr.Wake(now)
+	require.Equal(t, Probing, tr.State(now, "w03"))
+	require.True(t, tr.Takes(now, "w03", true, false))
+	require.False(t, tr.Takes(now, "w03", false, false), "work that isn't repeatable is no probe")
+	require.False(t, tr.Takes(now, "w03", true, true), "urgent work is no probe")
+
+	tr.Observe(now, "w03", "review", false)
+	require.Equal(t, Ejected, tr.State(now, "w03"))
+	again := tr.Wake(now)
+	require.Equal(t, 2*defaultBaseEjection, again.Sub(now), "the time doubles")
+	for range defaultProbeSuccesses {
+		require.Equal(t, Probing, tr.State(again, "w03"))
+		tr.Observe(again, "w03", "review", true)
+	}
+	require.Equal(t, Ramping, tr.State(again, "w03"))
+	require.Less(t, tr.Share(again, "w03"), 0.1)
+	require.Equal(t, 0.5, tr.Share(again.Add(defaultRampTime/2), "w03"))
+	require.Equal(t, 1.0, tr.Share(again.Add(defaultRampTime), "w03"))
+	require.Zero(t, tr.Unavailable())
+}
+
+func TestServiceThatFailsEverywhereEjectsNobody(t *testing.T) {
+	tr, ids := pool(10, Options{})
+	now := rounds(tr, ids, epoch, 50, func(_ string, round int) (string, bool) {
+		if round%2 == 0 {
+			return "broken", false
+		}
+		return "review", true
+	})
+	for _, id := range ids {
+		require.Equal(t, Healthy, tr.State(now, id), id)
+	}
+}
+
+func TestEverythingFailingEverywhereEjectsAlmostNobody(t *testing.T) {
+	tr, ids := pool(10, Options{})
+	rounds(tr, ids, epoch, 20, func(string, int) (string, bool) { return "review", false })
+	require.LessOrEqual(t, tr.Unavailable(), 1)
+}
+
+func TestWorkerThatFailsHalfIsEjected(t *testing.T) {
+	tr, ids := pool(10, Options{})
+	now := rounds(tr, ids, epoch, 40, func(id string, round int) (string, bool) {
+		return "review", id != "w05" || round%2 == 0
+	})
+	require.Equal(t, Ejected, tr.State(now, "w05"))
+}
+
+func TestRareFailuresEjectNobody(t *testing.T) {
+	tr, ids := pool(10, Options{})
+	rng := rand.New(rand.NewPCG(7, 7))
+	rounds(tr, ids, epoch, 2000, func(string, int) (string, bool) { return "review", rng.IntN(100) > 0 })
+	require.Zero(t, tr.Unavailable())
+}
+
+func TestEjectionsStopAtTheBound(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		opts Options
+		most int
+	}{
+		{"share", Options{MaxShare: 0.3}, 3},
+		{"least available", Options{MaxShare: 1, MinAvailable: 8}, 2},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			tr, ids := pool(10, c.opts)
+			now := rounds(tr, ids, epoch, 20, func(id string, _ int) (string, bool) { return "review", id >= "w05" })
+			require.Equal(t, c.most, tr.Unavailable())
+			suspects := 0
+			for _, id := range ids {
+				if tr.State(now, id) == Suspect {
+					suspects++
+					require.Positive(t, tr.Share(now, id))
+				}
+			}
+			require.Equal(t, 5-c.most, suspects)
+		})
+	}
+}
+
+func TestLateArrivalsRamp(t *testing.T) {
+	tr, ids := pool(3, Options{})
+	require.Equal(t, 1.0, tr.Share(epoch, ids[0]), "the first workers start at once")
+	tr.SetWorkers(epoch, append(ids, "w99"))
+	require.Less(t, tr.Share(epoch, "w99"), 0.1)
+	require.Equal(t, epoch.Add(defaultRampTime/rampSteps), tr.Wake(epoch))
+	tr.Restart(epoch, ids[0])
+	require.Less(t, tr.Share(epoch, ids[0]), 0.1)
+}
+
+func TestWithoutRepeatableWorkAnythingProbesAtLast(t *testing.T) {
+	tr, ids := pool(4, Options{})
+	now := rounds(tr, ids, epoch, 4, func(id string, _ int) (string, bool) { return "review", id != "w01" })
+	now = tr.Wake(now)
+	require.Equal(t, Probing, tr.State(now, "w01"))
+	require.False(t, tr.Takes(now, "w01", false, false))
+	require.True(t, tr.Takes(tr.Wake(now), "w01", false, false))
+}
+
+func TestServicesAreBounded(t *testing.T) {
+	tr, ids := pool(2, Options{MaxServices: 8})
+	for i := range 1000 {
+		tr.Observe(epoch, ids[0], strconv.Itoa(i), true)
+	}
+	require.LessOrEqual(t, len(tr.services), 8)
+	require.LessOrEqual(t, len(tr.totals), 8)
+	tr.SetWorkers(epoch, nil)
+	require.Empty(t, tr.workers)
+}
--- a/dispatch/quota/fairqueue.go
+++ b/dispatch/quota/fairqueue.go
@@ -54,14 +54,25 @@
 // Weight is the flow's share against the others.
 func (f *Flow[T]) Weight() float64 { return f.weight }
 
-// SetWeight changes the flow's share; it holds from the next charge.
-func (f *Flow[T]) SetWeight(weight float64) {
+// setWeight changes the flow's share; it holds from the next charge.
+func (f *Flow[T]) setWeight(weight float64) {
 	if weight <= 0 {
 		weight = 1
 	}
 	f.weight = weight
 }
 
+// Reweigh changes the weight of a flow of this queue.
+func (q *FairQueue[T]) Reweigh(f *Flow[T], weight float64) {
+	if f.length > 0 {
+		q.active -= f.weight
+	}
+	f.setWeight(weight)
+	if f.length > 0 {
+		q.active += f.weight
+	}
+}
+
 // FairQueue shares service between flows in proportion to their weights, by
 // start-time fair queueing. Push and Take cost O(log flows), Remove O(1).
 type FairQueue[T any] struct {
@@ -70,6 +81,7 @@
 	nextID  int
 	length  int
 	work    float64
+	active  float64
 	steps   uint64
 	aside   []*Flow[T]
 }
@@ -77,7 +89,7 @@
 // NewFlow adds a flow with the given weight.
 func (q *FairQueue[T]) NewFlow(weight float64) *Flow[T] {
 	f := &Flow[T]{order: q.nextID, position: outside}
-	f.SetWeight(weight)
+	f.setWeight(weight)
 	q.nextID++
 	return f
 }
@@ -88,6 +100,9 @@
 // Work is the summed cost of all queued entries.
 func (q *FairQueue[T]) Work() float64 { return q.work }
 
+// ActiveWeight is the summed weight of the flows with queued entries.
+func (q *FairQueue[T]) ActiveWeight() float64 { return q.active }
+
 // Steps counts the entries and flows visited since the start.
 func (q *FairQueue[T]) Steps() uint64 { return q.steps }
 
@@ -118,6 +133,9 @@
 }
 
 func (q *FairQueue[T]) added(f *Flow[T], cost float64) {
+	if f.length == 0 {
+		q.active += f.weight
+	}
 	f.length++
 	f.work += cost
 	q.length++
@@ -154,6 +172,9 @@
 	}
 	f.length--
 	q.length--
+	if f.length == 0 {
+		q.active = remaining(q.active, f.weight, q.length)
+	}
 	f.work = remaining(f.work, e.cost, f.length)
 	q.work = remaining(q.work, e.cost, q.length)
 	q.steps++
@@ -281,3 +302,14 @@
 	f.position = outside
 	return f
 }
+
+// Heads yields the first entry of each flow that is not parked.
+func (q *FairQueue[T]) Heads() func(yield func(T) bool) {
+	return func(yield func(T) bool) {
+		for _, f := range q.flows {
+			if f.head != nil && !yield(f.head.Value) {
+				return
+			}
+		}
+	}
+}
--- a/dispatch/quota/quota.go
+++ b/dispatch/quota/quota.go
@@ -45,7 +45,7 @@
 	if b.rate <= 0 || b.burst < 1 {
 		return -1
 	}
-	return time.Duration((1 - b.tokens) / b.rate * float64(time.Second))
+	return time.Duration((1-b.tokens)/b.rate*float64(time.Second)) + time.Nanosecond
 }
 
 func (b *Bucket) refill(now time.Time) {
--- /dev/null
+++ b/dispatch/retry/retry_test.go
@@ -0,0 +1,61 @@
+package retry
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+var epoch = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+// spendAll is how many retries go at once.
+func spendAll(b *Budget, now time.Time) int {
+	n := 0
+	for b.Spend(now) {
+		n++
+	}
+	return n
+}
+
+func TestRetriesStayAShareOfTheTraffic(t *testing.T) {
+	b := NewBudget(Options{Share: 0.1, MinRate: 0.001})
+	spent, requests := 0, 0
+	for i := range 100_000 {
+		now := epoch.Add(time.Duration(i) * time.Millisecond)
+		b.Request(now)
+		requests++
+		spent += spendAll(b, now)
+	}
+	require.LessOrEqual(t, float64(spent), 0.1*float64(requests)+defaultMinBurst+1)
+	require.Greater(t, float64(spent), 0.09*float64(requests))
+}
+
+func TestUnusedRetriesAreBoundedByTheWindow(t *testing.T) {
+	b := NewBudget(Options{Share: 0.1, Window: 10 * time.Second})
+	now := epoch
+	for range 100_000 {
+		now = now.Add(10 * time.Millisecond)
+		b.Request(now)
+	}
+	require.InDelta(t, 100, spendAll(b, now), 10)
+}
+
+func TestIdleBudgetForgetsOldTraffic(t *testing.T) {
+	b := NewBudget(Options{Share: 0.1, Window: time.Second})
+	for range 100_000 {
+		b.Request(epoch)
+	}
+	later := epoch.Add(time.Hour)
+	require.Equal(t, int(defaultMinBurst), spendAll(b, later))
+	require.False(t, b.Spend(later.Add(-time.Minute)), "time going back gives nothing")
+}
+
+func TestDelayGrowsAndIsSpread(t *testing.T) {
+	require.Equal(t, defaultFirstDelay/2, Delay(1, 0))
+	require.Greater(t, Delay(1, 1023), Delay(1, 0))
+	require.Equal(t, defaultMaxDelay/2, Delay(60, 0))
+	for seed := range uint64(2048) {
+		require.LessOrEqual(t, Delay(3, seed), 4*defaultFirstDelay)
+	}
+}
--- /dev/null
+++ b/dispatch/runtimes/runtimes_test.go
@@ -0,0 +1,86 @@
+package runtimes
+
+import (
+	"math/rand/v2"
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+var epoch = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+var review = Key{Service: "review", Route: "/"}
+
+func TestQuantilesAreWithinOneBucket(t *testing.T) {
+	var h Histogram
+	for i := range 1000 {
+		h.Add(epoch, time.Minute, time.Duration(i+1)*time.Millisecond)
+	}
+	require.InEpsilon(t, 500*time.Millisecond, h.Quantile(0.5), 0.2)
+	require.InEpsilon(t, 990*time.Millisecond, h.Quantile(0.99), 0.2)
+}
+
+func TestExtremesStayInRange(t *testing.T) {
+	var h Histogram
+	h.Add(epoch, time.Minute, 0)
+	h.Add(epoch, time.Minute, -time.Second)
+	h.Add(epoch, time.Minute, 1000*time.Hour)
+	require.Equal(t, 3.0, h.Weight())
+	require.Positive(t, h.Quantile(1))
+}
+
+func TestOldRunTimesAreForgotten(t *testing.T) {
+	l := New(Options{HalfLife: time.Minute})
+	for range 100 {
+		l.Observe(epoch, review, 0, time.Second)
+	}
+	later := epoch.Add(10 * time.Minute)
+	for range 10 {
+		l.Observe(later, review, 0, 10*time.Millisecond)
+	}
+	require.Less(t, l.Predict(review, 0, time.Second).Median, 20*time.Millisecond)
+}
+
+// TestDeclaredTimesCountByTheirRecord has one route whose declarations are
+// off by up to ten times but tell something, and one where they are noise.
+func TestDeclaredTimesCountByTheirRecord(t *testing.T) {
+	rng := rand.New(rand.NewPCG(1, 1))
+	l := New(Options{})
+	noise := Key{Service: "noise", Route: "/"}
+	for range 50_000 {
+		actual := 100 * time.Millisecond
+		if rng.IntN(100) == 0 {
+			actual = 5 * time.Second
+		}
+		error10 := pow10(2*rng.Float64() - 1)
+		l.Observe(epoch, review, scale(actual, error10), actual)
+		l.Observe(epoch, noise, scale(time.Second, error10), actual)
+	}
+	threshold := 800 * time.Millisecond
+	require.Greater(t, l.Predict(review, 10*time.Second, threshold).LongShare, 0.9)
+	require.Less(t, l.Predict(review, 100*time.Millisecond, threshold).LongShare, 0.01)
+	for _, declared := range []time.Duration{200 * time.Millisecond, time.Second, 5 * time.Second} {
+		require.InDelta(t, 0.01, l.Predict(noise, declared, threshold).LongShare, 0.01)
+	}
+}
+
+func TestUnknownRouteTrustsTheDeclaration(t *testing.T) {
+	l := New(Options{})
+	p := l.Predict(review, 10*time.Second, time.Second)
+	require.False(t, p.Known)
+	require.Equal(t, 1.0, p.LongShare)
+	require.Equal(t, time.Second, p.MeanWithin)
+	require.Zero(t, l.Predict(review, 0, time.Second).Mean)
+}
+
+func TestRoutesAreBounded(t *testing.T) {
+	l := New(Options{MaxRoutes: 10})
+	for i := range 1000 {
+		l.Observe(epoch, review, 0, time.Second)
+		l.Observe(epoch, Key{Service: "s", Route: strconv.Itoa(i)}, 0, time.Second)
+	}
+	require.Equal(t, 10, l.Routes())
+	require.True(t, l.Predict(review, 0, time.Second).Known, "a busy route stays")
+}
--- a/dispatch/scheduler/job.go
+++ b/dispatch/scheduler/job.go
@@ -26,15 +26,20 @@
 	team     *team
 	lane     laneID
 	counted  laneID
-	mean     time.Duration
+	cost     time.Duration
+	median   time.Duration
+	p90      time.Duration
 	deadline time.Time
 	queuedAt time.Time
 	entry    *quota.Entry[*job]
 
 	worker    *workerState
 	startedAt time.Time
+	place     int
 	attempts  int
 	avoid     [maxAvoid]string
+	quick     bool
+	relieved  bool
 	ended     bool
 
 	timers [timerCount]timer
--- a/dispatch/scheduler/next.go
+++ b/dispatch/scheduler/next.go
@@ -3,69 +3,128 @@
 import (
 	"time"
 
-	"wigeonwinch/dispatch"
 	"wigeonwinch/dispatch/quota"
 )
 
-// classify chooses the lane of a job and predicts its run time.
-func (s *Scheduler) classify(j *job) {
-	j.mean = j.req.Declared
-	j.lane = laneShort
-	if j.req.Class == dispatch.ClassUrgent {
-		j.lane = laneUrgent
-	}
-}
-
 // Next returns what to start, what has expired and where to ask for relief.
 func (s *Scheduler) Next(now time.Time) Actions {
 	var a Actions
-	a.Expired = s.expire(now)
-	for id := laneUrgent; id < laneCount; id++ {
-		for s.startOne(now, id, &a) {
-		}
+	s.workers.advance(now)
+	s.reclassify(now)
+	s.expire(now, &a)
+	for s.startUrgent(now, &a) {
+	}
+	hold := s.urgentHold(now)
+	limit := s.longLimit(now, hold)
+	for s.startFloor(now, hold, &a) {
+	}
+	for s.startShort(now, hold, &a) {
 	}
+	for s.startLong(now, hold, limit, &a) {
+	}
+	s.relieve(now, &a)
 	return a
 }
 
 // expire ends the queued jobs whose deadline has passed.
-func (s *Scheduler) expire(now time.Time) []Ticket {
-	var expired []Ticket
+func (s *Scheduler) expire(now time.Time, a *Actions) {
 	for j := s.deadlines.due(now); j != nil; j = s.deadlines.due(now) {
 		if j.ended || j.worker != nil {
 			continue
 		}
 		s.dequeue(j)
 		s.end(j)
-		expired = append(expired, j.ticket)
+		a.Expired = append(a.Expired, j.ticket)
 	}
-	return expired
 }
 
-// startOne starts the next job of a lane, if one may start.
-func (s *Scheduler) startOne(now time.Time, id laneID, a *Actions) bool {
-	if s.workers.free <= 0 {
+// reclassify counts the requests that overran as long.
+func (s *Scheduler) reclassify(now time.Time) {
+	for j := s.overruns.due(now); j != nil; j = s.overruns.due(now) {
+		s.lanes[j.counted].running--
+		j.counted = laneLong
+		s.lanes[laneLong].running++
+		s.dropQuick(j)
+	}
+}
+
+func (s *Scheduler) dropQuick(j *job) {
+	if j.quick {
+		j.quick = false
+		s.quick--
+	}
+}
+
+func (s *Scheduler) startUrgent(now time.Time, a *Actions) bool {
+	return s.workers.free > 0 && s.startOne(now, laneUrgent, a)
+}
+
+func (s *Scheduler) startFloor(now time.Time, hold int, a *Actions) bool {
+	if s.longStarted >= s.longFloor() || s.workers.free <= hold {
+		return false
+	}
+	return s.startOne(now, laneLong, a)
+}
+
+func (s *Scheduler) startShort(now time.Time, hold int, a *Actions) bool {
+	if s.workers.free <= 0 || s.workers.free <= hold && !s.mayLend(hold) {
+		return false
+	}
+	return s.startOne(now, laneShort, a)
+}
+
+func (s *Scheduler) startLong(now time.Time, hold, limit int, a *Actions) bool {
+	if s.workers.free <= hold || s.lanes[laneLong].running >= limit {
 		return false
 	}
-	var chosen *workerState
-	j, ok := s.lanes[id].queue.Take(func(j *job) quota.Choice {
-		if j.team.atBound() {
-			return quota.Park
+	return s.startOne(now, laneLong, a)
+}
+
+// startOne starts the next job of a lane, if one may start. Jobs that could
+// not end in time any more make way for the others.
+func (s *Scheduler) startOne(now time.Time, id laneID, a *Actions) bool {
+	for {
+		var chosen *workerState
+		late := false
+		j, ok := s.lanes[id].queue.Take(func(j *job) quota.Choice {
+			late = s.isTooLate(now, j)
+			if late {
+				return quota.Accept
+			}
+			if j.team.atBound() {
+				return quota.Park
+			}
+			chosen = s.workers.choose(now, j)
+			if chosen == nil {
+				return quota.Skip
+			}
+			return quota.Accept
+		})
+		if !ok {
+			return false
 		}
-		chosen = s.workers.choose(j)
-		if chosen == nil {
-			return quota.Skip
+		j.entry = nil
+		if !late {
+			return s.start(now, j, chosen, a)
 		}
-		return quota.Accept
-	})
-	if !ok {
+		s.lanes[id].queue.Correct(j.team.flows[id], -j.cost.Seconds())
+		s.deadlines.remove(j)
+		s.end(j)
+		a.Expired = append(a.Expired, j.ticket)
+	}
+}
+
+// isTooLate says whether a job with a deadline would, as far as is known, end
+// after it while others wait.
+func (s *Scheduler) isTooLate(now time.Time, j *job) bool {
+	if j.req.Deadline.IsZero() || s.lanes[j.lane].queue.Len() < 2 {
 		return false
 	}
-	return s.start(now, j, chosen, a)
+	return now.Add(j.median).After(j.deadline)
 }
 
 // start puts a job on a worker.
 func (s *Scheduler) start(now time.Time, j *job, w *workerState, a *Actions) bool {
-	j.entry = nil
 	if !w.Accepting || w.gone {
 		s.violated(ViolationNotAccepting, j.ticket, w.ID)
 		s.enqueue(j, true)
@@ -80,63 +139,37 @@
 	j.worker = w
 	j.startedAt = now
 	j.attempts++
-	j.counted = j.lane
-	j.team.inProgress++
-	s.lanes[j.counted].running++
-	s.running++
+	j.relieved = false
+	s.count(now, j)
 	s.workers.add(now, w, 1)
 	a.Starts = append(a.Starts, Start{Ticket: j.ticket, Request: j.req, Worker: w.ID})
 	return true
 }
 
-// Finish ends a ticket in progress.
-func (s *Scheduler) Finish(now time.Time, t Ticket, _ Result) {
-	j := s.inProgress(t)
-	if j == nil {
+// count adds a started job to the counts in progress.
+func (s *Scheduler) count(now time.Time, j *job) {
+	j.counted = j.lane
+	j.team.inProgress++
+	j.place = len(s.started)
+	s.started = append(s.started, j)
+	s.lanes[j.counted].running++
+	if j.lane == laneLong {
+		s.longStarted++
 		return
 	}
-	s.release(now, j)
-	s.end(j)
-}
-
-// Requeue puts a ticket that its worker truthfully refused back at the head
-// of its class. It returns false when there is to be no other attempt: the
-// ticket has ended and has not run.
-func (s *Scheduler) Requeue(now time.Time, t Ticket, exclude string) bool {
-	j := s.inProgress(t)
-	if j == nil {
-		return false
+	if s.policy.threshold > 0 {
+		s.overruns.add(j, now.Add(s.policy.threshold))
 	}
-	s.release(now, j)
-	if !now.Before(j.deadline) || j.attempts >= maxAvoid+1 {
-		s.end(j)
-		return false
+	if s.isQuick(j) {
+		j.quick = true
+		s.quick++
 	}
-	j.addAvoid(exclude)
-	s.enqueue(j, true)
-	return true
-}
-
-// inProgress returns the job of a ticket in progress, or nil.
-func (s *Scheduler) inProgress(t Ticket) *job {
-	j := s.jobs[t]
-	if j == nil || j.worker == nil {
-		s.violated(ViolationTicket, t, "")
-		return nil
-	}
-	return j
-}
-
-// release takes a job off its worker.
-func (s *Scheduler) release(now time.Time, j *job) {
-	w := j.worker
-	j.worker = nil
-	s.lanes[j.counted].running--
-	s.running--
-	s.teams.released(j.team)
-	s.workers.add(now, w, -1)
 }
 
 // Wake is the earliest time at which Next may yield something without other
 // input; the zero time when there is none.
-func (s *Scheduler) Wake() time.Time { return s.deadlines.next() }
+func (s *Scheduler) Wake() time.Time {
+	wake := earlier(s.deadlines.next(), s.workers.changes)
+	wake = earlier(wake, s.overruns.next())
+	return earlier(wake, s.reliefAt())
+}
--- a/dispatch/scheduler/options.go
+++ b/dispatch/scheduler/options.go
@@ -1,6 +1,12 @@
 package scheduler
 
-import "time"
+import (
+	"time"
+
+	"wigeonwinch/dispatch/eject"
+	"wigeonwinch/dispatch/retry"
+	"wigeonwinch/dispatch/runtimes"
+)
 
 // The defaults of Options.
 const (
@@ -20,6 +26,14 @@
 	MaxWait time.Duration
 	// UrgentBound is within which time urgent work is to start.
 	UrgentBound time.Duration
+	// Learner holds the learned run times; the schedulers of one node may
+	// share it. Nil means a learner of its own.
+	Learner *runtimes.Learner
+	// Retries bounds the retries; the schedulers of one node may share it. Nil
+	// means a budget of its own.
+	Retries *retry.Budget
+	// Eject configures the ejection of workers that fail.
+	Eject eject.Options
 	// OnViolation is called for each broken invariant; nil means count only.
 	OnViolation func(Violation)
 }
@@ -34,5 +48,11 @@
 	if o.UrgentBound <= 0 {
 		o.UrgentBound = defaultUrgentBound
 	}
+	if o.Learner == nil {
+		o.Learner = runtimes.New(runtimes.Options{})
+	}
+	if o.Retries == nil {
+		o.Retries = retry.NewBudget(retry.Options{})
+	}
 	return o
 }
--- a/dispatch/scheduler/scheduler.go
+++ b/dispatch/scheduler/scheduler.go
@@ -1,10 +1,10 @@
 package scheduler
 
 import (
-	"strconv"
 	"time"
 
 	"wigeonwinch/dispatch"
+	"wigeonwinch/dispatch/eject"
 	"wigeonwinch/dispatch/quota"
 )
 
@@ -17,8 +17,16 @@
 	lanes      [laneCount]lane
 	jobs       map[Ticket]*job
 	lastTicket Ticket
-	running    int
+	// started holds the requests in progress.
+	started []*job
+	// longStarted counts the requests in progress that started as long.
+	longStarted int
+	// quick counts the requests in progress that should end within the
+	// urgent bound.
+	quick      int
+	policy     policy
 	deadlines  timerHeap
+	overruns   timerHeap
 	violations uint64
 }
 
@@ -26,7 +34,8 @@
 func New(opts Options) *Scheduler {
 	s := &Scheduler{opts: opts.withDefaults(), jobs: make(map[Ticket]*job)}
 	s.deadlines.slot = deadlineTimer
-	s.workers.node = opts.Node
+	s.overruns.slot = overrunTimer
+	s.workers.init(opts.Node, eject.New(opts.Eject))
 	s.teams.init(&s.lanes)
 	return s
 }
@@ -41,18 +50,20 @@
 
 // Submit queues a request or refuses it; a refused request has not run.
 func (s *Scheduler) Submit(now time.Time, r *dispatch.Request) (Ticket, *dispatch.Refusal) {
-	if refusal := s.admit(now, r); refusal != nil {
-		return 0, refusal
-	}
-	s.lastTicket++
-	j := &job{ticket: s.lastTicket, req: r, queuedAt: now}
-	j.deadline = r.Deadline
+	j := &job{req: r, queuedAt: now, deadline: r.Deadline}
 	if j.deadline.IsZero() {
 		j.deadline = now.Add(s.opts.MaxWait)
 	}
-	s.classify(j)
 	j.team = s.teams.of(r.Team)
+	s.classify(j)
+	if refusal := s.admit(now, j); refusal != nil {
+		return 0, refusal
+	}
+	s.lastTicket++
+	j.ticket = s.lastTicket
 	s.jobs[j.ticket] = j
+	s.opts.Retries.Request(now)
+	s.policy.arrived(now, j)
 	s.enqueue(j, false)
 	return j.ticket, nil
 }
@@ -60,7 +71,7 @@
 func (s *Scheduler) enqueue(j *job, front bool) {
 	l := &s.lanes[j.lane]
 	flow := j.team.flows[j.lane]
-	cost := j.mean.Seconds()
+	cost := j.cost.Seconds()
 	if front {
 		j.entry = l.queue.PushFront(flow, j, cost)
 	} else {
@@ -70,24 +81,6 @@
 	s.deadlines.add(j, j.deadline)
 }
 
-// admit returns why a request cannot be taken, or nil.
-func (s *Scheduler) admit(now time.Time, r *dispatch.Request) *dispatch.Refusal {
-	if refusal := s.workers.refuseImpossible(r); refusal != nil {
-		return refusal
-	}
-	if !r.Deadline.IsZero() && !now.Before(r.Deadline) {
-		return &dispatch.Refusal{Reason: dispatch.RefusedDeadline, Detail: "the deadline has passed; send a later deadline"}
-	}
-	if s.queued() >= s.opts.MaxQueued {
-		return &dispatch.Refusal{
-			Reason:     dispatch.RefusedQueueFull,
-			Detail:     "the pool's queue holds " + strconv.Itoa(s.opts.MaxQueued) + " requests; send again later",
-			RetryAfter: time.Second,
-		}
-	}
-	return nil
-}
-
 func (s *Scheduler) queued() int {
 	n := 0
 	for i := range s.lanes {
--- a/dispatch/scheduler/stats.go
+++ b/dispatch/scheduler/stats.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"strings"
+
+	"wigeonwinch/dispatch/eject"
 )
 
 // Stats returns a picture of the scheduler.
@@ -11,13 +13,18 @@
 		QueuedUrgent: s.lanes[laneUrgent].queue.Len(),
 		QueuedShort:  s.lanes[laneShort].queue.Len(),
 		QueuedLong:   s.lanes[laneLong].queue.Len(),
-		InProgress:   s.running,
+		InProgress:   len(s.started),
 		Long:         s.lanes[laneLong].running,
 		FreeSlots:    s.workers.free,
 		Violations:   s.violations,
 	}
 	for _, w := range s.workers.byID {
-		st.Workers = append(st.Workers, WorkerStats{ID: w.ID, InProgress: w.inProgress, Slots: w.Slots})
+		st.Workers = append(st.Workers, WorkerStats{
+			ID:         w.ID,
+			InProgress: w.inProgress,
+			Slots:      w.Slots,
+			Ejected:    w.state == eject.Ejected || w.state == eject.Probing,
+		})
 	}
 	slices.SortFunc(st.Workers, func(a, b WorkerStats) int { return strings.Compare(a.ID, b.ID) })
 	return st
--- /dev/null
+++ b/dispatch/scheduler/workerheap.go
@@ -0,0 +1,57 @@
+package scheduler
+
+import (
+	"hash/fnv"
+	"strings"
+)
+
+// preference spreads the nodes' first choices over the workers.
+func preference(node, worker string) uint64 {
+	h := fnv.New64a()
+	h.Write([]byte(node))
+	h.Write([]byte{0})
+	h.Write([]byte(worker))
+	return h.Sum64()
+}
+
+// workerHeap orders workers by load; full ones come last.
+type workerHeap []*workerState
+
+func (h workerHeap) Len() int { return len(h) }
+
+func (h workerHeap) Less(i, j int) bool {
+	a, b := h[i], h[j]
+	if af, bf := a.free() > 0, b.free() > 0; af != bf {
+		return af
+	}
+	left, right := a.inProgress*b.limit, b.inProgress*a.limit
+	if left != right {
+		return left < right
+	}
+	if a.order != b.order {
+		return a.order < b.order
+	}
+	return strings.Compare(a.ID, b.ID) < 0
+}
+
+func (h workerHeap) Swap(i, j int) {
+	h[i], h[j] = h[j], h[i]
+	h[i].position = i
+	h[j].position = j
+}
+
+// Push implements heap.Interface.
+func (h *workerHeap) Push(x any) {
+	w := x.(*workerState)
+	w.position = len(*h)
+	*h = append(*h, w)
+}
+
+// Pop implements heap.Interface.
+func (h *workerHeap) Pop() any {
+	last := len(*h) - 1
+	w := (*h)[last]
+	(*h)[last] = nil
+	*h = (*h)[:last]
+	return w
+}
--- a/dispatch/scheduler/workers.go
+++ b/dispatch/scheduler/workers.go
@@ -2,12 +2,12 @@
 
 import (
 	"container/heap"
-	"hash/fnv"
+	"math"
 	"slices"
-	"strings"
 	"time"
 
 	"wigeonwinch/dispatch"
+	"wigeonwinch/dispatch/eject"
 )
 
 // workerState is one worker and this node's requests on it.
@@ -17,6 +17,7 @@
 	inProgress  int
 	limit       int
 	pausedUntil time.Time
+	state       eject.State
 	gone        bool
 	position    int
 }
@@ -35,10 +36,17 @@
 	given   []Worker
 	byID    map[string]*workerState
 	heap    workerHeap
-	paused  []*workerState
-	free    int
-	total   int
-	running int
+	tracker *eject.Tracker
+	// changes is when a limit next changes by time alone.
+	changes time.Time
+	// free counts the free slots, total the usable ones.
+	free, total int
+}
+
+func (wt *workerTable) init(node string, tracker *eject.Tracker) {
+	wt.node = node
+	wt.tracker = tracker
+	wt.byID = make(map[string]*workerState)
 }
 
 // set replaces the workers; one that is gone stays until its work ends.
@@ -47,12 +55,14 @@
 		return
 	}
 	wt.given = slices.Clone(workers)
-	if wt.byID == nil {
-		wt.byID = make(map[string]*workerState)
-	}
 	listed := make(map[string]bool, len(workers))
+	ids := make([]string, 0, len(workers))
 	for _, w := range workers {
 		listed[w.ID] = true
+		ids = append(ids, w.ID)
+	}
+	wt.tracker.SetWorkers(now, ids)
+	for _, w := range workers {
 		wt.put(now, w)
 	}
 	for id, state := range wt.byID {
@@ -62,16 +72,19 @@
 			wt.forget(state)
 		}
 	}
+	wt.reschedule(now)
 }
 
 func (wt *workerTable) put(now time.Time, w Worker) {
 	state := wt.byID[w.ID]
 	if state == nil {
-		state = &workerState{order: preference(wt.node, w.ID)}
+		state = &workerState{order: preference(wt.node, w.ID), Worker: w}
 		wt.byID[w.ID] = state
-		state.Worker = w
 		heap.Push(&wt.heap, state)
 	}
+	if w.Accepting && !state.Accepting {
+		wt.tracker.Restart(now, w.ID)
+	}
 	state.Worker = w
 	state.gone = false
 	wt.refresh(now, state)
@@ -89,6 +102,7 @@
 func (wt *workerTable) refresh(now time.Time, w *workerState) {
 	wt.free -= w.free()
 	wt.total -= w.limit
+	w.state = wt.tracker.State(now, w.ID)
 	w.limit = wt.limitOf(now, w)
 	wt.free += w.free()
 	wt.total += w.limit
@@ -99,9 +113,40 @@
 	if w.gone || !w.Accepting || now.Before(w.pausedUntil) {
 		return 0
 	}
-	return max(0, w.Slots)
+	share := wt.tracker.Share(now, w.ID)
+	return max(0, int(math.Ceil(share*float64(w.Slots))))
 }
 
+// advance applies the changes that time alone brings.
+func (wt *workerTable) advance(now time.Time) {
+	if wt.changes.IsZero() || now.Before(wt.changes) {
+		return
+	}
+	for _, w := range slices.Clone(wt.heap) {
+		wt.refresh(now, w)
+	}
+	wt.reschedule(now)
+}
+
+// reschedule finds when a limit next changes by time alone.
+func (wt *workerTable) reschedule(now time.Time) {
+	wt.changes = wt.tracker.Wake(now)
+	for _, w := range wt.heap {
+		if w.pausedUntil.After(now) {
+			wt.changes = earlier(wt.changes, w.pausedUntil)
+		}
+	}
+}
+
+// earlier returns the earlier of two times, of which zero means none.
+func earlier(a, b time.Time) time.Time {
+	if a.IsZero() || !b.IsZero() && b.Before(a) {
+		return b
+	}
+	return a
+}
+
+// add counts n more requests on a worker.
 func (wt *workerTable) add(now time.Time, w *workerState, n int) {
 	wt.free -= w.free()
 	w.inProgress += n
@@ -110,26 +155,70 @@
 	wt.forget(w)
 }
 
-// choose returns the least loaded worker that takes the request, or nil.
-func (wt *workerTable) choose(j *job) *workerState {
+// observe tells the tracker how a request ended on a worker.
+func (wt *workerTable) observe(now time.Time, w *workerState, service string, ok bool) {
+	before := wt.tracker.State(now, w.ID)
+	wt.tracker.Observe(now, w.ID, service, ok)
+	if wt.tracker.State(now, w.ID) != before && !w.gone {
+		wt.refresh(now, w)
+		wt.reschedule(now)
+	}
+}
+
+// pauseAfterRefusal is how long a worker that refused gets nothing.
+const pauseAfterRefusal = 50 * time.Millisecond
+
+// pause keeps new work from a worker that has just refused some.
+func (wt *workerTable) pause(now time.Time, w *workerState) {
+	w.pausedUntil = now.Add(pauseAfterRefusal)
+	wt.refresh(now, w)
+	wt.changes = earlier(wt.changes, w.pausedUntil)
+}
+
+// choose returns the least loaded worker that takes the request, or nil. The
+// workers that the request avoids are used when there are no others.
+func (wt *workerTable) choose(now time.Time, j *job) *workerState {
 	if wt.free <= 0 {
 		return nil
 	}
 	first := wt.heap[0]
-	if first.takes(j) {
+	if wt.takes(now, first, j) && !j.avoids(first.ID) {
 		return first
 	}
-	var best *workerState
+	best, others := wt.search(now, j, true)
+	if best == nil && !others {
+		best, _ = wt.search(now, j, false)
+	}
+	return best
+}
+
+// search looks at all workers. It also reports whether there is a worker in
+// use, free or not, that the request needn't avoid.
+func (wt *workerTable) search(now time.Time, j *job, avoid bool) (best *workerState, others bool) {
 	for i, w := range wt.heap {
-		if w.takes(j) && (best == nil || wt.heap.Less(i, best.position)) {
+		if avoid && j.avoids(w.ID) {
+			continue
+		}
+		if w.limit > 0 && w.fits(j.req) {
+			others = true
+		}
+		if wt.takes(now, w, j) && (best == nil || wt.heap.Less(i, best.position)) {
 			best = w
 		}
 	}
-	return best
+	return best, others
 }
 
-func (w *workerState) takes(j *job) bool {
-	return w.free() > 0 && w.fits(j.req) && !j.avoids(w.ID)
+// takes says whether a worker takes the request now.
+func (wt *workerTable) takes(now time.Time, w *workerState, j *job) bool {
+	if w.free() <= 0 || !w.fits(j.req) {
+		return false
+	}
+	if w.state != eject.Probing {
+		return true
+	}
+	urgent := j.req.Class == dispatch.ClassUrgent
+	return wt.tracker.Takes(now, w.ID, j.req.Repeatable, urgent)
 }
 
 // refuseImpossible refuses a request that no worker can ever hold.
@@ -151,54 +240,3 @@
 		Detail: "no worker of the pool is as large as the request needs; ask for fewer cores, less memory or fewer accelerators, or move the service to a pool of larger workers",
 	}
 }
-
-// preference spreads the nodes' first choices over the workers.
-func preference(node, worker string) uint64 {
-	h := fnv.New64a()
-	h.Write([]byte(node))
-	h.Write([]byte{0})
-	h.Write([]byte(worker))
-	return h.Sum64()
-}
-
-// workerHeap orders workers by load; full ones come last.
-type workerHeap []*workerState
-
-func (h workerHeap) Len() int { return len(h) }
-
-func (h workerHeap) Less(i, j int) bool {
-	a, b := h[i], h[j]
-	if af, bf := a.free() > 0, b.free() > 0; af != bf {
-		return af
-	}
-	left, right := a.inProgress*b.limit, b.inProgress*a.limit
-	if left != right {
-		return left < right
-	}
-	if a.order != b.order {
-		return a.order < b.order
-	}
-	return strings.Compare(a.ID, b.ID) < 0
-}
-
-func (h workerHeap) Swap(i, j int) {
-	h[i], h[j] = h[j], h[i]
-	h[i].position = i
-	h[j].position = j
-}
-
-// Push implements heap.Interface.
-func (h *workerHeap) Push(x any) {
-	w := x.(*workerState)
-	w.position = len(*h)
-	*h = append(*h, w)
-}
-
-// Pop implements heap.Interface.
-func (h *workerHeap) Pop() any {
-	last := len(*h) - 1
-	w := (*h)[last]
-	(*h)[last] = nil
-	*h = (*h)[:last]
-	return w
-}
