--- a/fleet/state/budget.go
+++ b/fleet/state/budget.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"reflect"
 	"slices"
 
 	"wigeonwinch/fleet/availability"
@@ -14,6 +15,22 @@
 	return s.checkBudgets(pool, availability.Available)
 }
 
+// repairTally counts a pool anew before a planned act. Counts that differ from
+// the kept ones are a broken invariant; the new ones replace them.
+func (s *State) repairTally(pool string) {
+	fresh := availability.NewTally()
+	for i := range s.vms.list {
+		if vm := &s.vms.list[i]; vm.Pool == pool {
+			fresh.Change(vm.Zone, vm.Rack, countOf(vm))
+		}
+	}
+	if reflect.DeepEqual(fresh, s.index.tally(pool)) {
+		return
+	}
+	s.report(violated(RuleCounts, "the counts of pool %s were wrong at offset %d and were replaced", pool, s.next-1))
+	s.index.tallies[pool] = fresh
+}
+
 // budgetsPossible checks the budgets of all services on a pool against its
 // declared VMs, as if all were up.
 func (s *State) budgetsPossible(pool string) *refusal {
--- a/fleet/state/index.go
+++ b/fleet/state/index.go
@@ -46,13 +46,9 @@
 
 // countVM adds a VM to the counts (by is 1) or takes it out (by is -1).
 func (x *index) countVM(vm *structs.VMStatus, by int) {
-	diff := availability.Count{}
-	if !vm.Removed {
-		diff.Declared = by
-	}
-	if vm.State.Available() {
-		diff.Available = by
-	}
+	diff := countOf(vm)
+	diff.Declared *= by
+	diff.Available *= by
 	t := x.tally(vm.Pool)
 	t.Change(vm.Zone, vm.Rack, diff)
 	if t.Empty() {
@@ -65,6 +61,19 @@
 	}
 }
 
+// countOf returns what one VM adds to the counts of its pool. A VM that the
+// manifest no longer lists is not declared but serves until it is drained.
+func countOf(vm *structs.VMStatus) availability.Count {
+	c := availability.Count{}
+	if !vm.Removed {
+		c.Declared = 1
+	}
+	if vm.State.Available() {
+		c.Available = 1
+	}
+	return c
+}
+
 func addCount(counts map[string]int, name string, by int) {
 	counts[name] += by
 	if counts[name] == 0 {
--- a/fleet/state/invariants.go
+++ b/fleet/state/invariants.go
@@ -2,7 +2,9 @@
 
 import (
 	"fmt"
+	"maps"
 	"reflect"
+	"slices"
 
 	"wigeonwinch/fleet/availability"
 	"wigeonwinch/fleet/structs"
@@ -45,6 +47,24 @@
 	return Violation{Rule: rule, Detail: fmt.Sprintf(format, args...)}
 }
 
+// maxViolations bounds the broken invariants that wait to be taken.
+const maxViolations = 64
+
+// report notes a broken invariant that the fold itself noticed.
+func (s *State) report(v Violation) {
+	if len(s.violations) < maxViolations {
+		s.violations = append(s.violations, v)
+	}
+}
+
+// TakeViolations returns the broken invariants that the fold itself noticed
+// since the last call. The fold refuses or repairs what they concern.
+func (s *State) TakeViolations() []Violation {
+	list := s.violations
+	s.violations = nil
+	return list
+}
+
 // Check recounts the whole state and lists every broken invariant.
 func (s *State) Check() []Violation {
 	view := s.View()
@@ -81,7 +101,8 @@
 			list = append(list, violated(RuleReferences, "VM %s has the unknown state %d", vm.ID, vm.State))
 		}
 	}
-	for name, svc := range view.Services {
+	for _, name := range slices.Sorted(maps.Keys(view.Services)) {
+		svc := view.Services[name]
 		if _, ok := view.Pools[svc.Pool]; !ok {
 			list = append(list, violated(RuleReferences, "service %s names pool %q, which is not declared", name, svc.Pool))
 		}
--- a/fleet/state/invariants_step.go
+++ b/fleet/state/invariants_step.go
@@ -1,6 +1,9 @@
 package state
 
 import (
+	"maps"
+	"slices"
+
 	"wigeonwinch/fleet/availability"
 	"wigeonwinch/fleet/structs"
 )
@@ -102,13 +105,14 @@
 // checkPoolBudgets counts a pool anew and checks the budgets of its services.
 func checkPoolBudgets(view *structs.View, pool string) []Violation {
 	tally := availability.NewTally()
-	for _, vm := range view.VMs {
-		if vm.Pool == pool {
+	for i := range view.VMs {
+		if vm := &view.VMs[i]; vm.Pool == pool {
 			tally.Change(vm.Zone, vm.Rack, countOf(vm))
 		}
 	}
 	var list []Violation
-	for name, svc := range view.Services {
+	for _, name := range slices.Sorted(maps.Keys(view.Services)) {
+		svc := view.Services[name]
 		if svc.Pool != pool {
 			continue
 		}
@@ -118,14 +122,3 @@
 	}
 	return list
 }
-
-func countOf(vm structs.VMStatus) availability.Count {
-	c := availability.Count{}
-	if !vm.Removed {
-		c.Declared = 1
-	}
-	if vm.State.Available() {
-		c.Available = 1
-	}
-	return c
-}
--- a/fleet/state/state.go
+++ b/fleet/state/state.go
@@ -29,8 +29,10 @@
 
 	// view is the picture of the current state, or nil when none was taken
 	// since the last record.
-	view   *structs.View
-	unsafe unsafeSkips
+	view *structs.View
+	// violations are the broken invariants that the fold noticed.
+	violations []Violation
+	unsafe     unsafeSkips
 }
 
 // ack is the acknowledgement of a drain by one run of an entry node.
--- a/fleet/state/transition.go
+++ b/fleet/state/transition.go
@@ -115,6 +115,7 @@
 	if !before.State.Available() || after.State != structs.VMDraining {
 		return nil
 	}
+	s.repairTally(before.Pool)
 	s.index.countVM(&before, -1)
 	s.index.countVM(&after, 1)
 	out := s.budgetsHold(before.Pool)
@@ -138,6 +139,7 @@
 	if vm.Removed || vm.Pool == m.To {
 		return refuse(structs.VoidInvalid, "VM %s is removed or in pool %s already: choose another", shown(vm.ID), shown(m.To))
 	}
+	s.repairTally(vm.Pool)
 	before := vm
 	vm.Pool = m.To
 	vm.Sequence++
--- a/fleet/state/wave.go
+++ b/fleet/state/wave.go
@@ -44,7 +44,8 @@
 
 // countProbation counts a VM that passes or fails probation for each wave
 // whose image it came back on, whether a wave took it out or it was restarted
-// for another reason. A VM counts once for a wave.
+// for another reason. A failure also counts for the wave that took the VM out,
+// whatever image it came back on. A VM counts once for a wave.
 func (s *State) countProbation(before, after structs.VMStatus, failedProbation bool) {
 	if before.State != structs.VMProbation {
 		return
@@ -55,7 +56,8 @@
 		return
 	}
 	for _, wave := range s.waves.sorted() {
-		if wave.Image == after.Image && covers(wave.Wave, after.Pool) {
+		onImage := wave.Image == after.Image && covers(wave.Wave, after.Pool)
+		if onImage || (failed && wave.Name == after.Wave) {
 			s.countForWave(wave, after.ID, passed)
 		}
 	}
