--- a/fleet/state/entry_test.go
+++ b/fleet/state/entry_test.go
@@ -112,6 +112,13 @@
 		return &structs.Lease{Scope: "fleet", Epoch: epoch, Sequence: sequence, Holder: holder, TTLMS: 5000, Release: release}
 	}
 	released := func(b *bench) { b.ok("n1", structs.Record{Lease: lease(1, 1, "n1", true)}) }
+	renewed := func(b *bench) { b.ok("n1", structs.Record{Lease: lease(1, 1, "n1", false)}) }
+	waitedOut := lease(2, 1, "n2", false)
+	waitedOut.Seen = 1
+	renewedTwice := func(b *bench) {
+		renewed(b)
+		b.ok("n1", structs.Record{Lease: lease(1, 2, "n1", false)})
+	}
 	none := func(*bench) {}
 	tests := []struct {
 		name    string
@@ -125,6 +132,9 @@
 		{"renewal lost before", none, "n1", lease(1, 2, "n1", false), structs.VoidStale},
 		{"renewed by another", none, "n2", lease(1, 1, "n2", false), structs.VoidStale},
 		{"taken by another", none, "n2", lease(2, 0, "n2", false), structs.VoidNone},
+		{"taken by another, overtaken by a renewal", renewedTwice, "n2", waitedOut, structs.VoidStale},
+		{"taken by another after the renewal lapsed", renewed, "n2", waitedOut, structs.VoidNone},
+		{"taken by another without a claim", renewedTwice, "n2", lease(2, 0, "n2", false), structs.VoidNone},
 		{"epoch left out", none, "n2", lease(3, 0, "n2", false), structs.VoidStale},
 		{"for another", none, "n1", lease(2, 0, "n2", false), structs.VoidNotHolder},
 		{"released by another", none, "n2", lease(2, 0, "n2", true), structs.VoidNotHolder},
--- a/fleet/state/lease.go
+++ b/fleet/state/lease.go
@@ -53,6 +53,9 @@
 	if l.Release {
 		return refuse(structs.VoidNotHolder, "scope %s is not held by %s, which can't release it", shown(l.Scope), shown(l.Holder))
 	}
+	if l.Seen != 0 && l.Seen != now.Sequence && !now.Release {
+		return refuse(structs.VoidStale, "scope %s was renewed to sequence %d: wait until that lapses", shown(l.Scope), now.Sequence)
+	}
 	if l.Sequence > maxFirstSequence {
 		return refuse(structs.VoidInvalid, "take a lease with sequence 0 or 1, not %d", l.Sequence)
 	}
--- a/fleet/structs/record.go
+++ b/fleet/structs/record.go
@@ -78,6 +78,10 @@
 	TTLMS uint32 `cbor:"5,keyasint"`
 	// Release gives the lease up.
 	Release bool `cbor:"6,keyasint,omitempty"`
+	// Seen is, in a take, the sequence number of the lapsed epoch's last
+	// renewal. A take that a renewal has overtaken is void. Zero takes the
+	// lease whatever its sequence.
+	Seen uint64 `cbor:"7,keyasint,omitempty"`
 }
 
 // VMState is where a VM stands in its life.
