Follow the log, pass records on, form memberships and plan

Cause: a node needs the control state current, a zone needs an agreed membership, and somebody has to plan, with the log as the only arbiter.

Conclusion: a log outage of an hour, lost answers, a cut platform, retention overtaking a reader and a replaced zone are produced by tests and survived.

--- /dev/null
+++ b/node/control/loop_test.go
@@ -0,0 +1,189 @@
+package control
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"wigeonwinch/fleet/structs"
+	"wigeonwinch/node/events"
+	"wigeonwinch/platform/standin"
+)
+
+func TestManifestIsInForceOnEveryNode(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, standin.LogOptions{}, fourZones()...)
+		defer c.finish()
+		c.startAll()
+		time.Sleep(5 * time.Second)
+		ready, reason := c.node(1).Ready()
+		require.False(t, ready)
+		require.Equal(t, "no manifest is published", reason)
+		c.publish(c.node(1))
+		time.Sleep(40 * time.Second)
+		for name, n := range c.nodes {
+			ready, reason := n.Ready()
+			require.True(t, ready, "%s: %s", name, reason)
+			require.Equal(t, structs.Generation(1), n.View().Generation)
+			require.True(t, n.Status().Member, name)
+			require.True(t, n.Fresh(), name)
+			require.Len(t, n.View().Entry[n.place.zone].Members, 2)
+		}
+		holders := 0
+		for _, n := range c.nodes {
+			if n.Status().Planning {
+				holders++
+			}
+		}
+		require.Equal(t, 1, holders)
+	})
+}
+
+func TestLogOutageOfAnHour(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, standin.LogOptions{}, fourZones()...)
+		defer c.finish()
+		settled(c)
+		c.log.SetFaults(standin.LogFaults{Down: true})
+		time.Sleep(time.Hour)
+		for name, n := range c.nodes {
+			ready, reason := n.Ready()
+			require.True(t, ready, "%s: %s", name, reason)
+			require.False(t, n.Status().LogReachable)
+			require.False(t, n.Status().Planning, "nothing is planned without the log")
+			require.True(t, n.Fresh(), "members that hear each other stay fresh")
+		}
+		_, err := c.node(1).appendFor(time.Second, weight(c.node(1).View(), 9))
+		require.Equal(t, KindNotAppended, KindOf(err))
+		c.log.SetFaults(standin.LogFaults{})
+		time.Sleep(10 * time.Second)
+		c.change(c.node(2), 7)
+		time.Sleep(5 * time.Second)
+		for name, n := range c.nodes {
+			require.Equal(t, 7, n.weight(), name)
+		}
+	})
+}
+
+func TestLostAppendAnswerIsResolvedByKey(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, standin.LogOptions{}, fourZones()...)
+		defer c.finish()
+		settled(c)
+		n := c.node(3)
+		n.platform.loseNext.Store(true)
+		rec := weight(n.View(), 5)
+		rec.Key = "pipeline/17"
+		verdict, err := n.appendFor(10*time.Second, rec)
+		require.NoError(t, err)
+		require.Equal(t, structs.VoidNone, verdict.Void)
+		again, found := n.Lookup("pipeline/17")
+		require.True(t, found)
+		require.Equal(t, verdict, again)
+		repeated, err := n.appendFor(10*time.Second, rec)
+		require.NoError(t, err)
+		require.Equal(t, verdict, repeated, "sending the same key again gives the same verdict")
+	})
+}
+
+func TestAppendWithoutAnswerIsNotKnown(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, standin.LogOptions{}, fourZones()...)
+		defer c.finish()
+		settled(c)
+		n := c.node(3)
+		n.platform.hang.Store(true)
+		_, err := n.appendFor(10*time.Second, weight(n.View(), 5))
+		require.Equal(t, KindNotKnown, KindOf(err))
+		require.ErrorContains(t, err, "same key")
+	})
+}
+
+func TestNodeCutFromThePlatformStaysCurrentThroughPeers(t *testing.T) {
+	for name, hang := range map[string]bool{"refused": false, "silent": true} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := newCluster(t, standin.LogOptions{}, fourZones()...)
+				defer c.finish()
+				settled(c)
+				for _, i := range []int{5, 6, 7, 8} {
+					c.node(i).platform.cut.Store(!hang)
+					c.node(i).platform.hang.Store(hang)
+				}
+				c.change(c.node(1), 6)
+				time.Sleep(14 * time.Second)
+				for name, n := range c.nodes {
+					require.Equal(t, 6, n.weight(), name)
+				}
+				c.change(c.node(1), 8)
+				time.Sleep(time.Second)
+				for name, n := range c.nodes {
+					require.Equal(t, 8, n.weight(), "%s: records are passed on at once to a node that lost the log", name)
+				}
+			})
+		})
+	}
+}
+
+func TestRetentionOvertakesAReader(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, standin.LogOptions{Retain: 300}, at(1, "bhaktapur"), at(2, "kathmandu"))
+		defer c.finish()
+		settled(c)
+		c.kill("e-02")
+		for i := range 600 {
+			c.change(c.node(1), 1+i%50)
+		}
+		require.Positive(t, c.node(1).events.count(events.SnapshotAppended))
+		want := c.node(1).weight()
+		c.network.Cut("10.0.0.1", "10.0.0.2")
+		n := c.start(c.places[1], 2, nil)
+		time.Sleep(20 * time.Second)
+		require.Equal(t, want, n.weight())
+		require.Positive(t, n.events.count(events.LogOvertaken))
+		ready, reason := n.Ready()
+		require.True(t, ready, reason)
+	})
+}
+
+func TestZoneReplacedWhileThePlatformIsDown(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, standin.LogOptions{}, fourZones()...)
+		defer c.finish()
+		settled(c)
+		c.change(c.node(1), 33)
+		time.Sleep(5 * time.Second)
+		c.log.SetFaults(standin.LogFaults{Down: true})
+		c.kill("e-01")
+		c.kill("e-02")
+		time.Sleep(time.Minute)
+		one := c.start(c.places[0], 2, nil)
+		two := c.start(c.places[1], 2, nil)
+		time.Sleep(20 * time.Second)
+		for _, n := range []*testNode{one, two} {
+			ready, reason := n.Ready()
+			require.True(t, ready, reason)
+			require.Equal(t, 33, n.weight())
+			require.False(t, n.Fresh(), "a new run is no member before the log has taken its epoch")
+		}
+		c.log.SetFaults(standin.LogFaults{})
+		time.Sleep(time.Minute)
+		require.True(t, one.Status().Member)
+		require.True(t, two.Status().Member)
+	})
+}
+
+func TestNodeThatReachesNothingIsNotReady(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, standin.LogOptions{}, at(1, "bhaktapur"))
+		defer c.finish()
+		c.log.SetFaults(standin.LogFaults{Down: true})
+		c.startAll()
+		time.Sleep(time.Minute)
+		ready, reason := c.node(1).Ready()
+		require.False(t, ready)
+		require.Contains(t, reason, "neither the log nor a peer")
+	})
+}
--- /dev/null
+++ b/node/control/observe.go
@@ -0,0 +1,180 @@
+package control
+
+import (
+	"context"
+	"time"
+
+	"wigeonwinch/fleet/planner"
+	"wigeonwinch/fleet/structs"
+	"wigeonwinch/fleet/wave"
+	"wigeonwinch/platform"
+)
+
+// What reading the platform may cost. The intervals grow with the fleet, so
+// that the bytes a second stay the same.
+const (
+	listedVMBytes       = 130
+	usageBytes          = 45
+	listBytesPerSecond  = 500
+	usageBytesPerSecond = 500
+	// staleFactor is after how many intervals an observation is too old to
+	// plan on.
+	staleFactor = 4
+)
+
+// observations is what the owner goroutine knows of VMs besides the log.
+type observations struct {
+	listed    []platform.ListedVM
+	listedAt  time.Time
+	nextList  time.Time
+	listing   bool
+	usage     []platform.Usage
+	usageAt   time.Time
+	nextUsage time.Time
+	reading   bool
+	probes    map[string]*probeFacts
+}
+
+// complete says that the list is recent enough to plan on.
+func (o *observations) complete(now time.Time, intervals Intervals) bool {
+	if o.listedAt.IsZero() {
+		return false
+	}
+	return now.Sub(o.listedAt) < staleFactor*o.listInterval(intervals)
+}
+
+func (o *observations) listInterval(intervals Intervals) time.Duration {
+	return max(intervals.List, costInterval(len(o.listed)*listedVMBytes, listBytesPerSecond))
+}
+
+func (o *observations) usageInterval(intervals Intervals) time.Duration {
+	return max(intervals.Usage, costInterval(len(o.usage)*usageBytes, usageBytesPerSecond))
+}
+
+// costInterval returns how long a transfer takes at a rate.
+func costInterval(bytes, bytesPerSecond int) time.Duration {
+	return time.Duration(bytes) * time.Second / time.Duration(bytesPerSecond)
+}
+
+// observeDue reads the platform's list, the usage and the probes when due.
+func (l *Loop) observeDue(ctx context.Context, now time.Time) {
+	if l.cfg.VMs != nil && !l.observed.listing && !now.Before(l.observed.nextList) {
+		l.readList(ctx)
+	}
+	if !l.planner.holding {
+		return
+	}
+	if l.cfg.Workers != nil && !l.observed.reading && !now.Before(l.observed.nextUsage) {
+		l.readUsage(ctx)
+	}
+	l.probeDue(ctx, now)
+	l.hearZones(ctx, now)
+}
+
+func (l *Loop) readList(ctx context.Context) {
+	l.observed.listing = true
+	l.group.Go(func() {
+		callCtx, cancel := context.WithTimeout(ctx, l.cfg.Intervals.AppendTimeout)
+		list, err := l.cfg.VMs.List(callCtx)
+		cancel()
+		l.post(ctx, func() { l.listRead(list, err) })
+	})
+}
+
+func (l *Loop) listRead(list []platform.ListedVM, err error) {
+	now := time.Now()
+	l.observed.listing = false
+	if err == nil {
+		l.observed.listed = list
+		l.observed.listedAt = now
+		l.tellLeaving(list)
+	}
+	l.observed.nextList = now.Add(l.jittered(l.observed.listInterval(l.cfg.Intervals)))
+}
+
+// tellLeaving tells the request path which workers of the zone leave.
+func (l *Loop) tellLeaving(list []platform.ListedVM) {
+	if l.cfg.Forward == nil {
+		return
+	}
+	for _, vm := range list {
+		if vm.Kind == platform.VMKindWorker && vm.Zone == l.cfg.Zone && vm.Presence != platform.PresenceLive {
+			l.cfg.Forward.Leaving(vm.ID)
+		}
+	}
+}
+
+func (l *Loop) readUsage(ctx context.Context) {
+	l.observed.reading = true
+	l.group.Go(func() {
+		callCtx, cancel := context.WithTimeout(ctx, l.cfg.Intervals.AppendTimeout)
+		usage, err := l.cfg.Workers.Usage(callCtx)
+		cancel()
+		l.post(ctx, func() { l.usageRead(usage, err) })
+	})
+}
+
+func (l *Loop) usageRead(usage []platform.Usage, err error) {
+	now := time.Now()
+	l.observed.reading = false
+	if err == nil {
+		l.observed.usage = usage
+		l.observed.usageAt = now
+	}
+	l.observed.nextUsage = now.Add(l.jittered(l.observed.usageInterval(l.cfg.Intervals)))
+}
+
+// jittered returns the interval, up to a tenth longer.
+func (l *Loop) jittered(interval time.Duration) time.Duration {
+	return interval + time.Duration(l.random.Int64N(int64(interval/10)+1))
+}
+
+// observations returns what a planning round looks at.
+func (l *Loop) observations(view *structs.View) []planner.Observation {
+	byID := make(map[string]platform.ListedVM, len(l.observed.listed))
+	for _, vm := range l.observed.listed {
+		byID[vm.ID] = vm
+	}
+	busy := make(map[string]int, len(l.observed.usage))
+	for _, u := range l.observed.usage {
+		busy[u.VM] = u.Busy
+	}
+	seen := make([]planner.Observation, 0, len(view.VMs))
+	for i := range view.VMs {
+		vm := &view.VMs[i]
+		o := planner.Observation{VM: vm.ID, Present: wave.PresenceAbsent, InProgress: busy[vm.ID]}
+		if listed, ok := byID[vm.ID]; ok {
+			o.Present = wave.Presence(listed.Presence)
+			o.Boot = listed.Boot
+			o.Image = listed.Image
+		}
+		if probe, ok := l.observed.probes[vm.ID]; ok {
+			o.ProbeOK = probe.ok
+			o.Failures = probe.failures
+		}
+		seen = append(seen, o)
+	}
+	return seen
+}
+
+// demand sums the usage by pool.
+func (o *observations) demand(view *structs.View) []planner.PoolDemand {
+	var demand []planner.PoolDemand
+	place := make(map[string]int)
+	for _, u := range o.usage {
+		vm, ok := view.VMByID(u.VM)
+		if !ok {
+			continue
+		}
+		i, ok := place[vm.Pool]
+		if !ok {
+			i = len(demand)
+			place[vm.Pool] = i
+			demand = append(demand, planner.PoolDemand{Pool: vm.Pool, At: o.usageAt})
+		}
+		demand[i].BusySlots += float64(u.Busy)
+		demand[i].QueuedSlots += float64(u.Waiting)
+		demand[i].LagSeconds = max(demand[i].LagSeconds, float64(u.LagMS)/1000)
+	}
+	return demand
+}
