Let settings and the request path reach the control loop

Cause: probation was fixed at a minute, and the request path could not tell how fresh its view is, so a home in a zone of two nodes would stop granting claims when the other node died although it read the log. Change: timing.probation_ms; control.Loop.TailReadAt; the wait of a log read is at most 8 s so that it stays within the 10 s fence of claims.

--- a/node/control/config.go
+++ b/node/control/config.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"wigeonwinch/fleet/planner"
 	"wigeonwinch/fleet/structs"
 	"wigeonwinch/node/events"
 	"wigeonwinch/node/membership"
@@ -61,6 +62,8 @@
 	Wall      func() time.Time
 	Intervals Intervals
 	Members   membership.Limits
+	// Planner tunes the planning rounds.
+	Planner planner.Options
 }
 
 // Intervals are the times the loop works by. Zero fields get defaults.
--- a/node/control/follow.go
+++ b/node/control/follow.go
@@ -118,6 +118,7 @@
 	}
 	if l.fold.Next() >= batch.Next && batch.Next >= from {
 		l.log.tailAskedAt = asked
+		l.tailReadAt.Store(&asked)
 		l.ready.sawTail = true
 		l.judgeReadiness(now)
 		l.publishFence()
--- a/node/control/loop.go
+++ b/node/control/loop.go
@@ -24,8 +24,10 @@
 	done  chan struct{}
 	group sync.WaitGroup
 	view  atomic.Pointer[structs.View]
-	fence atomic.Pointer[fenceFacts]
-	state atomic.Pointer[Status]
+	// tailReadAt is logFacts.tailAskedAt for other goroutines.
+	tailReadAt atomic.Pointer[time.Time]
+	fence      atomic.Pointer[fenceFacts]
+	state      atomic.Pointer[Status]
 
 	appends *appender
 	acts    *actor
--- a/node/control/members.go
+++ b/node/control/members.go
@@ -177,6 +177,16 @@
 	return membership.Fresh(input)
 }
 
+// TailReadAt returns when the read of the log was sent that last reached its
+// tail; the view contains everything it returned. Zero means never.
+func (l *Loop) TailReadAt() time.Time {
+	asked := l.tailReadAt.Load()
+	if asked == nil {
+		return time.Time{}
+	}
+	return *asked
+}
+
 // Leave makes the node leave its zone's membership and give up the planner's
 // lease. The loop goes on until its context ends.
 func (l *Loop) Leave() {
--- a/node/control/plan.go
+++ b/node/control/plan.go
@@ -21,7 +21,7 @@
 }
 
 func newPlannerFacts(cfg Config) plannerFacts {
-	return plannerFacts{lease: newLeaseKeeper(cfg), planner: planner.New(planner.Options{})}
+	return plannerFacts{lease: newLeaseKeeper(cfg), planner: planner.New(cfg.Planner)}
 }
 
 // loseLease ends planning after the platform refused an act as fenced.
@@ -65,7 +65,7 @@
 	number := events.LeaseLost
 	if holding {
 		number = events.LeaseHeld
-		l.planner.planner = planner.New(planner.Options{})
+		l.planner.planner = planner.New(l.cfg.Planner)
 		l.planner.nextPlan = now
 	}
 	l.cfg.Events.Record(number, events.Fields{Detail: fmt.Sprintf("%s epoch %d", l.cfg.Scope, epoch)})
--- a/node/settings/check.go
+++ b/node/settings/check.go
@@ -14,6 +14,8 @@
 const (
 	// minKeyBytes is the least length of a peer key.
 	minKeyBytes = 16
+	// maxReadWaitMS keeps two reads of the log within ClaimFence.
+	maxReadWaitMS = 8000
 	// maxNameBytes is the greatest length of a name.
 	maxNameBytes = 64
 )
@@ -129,6 +131,9 @@
 	if s.Timing.PeerSilentMS <= s.Timing.PeerPingMS {
 		c.report("timing.peer_silent_ms", fmt.Sprint(s.Timing.PeerSilentMS), "make it longer than timing.peer_ping_ms")
 	}
+	if s.Timing.ReadWaitMS > maxReadWaitMS {
+		c.report("timing.read_wait_ms", fmt.Sprint(s.Timing.ReadWaitMS), fmt.Sprintf("write at most %d, or claims are refused between two reads", maxReadWaitMS))
+	}
 	if s.Timing.LeaseTTLMS <= 3*s.Timing.PlanMS {
 		c.report("timing.lease_ttl_ms", fmt.Sprint(s.Timing.LeaseTTLMS), "make it more than three times timing.plan_ms, or leases lapse between rounds")
 	}
--- a/node/settings/settings.go
+++ b/node/settings/settings.go
@@ -7,6 +7,7 @@
 
 import (
 	"os"
+	"time"
 
 	"wigeonwinch/fleet/strictjson"
 )
@@ -60,19 +61,25 @@
 	HeaderSeconds  int `json:"header_seconds,omitempty" doc:"Time in which a caller must send the header." unit:"s" default:"10"`
 	IdleSeconds    int `json:"idle_seconds,omitempty" doc:"Time after which an unused caller connection is closed." unit:"s" default:"75"`
 	QueuedRequests int `json:"queued_requests,omitempty" doc:"Requests that may wait for one pool." unit:"requests" default:"20000"`
+	NoticeSeconds  int `json:"notice_seconds,omitempty" doc:"Time that a stopping node still takes requests, so that the balancer notices." unit:"s" default:"5"`
 	StopSeconds    int `json:"stop_seconds,omitempty" doc:"Time that a graceful stop may take." unit:"s" default:"120"`
 }
 
 // Timing sets the spans of the control loop.
 type Timing struct {
-	ReadWaitMS   int `json:"read_wait_ms,omitempty" doc:"How long one read of the log waits at the tail." unit:"ms" default:"20000"`
+	ReadWaitMS   int `json:"read_wait_ms,omitempty" doc:"How long one read of the log waits at the tail." unit:"ms" default:"5000"`
 	ListMS       int `json:"list_ms,omitempty" doc:"Span between two reads of the VM list." unit:"ms" default:"5000"`
 	PlanMS       int `json:"plan_ms,omitempty" doc:"Span between two planning rounds of the lease holder." unit:"ms" default:"2000"`
 	LeaseTTLMS   int `json:"lease_ttl_ms,omitempty" doc:"How long a planning lease lasts after its renewal was sent." unit:"ms" default:"20000"`
+	ProbationMS  int `json:"probation_ms,omitempty" doc:"How long a VM that came back must answer probes before it takes work." unit:"ms" default:"60000"`
 	PeerPingMS   int `json:"peer_ping_ms,omitempty" doc:"Span between two pings on a peer connection." unit:"ms" default:"2000"`
 	PeerSilentMS int `json:"peer_silent_ms,omitempty" doc:"Silence after which a peer counts as out of reach." unit:"ms" default:"5000"`
 }
 
+// ClaimFence is how long a node grants claims after it has learned that its
+// zone's membership is current.
+const ClaimFence = 10 * time.Second
+
 // Load reads, checks and completes a settings file and its secrets.
 func Load(path string) (*Settings, []strictjson.Problem) {
 	data, err := os.ReadFile(path)
--- a/node/settings/settings_test.go
+++ b/node/settings/settings_test.go
@@ -69,7 +69,7 @@
 func TestSettingsPageIsCurrent(t *testing.T) {
 	page, err := os.ReadFile("../../docs/SETTINGS.md")
 	require.NoError(t, err)
-	require.Equal(t, Page(), string(page), "write the page anew: go run ./cmd/wigeonwinch settings page > docs/SETTINGS.md")
+	require.Equal(t, Page(), string(page), "write the page anew: go run ./cmd/wigeonwinch docs settings > docs/SETTINGS.md")
 }
 
 func FuzzParse(f *testing.F) {
--- /dev/null
+++ b/node/telemetry/page.go
@@ -0,0 +1,19 @@
+package telemetry
+
+import (
+	"fmt"
+	"strings"
+)
+
+// Page returns docs/METRICS.md, written from the list of instruments.
+func Page() string {
+	var b strings.Builder
+	b.WriteString("# Metrics\n\n")
+	b.WriteString("`GET /metrics` on the administration address, OpenTelemetry metrics in the usual scrape format.\n")
+	b.WriteString("Counters end in `_total` there, and units are appended to the names.\n\n")
+	b.WriteString("| name | kind | unit | labels | meaning | tell an operator when |\n| --- | --- | --- | --- | --- | --- |\n")
+	for _, in := range Instruments() {
+		fmt.Fprintf(&b, "| `%s` | %s | %s | %s | %s | %s |\n", in.Name, in.Kind, in.Unit, in.Labels, in.Meaning, in.Alarm)
+	}
+	return b.String()
+}
