--- /dev/null
+++ b/node/admin/publish.go
@@ -0,0 +1,149 @@
+package admin
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+
+	"github.com/cespare/xxhash/v2"
+
+	"wigeonwinch/fleet/manifest"
+	"wigeonwinch/fleet/structs"
+)
+
+// Outcome is how a publish ended.
+type Outcome string
+
+// The outcomes of a publish.
+const (
+	OutcomeAccepted  Outcome = "accepted"
+	OutcomeUnchanged Outcome = "unchanged"
+	OutcomeRefused   Outcome = "refused"
+	OutcomeNotKnown  Outcome = "not_known"
+)
+
+// Published is the answer to a publish.
+type Published struct {
+	Outcome Outcome `json:"outcome"`
+	// Key identifies the publish; asking again with it is safe.
+	Key        string             `json:"key"`
+	Offset     structs.Offset     `json:"offset,omitempty"`
+	Generation structs.Generation `json:"generation,omitempty"`
+	// Changes is the number of items changed.
+	Changes int `json:"changes,omitempty"`
+	// Reason and Detail say why it was refused or what to do next.
+	Reason structs.Void       `json:"reason,omitempty"`
+	Detail string             `json:"detail,omitempty"`
+	Errors []manifest.Problem `json:"errors,omitempty"`
+}
+
+// readManifest reads and checks the body. It answers the caller itself when
+// the body can't be read.
+func (a *API) readManifest(w http.ResponseWriter, r *http.Request) ([]byte, *structs.Manifest, []manifest.Problem, bool) {
+	data, err := io.ReadAll(r.Body)
+	if err != nil {
+		writeProblem(w, http.StatusRequestEntityTooLarge, Problem{
+			Title:  "the body could not be read",
+			Detail: fmt.Sprintf("send at most %d bytes in one piece: %v", maxBodyBytes, err),
+		})
+		return nil, nil, nil, false
+	}
+	m, problems := manifest.Parse(data)
+	return data, m, problems, true
+}
+
+func (a *API) checkManifest(w http.ResponseWriter, r *http.Request) {
+	_, _, problems, ok := a.readManifest(w, r)
+	if !ok {
+		return
+	}
+	if len(problems) > 0 {
+		writeProblem(w, http.StatusUnprocessableEntity, Problem{Title: "the manifest has faults", Errors: problems})
+		return
+	}
+	writeJSON(w, http.StatusOK, map[string]string{"status": "valid"})
+}
+
+func (a *API) publishManifest(w http.ResponseWriter, r *http.Request) {
+	data, m, problems, ok := a.readManifest(w, r)
+	if !ok {
+		return
+	}
+	key := fmt.Sprintf("publish-%016x", xxhash.Sum64(data))
+	if len(problems) > 0 {
+		writeJSON(w, http.StatusUnprocessableEntity, Published{
+			Outcome: OutcomeRefused, Key: key, Reason: structs.VoidInvalid,
+			Detail: "mend every fault listed and publish again", Errors: problems,
+		})
+		return
+	}
+	view := a.view(w)
+	if view == nil {
+		return
+	}
+	if verdict, known := a.cfg.Control.Lookup(key); known && verdict.Void == structs.VoidNone {
+		a.answerVerdict(w, key, 0, verdict, view)
+		return
+	}
+	a.publish(w, r, key, m, view)
+}
+
+func (a *API) publish(w http.ResponseWriter, r *http.Request, key string, m *structs.Manifest, view *structs.View) {
+	changes := manifest.Diff(view, m)
+	if len(changes) == 0 {
+		writeJSON(w, http.StatusOK, Published{Outcome: OutcomeUnchanged, Key: key, Offset: view.PublishedAt, Generation: view.Generation})
+		return
+	}
+	if structs.Generation(m.BaseGeneration) != view.Generation {
+		writeJSON(w, http.StatusConflict, Published{
+			Outcome: OutcomeRefused, Key: key, Generation: view.Generation, Reason: structs.VoidStale,
+			Detail: fmt.Sprintf("the manifest is based on generation %d, in force is %d: fetch GET /v1/manifest, generate anew and publish again", m.BaseGeneration, view.Generation),
+		})
+		return
+	}
+	rec := structs.Record{
+		Key:     key,
+		Writer:  a.cfg.Node,
+		Publish: &structs.Publish{Base: structs.Generation(m.BaseGeneration), Changes: changes},
+	}
+	verdict, err := a.cfg.Control.Append(r.Context(), rec)
+	if err != nil {
+		writeJSON(w, http.StatusGatewayTimeout, Published{
+			Outcome: OutcomeNotKnown, Key: key,
+			Detail: "send the same manifest again or ask GET /v1/publishes/" + key + ": " + err.Error(),
+		})
+		return
+	}
+	a.answerVerdict(w, key, len(changes), verdict, a.cfg.Control.View())
+}
+
+// answerVerdict turns the fold's verdict into the answer.
+func (a *API) answerVerdict(w http.ResponseWriter, key string, changes int, verdict structs.Verdict, view *structs.View) {
+	if verdict.Void == structs.VoidNone {
+		writeJSON(w, http.StatusOK, Published{
+			Outcome: OutcomeAccepted, Key: key, Offset: verdict.Offset, Generation: view.Generation, Changes: changes,
+		})
+		return
+	}
+	writeJSON(w, http.StatusConflict, Published{
+		Outcome: OutcomeRefused, Key: key, Offset: verdict.Offset, Generation: view.Generation,
+		Reason: verdict.Void, Detail: verdict.Detail,
+	})
+}
+
+func (a *API) publishOutcome(w http.ResponseWriter, r *http.Request) {
+	key := r.PathValue("key")
+	verdict, known := a.cfg.Control.Lookup(key)
+	if !known {
+		writeJSON(w, http.StatusNotFound, Published{
+			Outcome: OutcomeNotKnown, Key: key,
+			Detail: "this node has not seen the key in the log; compare GET /v1/manifest, or send the same manifest again",
+		})
+		return
+	}
+	view := a.view(w)
+	if view == nil {
+		return
+	}
+	a.answerVerdict(w, key, 0, verdict, view)
+}
--- /dev/null
+++ b/node/admin/read.go
@@ -0,0 +1,308 @@
+package admin
+
+import (
+	"net/http"
+	"sort"
+	"strconv"
+	"time"
+
+	"wigeonwinch/fleet/manifest"
+	"wigeonwinch/fleet/structs"
+	"wigeonwinch/node/timeline"
+)
+
+// defaultTimelineLimit is how many entries a time line call returns.
+const defaultTimelineLimit = 1000
+
+func (a *API) health(w http.ResponseWriter, _ *http.Request) {
+	writeJSON(w, http.StatusOK, map[string]string{"status": "alive"})
+}
+
+// Readiness is the answer of /v1/ready.
+type Readiness struct {
+	Ready  bool   `json:"ready"`
+	Reason string `json:"reason,omitempty"`
+}
+
+func (a *API) ready(w http.ResponseWriter, _ *http.Request) {
+	ready, reason := a.cfg.Control.Ready()
+	status := http.StatusOK
+	if !ready {
+		status = http.StatusServiceUnavailable
+	}
+	writeJSON(w, status, Readiness{Ready: ready, Reason: reason})
+}
+
+func (a *API) metrics(w http.ResponseWriter, r *http.Request) {
+	a.cfg.Metrics.ServeHTTP(w, r)
+}
+
+func (a *API) status(w http.ResponseWriter, _ *http.Request) {
+	writeJSON(w, http.StatusOK, a.cfg.Status())
+}
+
+func (a *API) requests(w http.ResponseWriter, _ *http.Request) {
+	writeJSON(w, http.StatusOK, a.cfg.Requests())
+}
+
+// view returns the current view, or answers that there is none yet.
+func (a *API) view(w http.ResponseWriter) *structs.View {
+	view := a.cfg.Control.View()
+	if view == nil {
+		_, reason := a.cfg.Control.Ready()
+		writeProblem(w, http.StatusServiceUnavailable, Problem{
+			Title:  "the node has no control state yet",
+			Detail: "wait until /v1/ready answers 200, or ask another node: " + reason,
+		})
+	}
+	return view
+}
+
+// StateCounts is the answer of /v1/state.
+type StateCounts struct {
+	Node       string             `json:"node"`
+	Zone       string             `json:"zone"`
+	Offset     structs.Offset     `json:"offset"`
+	Generation structs.Generation `json:"generation"`
+	Zones      int                `json:"zones"`
+	Teams      int                `json:"teams"`
+	Pools      int                `json:"pools"`
+	Services   int                `json:"services"`
+	VMs        map[string]int     `json:"vms_by_state"`
+}
+
+func (a *API) state(w http.ResponseWriter, _ *http.Request) {
+	view := a.view(w)
+	if view == nil {
+		return
+	}
+	writeJSON(w, http.StatusOK, StateCounts{
+		Node: a.cfg.Node, Zone: a.cfg.Zone,
+		Offset: view.Offset, Generation: view.Generation,
+		Zones: len(view.Zones), Teams: len(view.Teams), Pools: len(view.Pools), Services: len(view.Services),
+		VMs: byState(view.VMs, ""),
+	})
+}
+
+func byState(vms []structs.VMStatus, pool string) map[string]int {
+	counts := map[string]int{}
+	for _, vm := range vms {
+		if pool == "" || vm.Pool == pool {
+			counts[vm.State.String()]++
+		}
+	}
+	return counts
+}
+
+// PoolStatus is one pool as /v1/pools shows it.
+type PoolStatus struct {
+	Name  string         `json:"name"`
+	Spare bool           `json:"spare"`
+	Image string         `json:"image"`
+	VMs   map[string]int `json:"vms_by_state"`
+}
+
+func (a *API) pools(w http.ResponseWriter, _ *http.Request) {
+	view := a.view(w)
+	if view == nil {
+		return
+	}
+	list := []PoolStatus{}
+	for _, pool := range view.Pools {
+		list = append(list, PoolStatus{Name: pool.Name, Spare: pool.Spare, Image: pool.Image, VMs: byState(view.VMs, pool.Name)})
+	}
+	sort.Slice(list, func(i, j int) bool { return list[i].Name < list[j].Name })
+	writeJSON(w, http.StatusOK, list)
+}
+
+// ServiceStatus is one service as /v1/services shows it.
+type ServiceStatus struct {
+	structs.Service
+	// Available counts the workers of the pool that can take work.
+	Available int `json:"available"`
+	// Headroom is how many workers may still go out.
+	Headroom int `json:"headroom"`
+}
+
+func (a *API) services(w http.ResponseWriter, _ *http.Request) {
+	view := a.view(w)
+	if view == nil {
+		return
+	}
+	available := map[string]int{}
+	for _, vm := range view.VMs {
+		if vm.State.Available() {
+			available[vm.Pool]++
+		}
+	}
+	list := []ServiceStatus{}
+	for _, service := range view.Services {
+		count := available[service.Pool]
+		list = append(list, ServiceStatus{Service: service, Available: count, Headroom: count - service.Budget.MinAvailable})
+	}
+	sort.Slice(list, func(i, j int) bool { return list[i].Name < list[j].Name })
+	writeJSON(w, http.StatusOK, list)
+}
+
+// VMLine is one VM as /v1/vms shows it.
+type VMLine struct {
+	ID       string   `json:"id"`
+	Pool     string   `json:"pool"`
+	Zone     string   `json:"zone"`
+	Rack     string   `json:"rack"`
+	State    string   `json:"state"`
+	Image    string   `json:"image"`
+	Sequence uint64   `json:"sequence"`
+	Wave     string   `json:"wave,omitempty"`
+	Acks     []string `json:"drain_acknowledged_by,omitempty"`
+}
+
+func (a *API) vms(w http.ResponseWriter, r *http.Request) {
+	view := a.view(w)
+	if view == nil {
+		return
+	}
+	query := r.URL.Query()
+	list := []VMLine{}
+	for _, vm := range view.VMs {
+		line := VMLine{
+			ID: vm.ID, Pool: vm.Pool, Zone: vm.Zone, Rack: vm.Rack, State: vm.State.String(),
+			Image: vm.Image, Sequence: vm.Sequence, Wave: vm.Wave, Acks: vm.Acks,
+		}
+		if selects(query.Get("pool"), line.Pool) && selects(query.Get("zone"), line.Zone) && selects(query.Get("state"), line.State) {
+			list = append(list, line)
+		}
+	}
+	writeJSON(w, http.StatusOK, list)
+}
+
+func selects(wanted, have string) bool { return wanted == "" || wanted == have }
+
+// WaveLine is one wave as /v1/waves shows it.
+type WaveLine struct {
+	Name    string   `json:"name"`
+	Image   string   `json:"image"`
+	Pools   []string `json:"pools"`
+	Window  string   `json:"window,omitempty"`
+	Paused  bool     `json:"paused"`
+	Stopped string   `json:"stopped,omitempty"`
+	// Done counts the VMs of the wave's pools that run the image.
+	Done            int `json:"done"`
+	Total           int `json:"total"`
+	Out             int `json:"out"`
+	FailedProbation int `json:"failed_probation"`
+}
+
+// WaveReport is the answer of /v1/waves.
+type WaveReport struct {
+	Waves    []WaveLine `json:"waves"`
+	Forecast any        `json:"forecast,omitempty"`
+}
+
+func (a *API) waves(w http.ResponseWriter, _ *http.Request) {
+	view := a.view(w)
+	if view == nil {
+		return
+	}
+	report := WaveReport{Waves: []WaveLine{}, Forecast: a.cfg.Forecast()}
+	for _, wave := range view.Waves {
+		report.Waves = append(report.Waves, waveLine(view, wave))
+	}
+	sort.Slice(report.Waves, func(i, j int) bool { return report.Waves[i].Name < report.Waves[j].Name })
+	writeJSON(w, http.StatusOK, report)
+}
+
+func waveLine(view *structs.View, wave structs.WaveStatus) WaveLine {
+	line := WaveLine{
+		Name: wave.Name, Image: wave.Image, Pools: wave.Pools, Window: wave.Window,
+		Paused: wave.Paused, Stopped: wave.Stopped, FailedProbation: wave.FailedProbation,
+	}
+	for _, vm := range view.VMs {
+		if !concerns(wave, vm.Pool) {
+			continue
+		}
+		line.Total++
+		if vm.Image == wave.Image && vm.State == structs.VMActive {
+			line.Done++
+		}
+		if vm.Wave == wave.Name && vm.State != structs.VMActive {
+			line.Out++
+		}
+	}
+	return line
+}
+
+func concerns(wave structs.WaveStatus, pool string) bool {
+	if len(wave.Pools) == 0 {
+		return true
+	}
+	for _, name := range wave.Pools {
+		if name == pool {
+			return true
+		}
+	}
+	return false
+}
+
+func (a *API) teams(w http.ResponseWriter, _ *http.Request) {
+	view := a.view(w)
+	if view == nil {
+		return
+	}
+	list := []structs.Team{}
+	for _, team := range view.Teams {
+		list = append(list, team)
+	}
+	sort.Slice(list, func(i, j int) bool { return list[i].Name < list[j].Name })
+	writeJSON(w, http.StatusOK, list)
+}
+
+// Membership is one zone as /v1/members shows it.
+type Membership struct {
+	Zone    string                `json:"zone"`
+	Epoch   structs.Epoch         `json:"epoch"`
+	Members []structs.EntryMember `json:"members"`
+}
+
+func (a *API) members(w http.ResponseWriter, _ *http.Request) {
+	view := a.view(w)
+	if view == nil {
+		return
+	}
+	list := []Membership{}
+	for _, entry := range view.Entry {
+		list = append(list, Membership{Zone: entry.Zone, Epoch: entry.Epoch, Members: entry.Members})
+	}
+	sort.Slice(list, func(i, j int) bool { return list[i].Zone < list[j].Zone })
+	writeJSON(w, http.StatusOK, list)
+}
+
+func (a *API) timeline(w http.ResponseWriter, r *http.Request) {
+	query := r.URL.Query()
+	filter := timeline.Filter{Request: query.Get("request"), VM: query.Get("vm"), Limit: defaultTimelineLimit}
+	if text := query.Get("since"); text != "" {
+		since, err := time.Parse(time.RFC3339Nano, text)
+		if err != nil {
+			writeProblem(w, http.StatusBadRequest, Problem{Title: "since is not a time", Detail: "write it as 2026-12-04T10:00:00Z"})
+			return
+		}
+		filter.Since = since.UnixNano()
+	}
+	if text := query.Get("limit"); text != "" {
+		limit, err := strconv.Atoi(text)
+		if err != nil || limit < 1 {
+			writeProblem(w, http.StatusBadRequest, Problem{Title: "limit is not a number", Detail: "write a positive whole number"})
+			return
+		}
+		filter.Limit = limit
+	}
+	writeJSON(w, http.StatusOK, a.cfg.Timeline.Select(filter))
+}
+
+func (a *API) manifest(w http.ResponseWriter, _ *http.Request) {
+	view := a.view(w)
+	if view == nil {
+		return
+	}
+	writeJSON(w, http.StatusOK, manifest.FromView(view))
+}
