Assemble the entry node, the command line, the demo and the report

Cause: the parts did not yet make one running system. Change: node/entry binds the ports and stops in order (not ready, requests finished, membership left, claims handed over); wigeonwinchd; wigeonwinch with status, timeline, manifest, settings, demo, report and docs. Conclusion: the path is whole; short work still waits as long as long work.

--- /dev/null
+++ b/cmd/internal/cli/cli_test.go
@@ -0,0 +1,118 @@
+package cli
+
+import (
+	"bytes"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"wigeonwinch/node/timeline"
+)
+
+// outcome is what a run of the command line left.
+type outcome struct {
+	code        int
+	out, errOut string
+}
+
+func run(t *testing.T, args ...string) outcome {
+	t.Helper()
+	var out, errOut bytes.Buffer
+	code := Run(t.Context(), append([]string{"wigeonwinch"}, args...), &out, &errOut)
+	return outcome{code: code, out: out.String(), errOut: errOut.String()}
+}
+
+func writeFile(t *testing.T, text string) string {
+	t.Helper()
+	path := filepath.Join(t.TempDir(), "file.json")
+	require.NoError(t, os.WriteFile(path, []byte(text), 0o600))
+	return path
+}
+
+func TestExamplesAreValid(t *testing.T) {
+	for _, name := range []string{"gothalo", "tuulekoda"} {
+		got := run(t, "manifest", "check", "../../../examples/"+name+".json")
+		require.Equal(t, ExitOK, got.code, got.errOut)
+	}
+	for _, key := range []string{"PEER_KEY", "READ_TOKEN", "PUBLISH_TOKEN"} {
+		t.Setenv("WIGEONWINCH_"+key, "0123456789abcdef")
+	}
+	got := run(t, "settings", "check", "../../../examples/node.json")
+	require.Equal(t, ExitOK, got.code, got.errOut)
+}
+
+func TestPagesAreCurrent(t *testing.T) {
+	for name, page := range pages {
+		path := "../../../docs/" + strings.ToUpper(name) + ".md"
+		have, err := os.ReadFile(path)
+		require.NoError(t, err)
+		require.Equal(t, page(), string(have), "write it anew: go run ./cmd/wigeonwinch docs %s > docs/%s.md", name, strings.ToUpper(name))
+	}
+}
+
+func TestFaultyFilesEndWithUsageCode(t *testing.T) {
+	bad := writeFile(t, `{"colour": 1}`)
+	for _, args := range [][]string{
+		{"settings", "check", bad},
+		{"manifest", "check", bad},
+		{"manifest", "publish", bad},
+		{"manifest", "check", "no-such-file"},
+		{"manifest", "check"},
+		{"--output", "xml", "docs", "nothing"},
+		{"report", "--from", bad + "x"},
+	} {
+		got := run(t, args...)
+		require.Equal(t, ExitUsage, got.code, "%v: %s", args, got.errOut)
+		require.NotEmpty(t, got.errOut)
+	}
+}
+
+func TestUnreachableNodeIsNamedWithARemedy(t *testing.T) {
+	server := httptest.NewServer(http.NotFoundHandler())
+	address := strings.TrimPrefix(server.URL, "http://")
+	server.Close()
+	for _, command := range []string{"status", "pools", "timeline"} {
+		got := run(t, "--nodes", address, command)
+		require.Equal(t, ExitUnreachable, got.code, command)
+		require.Contains(t, got.errOut, "check", command)
+	}
+}
+
+func serveEntries(t *testing.T, body string) string {
+	t.Helper()
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = w.Write([]byte(body))
+	}))
+	t.Cleanup(server.Close)
+	return strings.TrimPrefix(server.URL, "http://")
+}
+
+func TestTimelineMergesAndNamesTheMissing(t *testing.T) {
+	late := serveEntries(t, `[{"stamp":{"wall":2000,"logical":0},"node":"b","name":"second"}]`)
+	early := serveEntries(t, `[{"stamp":{"wall":1000,"logical":0},"node":"a","name":"first"}]`)
+	closed := httptest.NewServer(http.NotFoundHandler())
+	closed.Close()
+	missing := strings.TrimPrefix(closed.URL, "http://")
+
+	got := run(t, "--nodes", late+","+early+","+missing, "timeline")
+	require.Equal(t, ExitOK, got.code)
+	require.Less(t, strings.Index(got.out, "first"), strings.Index(got.out, "second"))
+	require.Contains(t, got.errOut, missing)
+}
+
+func TestSubjectJoinsWhatIsSet(t *testing.T) {
+	require.Equal(t, "r-1 w-2", subject(timeline.Entry{Request: "r-1", VM: "w-2"}))
+}
+
+func TestVersionAndHelp(t *testing.T) {
+	require.Contains(t, run(t, "version").out, Version)
+	help := run(t, "--help").out
+	for _, word := range []string{"Examples", "Exit codes", "timeline", "manifest", "demo"} {
+		require.Contains(t, help, word)
+	}
+}
--- /dev/null
+++ b/cmd/internal/cli/docs.go
@@ -0,0 +1,38 @@
+package cli
+
+import (
+	"context"
+	"fmt"
+
+	"github.com/urfave/cli/v3"
+
+	"wigeonwinch/node/admin"
+	"wigeonwinch/node/events"
+	"wigeonwinch/node/settings"
+	"wigeonwinch/node/telemetry"
+)
+
+// pages are the docs pages that are written from the code.
+var pages = map[string]func() string{
+	"api":      admin.Page,
+	"events":   events.Page,
+	"metrics":  telemetry.Page,
+	"settings": settings.Page,
+}
+
+func docsCommand() *cli.Command {
+	return &cli.Command{
+		Name:        "docs",
+		Usage:       "print a docs page that is written from the code: api, events, metrics or settings",
+		ArgsUsage:   "PAGE",
+		Description: "Example:\n  wigeonwinch docs events > docs/EVENTS.md",
+		Action: func(_ context.Context, cmd *cli.Command) error {
+			page, ok := pages[cmd.Args().First()]
+			if !ok {
+				return fail(ExitUsage, "page %q does not exist: write api, events, metrics or settings", cmd.Args().First())
+			}
+			_, err := fmt.Fprint(cmd.Root().Writer, page())
+			return err
+		},
+	}
+}
--- /dev/null
+++ b/cmd/internal/cli/manifest.go
@@ -0,0 +1,148 @@
+package cli
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+
+	"github.com/urfave/cli/v3"
+
+	"wigeonwinch/cmd/internal/apiclient"
+	"wigeonwinch/fleet/manifest"
+	"wigeonwinch/fleet/structs"
+	"wigeonwinch/node/admin"
+)
+
+func manifestCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "manifest",
+		Usage: "check, publish and show manifests",
+		Commands: []*cli.Command{
+			{
+				Name: "check", Usage: "check a manifest file without a node", ArgsUsage: "FILE",
+				Action: func(_ context.Context, cmd *cli.Command) error {
+					data, err := readArgument(cmd)
+					if err != nil {
+						return err
+					}
+					return checkManifest(cmd, data)
+				},
+			},
+			{
+				Name: "publish", Usage: "publish a manifest through a node; safe to repeat", ArgsUsage: "FILE",
+				Description: "Example:\n  wigeonwinch --nodes 10.0.0.5:8082 --token-file publish.token manifest publish manifest.json",
+				Action:      publishManifest,
+			},
+			{
+				Name: "show", Usage: "print the manifest in force",
+				Action: func(ctx context.Context, cmd *cli.Command) error {
+					var m structs.Manifest
+					if err := first(ctx, cmd, "/v1/manifest", &m); err != nil {
+						return err
+					}
+					if err := cmd.Root().Set("output", "json"); err != nil {
+						return err
+					}
+					return show(cmd, m, nil)
+				},
+			},
+			{
+				Name: "schema", Usage: "print the JSON schema of manifests",
+				Action: func(_ context.Context, cmd *cli.Command) error {
+					data, err := manifest.Schema()
+					if err != nil {
+						return err
+					}
+					_, err = cmd.Root().Writer.Write(data)
+					return err
+				},
+			},
+		},
+	}
+}
+
+// readArgument reads the file named by the only argument; - is standard input.
+func readArgument(cmd *cli.Command) ([]byte, error) {
+	if cmd.Args().Len() != 1 {
+		return nil, fail(ExitUsage, "name one file, or - for standard input")
+	}
+	path := cmd.Args().First()
+	if path == "-" {
+		return io.ReadAll(os.Stdin)
+	}
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return nil, fail(ExitUsage, "name a file that can be read: %v", err)
+	}
+	return data, nil
+}
+
+func checkManifest(cmd *cli.Command, data []byte) error {
+	_, problems := manifest.Parse(data)
+	if len(problems) == 0 {
+		_, err := fmt.Fprintln(cmd.Root().Writer, "the manifest is valid")
+		return err
+	}
+	printProblems(cmd.Root().ErrWriter, problems)
+	return fail(ExitUsage, "the manifest has %d faults, listed above", len(problems))
+}
+
+func printProblems[P error](w io.Writer, problems []P) {
+	for _, p := range problems {
+		fmt.Fprintln(w, "  "+p.Error())
+	}
+}
+
+func publishManifest(ctx context.Context, cmd *cli.Command) error {
+	data, err := readArgument(cmd)
+	if err != nil {
+		return err
+	}
+	if _, problems := manifest.Parse(data); len(problems) > 0 {
+		printProblems(cmd.Root().ErrWriter, problems)
+		return fail(ExitUsage, "the manifest has %d faults, listed above; nothing was published", len(problems))
+	}
+	list, err := clients(cmd)
+	if err != nil {
+		return err
+	}
+	answer, err := publishThrough(ctx, list, data)
+	if err != nil {
+		return err
+	}
+	err = show(cmd, answer, func() table {
+		t := table{header: []string{"outcome", "offset", "generation", "changes", "key", "detail"}}
+		t.add(answer.Outcome, answer.Offset, answer.Generation, answer.Changes, answer.Key, answer.Detail)
+		return t
+	})
+	if err != nil {
+		return err
+	}
+	return publishExit(cmd, answer)
+}
+
+// publishThrough tries the nodes in turn until one answers. Sending the same
+// manifest through another node is safe because its key is the same.
+func publishThrough(ctx context.Context, list []*apiclient.Client, data []byte) (admin.Published, error) {
+	var last error
+	for _, c := range list {
+		answer, err := c.Publish(ctx, data)
+		if err == nil {
+			return answer, nil
+		}
+		last = err
+	}
+	return admin.Published{}, last
+}
+
+func publishExit(cmd *cli.Command, answer admin.Published) error {
+	switch answer.Outcome {
+	case admin.OutcomeAccepted, admin.OutcomeUnchanged:
+		return nil
+	case admin.OutcomeNotKnown:
+		return fail(ExitNotKnown, "the outcome is not known: run the same command again, it is safe")
+	}
+	printProblems(cmd.Root().ErrWriter, answer.Errors)
+	return fail(ExitFailed, "refused (%s): %s", answer.Reason, answer.Detail)
+}
--- /dev/null
+++ b/cmd/internal/cli/output.go
@@ -0,0 +1,57 @@
+package cli
+
+import (
+	"encoding/json"
+	"fmt"
+	"strings"
+	"text/tabwriter"
+
+	"github.com/urfave/cli/v3"
+)
+
+// table is what a command shows when the output is not JSON.
+type table struct {
+	header []string
+	rows   [][]string
+}
+
+func (t *table) add(cells ...any) {
+	row := make([]string, len(cells))
+	for i, cell := range cells {
+		row[i] = fmt.Sprint(cell)
+	}
+	t.rows = append(t.rows, row)
+}
+
+// show prints a value as JSON or as a table, as the output flag says.
+func show(cmd *cli.Command, value any, asTable func() table) error {
+	switch cmd.String("output") {
+	case "json":
+		encoder := json.NewEncoder(cmd.Root().Writer)
+		encoder.SetIndent("", "  ")
+		return encoder.Encode(value)
+	case "table":
+		return printTable(cmd, asTable())
+	}
+	return fail(ExitUsage, "--output %q: write json or table", cmd.String("output"))
+}
+
+func printTable(cmd *cli.Command, t table) error {
+	w := tabwriter.NewWriter(cmd.Root().Writer, 0, 4, 2, ' ', 0)
+	fmt.Fprintln(w, strings.ToUpper(strings.Join(t.header, "\t")))
+	for _, row := range t.rows {
+		fmt.Fprintln(w, strings.Join(row, "\t"))
+	}
+	return w.Flush()
+}
+
+// states writes the counts of VMs by state in the order of a VM's life.
+func states(counts map[string]int) string {
+	var parts []string
+	for _, state := range []string{"active", "draining", "drained", "rebooting", "probation", "failed"} {
+		if counts[state] > 0 {
+			parts = append(parts, fmt.Sprintf("%d %s", counts[state], state))
+		}
+	}
+	return strings.Join(parts, ", ")
+}
--- /dev/null
+++ b/cmd/internal/cli/settings.go
@@ -0,0 +1,56 @@
+package cli
+
+import (
+	"context"
+	"fmt"
+
+	"github.com/urfave/cli/v3"
+
+	"wigeonwinch/node/settings"
+)
+
+func settingsCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "settings",
+		Usage: "check and show the settings file of an entry node",
+		Commands: []*cli.Command{
+			{
+				Name: "check", Usage: "check a settings file", ArgsUsage: "FILE",
+				Action: func(_ context.Context, cmd *cli.Command) error {
+					if _, err := loadSettings(cmd); err != nil {
+						return err
+					}
+					_, err := fmt.Fprintln(cmd.Root().Writer, "the settings are valid")
+					return err
+				},
+			},
+			{
+				Name: "show", Usage: "print settings with their defaults; secrets are hidden", ArgsUsage: "FILE",
+				Action: func(_ context.Context, cmd *cli.Command) error {
+					s, err := loadSettings(cmd)
+					if err != nil {
+						return err
+					}
+					text, err := s.Show()
+					if err != nil {
+						return err
+					}
+					_, err = fmt.Fprintln(cmd.Root().Writer, text)
+					return err
+				},
+			},
+		},
+	}
+}
+
+func loadSettings(cmd *cli.Command) (*settings.Settings, error) {
+	if cmd.Args().Len() != 1 {
+		return nil, fail(ExitUsage, "name one settings file")
+	}
+	s, problems := settings.Load(cmd.Args().First())
+	if len(problems) > 0 {
+		printProblems(cmd.Root().ErrWriter, problems)
+		return nil, fail(ExitUsage, "the settings have %d faults, listed above", len(problems))
+	}
+	return s, nil
+}
--- /dev/null
+++ b/cmd/wigeonwinchd/main.go
@@ -0,0 +1,58 @@
+// Command wigeonwinchd is one entry node. It serves until it is told to stop
+// by SIGTERM or SIGINT, then finishes what is in progress.
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/urfave/cli/v3"
+
+	"wigeonwinch/node/entry"
+	"wigeonwinch/node/settings"
+)
+
+// The exit codes of the entry node.
+const (
+	exitFailed   = 1
+	exitSettings = 2
+)
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	command := &cli.Command{
+		Name:        "wigeonwinchd",
+		Usage:       "run one entry node",
+		Description: "Example:\n  wigeonwinchd --settings /etc/wigeonwinch/node.json\n\nExit codes: 0 stopped gracefully; 1 failed; 2 the settings have faults.",
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: "settings", Usage: "settings file, see docs/SETTINGS.md", Required: true, Sources: cli.EnvVars("WIGEONWINCH_SETTINGS")},
+		},
+		Action: func(ctx context.Context, cmd *cli.Command) error {
+			return run(ctx, cmd.String("settings"))
+		},
+	}
+	if err := command.Run(ctx, os.Args); err != nil {
+		fmt.Fprintln(os.Stderr, "wigeonwinchd: "+err.Error())
+		os.Exit(exitFailed)
+	}
+}
+
+func run(ctx context.Context, path string) error {
+	s, problems := settings.Load(path)
+	if len(problems) > 0 {
+		for _, p := range problems {
+			fmt.Fprintln(os.Stderr, "  "+p.Error())
+		}
+		fmt.Fprintf(os.Stderr, "wigeonwinchd: the settings have %d faults, listed above\n", len(problems))
+		os.Exit(exitSettings)
+	}
+	node, err := entry.New(entry.Config{Settings: s})
+	if err != nil {
+		return err
+	}
+	return node.Run(ctx)
+}
--- /dev/null
+++ b/node/entry/entry.go
@@ -0,0 +1,289 @@
+// Package entry assembles one entry node: its control loop, its peers, its
+// request path and its administration API.
+//
+//	node, err := entry.New(entry.Config{Settings: s})
+//	err = node.Run(ctx) // returns after a graceful stop once ctx ends
+package entry
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"os"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/sirupsen/logrus"
+
+	"wigeonwinch/fleet/planner"
+	"wigeonwinch/fleet/structs"
+	"wigeonwinch/fleet/wave"
+	"wigeonwinch/node/admin"
+	"wigeonwinch/node/control"
+	"wigeonwinch/node/events"
+	"wigeonwinch/node/forward"
+	"wigeonwinch/node/peer"
+	"wigeonwinch/node/probe"
+	"wigeonwinch/node/settings"
+	"wigeonwinch/node/telemetry"
+	"wigeonwinch/node/timeline"
+	"wigeonwinch/platform/client"
+)
+
+// timelineEntries is how many events the time line keeps.
+const timelineEntries = 10_000
+
+// Config is what a node is made from.
+type Config struct {
+	Settings *settings.Settings
+	// LogOutput takes the JSON log. Default: standard error.
+	LogOutput io.Writer
+}
+
+// Node is one entry node.
+type Node struct {
+	settings *settings.Settings
+	ring     *timeline.Ring
+	recorder *telemetry.Recorder
+	metrics  *telemetry.Metrics
+	mesh     *peer.Mesh
+	control  *control.Loop
+	forward  *forward.Server
+	ports    ports
+	stopping atomic.Bool
+}
+
+// New binds the node's ports and assembles it; nothing runs before Run.
+func New(cfg Config) (*Node, error) {
+	n := &Node{settings: cfg.Settings, ring: timeline.NewRing(timelineEntries)}
+	if err := n.ports.bind(cfg.Settings); err != nil {
+		return nil, err
+	}
+	if err := n.assemble(cfg); err != nil {
+		n.ports.close()
+		return nil, err
+	}
+	return n, nil
+}
+
+func (n *Node) assemble(cfg Config) error {
+	metrics, err := telemetry.NewMetrics()
+	if err != nil {
+		return err
+	}
+	n.metrics = metrics
+	identity := telemetry.Identity{Node: n.settings.Node, Zone: n.settings.Zone}
+	clock := timeline.NewClock(time.Now)
+	n.recorder = telemetry.NewRecorder(identity, newLogger(cfg), n.ring, clock, metrics)
+	platformClient, err := n.newPlatform()
+	if err != nil {
+		return err
+	}
+	incarnation := uint64(time.Now().UnixNano())
+	n.mesh = peer.New(n.peerConfig(incarnation))
+	n.forward = forward.New(n.forwardConfig(incarnation))
+	n.control = control.New(n.controlConfig(incarnation, platformClient))
+	return n.observe()
+}
+
+func (n *Node) newPlatform() (*client.Client, error) {
+	opts := client.Options{}
+	if n.settings.PlatformToken != nil {
+		opts.Token = n.settings.PlatformToken.Value()
+	}
+	return client.New(n.settings.PlatformAddress, opts)
+}
+
+func newLogger(cfg Config) *logrus.Logger {
+	logger := logrus.New()
+	logger.SetFormatter(&logrus.JSONFormatter{TimestampFormat: time.RFC3339Nano})
+	logger.SetOutput(os.Stderr)
+	if cfg.LogOutput != nil {
+		logger.SetOutput(cfg.LogOutput)
+	}
+	level, err := logrus.ParseLevel(cfg.Settings.LogLevel)
+	if err == nil {
+		logger.SetLevel(level)
+	}
+	return logger
+}
+
+func (n *Node) peerConfig(incarnation uint64) peer.Config {
+	s := n.settings
+	conf := peer.Config{
+		Node: s.Node, Zone: s.Zone, Incarnation: incarnation,
+		Address: n.PeerAddress(),
+		Key:     []byte(s.PeerKeys[0].Value()),
+		Events:  n.recorder,
+		Limits: peer.Limits{
+			PingInterval: time.Duration(s.Timing.PeerPingMS) * time.Millisecond,
+			SilenceBound: time.Duration(s.Timing.PeerSilentMS) * time.Millisecond,
+		},
+	}
+	if len(s.PeerKeys) > 1 {
+		conf.OtherKey = []byte(s.PeerKeys[1].Value())
+	}
+	for _, p := range s.Peers {
+		conf.Seeds = append(conf.Seeds, peer.Address{Node: p.Node, Zone: p.Zone, Address: p.Address})
+	}
+	return conf
+}
+
+func (n *Node) forwardConfig(incarnation uint64) forward.Config {
+	s := n.settings
+	limits := forward.Defaults()
+	limits.HeaderBytes = s.Limits.HeaderBytes
+	limits.BodyBytes = int64(s.Limits.BodyBytes)
+	limits.AnswerBytes = s.Limits.AnswerBytes
+	limits.HeaderTimeout = time.Duration(s.Limits.HeaderSeconds) * time.Second
+	limits.IdleTimeout = time.Duration(s.Limits.IdleSeconds) * time.Second
+	limits.QueuePerPool = s.Limits.QueuedRequests
+	limits.ClaimFence = settings.ClaimFence
+	return forward.Config{
+		Node: s.Node, Zone: s.Zone, Region: s.Region, Incarnation: incarnation,
+		PeerKey: []byte(s.PeerKeys[0].Value()),
+		Limits:  limits,
+		Fleet:   n,
+		Peers:   n.mesh,
+		Events:  n.recorder,
+	}
+}
+
+func (n *Node) controlConfig(incarnation uint64, platformClient *client.Client) control.Config {
+	s := n.settings
+	return control.Config{
+		Node: s.Node, Zone: s.Zone, Region: s.Region,
+		PeerAddress: n.PeerAddress(),
+		Incarnation: incarnation,
+		Log:         platformClient,
+		VMs:         platformClient,
+		Workers:     platformClient,
+		Peers:       n.mesh,
+		Forward:     n.forward,
+		Probe:       probe.New(),
+		Events:      n.recorder,
+		Intervals: control.Intervals{
+			ReadWait: time.Duration(s.Timing.ReadWaitMS) * time.Millisecond,
+			List:     time.Duration(s.Timing.ListMS) * time.Millisecond,
+			Plan:     time.Duration(s.Timing.PlanMS) * time.Millisecond,
+			LeaseTTL: time.Duration(s.Timing.LeaseTTLMS) * time.Millisecond,
+		},
+		Planner: planner.Options{
+			Wave: wave.Options{Probation: time.Duration(s.Timing.ProbationMS) * time.Millisecond},
+		},
+	}
+}
+
+// Name returns the node's name.
+func (n *Node) Name() string { return n.settings.Node }
+
+// Zone returns the node's availability zone.
+func (n *Node) Zone() string { return n.settings.Zone }
+
+// CallerAddress returns the IP address and port for callers.
+func (n *Node) CallerAddress() string { return n.ports.caller.Addr().String() }
+
+// PeerAddress returns the IP address and port for peers.
+func (n *Node) PeerAddress() string { return n.ports.peer.Addr().String() }
+
+// AdminAddress returns the IP address and port of the administration API.
+func (n *Node) AdminAddress() string { return n.ports.admin.Addr().String() }
+
+// View returns the latest control state; nil while there is none.
+func (n *Node) View() *structs.View { return n.control.View() }
+
+// TailReadAt returns when the read of the log was sent that last reached its
+// tail.
+func (n *Node) TailReadAt() time.Time { return n.control.TailReadAt() }
+
+// Ready says whether the node takes requests, and if not why.
+func (n *Node) Ready() (bool, string) {
+	if n.stopping.Load() {
+		return false, "the node stops"
+	}
+	return n.control.Ready()
+}
+
+// Append appends a record to the log and returns the fold's verdict.
+func (n *Node) Append(ctx context.Context, rec structs.Record) (structs.Verdict, error) {
+	return n.control.Append(ctx, rec)
+}
+
+// Lookup returns the outcome of an earlier append.
+func (n *Node) Lookup(key string) (structs.Verdict, bool) { return n.control.Lookup(key) }
+
+// Violations returns the number of broken invariants the node found.
+func (n *Node) Violations() int64 { return n.recorder.Violations() }
+
+// Timeline returns the node's events.
+func (n *Node) Timeline(f timeline.Filter) []timeline.Entry { return n.ring.Select(f) }
+
+// Run serves until the context ends, then stops gracefully.
+func (n *Node) Run(ctx context.Context) error {
+	n.recorder.Record(events.NodeStarted, events.Fields{Detail: "callers " + n.CallerAddress() + ", peers " + n.PeerAddress() + ", administration " + n.AdminAddress()})
+	inner, stopInner := context.WithCancel(context.Background())
+	defer stopInner()
+	failed := make(chan error, 6)
+	n.serve(failed)
+	n.start(inner, failed)
+	select {
+	case <-ctx.Done():
+		return n.stop(stopInner)
+	case err := <-failed:
+		stopInner()
+		n.ports.close()
+		return err
+	}
+}
+
+// start runs the loops; each reports when it ends before it should.
+func (n *Node) start(ctx context.Context, failed chan<- error) {
+	loops := []struct {
+		name string
+		run  func(context.Context) error
+	}{
+		{"peers", n.mesh.Run},
+		{"control loop", n.control.Run},
+		{"request path", n.forward.Run},
+	}
+	for _, loop := range loops {
+		go func() {
+			err := loop.run(ctx)
+			if ctx.Err() == nil {
+				failed <- errors.Wrapf(err, "%s ended", loop.name)
+			}
+		}()
+	}
+}
+
+func (n *Node) serve(failed chan<- error) {
+	peerMux := http.NewServeMux()
+	peerMux.Handle(peer.Path, n.mesh.Handler())
+	peerMux.Handle("/v1/relay/", n.forward.RelayHandler())
+	limits := n.settings.Limits
+	n.ports.serve(failed, limits, n.forward.Handler(), peerMux, n.newAdmin().Handler())
+}
+
+func (n *Node) newAdmin() *admin.API {
+	return admin.New(admin.Config{
+		Node: n.settings.Node, Zone: n.settings.Zone,
+		Control:       n,
+		Status:        func() any { return n.control.Status() },
+		Requests:      func() any { return n.forward.Stats() },
+		Forecast:      func() any { return n.control.Status().Forecasts },
+		Timeline:      n.ring,
+		Metrics:       n.metrics.Handler(),
+		Events:        n.recorder,
+		ReadTokens:    values(n.settings.ReadTokens),
+		PublishTokens: values(n.settings.PublishTokens),
+	})
+}
+
+func values(secrets []settings.Secret) []string {
+	var list []string
+	for _, s := range secrets {
+		list = append(list, s.Value())
+	}
+	return list
+}
