--- a/fleet/manifest/fuzz_test.go
+++ b/fleet/manifest/fuzz_test.go
@@ -17,6 +17,8 @@
 	f.Add([]byte(`{"teams": [{"rate_per_second": 1e999, "weigth": 1}]}`))
 	f.Add([]byte(`{"a": 1} {"b": 2}`))
 	f.Add([]byte(``))
+	f.Add([]byte(`4440444444444444444444`))
+	f.Add([]byte("{\"b\x80rmat\": 1.5, \"zongs\": [null], \"\": {\"id\": 11}}"))
 	f.Fuzz(func(t *testing.T, data []byte) {
 		m, problems := Parse(data)
 		if m != nil {
--- a/fleet/manifest/numbers.go
+++ b/fleet/manifest/numbers.go
@@ -57,6 +57,6 @@
 		_, err = strconv.ParseInt(text, 10, 64)
 	}
 	if err != nil {
-		p.add(path, shorten(text), "%s", remedy)
+		p.add(orRoot(path), shorten(text), "%s", remedy)
 	}
 }
--- a/fleet/manifest/parse.go
+++ b/fleet/manifest/parse.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"regexp"
 	"sort"
 	"strconv"
 	"strings"
@@ -22,6 +23,8 @@
 // maxValueBytes bounds the text of a faulty value in a problem.
 const maxValueBytes = 80
 
+var plainKey = regexp.MustCompile(`^[A-Za-z0-9_-]{1,63}$`)
+
 // Parse reads a manifest and checks it. It returns every problem at once and
 // no manifest unless there is none.
 func Parse(data []byte) (*structs.Manifest, []Problem) {
@@ -194,7 +197,11 @@
 	return string(data)
 }
 
+// join appends a key to a path. A key that is no plain word is quoted.
 func join(path, key string) string {
+	if !plainKey.MatchString(key) {
+		key = strconv.Quote(shorten(key))
+	}
 	if path == "" {
 		return key
 	}
--- a/fleet/state/apply.go
+++ b/fleet/state/apply.go
@@ -13,14 +13,22 @@
 	maxShownBytes = 64
 )
 
-// refusal says why a record is void. A nil refusal means that it applies.
-type refusal struct {
-	void   structs.Void
-	detail string
+// Refusal says why a record is void. It is an error. A nil refusal means that
+// the record applies.
+type Refusal struct {
+	// Void is the typed reason.
+	Void structs.Void
+	// Detail says what is wrong and what to do about it.
+	Detail string
 }
 
-func refuse(void structs.Void, format string, args ...any) *refusal {
-	return &refusal{void: void, detail: fmt.Sprintf(format, args...)}
+// Error returns the reason and the detail.
+func (r *Refusal) Error() string {
+	return fmt.Sprintf("%s: %s", r.Void, r.Detail)
+}
+
+func refuse(void structs.Void, format string, args ...any) *Refusal {
+	return &Refusal{Void: void, Detail: fmt.Sprintf(format, args...)}
 }
 
 // ApplyEncoded folds the record at an offset from its encoded form. A record
@@ -41,10 +49,10 @@
 }
 
 // fold folds one record; invalid is set when it could not be decoded.
-func (s *State) fold(offset structs.Offset, rec structs.Record, invalid *refusal) structs.Verdict {
+func (s *State) fold(offset structs.Offset, rec structs.Record, invalid *Refusal) structs.Verdict {
 	verdict := structs.Verdict{Offset: offset, Key: rec.Key}
 	if out := s.order(offset); out != nil {
-		verdict.Void, verdict.Detail = out.void, out.detail
+		verdict.Void, verdict.Detail = out.Void, out.Detail
 		return verdict
 	}
 	s.next = offset + 1
@@ -57,13 +65,13 @@
 		out = s.dispatch(offset, &rec)
 	}
 	if out != nil {
-		verdict.Void, verdict.Detail = out.void, out.detail
+		verdict.Void, verdict.Detail = out.Void, out.Detail
 	}
 	return verdict
 }
 
 // order checks that the record is the next one.
-func (s *State) order(offset structs.Offset) *refusal {
+func (s *State) order(offset structs.Offset) *Refusal {
 	if offset < s.next {
 		return refuse(structs.VoidDuplicate, "offset %d was folded before", offset)
 	}
@@ -75,7 +83,7 @@
 
 // once checks a record's key and remembers it. A key is remembered even when
 // its record turns out to be void, so that the first verdict stands.
-func (s *State) once(key string) *refusal {
+func (s *State) once(key string) *Refusal {
 	if key == "" || len(key) > maxKeyBytes {
 		return refuse(structs.VoidInvalid, "the key has %d bytes: use 1 to %d", len(key), maxKeyBytes)
 	}
@@ -88,7 +96,7 @@
 }
 
 // dispatch applies the one change that a record carries.
-func (s *State) dispatch(offset structs.Offset, rec *structs.Record) *refusal {
+func (s *State) dispatch(offset structs.Offset, rec *structs.Record) *Refusal {
 	if len(rec.Writer) > maxTextBytes {
 		return refuse(structs.VoidInvalid, "the writer's name is longer than %d bytes", maxTextBytes)
 	}
--- a/fleet/state/budget.go
+++ b/fleet/state/budget.go
@@ -11,7 +11,7 @@
 
 // budgetsHold checks the budgets of all services on a pool against the VMs
 // that serve now.
-func (s *State) budgetsHold(pool string) *refusal {
+func (s *State) budgetsHold(pool string) *Refusal {
 	return s.checkBudgets(pool, availability.Available)
 }
 
@@ -33,11 +33,11 @@
 
 // budgetsPossible checks the budgets of all services on a pool against its
 // declared VMs, as if all were up.
-func (s *State) budgetsPossible(pool string) *refusal {
+func (s *State) budgetsPossible(pool string) *Refusal {
 	return s.checkBudgets(pool, availability.Declared)
 }
 
-func (s *State) checkBudgets(pool string, measure availability.Measure) *refusal {
+func (s *State) checkBudgets(pool string, measure availability.Measure) *Refusal {
 	if s.unsafe.budgets {
 		return nil
 	}
@@ -52,8 +52,15 @@
 	for _, name := range slices.Sorted(maps.Keys(services)) {
 		svc, _ := s.services.get(name)
 		if short := tally.Shortfall(svc.Budget, measure); short != nil {
-			return refuse(structs.VoidBudget, "service %s on pool %s would be short (%v): wait until more VMs serve, or add some", shown(name), shown(pool), short)
+			return refuse(structs.VoidBudget, "service %s on pool %s would be short (%v): %s", shown(name), shown(pool), short, budgetRemedy(measure))
 		}
 	}
 	return nil
 }
+
+func budgetRemedy(measure availability.Measure) string {
+	if measure == availability.Declared {
+		return "add VMs or lower the budget"
+	}
+	return "wait until more VMs serve, or add some"
+}
--- a/fleet/state/entry.go
+++ b/fleet/state/entry.go
@@ -12,7 +12,7 @@
 const maxEntryMembers = 64
 
 // applyEntryEpoch replaces the entry nodes of a zone.
-func (s *State) applyEntryEpoch(e *structs.EntryEpoch) *refusal {
+func (s *State) applyEntryEpoch(e *structs.EntryEpoch) *Refusal {
 	if _, ok := s.zones.get(e.Zone); !ok {
 		return refuse(structs.VoidUnknownItem, "zone %s is not declared: add it to the manifest", shown(e.Zone))
 	}
@@ -30,7 +30,7 @@
 	return nil
 }
 
-func checkMembers(old, members []structs.EntryMember) *refusal {
+func checkMembers(old, members []structs.EntryMember) *Refusal {
 	if len(members) == 0 || len(members) > maxEntryMembers {
 		return refuse(structs.VoidInvalid, "the zone would have %d entry nodes: name 1 to %d", len(members), maxEntryMembers)
 	}
@@ -65,7 +65,7 @@
 }
 
 // applyDrainAck notes that an entry node has nothing more on a draining VM.
-func (s *State) applyDrainAck(writer string, a *structs.DrainAck) *refusal {
+func (s *State) applyDrainAck(writer string, a *structs.DrainAck) *Refusal {
 	if a.Node != writer {
 		return refuse(structs.VoidNotHolder, "%s acknowledged for %s: each node acknowledges for itself", shown(writer), shown(a.Node))
 	}
@@ -129,7 +129,7 @@
 }
 
 // drained checks that every entry node of a VM's zone has acknowledged.
-func (s *State) drained(vm structs.VMStatus) *refusal {
+func (s *State) drained(vm structs.VMStatus) *Refusal {
 	if s.unsafe.acknowledgements {
 		return nil
 	}
--- a/fleet/state/lease.go
+++ b/fleet/state/lease.go
@@ -11,7 +11,7 @@
 )
 
 // applyLease takes, renews or releases a lease.
-func (s *State) applyLease(writer string, l *structs.Lease) *refusal {
+func (s *State) applyLease(writer string, l *structs.Lease) *Refusal {
 	if out := checkLease(writer, l); out != nil {
 		return out
 	}
@@ -19,7 +19,7 @@
 	if !held && len(s.leases.items) >= maxLeaseScopes {
 		return refuse(structs.VoidInvalid, "there are %d lease scopes already: use one of them", maxLeaseScopes)
 	}
-	var out *refusal
+	var out *Refusal
 	if l.Epoch == now.Epoch && held {
 		out = checkRenewal(now, l)
 	} else {
@@ -32,7 +32,7 @@
 	return nil
 }
 
-func checkLease(writer string, l *structs.Lease) *refusal {
+func checkLease(writer string, l *structs.Lease) *Refusal {
 	if l.Scope == "" || len(l.Scope) > maxTextBytes || l.Holder == "" || len(l.Holder) > maxTextBytes {
 		return refuse(structs.VoidInvalid, "the lease needs a scope and a holder of 1 to %d bytes", maxTextBytes)
 	}
@@ -46,7 +46,7 @@
 }
 
 // checkTake checks a lease record that names another epoch than the current.
-func checkTake(now structs.Lease, l *structs.Lease) *refusal {
+func checkTake(now structs.Lease, l *structs.Lease) *Refusal {
 	if l.Epoch != now.Epoch+1 {
 		return refuse(structs.VoidStale, "scope %s is at epoch %d: take it with epoch %d", shown(l.Scope), now.Epoch, now.Epoch+1)
 	}
@@ -63,7 +63,7 @@
 }
 
 // checkRenewal checks a lease record that names the current epoch.
-func checkRenewal(now structs.Lease, l *structs.Lease) *refusal {
+func checkRenewal(now structs.Lease, l *structs.Lease) *Refusal {
 	if now.Holder != l.Holder {
 		return refuse(structs.VoidStale, "epoch %d of scope %s belongs to %s: wait and take the next", now.Epoch, shown(l.Scope), shown(now.Holder))
 	}
@@ -77,7 +77,7 @@
 }
 
 // holds checks that a writer holds a scope in an epoch.
-func (s *State) holds(writer, scope string, epoch structs.Epoch) *refusal {
+func (s *State) holds(writer, scope string, epoch structs.Epoch) *Refusal {
 	now, ok := s.leases.get(scope)
 	if !ok {
 		return refuse(structs.VoidNotHolder, "nobody holds scope %s: take its lease first", shown(scope))
--- a/fleet/state/publish.go
+++ b/fleet/state/publish.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 
 	"wigeonwinch/fleet/manifest"
 	"wigeonwinch/fleet/structs"
@@ -10,77 +11,94 @@
 // maxChanges bounds the changes of one publish.
 const maxChanges = 1 << 15
 
-// maxListedProblems bounds the problems that a verdict lists.
-const maxListedProblems = 5
+// maxListedRefusals bounds the refusals that a verdict lists.
+const maxListedRefusals = 5
 
 // applyPublish changes the configuration: all of its changes or none.
-func (s *State) applyPublish(offset structs.Offset, p *structs.Publish) *refusal {
+func (s *State) applyPublish(offset structs.Offset, p *structs.Publish) *Refusal {
+	tx, list := s.tryPublish(p)
+	if len(list) > 0 {
+		tx.rollBack()
+		return joinRefusals(list)
+	}
+	s.generation++
+	s.publishedAt = offset
+	return nil
+}
+
+// CheckPublish lists everything that speaks against a publish in the present
+// state and changes nothing. A publish that passes can still be void when it
+// is folded, if another record comes first.
+func (s *State) CheckPublish(p *structs.Publish) []*Refusal {
+	tx, list := s.tryPublish(p)
+	tx.rollBack()
+	return list
+}
+
+// tryPublish makes the changes of a publish and lists what speaks against it.
+// The caller keeps the changes or rolls them back.
+func (s *State) tryPublish(p *structs.Publish) (*transaction, []*Refusal) {
+	tx := newTransaction(s)
 	if p.Base != s.generation && !s.unsafe.generation {
-		return refuse(structs.VoidStale, "the configuration is at generation %d, the publish is based on %d: generate it again", s.generation, p.Base)
+		return tx, []*Refusal{refuse(structs.VoidStale, "the configuration is at generation %d, the publish is based on %d: generate it again", s.generation, p.Base)}
 	}
-	if out := checkChanges(p.Changes); out != nil {
-		return out
+	if list := checkChanges(p.Changes); len(list) > 0 {
+		return tx, list
 	}
-	tx := newTransaction(s)
 	for i := range p.Changes {
 		tx.apply(&p.Changes[i])
 	}
-	if out := tx.check(); out != nil {
-		tx.rollBack()
-		return out
+	tx.check()
+	return tx, tx.refusals
+}
+
+// joinRefusals makes one refusal of several: the first one's reason and the
+// details of the first few.
+func joinRefusals(list []*Refusal) *Refusal {
+	details := make([]string, 0, maxListedRefusals)
+	for _, r := range list[:min(len(list), maxListedRefusals)] {
+		details = append(details, r.Detail)
 	}
-	s.generation++
-	s.publishedAt = offset
-	return nil
+	if more := len(list) - len(details); more > 0 {
+		details = append(details, fmt.Sprintf("and %d more", more))
+	}
+	return &Refusal{Void: list[0].Void, Detail: strings.Join(details, "; ")}
 }
 
 // checkChanges checks each change by itself.
-func checkChanges(changes []structs.Change) *refusal {
+func checkChanges(changes []structs.Change) []*Refusal {
 	if len(changes) == 0 || len(changes) > maxChanges {
-		return refuse(structs.VoidInvalid, "the publish has %d changes: give 1 to %d", len(changes), maxChanges)
+		return []*Refusal{refuse(structs.VoidInvalid, "the publish has %d changes: give 1 to %d", len(changes), maxChanges)}
 	}
 	type item struct {
 		kind structs.ItemKind
 		name string
 	}
 	seen := make(map[item]bool, len(changes))
-	var problems []manifest.Problem
+	var list []*Refusal
 	for i, c := range changes {
-		problems = append(problems, manifest.CheckChange(fmt.Sprintf("changes[%d]", i), c)...)
-		if len(problems) >= maxListedProblems {
-			break
+		field := fmt.Sprintf("changes[%d]", i)
+		for _, problem := range manifest.CheckChange(field, c) {
+			list = append(list, &Refusal{Void: structs.VoidInvalid, Detail: problem.Error()})
 		}
 		key := item{kind: c.Kind, name: c.Name}
 		if seen[key] {
-			return refuse(structs.VoidInvalid, "changes[%d] changes %s a second time: name each item once", i, shown(c.Name))
+			list = append(list, refuse(structs.VoidInvalid, "%s changes %s a second time: name each item once", field, shown(c.Name)))
 		}
 		seen[key] = true
 	}
-	if len(problems) == 0 {
-		return nil
-	}
-	return refuse(structs.VoidInvalid, "%s", joinProblems(problems))
-}
-
-func joinProblems(problems []manifest.Problem) string {
-	text := ""
-	for i, p := range problems {
-		if i > 0 {
-			text += "; "
-		}
-		text += p.Error()
-	}
-	return text
+	return list
 }
 
 // transaction applies the changes of a publish and can undo them.
 type transaction struct {
-	s     *State
-	undo  []func()
-	first *refusal
-	// The names of the items whose references or budgets must be checked
-	// again.
+	s        *State
+	undo     []func()
+	refusals []*Refusal
+	// The names of the items that changed, and of the pools whose budgets must
+	// be checked again.
 	pools    map[string]bool
+	budgets  map[string]bool
 	zones    map[string]bool
 	windows  map[string]bool
 	waves    map[string]bool
@@ -92,6 +110,7 @@
 	return &transaction{
 		s:        s,
 		pools:    map[string]bool{},
+		budgets:  map[string]bool{},
 		zones:    map[string]bool{},
 		windows:  map[string]bool{},
 		waves:    map[string]bool{},
@@ -107,11 +126,9 @@
 	}
 }
 
-// fail keeps the first reason against the publish.
-func (tx *transaction) fail(out *refusal) {
-	if tx.first == nil {
-		tx.first = out
-	}
+// fail notes a reason against the publish.
+func (tx *transaction) fail(void structs.Void, format string, args ...any) {
+	tx.refusals = append(tx.refusals, refuse(void, format, args...))
 }
 
 func (tx *transaction) later(undo func()) {
@@ -146,7 +163,7 @@
 func setItem[T any](tx *transaction, t *table[T], name string, item *T) {
 	old, had := t.get(name)
 	if item == nil && !had {
-		tx.fail(refuse(structs.VoidUnknownItem, "%s can't be deleted: it does not exist", shown(name)))
+		tx.fail(structs.VoidUnknownItem, "%s can't be deleted: it does not exist", shown(name))
 		return
 	}
 	if item == nil {
@@ -168,7 +185,7 @@
 func (tx *transaction) setService(c *structs.Change) {
 	s := tx.s
 	if old, had := s.services.get(c.Name); had {
-		tx.pools[old.Pool] = true
+		tx.budgets[old.Pool] = true
 		s.index.removeService(old)
 		tx.later(func() { s.index.addService(old) })
 	}
@@ -178,7 +195,7 @@
 	}
 	added := *c.Service
 	tx.services[c.Name] = true
-	tx.pools[added.Pool] = true
+	tx.budgets[added.Pool] = true
 	s.index.addService(added)
 	tx.later(func() { s.index.removeService(added) })
 }
--- a/fleet/state/publish_check.go
+++ b/fleet/state/publish_check.go
@@ -6,7 +6,7 @@
 )
 
 // checkCounts checks that no kind has too many items.
-func (tx *transaction) checkCounts() *refusal {
+func (tx *transaction) checkCounts() {
 	s := tx.s
 	counts := []struct {
 		kind structs.ItemKind
@@ -23,41 +23,38 @@
 	}
 	for _, c := range counts {
 		if limit := manifest.Limit(c.kind); c.have > limit {
-			return refuse(structs.VoidInvalid, "there would be %d %s: use at most %d", c.have, c.what, limit)
+			tx.fail(structs.VoidInvalid, "there would be %d %s: use at most %d", c.have, c.what, limit)
 		}
 	}
-	return nil
 }
 
 // checkZones checks that a deleted zone has no VMs.
-func (tx *transaction) checkZones() *refusal {
+func (tx *transaction) checkZones() {
 	for _, name := range names(tx.zones) {
 		_, exists := tx.s.zones.get(name)
 		if vms := tx.s.index.zoneVMs[name]; !exists && vms > 0 {
-			return refuse(structs.VoidInvalid, "zone %s still has %d VMs: remove and drain them first", shown(name), vms)
+			tx.fail(structs.VoidInvalid, "zone %s still has %d VMs: remove and drain them first", shown(name), vms)
 		}
 	}
-	return nil
 }
 
 // checkPools checks that a deleted pool is not used any more.
-func (tx *transaction) checkPools() *refusal {
+func (tx *transaction) checkPools() {
 	s := tx.s
 	for _, name := range names(tx.pools) {
 		if _, exists := s.pools.get(name); exists {
 			continue
 		}
 		if vms := s.index.poolVMs[name]; vms > 0 {
-			return refuse(structs.VoidInvalid, "pool %s is not declared but %d VMs name it: add it, or move or remove them first", shown(name), vms)
+			tx.fail(structs.VoidInvalid, "pool %s is not declared but %d VMs name it: add it, or remove them and wait until they are drained", shown(name), vms)
 		}
 		if services := len(s.index.services[name]); services > 0 {
-			return refuse(structs.VoidInvalid, "pool %s is not declared but %d services name it: add it, or give them another pool", shown(name), services)
+			tx.fail(structs.VoidInvalid, "pool %s is not declared but %d services name it: add it, or give them another pool", shown(name), services)
 		}
 		if wave := tx.waveOf(name); wave != "" {
-			return refuse(structs.VoidInvalid, "pool %s is not declared but wave %s names it: add it, or change the wave", shown(name), shown(wave))
+			tx.fail(structs.VoidInvalid, "pool %s is not declared but wave %s names it: add it, or change the wave", shown(name), shown(wave))
 		}
 	}
-	return nil
 }
 
 // waveOf returns the first wave that names a pool.
@@ -73,67 +70,63 @@
 }
 
 // checkVMs checks the pool, zone and address of each VM that was put.
-func (tx *transaction) checkVMs() *refusal {
+func (tx *transaction) checkVMs() {
 	s := tx.s
 	for _, id := range names(tx.vms) {
 		vm, _ := s.vms.get(id)
 		if _, ok := s.zones.get(vm.Zone); !ok {
-			return refuse(structs.VoidInvalid, "VM %s names zone %s, which is not declared: add it or correct the name", shown(id), shown(vm.Zone))
+			tx.fail(structs.VoidInvalid, "VM %s names zone %s, which is not declared: add it or correct the name", shown(id), shown(vm.Zone))
 		}
 		if _, ok := s.pools.get(vm.VM.Pool); !ok {
-			return refuse(structs.VoidInvalid, "VM %s names pool %s, which is not declared: add it or correct the name", shown(id), shown(vm.VM.Pool))
+			tx.fail(structs.VoidInvalid, "VM %s names pool %s, which is not declared: add it or correct the name", shown(id), shown(vm.VM.Pool))
 		}
 		if other := s.index.addresses.other(vm.Address, id); other != "" {
-			return refuse(structs.VoidInvalid, "VM %s has the address %s of VM %s: give each VM its own, or wait until that VM is drained", shown(id), vm.Address, shown(other))
+			tx.fail(structs.VoidInvalid, "VM %s has the address %s of VM %s: give each VM its own, or wait until that VM is drained", shown(id), vm.Address, shown(other))
 		}
 	}
-	return nil
 }
 
 // checkServices checks the pool and routes of each service that was put.
-func (tx *transaction) checkServices() *refusal {
+func (tx *transaction) checkServices() {
 	s := tx.s
 	for _, name := range names(tx.services) {
 		svc, _ := s.services.get(name)
 		if _, ok := s.pools.get(svc.Pool); !ok {
-			return refuse(structs.VoidInvalid, "service %s names pool %s, which is not declared: add it or correct the name", shown(name), shown(svc.Pool))
+			tx.fail(structs.VoidInvalid, "service %s names pool %s, which is not declared: add it or correct the name", shown(name), shown(svc.Pool))
 		}
 		for _, route := range svc.Routes {
 			if other := s.index.routes.other(route, name); other != "" {
-				return refuse(structs.VoidInvalid, "service %s lists the route %s of service %s: a path prefix belongs to one service", shown(name), shown(route), shown(other))
+				tx.fail(structs.VoidInvalid, "service %s lists the route %s of service %s: a path prefix belongs to one service", shown(name), shown(route), shown(other))
 			}
 		}
 	}
-	return nil
 }
 
 // checkWaves checks the pools and windows of waves. There are few waves, so
 // all are checked when a wave or a window changed.
-func (tx *transaction) checkWaves() *refusal {
+func (tx *transaction) checkWaves() {
 	if len(tx.waves) == 0 && len(tx.windows) == 0 {
-		return nil
+		return
 	}
 	s := tx.s
 	for _, wave := range s.waves.sorted() {
 		if _, ok := s.windows.get(wave.Window); !ok && wave.Window != "" {
-			return refuse(structs.VoidInvalid, "wave %s names window %s, which is not declared: add it or correct the name", shown(wave.Name), shown(wave.Window))
+			tx.fail(structs.VoidInvalid, "wave %s names window %s, which is not declared: add it or correct the name", shown(wave.Name), shown(wave.Window))
 		}
 		for _, pool := range wave.Pools {
 			if _, ok := s.pools.get(pool); !ok {
-				return refuse(structs.VoidInvalid, "wave %s names pool %s, which is not declared: add it or correct the name", shown(wave.Name), shown(pool))
+				tx.fail(structs.VoidInvalid, "wave %s names pool %s, which is not declared: add it or correct the name", shown(wave.Name), shown(pool))
 			}
 		}
 	}
-	return nil
 }
 
 // checkBudgets checks that each pool whose VMs or services changed can keep
 // its budgets with all its declared VMs up.
-func (tx *transaction) checkBudgets() *refusal {
-	for _, pool := range names(tx.pools) {
+func (tx *transaction) checkBudgets() {
+	for _, pool := range names(tx.budgets) {
 		if out := tx.s.budgetsPossible(pool); out != nil {
-			return out
+			tx.refusals = append(tx.refusals, out)
 		}
 	}
-	return nil
 }
--- a/fleet/state/publish_test.go
+++ b/fleet/state/publish_test.go
@@ -245,3 +245,30 @@
 	require.Len(t, changes, 1)
 	require.Equal(t, m.VMs[3].ID, changes[0].Name)
 }
+
+func TestCheckPublishListsEverythingAndChangesNothing(t *testing.T) {
+	b := newBench(t)
+	rec := b.publish(
+		drop(structs.ItemZone, "kirtipur"),
+		drop(structs.ItemTeam, "missing"),
+		vmChange("x", "nowhere", "kirtipur", "127.0.0.1:1"),
+		editedService(b, "billing", func(s *structs.Service) { s.Budget.MinAvailable = 8 }),
+		teamChange("new", 1),
+	)
+	before := b.s.Digest()
+	list := b.s.CheckPublish(rec.Publish)
+	require.Equal(t, before, b.s.Digest())
+	require.Equal(t, rebuilt(t, b.s).index, b.s.index)
+	reasons := map[structs.Void]int{}
+	for _, r := range list {
+		reasons[r.Void]++
+		require.NotEmpty(t, r.Error())
+	}
+	require.Equal(t, map[structs.Void]int{
+		structs.VoidUnknownItem: 1, structs.VoidInvalid: 3, structs.VoidBudget: 1,
+	}, reasons, "%v", list)
+	require.Empty(t, b.s.CheckPublish(b.publish(teamChange("new", 1)).Publish))
+	verdict := b.apply("pipeline", rec)
+	require.Contains(t, verdict.Detail, `zone "kirtipur"`)
+	require.Contains(t, verdict.Detail, `service "billing"`)
+}
--- a/fleet/state/publish_vm.go
+++ b/fleet/state/publish_vm.go
@@ -18,14 +18,14 @@
 	old, had := s.vms.get(c.Name)
 	tx.setAddress(old.Address, c.VM.Address, c.Name)
 	if !had {
-		tx.pools[c.VM.Pool] = true
+		tx.budgets[c.VM.Pool] = true
 		s.putVM(structs.VMStatus{VM: *c.VM, Pool: c.VM.Pool, State: structs.VMActive})
 		tx.later(func() { s.dropVM(c.Name) })
 		return
 	}
-	tx.pools[old.Pool] = true
+	tx.budgets[old.Pool] = true
 	if (old.Zone != c.VM.Zone || old.Rack != c.VM.Rack) && mayHaveWork(old.State) {
-		tx.fail(refuse(structs.VoidInvalid, "VM %s is %s and can't change its zone or rack: drain it first, or declare it under another ID", shown(c.Name), old.State))
+		tx.fail(structs.VoidInvalid, "VM %s is %s and can't change its zone or rack: drain it first, or declare it under another ID", shown(c.Name), old.State)
 	}
 	changed := old
 	changed.VM = *c.VM
@@ -45,10 +45,10 @@
 	s := tx.s
 	old, had := s.vms.get(id)
 	if !had || old.Removed {
-		tx.fail(refuse(structs.VoidUnknownItem, "VM %s can't be deleted: it does not exist", shown(id)))
+		tx.fail(structs.VoidUnknownItem, "VM %s can't be deleted: it does not exist", shown(id))
 		return
 	}
-	tx.pools[old.Pool] = true
+	tx.budgets[old.Pool] = true
 	if mayHaveWork(old.State) {
 		marked := old
 		marked.Removed = true
@@ -104,25 +104,14 @@
 }
 
 // check checks everything that the changes may have broken.
-func (tx *transaction) check() *refusal {
-	if tx.first != nil {
-		return tx.first
-	}
-	checks := []func() *refusal{
-		tx.checkCounts,
-		tx.checkZones,
-		tx.checkPools,
-		tx.checkVMs,
-		tx.checkServices,
-		tx.checkWaves,
-		tx.checkBudgets,
-	}
-	for _, check := range checks {
-		if out := check(); out != nil {
-			return out
-		}
-	}
-	return nil
+func (tx *transaction) check() {
+	tx.checkCounts()
+	tx.checkZones()
+	tx.checkPools()
+	tx.checkVMs()
+	tx.checkServices()
+	tx.checkWaves()
+	tx.checkBudgets()
 }
 
 // names returns a set's names in order.
--- a/fleet/state/transition.go
+++ b/fleet/state/transition.go
@@ -29,7 +29,7 @@
 }
 
 // applyTransition moves a VM to another state.
-func (s *State) applyTransition(writer string, t *structs.Transition) *refusal {
+func (s *State) applyTransition(writer string, t *structs.Transition) *Refusal {
 	vm, out := s.planned(writer, t.VM, t.Sequence, t.LeaseScope, t.LeaseEpoch)
 	if out != nil {
 		return out
@@ -54,7 +54,7 @@
 
 // planned checks what each act on a VM needs: the lease, the VM and its
 // sequence.
-func (s *State) planned(writer, id string, sequence uint64, scope string, epoch structs.Epoch) (structs.VMStatus, *refusal) {
+func (s *State) planned(writer, id string, sequence uint64, scope string, epoch structs.Epoch) (structs.VMStatus, *Refusal) {
 	vm, ok := s.vms.get(id)
 	if !ok {
 		return vm, refuse(structs.VoidUnknownItem, "VM %s does not exist", shown(id))
@@ -69,7 +69,7 @@
 }
 
 // checkStep checks that a transition may follow the VM's present state.
-func (s *State) checkStep(vm structs.VMStatus, t *structs.Transition) *refusal {
+func (s *State) checkStep(vm structs.VMStatus, t *structs.Transition) *Refusal {
 	if len(t.Image) > maxTextBytes {
 		return refuse(structs.VoidInvalid, "the image is longer than %d bytes", maxTextBytes)
 	}
@@ -114,7 +114,7 @@
 
 // checkDrainBudget checks that a step that takes a VM out of service by plan
 // leaves every budget of its pool whole.
-func (s *State) checkDrainBudget(before, after structs.VMStatus) *refusal {
+func (s *State) checkDrainBudget(before, after structs.VMStatus) *Refusal {
 	if !before.State.Available() || after.State != structs.VMDraining {
 		return nil
 	}
@@ -128,7 +128,7 @@
 }
 
 // applyMove gives a drained VM to another pool.
-func (s *State) applyMove(writer string, m *structs.Move) *refusal {
+func (s *State) applyMove(writer string, m *structs.Move) *Refusal {
 	vm, out := s.planned(writer, m.VM, m.Sequence, m.LeaseScope, m.LeaseEpoch)
 	if out != nil {
 		return out
@@ -155,7 +155,7 @@
 }
 
 // moveKeepsBudgets checks both pools after a move.
-func (s *State) moveKeepsBudgets(from, to string) *refusal {
+func (s *State) moveKeepsBudgets(from, to string) *Refusal {
 	if out := s.budgetsHold(from); out != nil {
 		return out
 	}
--- a/fleet/state/wave.go
+++ b/fleet/state/wave.go
@@ -25,7 +25,7 @@
 }
 
 // checkWaveTakes checks that a wave may take a VM out.
-func (s *State) checkWaveTakes(vm structs.VMStatus, name string) *refusal {
+func (s *State) checkWaveTakes(vm structs.VMStatus, name string) *Refusal {
 	wave, ok := s.waves.get(name)
 	if !ok {
 		return refuse(structs.VoidUnknownItem, "wave %s is not declared", shown(name))
@@ -82,7 +82,7 @@
 }
 
 // applyWaveStop ends a wave.
-func (s *State) applyWaveStop(writer string, w *structs.WaveStop) *refusal {
+func (s *State) applyWaveStop(writer string, w *structs.WaveStop) *Refusal {
 	if out := s.holds(writer, w.LeaseScope, w.LeaseEpoch); out != nil {
 		return out
 	}
