--- a/fleet/budget/budget.go
+++ b/fleet/budget/budget.go
@@ -56,16 +56,19 @@
 	rules     []rule
 	total     int
 	available int
-	zoneTotal *domains
-	rackTotal *domains
-	zones     *domains
+	failed    int // out of service without a plan
+	zoneTotal *domains // all workers
+	zoneSound *domains // workers that have not failed
+	rackSound *domains
+	zones     *domains // available workers
 	racks     *domains
 }
 
 func newPool() *pool {
 	return &pool{
 		zoneTotal: newDomains(),
-		rackTotal: newDomains(),
+		zoneSound: newDomains(),
+		rackSound: newDomains(),
 		zones:     newDomains(),
 		racks:     newDomains(),
 	}
@@ -108,11 +111,15 @@
 	}
 	p.total++
 	p.zoneTotal.add(domain{zone: vm.Zone})
-	p.rackTotal.add(domain{zone: vm.Zone, rack: vm.Rack})
-	if !vm.State.Available() || (out != nil && out(vm)) {
+	if vm.State == structs.VMFailed || (vm.State.Available() && out != nil && out(vm)) {
+		p.failed++
 		return
 	}
-	p.add(vm)
+	p.zoneSound.add(domain{zone: vm.Zone})
+	p.rackSound.add(domain{zone: vm.Zone, rack: vm.Rack})
+	if vm.State.Available() {
+		p.add(vm)
+	}
 }
 
 func (p *pool) add(vm *structs.VMStatus) {
@@ -168,16 +175,22 @@
 	case structs.FailureDomainVM:
 		return min(vmReserve, p.available)
 	}
-	if p.total-r.min > vmReserve {
-		return vmReserve
-	}
-	return 0
+	return undeclaredReserve(p.total - p.failed - r.min)
 }
 
-// zoneReserve is the number of workers kept in a zone for a random failure. A
-// zone that could then never be maintained keeps none.
+// zoneReserve is the number of workers kept in a zone for a random failure.
 func (p *pool) zoneReserve(r rule, at domain) int {
-	if r.perZone > 0 && p.zoneTotal.of(at)-r.perZone > vmReserve {
+	if r.perZone == 0 {
+		return 0
+	}
+	return undeclaredReserve(p.zoneSound.of(at) - r.perZone)
+}
+
+// undeclaredReserve is the reserve where no budget names one, given the
+// workers beyond the budget that have not failed. A last one is not kept
+// back: no worker could ever be maintained then.
+func undeclaredReserve(slack int) int {
+	if slack > vmReserve {
 		return vmReserve
 	}
 	return 0
--- a/fleet/budget/headroom.go
+++ b/fleet/budget/headroom.go
@@ -3,8 +3,7 @@
 import "wigeonwinch/fleet/structs"
 
 // MaxOut returns the largest number of a pool's workers that can be out of
-// service at once when none has failed. No plan that keeps the budgets can
-// have more out at any instant; Bound says for which reserves.
+// service by plan at once, given the workers that have failed.
 func (l *Ledger) MaxOut(name string) int {
 	return l.maxOut(name, true)
 }
@@ -29,26 +28,27 @@
 }
 
 func (p *pool) maxOutByRule(r rule, withReserve bool) int {
+	sound := p.total - p.failed
 	switch r.survive {
 	case structs.FailureDomainZone:
-		return maxOutSurviving(p.total, r.min, p.zoneTotal)
+		return maxOutSurviving(sound, r.min, p.zoneSound)
 	case structs.FailureDomainRack:
-		return maxOutSurviving(p.total, r.min, p.rackTotal)
+		return maxOutSurviving(sound, r.min, p.rackSound)
 	case structs.FailureDomainVM:
-		return p.total - r.min - vmReserve
+		return sound - r.min - vmReserve
 	}
 	if withReserve {
-		return p.total - r.min - p.reserve(r)
+		return sound - r.min - p.reserve(r)
 	}
-	return p.total - r.min
+	return sound - r.min
 }
 
 // maxOutSurviving tries each size of the largest remaining domain: taking
 // VMs out of the largest domains lowers the loss that must be survived.
-func maxOutSurviving(total, least int, d *domains) int {
+func maxOutSurviving(sound, least int, d *domains) int {
 	most := 0
 	for loss := d.max; loss >= 0; loss-- {
-		out := total - least - loss
+		out := sound - least - loss
 		if out >= d.excess(loss) {
 			most = max(most, out)
 		}
@@ -70,7 +70,7 @@
 		return p.total
 	}
 	sum := 0
-	for at, n := range p.zoneTotal.counts {
+	for at, n := range p.zoneSound.counts {
 		keep := r.perZone
 		if withReserve {
 			keep += p.zoneReserve(r, at)
@@ -87,7 +87,7 @@
 	if p == nil {
 		return 0
 	}
-	n := p.zoneTotal.of(domain{zone: zone})
+	n := p.zoneSound.of(domain{zone: zone})
 	most := n
 	for _, r := range p.rules {
 		most = min(most, n-r.perZone)
--- a/fleet/planner/life.go
+++ b/fleet/planner/life.go
@@ -43,6 +43,11 @@
 		t.Image = cameBackOn(seen, image)
 	}
 	r.transition(vm, t)
+	if step.To == structs.VMDrained {
+		drained := *vm
+		drained.Sequence++
+		r.advanceDrained(&drained)
+	}
 }
 
 // cameBackOn returns the image a VM came back on.
--- a/fleet/wave/step.go
+++ b/fleet/wave/step.go
@@ -111,25 +111,26 @@
 	return Step{Reboot: true}
 }
 
-// cameBack says that the reboot is over. A planner that took over in the
-// middle does not know the boot count from before the reboot; it accepts the
-// wanted image and a while of good probes instead.
+// cameBack says that the reboot is over. An outage of its own can bring the
+// VM back on another image than the wanted one; it then returns as it is. A
+// planner that took over in the middle does not know the boot count from
+// before the reboot; it accepts the wanted image and a while of good probes
+// instead.
 func (t *Tracker) cameBack(m *memory, seen *Observation, c Context) bool {
-	if seen.Present != PresenceLive || !seen.ProbeOK {
-		return false
-	}
-	if c.Image != "" && seen.Image != "" && seen.Image != c.Image {
+	if seen.Present != PresenceLive {
 		return false
 	}
+	wanted := c.Image == "" || seen.Image == "" || seen.Image == c.Image
 	if seen.Boot > m.boot {
-		return true
+		return wanted || seen.ProbeOK
 	}
 	settled := !m.okSince.IsZero() && c.Now.Sub(m.okSince) >= t.options.RebootSettle
-	return m.resumed && settled
+	return m.resumed && wanted && settled
 }
 
 func (t *Tracker) nextProbation(m *memory, seen *Observation, now time.Time) Step {
-	if seen.Failures >= t.options.FailureProbes {
+	graceOver := now.Sub(m.since) > t.options.ProbationGrace
+	if graceOver && seen.Failures >= t.options.FailureProbes {
 		return Step{To: structs.VMFailed, FailedProbation: true}
 	}
 	if !m.okSince.IsZero() && now.Sub(m.okSince) >= t.options.Probation {
--- a/fleet/wave/tracker.go
+++ b/fleet/wave/tracker.go
@@ -14,6 +14,8 @@
 	started bool
 	// outDuration is the smoothed time from draining to active.
 	outDuration time.Duration
+	// drainDuration is the smoothed time of drains that did not straggle.
+	drainDuration time.Duration
 }
 
 // memory is what the tracker knows of one VM.
@@ -32,9 +34,10 @@
 // NewTracker returns an empty tracker.
 func NewTracker(options Options) *Tracker {
 	return &Tracker{
-		options:     options.withDefaults(),
-		vms:         make(map[string]*memory),
-		outDuration: defaultOutDuration,
+		options:       options.withDefaults(),
+		vms:           make(map[string]*memory),
+		outDuration:   defaultOutDuration,
+		drainDuration: defaultDrainDuration,
 	}
 }
 
@@ -73,6 +76,9 @@
 		t.learnOutDuration(m, now)
 		m.recalled = 0
 	}
+	if m.state == structs.VMDraining && (vm.State == structs.VMDrained || vm.State == structs.VMRebooting) {
+		t.learnDrainDuration(now.Sub(m.since))
+	}
 	m.state = vm.State
 	m.sequence = vm.Sequence
 	m.since = now
@@ -93,6 +99,19 @@
 	m.outSince = time.Time{}
 }
 
+func (t *Tracker) learnDrainDuration(took time.Duration) {
+	if took > t.patience() {
+		return
+	}
+	t.drainDuration += time.Duration(drainSmoothing * float64(took-t.drainDuration))
+}
+
+// patience is how long a drain may last before it straggles: some times what
+// drains usually take.
+func (t *Tracker) patience() time.Duration {
+	return min(drainsPerPatience*t.drainDuration, t.options.Patience)
+}
+
 // forget drops the memory of VMs that no longer exist.
 func (t *Tracker) forget(view *structs.View) {
 	kept := make(map[string]*memory, len(view.VMs))
@@ -112,7 +131,7 @@
 // Straggling says that the VM has been draining for longer than the patience.
 func (t *Tracker) Straggling(id string, now time.Time) bool {
 	m := t.vms[id]
-	return m != nil && m.state == structs.VMDraining && now.Sub(m.since) > t.options.Patience
+	return m != nil && m.state == structs.VMDraining && now.Sub(m.since) > t.patience()
 }
 
 // Recall notes that the VM's drain was called back. It is not drained again
--- a/fleet/wave/wave.go
+++ b/fleet/wave/wave.go
@@ -53,11 +53,15 @@
 	defaultRebootTimeout  = 30 * time.Minute
 	defaultRebootSettle   = 3 * time.Minute
 	defaultProbation      = time.Minute
+	defaultProbationGrace = 2 * time.Minute
 	defaultProbationLimit = 15 * time.Minute
 	defaultFailureProbes  = 3
 	defaultMinFailures    = 3
 	defaultMaxFailed      = 10 // percent
 	defaultOutDuration    = 10 * time.Minute
+	defaultDrainDuration  = 30 * time.Second
+	drainSmoothing        = 0.1
+	drainsPerPatience     = 4
 	outDurationSmoothing  = 0.1
 	percent               = 100
 	retryDoublingsAtMost  = 8
@@ -68,8 +72,9 @@
 // Options are the times and counts of a VM's life. Zero values take the
 // defaults.
 type Options struct {
-	// Patience is how long a drain may last before another VM of the pool may
-	// be taken in its place.
+	// Patience is how long a drain may last at most before another VM of the
+	// pool may be taken in its place. It is less where drains are usually
+	// short.
 	Patience time.Duration
 	// RetryMin and RetryMax bound the pause before a drain that was called
 	// back is tried again; the pause doubles each time.
@@ -83,6 +88,9 @@
 	RebootSettle time.Duration
 	// Probation is how long a VM must answer probes before it returns.
 	Probation time.Duration
+	// ProbationGrace is how long a returned VM may fail its probes while its
+	// services start.
+	ProbationGrace time.Duration
 	// ProbationLimit is how long probation may last before the VM counts as
 	// failed.
 	ProbationLimit time.Duration
@@ -99,6 +107,7 @@
 	setDuration(&o.RebootTimeout, defaultRebootTimeout)
 	setDuration(&o.RebootSettle, defaultRebootSettle)
 	setDuration(&o.Probation, defaultProbation)
+	setDuration(&o.ProbationGrace, defaultProbationGrace)
 	setDuration(&o.ProbationLimit, defaultProbationLimit)
 	setInt(&o.FailureProbes, defaultFailureProbes)
 	setInt(&o.MinFailures, defaultMinFailures)
