Let a manifest drop a pool together with its VMs

Cause: a pipeline that dropped a pool was refused until its VMs had drained, with nobody to publish twice. Change: Diff leaves the deletion of a pool or zone that VMs still use to a later publish. Conclusion: the manifest is taken at once (TestPoolIsDroppedAfterItsVMs).

--- a/fleet/manifest/diff.go
+++ b/fleet/manifest/diff.go
@@ -46,8 +46,9 @@
 
 // Diff returns the changes that turn the configuration in force into the
 // manifest. Items come before those that refer to them and deletions come
-// last in reverse, so that the changes can be split at any place. A publish
-// of them is based on the manifest's BaseGeneration.
+// last in reverse, so that the changes can be split at any place. A pool or
+// zone that VMs still use until they are drained is left for a later publish to
+// delete. A publish is based on the manifest's BaseGeneration.
 func Diff(view *structs.View, m *structs.Manifest) []structs.Change {
 	have := FromView(view)
 	d := &differ{}
@@ -72,7 +73,40 @@
 	diffKind(d, structs.ItemWave, have.Waves, m.Waves, func(w *structs.Wave) structs.Change {
 		return structs.Change{Name: w.Name, Wave: w}
 	})
-	return d.changes()
+	return d.changes(inUse(view, m))
+}
+
+// usage holds the pools and zones that VMs use.
+type usage struct {
+	pools map[string]bool
+	zones map[string]bool
+}
+
+// inUse returns the pools and zones that VMs will use after a publish of the
+// manifest. A VM that it drops and that may have work in progress stays until
+// it is drained.
+func inUse(view *structs.View, m *structs.Manifest) usage {
+	listed := make(map[string]bool, len(m.VMs))
+	for _, vm := range m.VMs {
+		listed[vm.ID] = true
+	}
+	used := usage{pools: map[string]bool{}, zones: map[string]bool{}}
+	for _, vm := range view.VMs {
+		if !listed[vm.ID] && !vm.State.MayHaveWork() {
+			continue
+		}
+		used.pools[vm.Pool] = true
+		used.zones[vm.Zone] = true
+		if !listed[vm.ID] {
+			used.pools[vm.VM.Pool] = true
+		}
+	}
+	return used
+}
+
+// holds says whether VMs use the item that a change deletes.
+func (u usage) holds(c structs.Change) bool {
+	return c.Kind == structs.ItemPool && u.pools[c.Name] || c.Kind == structs.ItemZone && u.zones[c.Name]
 }
 
 // differ collects the changes of all kinds.
@@ -81,10 +115,14 @@
 	deletes []structs.Change
 }
 
-func (d *differ) changes() []structs.Change {
+// changes returns the puts and, in reverse, the deletions of items that are not
+// in use.
+func (d *differ) changes(used usage) []structs.Change {
 	all := d.puts
 	for i := len(d.deletes) - 1; i >= 0; i-- {
-		all = append(all, d.deletes[i])
+		if !used.holds(d.deletes[i]) {
+			all = append(all, d.deletes[i])
+		}
 	}
 	return all
 }
--- a/fleet/state/publish_test.go
+++ b/fleet/state/publish_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -272,3 +273,25 @@
 	require.Contains(t, verdict.Detail, `zone "kirtipur"`)
 	require.Contains(t, verdict.Detail, `service "billing"`)
 }
+
+// A manifest that drops a pool with its VMs is taken at once; the pool itself
+// goes with the first publish after its VMs have drained.
+func TestPoolIsDroppedAfterItsVMs(t *testing.T) {
+	b := newBench(t)
+	m := manifest.FromView(b.s.View())
+	m.Pools = slices.DeleteFunc(m.Pools, func(p structs.Pool) bool { return p.Name == "billing-admin" })
+	m.VMs = slices.DeleteFunc(m.VMs, func(vm structs.VM) bool { return vm.Pool == "billing-admin" })
+	m.Services = slices.DeleteFunc(m.Services, func(s structs.Service) bool { return s.Pool == "billing-admin" })
+	require.Empty(t, manifest.Check(m))
+	b.ok("pipeline", b.publish(manifest.Diff(b.s.View(), m)...))
+	for _, vm := range b.s.View().VMs {
+		if vm.Removed {
+			b.drain(vm.ID)
+		}
+	}
+	require.Contains(t, b.s.View().Pools, "billing-admin")
+	changes := manifest.Diff(b.s.View(), m)
+	require.Equal(t, []structs.Change{drop(structs.ItemPool, "billing-admin")}, changes)
+	b.ok("pipeline", b.publish(changes...))
+	require.Empty(t, manifest.Diff(b.s.View(), m))
+}
--- a/fleet/state/publish_vm.go
+++ b/fleet/state/publish_vm.go
@@ -24,7 +24,7 @@
 		return
 	}
 	tx.budgets[old.Pool] = true
-	if (old.Zone != c.VM.Zone || old.Rack != c.VM.Rack) && mayHaveWork(old.State) {
+	if (old.Zone != c.VM.Zone || old.Rack != c.VM.Rack) && old.State.MayHaveWork() {
 		tx.fail(structs.VoidInvalid, "VM %s is %s and can't change its zone or rack: drain it first, or declare it under another ID", shown(c.Name), old.State)
 	}
 	changed := old
@@ -34,11 +34,6 @@
 	tx.later(func() { s.putVM(old) })
 }
 
-// mayHaveWork says whether requests may be in progress on a VM.
-func mayHaveWork(state structs.VMState) bool {
-	return state == structs.VMActive || state == structs.VMDraining || state == structs.VMProbation
-}
-
 // deleteVM drops a VM that has nothing in progress and marks any other as
 // removed, so that it is drained first.
 func (tx *transaction) deleteVM(id string) {
@@ -49,7 +44,7 @@
 		return
 	}
 	tx.budgets[old.Pool] = true
-	if mayHaveWork(old.State) {
+	if old.State.MayHaveWork() {
 		marked := old
 		marked.Removed = true
 		s.putVM(marked)
--- a/fleet/structs/view.go
+++ b/fleet/structs/view.go
@@ -72,6 +72,11 @@
 // Available says whether a VM in this state counts for a budget.
 func (s VMState) Available() bool { return s == VMActive }
 
+// MayHaveWork says whether requests may be in progress on a VM in this state.
+func (s VMState) MayHaveWork() bool {
+	return s == VMActive || s == VMDraining || s == VMProbation
+}
+
 // Void is the typed reason why the fold ignored a record.
 type Void string
 
