--- a/dispatch/claims/claims_test.go
+++ b/dispatch/claims/claims_test.go
@@ -184,7 +184,7 @@
 }
 
 func (z *zoneModel) handover(to, from Member) {
-	request := HandoverRequest{From: to, Epoch: z.tables[to].Epoch()}
+	request := HandoverRequest{From: to, To: from, Epoch: z.tables[to].Epoch()}
 	for {
 		reply := z.tables[from].Handover(z.now, request)
 		z.tables[to].TakeHandover(z.now, from, reply)
@@ -394,6 +394,15 @@
 	require.Equal(t, Granted, claimAt(home, ids[2], fresh, fresh))
 }
 
+// TestHandoverNamesTheRun checks that a later run of a node doesn't pass for
+// the former one, whose records are lost.
+func TestHandoverNamesTheRun(t *testing.T) {
+	table := soleTable()
+	former := Member{Node: "n1", Incarnation: 0}
+	require.True(t, table.Handover(start, HandoverRequest{To: node("n1"), Epoch: 1}).Ready)
+	require.False(t, table.Handover(start, HandoverRequest{To: former, Epoch: 1}).Ready)
+}
+
 // idsThatMove returns n ids whose home changes from one member to another.
 func idsThatMove(n int, from Member, former []Member, to Member, members []Member) []string {
 	var ids []string
--- a/dispatch/claims/messages.go
+++ b/dispatch/claims/messages.go
@@ -106,6 +106,8 @@
 type HandoverRequest struct {
 	From  Member `cbor:"1,keyasint"`
 	Epoch uint64 `cbor:"2,keyasint"`
+	// To is the run of the node that is asked; a later run lacks its records.
+	To Member `cbor:"4,keyasint"`
 	// Page is zero first, then the Next of the reply before.
 	Page int `cbor:"3,keyasint"`
 }
@@ -152,6 +154,8 @@
 
 // EpochCheckReply answers an EpochCheck.
 type EpochCheckReply struct {
+	// Self is the run that answers.
+	Self  Member `cbor:"2,keyasint"`
 	Epoch uint64 `cbor:"1,keyasint"`
 }
 
--- a/dispatch/claims/takeover.go
+++ b/dispatch/claims/takeover.go
@@ -124,7 +124,7 @@
 	t.store.expire(now)
 	t.mention(r.Epoch)
 	reply := HandoverReply{Epoch: t.now.Epoch}
-	if !t.started || r.Epoch != t.now.Epoch {
+	if !t.started || r.Epoch != t.now.Epoch || r.To != t.cfg.Self {
 		return reply
 	}
 	reply.Ready = true
--- a/node/forward/fake_test.go
+++ b/node/forward/fake_test.go
@@ -55,8 +55,8 @@
 // reach returns a peer that hears from; nil when there is none.
 func (n *fakeNet) reach(from, to string) *fakePeers {
 	n.lock.Lock()
-	defer n.lock.Unlock()
 	a, b := n.peers[from], n.peers[to]
+	n.lock.Unlock()
 	if a == nil || b == nil || a.dead.Load() || b.dead.Load() {
 		return nil
 	}
--- a/node/forward/peers.go
+++ b/node/forward/peers.go
@@ -61,6 +61,9 @@
 // home returns the member that keeps a key, as this node knows it.
 func (s *Server) home(key claims.Key) (claims.Member, []claims.Member, uint64) {
 	rt := s.refresh()
+	if rt == nil {
+		return claims.Member{}, nil, 0
+	}
 	zone := claims.HomeZone(key, rt.zones)
 	members := rt.members[zone]
 	home, _ := claims.HomeMember(key, members)
@@ -215,7 +218,7 @@
 	if rt == nil {
 		return claims.EpochCheckReply{}
 	}
-	return claims.EpochCheckReply{Epoch: uint64(rt.view.Entry[q.Zone].Epoch)}
+	return claims.EpochCheckReply{Self: s.self, Epoch: uint64(rt.view.Entry[q.Zone].Epoch)}
 }
 
 func (s *Server) onHandover(_ string, q claims.HandoverRequest) claims.HandoverReply {
@@ -262,7 +265,7 @@
 	defer cancel()
 	sent := s.cfg.Clock()
 	reply, err := call[claims.EpochCheckReply](ctx, s, m.Node, methodEpochCheck, q)
-	if err != nil {
+	if err != nil || reply.Self != m {
 		return
 	}
 	s.claims.lock.Lock()
@@ -289,7 +292,7 @@
 		defer s.claims.lock.Unlock()
 		delete(s.claims.asking, m)
 	}()
-	q := claims.HandoverRequest{From: s.self, Epoch: epoch}
+	q := claims.HandoverRequest{From: s.self, To: m, Epoch: epoch}
 	for {
 		next, ok := s.fetchPage(ctx, m, q)
 		if !ok || next == 0 {
