Move VMs between pools with few moves and little shortage

Cause: pools whose queues take turns ask for more than they hold, and nothing moved VMs between them. Change: fleet/buffer estimates demand from lagging usage, fleet/moves decides shifts, the planner drains, moves and reboots. The pool whose burst ended last lends first; where turns repeat in the same order, the next pool is prepared while its predecessor has its turn.

--- a/fleet/budget/headroom.go
+++ b/fleet/budget/headroom.go
@@ -94,3 +94,18 @@
 	}
 	return max(most, 0)
 }
+
+// Lendable returns how many available workers the pool could give away now,
+// as far as its least total and the loss it must survive allow. It is an
+// estimate: Check decides for each VM.
+func (l *Ledger) Lendable(name string) int {
+	p := l.pools[name]
+	if p == nil {
+		return 0
+	}
+	most := p.available
+	for _, r := range p.rules {
+		most = min(most, p.available-p.reserve(r)-r.min)
+	}
+	return max(most, 0)
+}
--- a/fleet/buffer/estimate.go
+++ b/fleet/buffer/estimate.go
@@ -29,10 +29,15 @@
 
 // Smoothing of the estimates.
 const (
-	meanHorizon   = 6 * time.Hour   // time constant of the long-run mean
-	levelHorizon  = 8 * time.Minute // time constant of a burst's level
-	burstFactor   = 2.0             // a burst is demand above this many means
-	meanFirstGain = 0.5             // least weight of the first samples
+	meanHorizon    = 6 * time.Hour    // time constant of the long-run mean
+	levelHorizon   = 20 * time.Minute // time constant of a burst's level
+	riseFactor     = 2.0              // a level rises this many times faster than it falls
+	steadyShare    = 0.8              // below this share of its level a burst begins or ends
+	rampWeight     = 0.05             // weight of samples from the beginning or end
+	sureShare      = 0.75             // share of the turns that makes an order sure
+	burstFactor    = 2.0              // a burst is demand above this many means
+	burstBegins    = 0.25             // share of its level at which a burst begins
+	firstBurstGain = 0.1              // least weight of a sample in the first burst
 )
 
 // Estimate is what is believed of one pool's demand, in slots.
@@ -45,6 +50,8 @@
 	Burst float64
 	// Bursting says that the pool is in a burst.
 	Bursting bool
+	// Ending says that the demand of a burst has begun to fall back.
+	Ending bool
 	// Since is when the current burst or pause began.
 	Since time.Time
 	// BurstLength is the smoothed length of bursts, zero before the first.
@@ -55,22 +62,26 @@
 // is a cache: an empty estimator learns again.
 type Estimator struct {
 	pools map[string]*history
-	// excess is the decayed largest joint need for VMs beyond the pools' own.
-	excess float64
-	// excessAt is when excess was last raised or decayed.
-	excessAt time.Time
+	// last is the pool whose burst began last.
+	last string
+	// followers counts, by pool, whose burst began next.
+	followers map[string]map[string]int
 }
 
 // history is what the estimator keeps of one pool.
 type history struct {
 	Estimate
 	samples  int
+	full     bool      // the current burst has reached its level
 	measured time.Time // time the last sample describes
 }
 
 // NewEstimator returns an estimator that knows nothing.
 func NewEstimator() *Estimator {
-	return &Estimator{pools: make(map[string]*history)}
+	return &Estimator{
+		pools:     make(map[string]*history),
+		followers: make(map[string]map[string]int),
+	}
 }
 
 // Add takes in the samples of one round. A sample that is not newer than the
@@ -82,8 +93,37 @@
 			h = &history{}
 			e.pools[sample.Pool] = h
 		}
+		before := h.Bursting
 		h.add(sample)
+		if h.Bursting && !before {
+			e.noteTurn(sample.Pool)
+		}
+	}
+}
+
+// noteTurn remembers whose burst followed whose.
+func (e *Estimator) noteTurn(pool string) {
+	if e.last != "" && e.last != pool {
+		if e.followers[e.last] == nil {
+			e.followers[e.last] = make(map[string]int)
+		}
+		e.followers[e.last][pool]++
+	}
+	e.last = pool
+}
+
+// Next returns the pool whose burst is expected next, where bursts followed
+// each other in the same order nearly every time before.
+func (e *Estimator) Next() (string, bool) {
+	var next string
+	most, all := 0, 0
+	for pool, count := range e.followers[e.last] {
+		all += count
+		if count > most || (count == most && pool < next) {
+			next, most = pool, count
+		}
 	}
+	return next, most > 0 && float64(most) >= sureShare*float64(all)
 }
 
 func (h *history) add(sample Demand) {
@@ -104,7 +144,7 @@
 	if h.samples <= 1 {
 		gain = 1
 	}
-	h.Mean += min(gain, max(meanFirstGain, gain)) * (slots - h.Mean)
+	h.Mean += gain * (slots - h.Mean)
 }
 
 // learnBurst follows the switches between bursts and pauses and the level of
@@ -115,15 +155,30 @@
 		h.learnLength(bursting, at)
 		h.Bursting = bursting
 		h.Since = at
+		h.full = false
 	}
 	if !bursting {
+		h.Ending = false
 		return
 	}
 	if h.Burst == 0 {
 		h.Burst = slots
 		return
 	}
-	gain := 1 - math.Exp(-float64(at.Sub(h.measured))/float64(levelHorizon))
+	horizon := float64(levelHorizon)
+	if slots > h.Burst {
+		horizon /= riseFactor
+	}
+	gain := 1 - math.Exp(-float64(at.Sub(h.measured))/horizon)
+	if h.BurstLength == 0 {
+		gain = max(gain, firstBurstGain)
+	}
+	steady := slots >= steadyShare*h.Burst
+	h.full = h.full || steady
+	h.Ending = h.full && !steady
+	if !steady {
+		gain *= rampWeight
+	}
 	h.Burst += gain * (slots - h.Burst)
 }
 
@@ -131,7 +186,7 @@
 // otherwise with the mean.
 func (h *history) isBurst(slots float64) bool {
 	if h.Burst > 0 {
-		return slots > h.Burst/burstFactor
+		return slots > burstBegins*h.Burst
 	}
 	return h.samples > 1 && slots > burstFactor*h.Mean
 }
--- a/fleet/planner/life.go
+++ b/fleet/planner/life.go
@@ -64,9 +64,20 @@
 	if vm.Removed {
 		return
 	}
+	if r.moveDrained(vm) {
+		vm = r.movedCopy(vm)
+	}
 	r.transition(vm, structs.Transition{To: structs.VMRebooting, Wave: vm.Wave})
 }
 
+// movedCopy returns the VM as it will be once the move has been folded.
+func (r *round) movedCopy(vm *structs.VMStatus) *structs.VMStatus {
+	moved := *vm
+	moved.Pool = r.destination(vm)
+	moved.Sequence++
+	return &moved
+}
+
 // targetImage returns the image the VM is to come back on. A VM taken out by
 // a wave that was stopped keeps its image.
 func (r *round) targetImage(vm *structs.VMStatus) string {
--- a/fleet/planner/planner.go
+++ b/fleet/planner/planner.go
@@ -16,6 +16,7 @@
 	"time"
 
 	"wigeonwinch/fleet/buffer"
+	"wigeonwinch/fleet/moves"
 	"wigeonwinch/fleet/structs"
 	"wigeonwinch/fleet/wave"
 )
@@ -88,6 +89,8 @@
 type Options struct {
 	// Wave holds the times and counts of a VM's life.
 	Wave wave.Options
+	// Moves holds the thresholds of moves between pools.
+	Moves moves.Options
 	// ActionRepeat is the time after which an act is asked for again.
 	ActionRepeat time.Duration
 	// ProposalTime is how long a proposed drain counts as taken while the
@@ -115,7 +118,9 @@
 	options   Options
 	tracker   *wave.Tracker
 	estimator *buffer.Estimator
+	mover     mover
 	proposed  map[string]proposal
+	moving    map[string]moving
 	asked     map[string]asked
 }
 
@@ -141,6 +146,8 @@
 		options:   options.withDefaults(),
 		tracker:   wave.NewTracker(options.Wave),
 		estimator: buffer.NewEstimator(),
+		mover:     moves.NewMover(options.Moves),
+		moving:    make(map[string]moving),
 		proposed:  make(map[string]proposal),
 		asked:     make(map[string]asked),
 	}
@@ -152,10 +159,13 @@
 	p.tracker.Observe(in.View, r.seen, in.Now)
 	p.estimator.Add(in.Demand)
 	r.countProposals()
+	r.forgetMoves()
 	r.stopWaves()
 	r.advanceVMs()
 	r.relieveStrain()
 	r.drainRemoved()
+	r.recallMoves()
+	r.planMoves()
 	r.takeForWaves()
 	r.recallStragglers()
 	r.forecast()
--- a/fleet/planner/round.go
+++ b/fleet/planner/round.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"wigeonwinch/fleet/budget"
+	"wigeonwinch/fleet/moves"
 	"wigeonwinch/fleet/structs"
 	"wigeonwinch/fleet/wave"
 )
@@ -23,6 +24,7 @@
 	byPool  map[string]string // the wave that concerns each pool
 	waiting map[string]int    // least recalls among the candidates a pool had to refuse
 	changed map[string]bool   // VMs with a record in this plan
+	shifts  []moves.Shift
 	plan    Plan
 }
 
