Hold the planner's lease by the fleet's rules and back off from closed links

Cause: planning used timing of its own; and a peer that accepts a connection and closes it at once was dialed without pause (found by a test that stopped its nodes: more than a million goroutines at one moment of virtual time).

Change: control uses fleet/lease; a connection that ends soon counts as a failed attempt; a stopping mesh refuses new peers; reports are exchanged only on connections that are kept, so that others become idle.

--- a/node/control/actor.go
+++ b/node/control/actor.go
@@ -58,7 +58,7 @@
 		a.loop.cfg.Events.Record(events.ActDone, fields)
 	case platform.KindOf(err) == platform.KindFenced:
 		a.loop.cfg.Events.Record(events.ActFenced, fields)
-		a.loop.post(ctx, func() { a.loop.planner.loseLease() })
+		a.loop.post(ctx, func() { a.loop.planner.loseLease(action.Epoch) })
 	default:
 		a.loop.cfg.Events.Record(events.ActFailed, fields)
 	}
--- a/node/control/cluster_test.go
+++ b/node/control/cluster_test.go
@@ -135,6 +135,35 @@
 	f.leaving = append(f.leaving, vm)
 }
 
+// fakeMachine is a worker without work.
+type fakeMachine struct{}
+
+func (fakeMachine) Drain()    {}
+func (fakeMachine) Reboot()   {}
+func (fakeMachine) Boot()     {}
+func (fakeMachine) Busy() int { return 0 }
+
+// addWorkers puts the example's workers on the platform's list.
+func (c *cluster) addWorkers() {
+	for _, vm := range exampleManifest(c.t).VMs {
+		c.fleet.Add(platform.ListedVM{
+			ID: vm.ID, Kind: platform.VMKindWorker, Zone: vm.Zone, Address: vm.Address, Boot: 1,
+		}, fakeMachine{})
+	}
+}
+
+// planners returns the nodes that believe to hold the planner's lease.
+func (c *cluster) planners() []string {
+	var names []string
+	for _, p := range c.places {
+		n, ok := c.nodes[p.node]
+		if ok && n.Status().Planning {
+			names = append(names, p.node)
+		}
+	}
+	return names
+}
+
 type alwaysUp struct{}
 
 func (alwaysUp) Probe(context.Context, string) error { return nil }
--- a/node/control/exchange.go
+++ b/node/control/exchange.go
@@ -93,11 +93,12 @@
 	return r
 }
 
-// exchangeDue exchanges reports with the connected peers whose turn it is.
+// exchangeDue exchanges reports with the peers whose turn it is. Connections
+// that were opened for one call carry none, so that they become idle.
 func (l *Loop) exchangeDue(ctx context.Context, now time.Time) {
 	for _, name := range l.peerNames() {
 		facts := l.peers[name]
-		if facts.status.Connected && !facts.exchanging && !now.Before(facts.nextExchange) {
+		if facts.status.Connected && facts.status.Wanted && !facts.exchanging && !now.Before(facts.nextExchange) {
 			facts.nextExchange = now.Add(l.cfg.Intervals.Exchange)
 			l.exchangeWith(ctx, name, facts)
 		}
--- a/node/control/lease.go
+++ b/node/control/lease.go
@@ -4,130 +4,81 @@
 	"fmt"
 	"time"
 
+	"wigeonwinch/fleet/lease"
 	"wigeonwinch/fleet/structs"
 )
 
-// Shares of a lease's time to live, in percent.
+// Shares of a lease's time to live.
 const (
-	// renewPercent is when the holder renews.
-	renewPercent = 33
-	// actPercent is until when the holder acts, counted from sending.
-	actPercent = 80
-	// takePercent is how long a lease must have stood still to be taken.
-	takePercent = 120
+	// renewShare is the part of the time to live after which it is renewed.
+	renewShare = 3
+	// marginShare is the part of it by which the holder stops earlier.
+	marginShare = 6
 )
 
-// leaseKeeper takes and renews one scope's lease through the log. The holder
-// counts from the moment it sent the record, a taker from the moment it saw
-// the record, so that the holder stops before anybody takes over.
-type leaseKeeper struct {
-	scope       string
-	node        string
-	incarnation uint64
-	ttl         time.Duration
-	// stagger spreads the takers.
-	stagger time.Duration
-
-	seen   structs.Lease
-	seenAt time.Time
-	// sent is the last record this run sent, and when.
-	sent   structs.Lease
-	sentAt time.Time
-	// confirmed is the last sent record that the log took, confirmedAt is
-	// when it was sent.
-	confirmed   structs.Lease
-	confirmedAt time.Time
-	// lost says that the platform has refused an act as fenced.
-	lost structs.Epoch
-}
+// leaseResend is the least time between two appends of one lease record.
+const leaseResend = 2 * time.Second
 
-func newLeaseKeeper(cfg Config) leaseKeeper {
-	ttl := cfg.Intervals.LeaseTTL
-	return leaseKeeper{
-		scope:       cfg.Scope,
-		node:        cfg.Node,
-		incarnation: cfg.Incarnation,
-		ttl:         ttl,
-		stagger:     time.Duration(nameSeed(cfg.Node) % uint64(ttl/4+1)),
-	}
+func leaseTiming(ttl time.Duration) lease.Timing {
+	return lease.Timing{TTL: ttl, Renew: ttl / renewShare, Margin: ttl / marginShare, Resend: leaseResend}
 }
 
-// observe takes in the lease as the view shows it.
-func (k *leaseKeeper) observe(view *structs.View, now time.Time) {
-	lease := view.Leases[k.scope]
-	if lease != k.seen || k.seenAt.IsZero() {
-		k.seen = lease
-		k.seenAt = now
-	}
-	if lease == k.sent && lease != k.confirmed {
-		k.confirmed = lease
-		k.confirmedAt = k.sentAt
-	}
+// leaseKeeper is the planner's lease as one run of a node sees it.
+type leaseKeeper struct {
+	holder *lease.Holder
+	// fenced is the epoch for which the platform refused an act.
+	fenced structs.Epoch
 }
 
-// own says that the lease in the view is one that this run sent.
-func (k *leaseKeeper) own() bool {
-	return k.seen.Holder == k.node && !k.seen.Release && k.seen == k.confirmed && k.lost != k.seen.Epoch
+func newLeaseKeeper(cfg Config) leaseKeeper {
+	return leaseKeeper{holder: lease.NewHolder(cfg.Scope, cfg.Node, leaseTiming(cfg.Intervals.LeaseTTL))}
 }
 
-// held returns the epoch and says that the lease holds for acting now.
-func (k *leaseKeeper) held(now time.Time) (structs.Epoch, bool) {
-	if !k.own() {
-		return 0, false
+// instant reads both clocks. A time before the start counts as the start.
+func (l *Loop) instant(now time.Time) lease.Instant {
+	return lease.Instant{
+		Monotonic: max(0, now.Sub(l.started)),
+		Wall:      time.Duration(l.cfg.Wall().UnixNano()),
 	}
-	return k.seen.Epoch, now.Sub(k.confirmedAt) < k.share(actPercent)
-}
-
-func (k *leaseKeeper) share(percent int) time.Duration {
-	return k.ttl * time.Duration(percent) / 100
 }
 
-// due returns the record to send now, if any.
-func (k *leaseKeeper) due(now time.Time) *structs.Record {
-	switch {
-	case k.own():
-		if now.Sub(k.confirmedAt) < k.share(renewPercent) {
-			return nil
-		}
-		return k.send(structs.Lease{Epoch: k.seen.Epoch, Sequence: k.seen.Sequence + 1}, now)
-	case k.seen.Epoch == 0 || k.seen.Release:
-		if now.Sub(k.seenAt) < k.stagger/4 {
-			return nil
-		}
-		return k.send(structs.Lease{Epoch: k.seen.Epoch + 1, Sequence: 1}, now)
+// leaseHeld returns the epoch under which this node may act now. It is asked
+// before each act.
+func (l *Loop) leaseHeld(now time.Time) (structs.Epoch, bool) {
+	view := l.view.Load()
+	if view == nil || l.leaving {
+		return 0, false
 	}
-	return k.takeWhenStill(now)
+	epoch, err := l.planner.lease.holder.Check(l.instant(now), view)
+	return epoch, err == nil && epoch != l.planner.lease.fenced
 }
 
-func (k *leaseKeeper) takeWhenStill(now time.Time) *structs.Record {
-	if now.Sub(k.seenAt) < k.share(takePercent)+k.stagger {
-		return nil
+// leaseDue returns the lease record to append now, if any.
+func (l *Loop) leaseDue(view *structs.View, now time.Time) (structs.Record, bool) {
+	tail := lease.Instant{Monotonic: max(0, l.log.tailAskedAt.Sub(l.started))}
+	next, ok := l.planner.lease.holder.Next(l.instant(now), view, tail)
+	if !ok {
+		return structs.Record{}, false
 	}
-	return k.send(structs.Lease{Epoch: k.seen.Epoch + 1, Sequence: 1}, now)
+	return l.leaseRecord(next), true
 }
 
-// release returns the record that gives the lease up, if it is held.
-func (k *leaseKeeper) release(now time.Time) *structs.Record {
-	if _, ok := k.held(now); !ok {
-		return nil
+func (l *Loop) leaseRecord(next structs.Lease) structs.Record {
+	key := fmt.Sprintf("lease/%s/%d/%d/%s/%d", next.Scope, next.Epoch, next.Sequence, l.cfg.Node, l.cfg.Incarnation)
+	if next.Release {
+		key += "/release"
 	}
-	return k.send(structs.Lease{Epoch: k.seen.Epoch, Sequence: k.seen.Sequence + 1, Release: true}, now)
+	return structs.Record{Key: key, Writer: l.cfg.Node, Lease: &next}
 }
 
-// send notes a lease as sent. A record that was sent before and not seen yet
-// is not sent again; the appender resolves it.
-func (k *leaseKeeper) send(lease structs.Lease, now time.Time) *structs.Record {
-	lease.Scope = k.scope
-	lease.Holder = k.node
-	lease.TTLMS = uint32(k.ttl.Milliseconds())
-	if lease == k.sent {
-		return nil
+// releaseLease gives the lease up at a graceful stop.
+func (l *Loop) releaseLease(now time.Time) {
+	view := l.view.Load()
+	if view == nil {
+		return
 	}
-	k.sent = lease
-	k.sentAt = now
-	key := fmt.Sprintf("lease/%s/%d/%d/%s/%d", k.scope, lease.Epoch, lease.Sequence, k.node, k.incarnation)
-	if lease.Release {
-		key += "/release"
+	if release, ok := l.planner.lease.holder.Release(l.instant(now), view); ok {
+		l.submit(l.leaseRecord(release))
 	}
-	return &structs.Record{Key: key, Writer: k.node, Lease: &lease}
+	l.noteHolding(now)
 }
--- a/node/control/loop.go
+++ b/node/control/loop.go
@@ -227,6 +227,7 @@
 	l.publishView()
 	l.noteEpoch()
 	l.passOn()
+	l.snapshotDue(time.Now())
 	l.judgeReadiness(time.Now())
 	l.publishFence()
 	l.publishStatus()
--- a/node/control/loop_test.go
+++ b/node/control/loop_test.go
@@ -135,6 +135,7 @@
 		c.kill("e-02")
 		for i := range 600 {
 			c.change(c.node(1), 1+i%50)
+			time.Sleep(100 * time.Millisecond)
 		}
 		require.Positive(t, c.node(1).events.count(events.SnapshotAppended))
 		want := c.node(1).weight()
--- a/node/control/plan.go
+++ b/node/control/plan.go
@@ -25,7 +25,7 @@
 }
 
 // loseLease ends planning after the platform refused an act as fenced.
-func (p *plannerFacts) loseLease() { p.lease.lost = p.lease.seen.Epoch }
+func (p *plannerFacts) loseLease(epoch structs.Epoch) { p.lease.fenced = epoch }
 
 // planDue keeps the lease and plans a round when one is due.
 func (l *Loop) planDue(ctx context.Context, now time.Time) {
@@ -33,13 +33,12 @@
 	if view == nil {
 		return
 	}
-	l.planner.lease.observe(view, now)
 	l.noteHolding(now)
 	if !l.mayPlan(view) {
 		return
 	}
-	if rec := l.planner.lease.due(now); rec != nil {
-		l.submit(*rec)
+	if rec, ok := l.leaseDue(view, now); ok {
+		l.submit(rec)
 	}
 	if l.planner.holding && !now.Before(l.planner.nextPlan) {
 		l.planner.nextPlan = now.Add(l.cfg.Intervals.Plan)
@@ -57,7 +56,7 @@
 }
 
 func (l *Loop) noteHolding(now time.Time) {
-	epoch, holding := l.planner.lease.held(now)
+	epoch, holding := l.leaseHeld(now)
 	if holding == l.planner.holding {
 		return
 	}
@@ -73,7 +72,7 @@
 
 // planRound makes one round of planning and hands its results on.
 func (l *Loop) planRound(view *structs.View, now time.Time) {
-	epoch, ok := l.planner.lease.held(now)
+	epoch, ok := l.leaseHeld(now)
 	if !ok || !l.observed.complete(now, l.cfg.Intervals) {
 		return
 	}
@@ -106,7 +105,7 @@
 // mayAct checks again, right before an act, that the lease holds and that the
 // act still belongs to the VM's present step.
 func (l *Loop) mayAct(action platform.Action, now time.Time) bool {
-	epoch, ok := l.planner.lease.held(now)
+	epoch, ok := l.leaseHeld(now)
 	if !ok || epoch != action.Epoch || l.log.lost {
 		return false
 	}
@@ -114,14 +113,6 @@
 	return found && vm.Sequence == action.Sequence
 }
 
-// releaseLease gives the lease up at a graceful stop.
-func (l *Loop) releaseLease(now time.Time) {
-	if rec := l.planner.lease.release(now); rec != nil {
-		l.submit(*rec)
-	}
-	l.noteHolding(now)
-}
-
 // acknowledgeDrains appends the acknowledgement of each draining VM of the
 // zone that this node sends nothing more to.
 func (l *Loop) acknowledgeDrains() {
--- a/node/peer/dial.go
+++ b/node/peer/dial.go
@@ -55,14 +55,14 @@
 	defer m.mu.Unlock()
 	now := time.Now()
 	wanted := m.wanted()
-	for name := range wanted {
-		r := m.peers[name]
-		if r.link == nil && r.dialing == nil && !now.Before(r.nextDial) {
+	for name, r := range m.peers {
+		r.wanted = wanted[name]
+		if r.wanted && r.link == nil && r.dialing == nil && !now.Before(r.nextDial) {
 			m.startDial(r)
 		}
 	}
-	for name, r := range m.peers {
-		if r.link != nil && !wanted[name] && m.idle(r.link, now) {
+	for _, r := range m.peers {
+		if r.link != nil && !r.wanted && m.idle(r.link, now) {
 			go r.link.close(errLinkClosed)
 		}
 	}
@@ -76,7 +76,7 @@
 	nodes := make([]node, 0, len(m.peers))
 	for _, r := range m.peers {
 		if r.seed || r.member {
-			nodes = append(nodes, node{name: r.node, zone: r.zone, member: r.member, failing: r.failures > 1})
+			nodes = append(nodes, node{name: r.node, zone: r.zone, member: r.member, failing: r.link == nil && r.failures > 1})
 		}
 	}
 	return wantedLinks(node{name: m.cfg.Node, zone: m.cfg.Zone}, nodes)
--- a/node/peer/mesh.go
+++ b/node/peer/mesh.go
@@ -45,6 +45,7 @@
 	incarnation uint64
 	seed        bool
 	member      bool
+	wanted      bool
 	leaving     bool
 	link        *link
 	heard       time.Time
@@ -151,6 +152,9 @@
 	Zone string
 	// Connected says that a connection is open.
 	Connected bool
+	// Wanted says that this node keeps a connection to it open; others are
+	// closed when they have been idle.
+	Wanted bool
 	// Alive says that the node was heard within the silence bound and does
 	// not leave.
 	Alive bool
@@ -179,6 +183,7 @@
 		EntryMember: structs.EntryMember{Node: r.node, Incarnation: r.incarnation, PeerAddress: r.address},
 		Zone:        r.zone,
 		Connected:   r.link != nil,
+		Wanted:      r.wanted,
 		Alive:       !heard.IsZero() && !r.leaving && now.Sub(heard) < m.cfg.Limits.SilenceBound,
 		Leaving:     r.leaving,
 		Heard:       heard,
--- a/node/peer/mesh_test.go
+++ b/node/peer/mesh_test.go
@@ -356,3 +356,24 @@
 		require.Empty(t, one.Peers())
 	})
 }
+
+func TestPeerThatClosesAtOnceIsNotDialedAgainAndAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench(t)
+		defer b.stop()
+		two := b.start(2, "north", 1, nil)
+		two.mu.Lock()
+		two.stopped = true
+		two.mu.Unlock()
+		one := b.start(1, "north", 1, nil, seed(2, "north"))
+		time.Sleep(time.Minute)
+		attempts := one.events.count(events.PeerDialFailed) + one.events.count(events.PeerDisconnected)
+		require.Positive(t, attempts)
+		require.Less(t, attempts, 40)
+		one.mu.Lock()
+		one.peers["e-2"].failures = 3
+		one.unlink(one.peers["e-2"], &link{since: time.Now()})
+		require.Equal(t, 4, one.peers["e-2"].failures, "a connection that ended at once counts as a failure")
+		one.mu.Unlock()
+	})
+}
--- a/node/peer/register.go
+++ b/node/peer/register.go
@@ -60,6 +60,9 @@
 func (m *Mesh) admit(peer hello) Refusal {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	if m.stopped {
+		return RefusalBusy
+	}
 	r, ok := m.peers[peer.Node]
 	if !ok || r.link == nil {
 		return RefusalNone
@@ -117,8 +120,6 @@
 func (m *Mesh) adopt(r *remote, l *link) {
 	r.link = l
 	r.leaving = false
-	r.failures = 0
-	r.nextDial = time.Time{}
 	r.incarnation = l.peer.Incarnation
 	r.zone = l.peer.Zone
 	if l.peer.Address != "" {
@@ -133,9 +134,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if r, ok := m.peers[l.peer.Node]; ok && r.link == l {
-		r.heard = l.lastHeard()
-		r.link = nil
-		m.wake()
+		m.unlink(r, l)
 	}
 	number := events.PeerDisconnected
 	if errors.Is(err, errSilent) {
@@ -143,3 +142,22 @@
 	}
 	m.cfg.Events.Record(number, events.Fields{Peer: l.peer.Node, Err: err})
 }
+
+// shortLife is how long a connection must have lasted to count as working.
+const shortLife = 5 * time.Second
+
+// unlink forgets a connection that ended. A connection that ended soon counts
+// as a failed attempt, so that a peer that closes at once is not dialed again
+// and again.
+func (m *Mesh) unlink(r *remote, l *link) {
+	now := time.Now()
+	r.heard = l.lastHeard()
+	r.link = nil
+	r.failures++
+	if now.Sub(l.since) > shortLife {
+		r.failures = 1
+	}
+	r.nextDial = now.Add(m.backoff(r.failures))
+	r.dialError = errLinkClosed
+	m.wake()
+}
