--- /dev/null
+++ b/fleet/planner/buffer_bench_test.go
@@ -0,0 +1,198 @@
+package planner
+
+import (
+	"math"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"wigeonwinch/fleet/budget"
+	"wigeonwinch/fleet/buffer"
+	"wigeonwinch/fleet/structs"
+)
+
+// userBudget asks most of the pool that is least able to wait: it survives the
+// loss of a zone, the others that of a rack.
+func userBudget(pool, size int) structs.Budget {
+	survive := structs.FailureDomainRack
+	if pool == 0 {
+		survive = structs.FailureDomainZone
+	}
+	return structs.Budget{MinAvailable: size * 6 / 10, Survive: survive}
+}
+
+func userShape() fleetShape {
+	return fleetShape{zones: 4, pools: 5, vms: 50, rackSize: 4, budget: userBudget}
+}
+
+// sizes are VMs beyond the sum of the least numbers that the budgets name.
+type sizes struct{ ours, bound, static float64 }
+
+// measureBuffer lets the planner watch half a day of demand and compares its
+// buffer with the bound and with a fixed share per pool.
+func measureBuffer(b *testing.B, shape fleetShape) sizes {
+	view := newSim(newView(shape), 1).view
+	mean := 2.0 * float64(shape.vms) / float64(shape.pools)
+	line := newDemand(shape.pools, mean, time.Hour, 12*time.Hour, 1)
+	reports := watch(view, line)
+	requireSurvives(b, view, reports)
+	least := leastSum(view)
+	return sizes{
+		ours:   float64(reports[0].Required - least),
+		bound:  float64(boundTotal(view, mean) - least),
+		static: float64(staticTotal(view, mean) - least),
+	}
+}
+
+// watch feeds the planner lagging usage and returns its last reports.
+func watch(view *structs.View, line demandLine) []BufferReport {
+	p := plannerWith(stayMover{})
+	now := time.Date(2026, 3, 2, 0, 0, 0, 0, time.UTC)
+	lag := int(usageLag / simRound)
+	var plan Plan
+	for i := lag; i < len(line[0]); i += usageEvery {
+		in := Input{View: view, Now: now.Add(time.Duration(i) * simRound), Scope: simScope, Epoch: 1}
+		for pool := range line {
+			in.Demand = append(in.Demand, PoolDemand{
+				Pool: poolName(pool), BusySlots: line[pool][i-lag], LagSeconds: usageLag.Seconds(), At: in.Now,
+			})
+		}
+		plan = p.Round(in)
+	}
+	return plan.Buffers
+}
+
+func leastSum(view *structs.View) int {
+	sum := 0
+	for _, service := range view.Services {
+		sum += service.Budget.MinAvailable
+	}
+	return sum
+}
+
+// boundTotal knows the true demand and may place VMs anywhere: each pool's own
+// need, the failed VMs, and the largest joint need of a group's bursts.
+func boundTotal(view *structs.View, mean float64) int {
+	ledger := budget.New(view, nil)
+	total := 0
+	joint := make([]int, turnGroups)
+	burst := int(math.Ceil(burstTimes * mean / slotsPerVM))
+	for name := range view.Pools {
+		own := ledger.RequiredAnywhere(name, len(view.Zones))
+		total += own
+		joint[poolNumber(name)%turnGroups] += max(burst-own, 0)
+	}
+	most := 0
+	for _, excess := range joint {
+		most = max(most, excess)
+	}
+	return total + most + buffer.Options{}.Failed(len(view.VMs))
+}
+
+// staticTotal gives every pool the same share on top of its least number, the
+// smallest that lets each pool alone bear its named loss and one more failure,
+// its own random failures, one VM in maintenance and its own bursts.
+func staticTotal(view *structs.View, mean float64) int {
+	ledger := budget.New(view, nil)
+	share := 0.0
+	for _, service := range view.Services {
+		own := ledger.Required(service.Pool)
+		failed := buffer.Options{}.Failed(ledger.Total(service.Pool))
+		burst := int(math.Ceil(burstTimes * mean / slotsPerVM))
+		need := max(own+max(failed-1, 0)+1, burst)
+		least := float64(service.Budget.MinAvailable)
+		share = max(share, (float64(need)-least)/least)
+	}
+	total := 0
+	for _, service := range view.Services {
+		total += int(math.Ceil(float64(service.Budget.MinAvailable)*(1+share) - 1e-9))
+	}
+	return total
+}
+
+// requireSurvives keeps in each pool only the VMs that the report requires and
+// checks every loss the budgets name together with any one more VM.
+func requireSurvives(b testing.TB, view *structs.View, reports []BufferReport) {
+	for _, report := range reports[1:] {
+		kept := keep(view, report.Pool, report.Required)
+		require.Len(b, kept, report.Required, report.Pool)
+		for _, service := range view.Services {
+			if service.Pool == report.Pool {
+				require.GreaterOrEqual(b, worstLeft(kept, service.Budget.Survive), service.Budget.MinAvailable, report.Pool)
+			}
+		}
+	}
+}
+
+// keep drops VMs of the fullest zones and racks until the number is left.
+func keep(view *structs.View, pool string, number int) []structs.VMStatus {
+	var kept []structs.VMStatus
+	byZone := false
+	for _, vm := range view.VMs {
+		if vm.Pool == pool {
+			kept = append(kept, vm)
+		}
+	}
+	for _, service := range view.Services {
+		byZone = byZone || (service.Pool == pool && service.Budget.Survive == structs.FailureDomainZone)
+	}
+	for len(kept) > number {
+		count := map[[2]string]int{}
+		for _, vm := range kept {
+			count[domainOf(vm, byZone)]++
+		}
+		fullest := 0
+		for i, vm := range kept {
+			if count[domainOf(vm, byZone)] > count[domainOf(kept[fullest], byZone)] {
+				fullest = i
+			}
+		}
+		kept = append(kept[:fullest], kept[fullest+1:]...)
+	}
+	return kept
+}
+
+func domainOf(vm structs.VMStatus, byZone bool) [2]string {
+	if byZone {
+		return [2]string{vm.Zone}
+	}
+	return [2]string{vm.Zone, vm.Rack}
+}
+
+// worstLeft is what the worst named loss and one more VM leave.
+func worstLeft(kept []structs.VMStatus, survive structs.FailureDomain) int {
+	worst := 0
+	lost := map[[2]string]int{}
+	for _, vm := range kept {
+		switch survive {
+		case structs.FailureDomainZone, structs.FailureDomainRack:
+			at := domainOf(vm, survive == structs.FailureDomainZone)
+			lost[at]++
+			worst = max(worst, lost[at])
+		case structs.FailureDomainVM:
+			worst = 1
+		}
+	}
+	return len(kept) - worst - 1
+}
+
+func BenchmarkBuffer(b *testing.B) {
+	for b.Loop() {
+		worst := 0.0
+		for _, fleet := range []struct {
+			name  string
+			shape fleetShape
+		}{{"gothalo", userShape()}, {"tuulekoda", userShape()}, {"950", fullShape(950)}} {
+			s := measureBuffer(b, fleet.shape)
+			worst = max(worst, s.ours/s.bound)
+			b.ReportMetric(s.ours, fleet.name+"_buffer_vms")
+			b.ReportMetric(s.ours/s.bound, fleet.name+"_buffer_vs_bound")
+			b.ReportMetric(s.ours/s.static, fleet.name+"_buffer_vs_static")
+			if fleet.name == "950" {
+				b.ReportMetric(s.ours/s.static, "buffer_vs_static")
+			}
+		}
+		b.ReportMetric(worst, "buffer_vs_bound")
+	}
+}
--- /dev/null
+++ b/fleet/planner/buffers.go
@@ -0,0 +1,40 @@
+package planner
+
+import (
+	"maps"
+	"slices"
+
+	"wigeonwinch/fleet/buffer"
+)
+
+// reportBuffers compares the fleet's workers with what budgets and demand
+// need.
+func (r *round) reportBuffers() {
+	r.plan.Buffers = r.p.sizer.Reports(r.needs(), r.now)
+}
+
+// needs gathers what the size of the buffer depends on, sorted by pool.
+func (r *round) needs() []buffer.Need {
+	slots := make(map[string]int, len(r.view.Pools))
+	for i := range r.view.VMs {
+		slots[r.view.VMs[i].Pool] += r.view.VMs[i].Slots
+	}
+	names := slices.Sorted(maps.Keys(r.view.Pools))
+	needs := make([]buffer.Need, 0, len(names))
+	for _, name := range names {
+		demand, _ := r.p.estimator.Of(name)
+		need := buffer.Need{
+			Pool:      name,
+			Have:      r.ledger.Total(name),
+			Available: r.ledger.Available(name),
+			Own:       r.ledger.Required(name),
+			OwnBound:  r.ledger.RequiredAnywhere(name, len(r.view.Zones)),
+			Demand:    demand,
+		}
+		if need.Have > 0 {
+			need.Slots = float64(slots[name]) / float64(need.Have)
+		}
+		needs = append(needs, need)
+	}
+	return needs
+}
--- a/fleet/planner/demand_test.go
+++ b/fleet/planner/demand_test.go
@@ -18,6 +18,7 @@
 	noiseShare  = 0.05
 	noiseKeeps  = 0.95 // share of the noise that lasts to the next round
 	turnJitter  = 0.25
+	turnGroups  = 5
 	secondsHour = 3600.0
 )
 
@@ -30,13 +31,13 @@
 	rng := rand.New(rand.NewSource(seed))
 	rounds := int(length / simRound)
 	line := make(demandLine, pools)
-	owner := turns(rng, pools, turn, rounds)
+	owner := turns(rng, turn, rounds)
 	for p := range line {
 		line[p] = make([]float64, rounds)
 		level, noise := pauseTimes*mean, 0.0
 		for i := range line[p] {
 			target := pauseTimes * mean
-			if owner[i] == p {
+			if owner[i] == p%turnGroups {
 				target = burstTimes * mean
 			}
 			most := (burstTimes - pauseTimes) * mean * float64(simRound) / float64(rampTime)
@@ -48,10 +49,11 @@
 	return line
 }
 
-// turns says which pool's turn each round is.
-func turns(rng *rand.Rand, pools int, turn time.Duration, rounds int) []int {
+// turns says which group's turn each round is: every fifth pool, so that each
+// asks for its mean on average.
+func turns(rng *rand.Rand, turn time.Duration, rounds int) []int {
 	owner := make([]int, 0, rounds)
-	for p := 0; len(owner) < rounds; p = (p + 1) % pools {
+	for p := 0; len(owner) < rounds; p = (p + 1) % turnGroups {
 		length := float64(turn) * (1 + turnJitter*(2*rng.Float64()-1))
 		for n := int(length / float64(simRound)); n > 0 && len(owner) < rounds; n-- {
 			owner = append(owner, p)
--- a/fleet/planner/planner.go
+++ b/fleet/planner/planner.go
@@ -89,6 +89,8 @@
 type Options struct {
 	// Wave holds the times and counts of a VM's life.
 	Wave wave.Options
+	// Buffer holds the rates that the shared part of the buffer is sized for.
+	Buffer buffer.Options
 	// Moves holds the thresholds of moves between pools.
 	Moves moves.Options
 	// ActionRepeat is the time after which an act is asked for again.
@@ -118,6 +120,7 @@
 	options   Options
 	tracker   *wave.Tracker
 	estimator *buffer.Estimator
+	sizer     *buffer.Sizer
 	mover     mover
 	proposed  map[string]proposal
 	moving    map[string]moving
@@ -146,6 +149,7 @@
 		options:   options.withDefaults(),
 		tracker:   wave.NewTracker(options.Wave),
 		estimator: buffer.NewEstimator(),
+		sizer:     buffer.NewSizer(options.Buffer),
 		mover:     moves.NewMover(options.Moves),
 		moving:    make(map[string]moving),
 		proposed:  make(map[string]proposal),
@@ -169,5 +173,6 @@
 	r.takeForWaves()
 	r.recallStragglers()
 	r.forecast()
+	r.reportBuffers()
 	return r.plan
 }
