Lend slots between entry nodes and bound retries by a budget

Cause: a busy entry node could use only its static share of each worker's slots while the other's lay idle, and retries were bounded per request only.

--- a/node/forward/execute.go
+++ b/node/forward/execute.go
@@ -2,11 +2,13 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net/http"
 	"slices"
 	"time"
 
 	"wigeonwinch/dispatch"
+	"wigeonwinch/dispatch/retry"
 	"wigeonwinch/dispatch/scheduler"
 )
 
@@ -42,7 +44,10 @@
 		return noWorker()
 	}
 	e, again := s.attempt(wait, run, p, r)
-	for n := 1; again && n < s.cfg.Limits.Attempts; n++ {
+	for n := 1; again && n < s.cfg.Limits.Attempts && p.mayRetry(); n++ {
+		if !sleep(wait, retry.Delay(n, rand.Uint64())) {
+			return e
+		}
 		s.counts.retried.Add(1)
 		var next ending
 		next, again = s.attempt(wait, run, p, r)
--- a/node/forward/messages.go
+++ b/node/forward/messages.go
@@ -16,6 +16,7 @@
 	methodHandover
 	methodEpochCheck
 	methodLeaving
+	methodSlots
 )
 
 // maxMessageBytes bounds one message between entry nodes.
--- a/node/forward/peers.go
+++ b/node/forward/peers.go
@@ -19,6 +19,7 @@
 	handle(s, methodHandover, s.onHandover)
 	handle(s, methodEpochCheck, s.onEpochCheck)
 	handle(s, methodLeaving, s.onLeaving)
+	handle(s, methodSlots, s.onSlots)
 }
 
 // empty is the reply to a message that needs none.
--- a/node/forward/pool.go
+++ b/node/forward/pool.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"wigeonwinch/dispatch"
+	"wigeonwinch/dispatch/retry"
 	"wigeonwinch/dispatch/scheduler"
 )
 
@@ -32,13 +33,17 @@
 	lock   sync.Mutex
 	sched  *scheduler.Scheduler
 	places map[scheduler.Ticket]*place
-	timer  *time.Timer
-	wake   time.Time
-	closed bool
+	// retries bounds further attempts to a share of the pool's requests.
+	retries *retry.Budget
+	// starved is called when a request has to wait.
+	starved func()
+	timer   *time.Timer
+	wake    time.Time
+	closed  bool
 }
 
 func (s *Server) newPool(name string) *pool {
-	p := &pool{name: name, clock: s.cfg.Clock, places: make(map[scheduler.Ticket]*place)}
+	p := &pool{name: name, clock: s.cfg.Clock, places: make(map[scheduler.Ticket]*place), retries: retry.NewBudget(retry.Options{}), starved: s.kick}
 	p.sched = scheduler.New(scheduler.Options{
 		Node:        s.cfg.Node,
 		MaxQueued:   s.cfg.Limits.QueuePerPool,
@@ -49,6 +54,13 @@
 	return p
 }
 
+// mayRetry takes a further attempt from the budget.
+func (p *pool) mayRetry() bool {
+	p.lock.Lock()
+	defer p.lock.Unlock()
+	return p.retries.Spend(p.clock())
+}
+
 // submit queues a request or refuses it.
 func (p *pool) submit(r *dispatch.Request) (*place, *dispatch.Refusal) {
 	p.lock.Lock()
@@ -60,7 +72,13 @@
 	}
 	pl := &place{ticket: ticket, next: make(chan assignment, 1)}
 	p.places[ticket] = pl
+	if r.Repeatable {
+		p.retries.Request(now)
+	}
 	p.pump(now)
+	if len(pl.next) == 0 {
+		p.starved()
+	}
 	return pl, nil
 }
 
@@ -248,7 +266,6 @@
 
 // workersByPool returns the zone's workers with this node's share of slots.
 func (s *Server) workersByPool(rt *routes) map[string][]scheduler.Worker {
-	members := rt.members[s.cfg.Zone]
 	now := s.cfg.Clock()
 	workers := make(map[string][]scheduler.Worker)
 	weak := make(map[string][]bool)
@@ -261,7 +278,7 @@
 			ID:           vm.ID,
 			Zone:         vm.Zone,
 			Rack:         vm.Rack,
-			Slots:        share(vm.Slots, vm.ID, s.cfg.Node, members),
+			Slots:        s.lending.usable(vm.ID),
 			TotalSlots:   vm.Slots,
 			Cores:        vm.Cores,
 			MemoryMB:     vm.MemoryMB,
--- a/node/forward/random_test.go
+++ b/node/forward/random_test.go
@@ -334,6 +334,7 @@
 		for range 200 {
 			if f.acknowledged(w, sequence) {
 				w.set(func() { w.acked = true })
+				time.Sleep(time.Millisecond) // what was canceled now is noticed
 				if n := w.busyFromLive(); n > 0 {
 					f.ledger.violated("%s has %d in progress after the acknowledged drain", w.id, n)
 				}
@@ -427,3 +428,35 @@
 		require.NotEmpty(t, simRound(1, true).violations)
 	})
 }
+
+// TestSlotsAreLent checks that a busy entry node uses slots of the other's
+// share while that one is idle, and that it gives them back.
+func TestSlotsAreLent(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newSimFleet(1)
+		node := f.nodes["entry-a1"].server
+		borrowed := func() int {
+			node.lending.lock.Lock()
+			defer node.lending.lock.Unlock()
+			total := 0
+			for _, w := range f.workers {
+				total += node.lending.ledger.Borrowed(w.id)
+			}
+			return total
+		}
+		var all sync.WaitGroup
+		for i := range 12 { // three workers with four slots
+			r := httptest.NewRequest(http.MethodPut, "/fire", nil)
+			r.Header.Set(HeaderRequestID, fmt.Sprintf("w%d", i))
+			r.Header.Set(headerRun, "1000")
+			all.Go(func() { (&simRecorder{header: http.Header{}}).serve(node.Handler(), r) })
+		}
+		time.Sleep(600 * time.Millisecond)
+		require.Positive(t, borrowed())
+		all.Wait()
+		time.Sleep(10 * time.Second)
+		require.Zero(t, borrowed())
+		require.Zero(t, node.Stats().RefusedByWorker)
+		f.stop()
+	})
+}
--- a/node/forward/routes.go
+++ b/node/forward/routes.go
@@ -92,33 +92,3 @@
 	}
 	return rest == "" || rest[0] == '/' || strings.HasSuffix(p.path, "/")
 }
-
-// share returns this node's static share of a worker's slots.
-func share(slots int, vm string, node string, members []claims.Member) int {
-	names := make([]string, 0, len(members))
-	for _, m := range members {
-		names = append(names, m.Node)
-	}
-	slices.Sort(names)
-	place := slices.Index(names, node)
-	if place < 0 {
-		return 0
-	}
-	base := slots / len(names)
-	rest := slots % len(names)
-	turn := (place + rotation(vm)) % len(names)
-	if turn < rest {
-		return base + 1
-	}
-	return base
-}
-
-// rotation spreads the remainder of the slots over the members.
-func rotation(vm string) int {
-	sum := 0
-	for i := 0; i < len(vm); i++ {
-		sum = sum*31 + int(vm[i])
-		sum &= 0xffff
-	}
-	return sum
-}
--- a/node/forward/server.go
+++ b/node/forward/server.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"wigeonwinch/dispatch/claims"
+	"wigeonwinch/dispatch/slots"
 	"wigeonwinch/node/events"
 )
 
@@ -34,10 +35,11 @@
 	poolsLock sync.RWMutex
 	pools     map[string]*pool
 
-	teams  teamBook
-	signs  leavingSigns
-	claims claimSide
-	counts counters
+	teams   teamBook
+	signs   leavingSigns
+	claims  claimSide
+	lending lending
+	counts  counters
 
 	inFlight  atomic.Int64
 	bodyBytes atomic.Int64
@@ -62,6 +64,7 @@
 	s.teams.limits = make(map[string]*teamLimit)
 	s.signs.byVM = make(map[string]sign)
 	s.claims.init(cfg, self)
+	s.lending.ledger = slots.New(cfg.Node, slots.Options{})
 	s.handlePeers()
 	return s
 }
@@ -126,6 +129,7 @@
 	rt = newRoutes(view)
 	s.teams.set(rt.view.Teams)
 	s.claims.follow(s.cfg.Clock(), s.cfg.Zone, rt)
+	s.followSlots(rt)
 	s.routes.Store(rt)
 	s.setPools(rt)
 	return rt
@@ -143,6 +147,7 @@
 			return nil
 		case <-ticker.C:
 		case <-s.changed:
+			sleep(ctx, lendingInterval)
 		}
 	}
 }
@@ -161,6 +166,7 @@
 		s.applySigns()
 	}
 	s.followClaims(ctx, rt, tailAt)
+	s.lend(now)
 }
 
 // tailReadAt returns how fresh the view is; zero when the fleet doesn't say.
