Test waves, budgets, moves and the buffer under failure

Cause: zone, rack and double failures inside a wave, a replaced holder, bad images and cut zones had no test. Mended on the way: a draining VM that stops answering is marked failed; a new holder accepts a new image as the end of a reboot; a pool that is not expected next no longer waits for one donor only; the bound of a pool without a least number.

--- a/fleet/budget/headroom.go
+++ b/fleet/budget/headroom.go
@@ -35,6 +35,9 @@
 	case structs.FailureDomainRack:
 		return maxOutSurviving(sound, r.min, p.rackSound)
 	case structs.FailureDomainVM:
+		if r.min == 0 {
+			return sound
+		}
 		return sound - r.min - vmReserve
 	}
 	if withReserve {
--- a/fleet/moves/moves.go
+++ b/fleet/moves/moves.go
@@ -140,7 +140,7 @@
 			m.shortSince[p.Name] = now
 			since = now
 		}
-		early := !p.Demand.Bursting
+		early := p.Next && !p.Demand.Bursting
 		known := p.Demand.Bursting && p.Demand.BurstLength > 0
 		if (known || now.Sub(since) >= m.options.Confirm) && m.paysBack(p, now, out) {
 			short = append(short, shortage{pool: p.Name, vms: missing, since: since, early: early})
--- /dev/null
+++ b/fleet/planner/failures_test.go
@@ -0,0 +1,278 @@
+package planner
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"wigeonwinch/fleet/structs"
+	"wigeonwinch/fleet/wave"
+)
+
+const (
+	testLimit  = 24 * time.Hour
+	testOutage = 40 * time.Minute
+)
+
+// requireSound checks what must hold after any run.
+func requireSound(t *testing.T, s *sim) {
+	t.Helper()
+	require.Zero(t, s.breaches, "a planned outage broke a budget")
+	require.Zero(t, s.cutWork, "a planned stop cut a request")
+	require.Zero(t, s.early, "a VM was rebooted before it was drained")
+}
+
+// midWave returns a fleet a few minutes into a wave.
+func midWave(survive structs.FailureDomain, seed int64) (*sim, *Planner) {
+	s := newSim(newView(smallShape(survive)), seed)
+	s.addWave()
+	s.longShare = 0.02
+	p := New(Options{})
+	s.runFor(p, 4*time.Minute)
+	return s, p
+}
+
+func (s *sim) runFor(p policy, length time.Duration) {
+	for end := s.now.Add(length); s.now.Before(end); {
+		s.step(p)
+	}
+}
+
+func inZone(zone int) func(*structs.VMStatus) bool {
+	return func(vm *structs.VMStatus) bool { return vm.Zone == zoneName(zone) }
+}
+
+// rackOfDraining picks the rack of the first draining VM.
+func rackOfDraining(t *testing.T, s *sim) func(*structs.VMStatus) bool {
+	t.Helper()
+	for i := range s.view.VMs {
+		if vm := s.view.VMs[i]; vm.State == structs.VMDraining {
+			return func(other *structs.VMStatus) bool { return other.Zone == vm.Zone && other.Rack == vm.Rack }
+		}
+	}
+	require.Fail(t, "no VM is draining")
+	return nil
+}
+
+func TestWaveOutlivesFailures(t *testing.T) {
+	cases := map[string]struct {
+		survive structs.FailureDomain
+		strike  func(*testing.T, *sim)
+	}{
+		"zone": {structs.FailureDomainZone, func(_ *testing.T, s *sim) {
+			s.failWhere(testOutage, inZone(1))
+		}},
+		"rack while draining": {structs.FailureDomainRack, func(t *testing.T, s *sim) {
+			s.failWhere(testOutage, rackOfDraining(t, s))
+		}},
+		"rack and zone": {structs.FailureDomainZone, func(t *testing.T, s *sim) {
+			s.failWhere(testOutage, rackOfDraining(t, s))
+			s.failWhere(testOutage, inZone(2))
+		}},
+		"rack and a VM": {structs.FailureDomainRack, func(t *testing.T, s *sim) {
+			s.failWhere(testOutage, rackOfDraining(t, s))
+			s.failWhere(testOutage, func(vm *structs.VMStatus) bool { return vm.ID == "w-00017" })
+		}},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			s, p := midWave(c.survive, 7)
+			for range 3 * time.Minute / simRound { // until a VM drains
+				if len(vmsIn(s, structs.VMDraining)) > 0 {
+					break
+				}
+				s.step(p)
+			}
+			c.strike(t, s)
+			s.runFor(p, testOutage+10*time.Minute)
+			s.run(p, testLimit)
+			require.True(t, s.finished())
+			require.Empty(t, vmsIn(s, structs.VMFailed))
+			if name != "rack and zone" {
+				requireSound(t, s) // beyond the budget, only the rest holds
+			}
+			require.Zero(t, s.cutWork)
+			require.Zero(t, s.early)
+		})
+	}
+}
+
+func vmsIn(s *sim, state structs.VMState) []string {
+	var ids []string
+	for i := range s.view.VMs {
+		if s.view.VMs[i].State == state {
+			ids = append(ids, s.view.VMs[i].ID)
+		}
+	}
+	return ids
+}
+
+func TestFailureCallsDrainsBack(t *testing.T) {
+	s := newSim(newView(smallShape(structs.FailureDomainZone)), 3)
+	s.addWave()
+	p := New(Options{Wave: wave.Options{Patience: time.Hour}})
+	for i := range s.workers {
+		s.workers[i].longEnd = s.now.Add(20 * time.Minute) // every drain lasts
+	}
+	s.runFor(p, 15*time.Second)
+	require.NotEmpty(t, vmsIn(s, structs.VMDraining))
+	s.failWhere(testOutage, inZone(3))
+	s.runFor(p, 15*time.Second)
+	require.Empty(t, vmsIn(s, structs.VMDraining), "no pool can bear a drain while a zone is out")
+	requireSound(t, s)
+}
+
+func TestAnotherHolderResumesTheWave(t *testing.T) {
+	s := newSim(newView(smallShape(structs.FailureDomainRack)), 5)
+	s.addWave()
+	s.longShare = 0.05
+	nodes := []string{"e-0-0", "e-1-0", "e-2-0"}
+	old := New(Options{})
+	for turn := 1; !s.finished() && s.now.Sub(s.start) < testLimit; turn++ {
+		s.runFor(old, 95*time.Second)
+		late := old.Round(s.input())
+		s.takeLease(nodes[turn%len(nodes)])
+		before := s.voids
+		for _, rec := range late.Records {
+			s.fold(rec)
+		}
+		require.Equal(t, before+len(late.Records), s.voids, "a record of the old holder was applied")
+		old = New(Options{})
+	}
+	require.True(t, s.finished())
+	requireSound(t, s)
+}
+
+func TestWaveStopsWhenReturningVMsFail(t *testing.T) {
+	s := newSim(newView(smallShape(structs.FailureDomainRack)), 6)
+	s.addWave()
+	s.breakImage = imageNew
+	p := New(Options{})
+	s.runFor(p, 2*time.Hour)
+	status := s.view.Waves["march"]
+	require.NotEmpty(t, status.Stopped)
+	require.Contains(t, status.Stopped, "publish a wave with a mended image")
+	require.Empty(t, vmsIn(s, structs.VMDraining))
+	require.NotEmpty(t, vmsIn(s, structs.VMFailed))
+	for i := range s.view.VMs {
+		vm := &s.view.VMs[i]
+		if vm.State == structs.VMActive {
+			require.NotEqual(t, imageNew, s.of(vm).image)
+		}
+	}
+	requireSound(t, s)
+}
+
+func TestFewFailuresDoNotStopAWave(t *testing.T) {
+	status := structs.WaveStatus{Wave: structs.Wave{MaxFailedPercent: 10}}
+	for _, c := range []struct {
+		returned, failed int
+		stop             bool
+	}{{0, 2, false}, {0, 3, true}, {27, 3, false}, {26, 3, true}, {100, 10, false}, {100, 12, true}} {
+		status.Returned, status.FailedProbation = c.returned, c.failed
+		require.Equal(t, c.stop, wave.Options{}.MustStop(status), "%d returned, %d failed", c.returned, c.failed)
+	}
+}
+
+func TestStragglerDelaysOnlyItsVM(t *testing.T) {
+	s := newSim(newView(smallShape(structs.FailureDomainRack)), 8)
+	s.addWave()
+	stuck := map[string]bool{"w-00003": true, "w-00010": true}
+	for id := range stuck {
+		s.workers[s.byID[id]].longEnd = s.now.Add(365 * 24 * time.Hour)
+	}
+	p := New(Options{})
+	s.runFor(p, 3*time.Hour)
+	for i := range s.view.VMs {
+		vm := &s.view.VMs[i]
+		if stuck[vm.ID] {
+			require.Equal(t, uint64(1), s.of(vm).boot, "%s was rebooted", vm.ID)
+			continue
+		}
+		require.Equal(t, structs.VMActive, vm.State, vm.ID)
+		require.Equal(t, imageNew, vm.Image, vm.ID)
+	}
+	plan := s.step(p)
+	require.Equal(t, len(s.view.VMs)-len(stuck), plan.Forecasts[0].Done)
+	requireSound(t, s)
+}
+
+func TestNothingIsPlannedInACutZone(t *testing.T) {
+	s := newSim(newView(smallShape(structs.FailureDomainRack)), 9)
+	s.addWave()
+	s.cut = []string{zoneName(2)}
+	s.runFor(New(Options{}), 3*time.Hour)
+	for i := range s.view.VMs {
+		vm := &s.view.VMs[i]
+		if vm.Zone == zoneName(2) {
+			require.Equal(t, uint64(0), vm.Sequence, "%s was touched", vm.ID)
+		}
+	}
+	requireSound(t, s)
+	s.cut = nil
+	s.run(New(Options{}), testLimit)
+	require.True(t, s.finished())
+}
+
+func TestPausedWaveAndClosedWindowTakeNoVM(t *testing.T) {
+	for name, w := range map[string]structs.Wave{
+		"paused": {Name: "march", Image: imageNew, Paused: true},
+		"window": {Name: "march", Image: imageNew, Window: "night"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := newSim(newView(smallShape(structs.FailureDomainRack)), 4)
+			s.change(
+				structs.Change{Kind: structs.ItemWindow, Name: "night", Window: &structs.Window{Name: "night", StartMinute: 60, EndMinute: 120}},
+				structs.Change{Kind: structs.ItemWave, Name: "march", Wave: &w},
+			)
+			p := New(Options{})
+			s.runFor(p, 55*time.Minute)
+			require.Len(t, vmsIn(s, structs.VMActive), len(s.view.VMs))
+			s.runFor(p, 10*time.Minute)
+			require.Equal(t, name == "paused", len(vmsIn(s, structs.VMActive)) == len(s.view.VMs))
+		})
+	}
+}
+
+func TestRoundOnAStaleViewTakesNoMore(t *testing.T) {
+	s := newSim(newView(smallShape(structs.FailureDomainRack)), 2)
+	s.addWave()
+	p := New(Options{})
+	first := drains(p.Round(s.input()))
+	require.NotEmpty(t, first)
+	s.now = s.now.Add(simRound)
+	in := s.input()
+	for i := range in.Observed {
+		in.Observed[i].InProgress = i % 5
+	}
+	require.Equal(t, first, drains(p.Round(in)), "the log has not shown the first drains yet")
+}
+
+func drains(plan Plan) map[string]string {
+	keys := map[string]string{}
+	for _, rec := range plan.Records {
+		if rec.Transition != nil && rec.Transition.To == structs.VMDraining {
+			keys[rec.Transition.VM] = rec.Key
+		}
+	}
+	return keys
+}
+
+func TestRestartOnTheImageCountsAsDone(t *testing.T) {
+	s := newSim(newView(smallShape(structs.FailureDomainRack)), 2)
+	s.addWave()
+	s.workers[0].image = imageNew
+	s.run(New(Options{}), testLimit)
+	require.True(t, s.finished())
+	require.Equal(t, uint64(1), s.workers[0].boot)
+}
+
+func TestRemovedVMsAreDrainedAndDropped(t *testing.T) {
+	s := newSim(newView(smallShape(structs.FailureDomainRack)), 2)
+	s.change(structs.Change{Kind: structs.ItemVM, Name: "w-00005", Delete: true})
+	s.runFor(New(Options{}), 5*time.Minute)
+	_, found := s.view.VMByID("w-00005")
+	require.False(t, found)
+	requireSound(t, s)
+}
--- a/fleet/planner/life.go
+++ b/fleet/planner/life.go
@@ -24,10 +24,16 @@
 		r.advanceDrained(vm)
 		return
 	}
+	if vm.State == structs.VMProbation && vm.Removed {
+		r.transition(vm, structs.Transition{To: structs.VMDraining})
+		return
+	}
 	step := r.p.tracker.Next(vm, seen, wave.Context{
 		Now:     r.now,
 		Members: r.view.Entry[vm.Zone].Members,
 		Image:   image,
+		// A wave takes only VMs that run another image than its own.
+		NewImage: vm.Wave != "" && image == r.view.Waves[vm.Wave].Image,
 	})
 	if step.Drain {
 		r.act(ActionDrain, vm, "")
--- a/fleet/planner/sim_test.go
+++ b/fleet/planner/sim_test.go
@@ -40,6 +40,9 @@
 	outageUntil time.Time
 }
 
+// of returns the truth about a VM.
+func (s *sim) of(vm *structs.VMStatus) *worker { return s.workers[s.byID[vm.ID]] }
+
 func (w *worker) up(now time.Time) bool { return !now.Before(w.downUntil) }
 
 // sim is the life of some VMs under the real fold of the log.
@@ -101,8 +104,8 @@
 // step lets the VMs live for one round and then lets the policy plan.
 func (s *sim) step(p policy) Plan {
 	s.now = s.now.Add(simRound)
-	for i, w := range s.workers {
-		s.live(&s.view.VMs[i], w)
+	for i := range s.view.VMs {
+		s.live(&s.view.VMs[i], s.of(&s.view.VMs[i]))
 	}
 	s.view = s.log.View()
 	if !s.unchecked {
@@ -228,8 +231,8 @@
 
 // failWhere fails every VM that the function picks.
 func (s *sim) failWhere(length time.Duration, pick func(*structs.VMStatus) bool) {
-	for i, w := range s.workers {
-		if pick(&s.view.VMs[i]) {
+	for i := range s.view.VMs {
+		if w := s.of(&s.view.VMs[i]); pick(&s.view.VMs[i]) {
 			s.fail(w, length, w.image)
 		}
 	}
@@ -237,7 +240,10 @@
 
 func (s *sim) act(a Action) {
 	w := s.workers[s.byID[a.VM]]
-	vm := &s.view.VMs[s.byID[a.VM]]
+	vm, found := s.view.VMByID(a.VM)
+	if !found {
+		return
+	}
 	if a.Kind != ActionReboot || w.rebooted >= a.Sequence || a.Epoch < s.epoch {
 		return
 	}
@@ -270,7 +276,7 @@
 		if zones[cell] == nil {
 			zones[cell] = &tally{}
 		}
-		s.count(vm, s.workers[i], pools[vm.Pool], zones[cell])
+		s.count(vm, s.of(vm), pools[vm.Pool], zones[cell])
 	}
 	for _, service := range s.view.Services {
 		if p := pools[service.Pool]; p != nil && p.broken(service.Budget.MinAvailable) {
@@ -306,10 +312,10 @@
 func (s *sim) finished() bool {
 	for i := range s.view.VMs {
 		vm := &s.view.VMs[i]
-		if vm.State == structs.VMFailed || s.workers[i].outOfOrder(s.now) {
+		if vm.State == structs.VMFailed || s.of(vm).outOfOrder(s.now) {
 			continue
 		}
-		if vm.State != structs.VMActive || vm.Image != imageNew && s.workers[i].image != imageNew {
+		if vm.State != structs.VMActive || vm.Image != imageNew && s.of(vm).image != imageNew {
 			return false
 		}
 	}
--- a/fleet/wave/step.go
+++ b/fleet/wave/step.go
@@ -25,6 +25,8 @@
 	Members []structs.EntryMember
 	// Image is the image the VM is to come back on, empty for any.
 	Image string
+	// NewImage says that the VM was taken out because it ran another image.
+	NewImage bool
 }
 
 // Next returns the next step of one VM. The observation may be nil when
@@ -41,7 +43,7 @@
 	case structs.VMActive:
 		return t.nextActive(seen)
 	case structs.VMDraining:
-		return nextDraining(vm, seen, c.Members)
+		return t.nextDraining(vm, seen, c.Members)
 	case structs.VMRebooting:
 		return t.nextRebooting(m, seen, c)
 	case structs.VMProbation:
@@ -71,7 +73,10 @@
 	return Step{}
 }
 
-func nextDraining(vm *structs.VMStatus, seen *Observation, members []structs.EntryMember) Step {
+func (t *Tracker) nextDraining(vm *structs.VMStatus, seen *Observation, members []structs.EntryMember) Step {
+	if seen.Failures >= t.options.FailureProbes {
+		return Step{To: structs.VMFailed}
+	}
 	if seen.InProgress > 0 || !Acknowledged(vm, members) {
 		return Step{Drain: true}
 	}
@@ -114,7 +119,7 @@
 // cameBack says that the reboot is over. An outage of its own can bring the
 // VM back on another image than the wanted one; it then returns as it is. A
 // planner that took over in the middle does not know the boot count from
-// before the reboot; it accepts the wanted image and a while of good probes
+// before the reboot; it accepts a new image, or a while of good probes,
 // instead.
 func (t *Tracker) cameBack(m *memory, seen *Observation, c Context) bool {
 	if seen.Present != PresenceLive {
@@ -124,6 +129,9 @@
 	if seen.Boot > m.boot {
 		return wanted || seen.ProbeOK
 	}
+	if c.NewImage && c.Image != "" && seen.Image == c.Image {
+		return true
+	}
 	settled := !m.okSince.IsZero() && c.Now.Sub(m.okSince) >= t.options.RebootSettle
 	return m.resumed && wanted && settled
 }
