--- a/fleet/wave/wave.go
+++ b/fleet/wave/wave.go
@@ -48,9 +48,9 @@
 // Default times and counts of a VM's life.
 const (
 	defaultPatience       = 2 * time.Minute
-	defaultRetryMin       = 10 * time.Minute
+	defaultRetryMin       = 5 * time.Minute
 	defaultRetryMax       = time.Hour
-	defaultRebootTimeout  = 30 * time.Minute
+	defaultRebootTimeout  = 15 * time.Minute
 	defaultRebootSettle   = 3 * time.Minute
 	defaultProbation      = time.Minute
 	defaultProbationGrace = 2 * time.Minute
