--- a/node/control/cluster_test.go
+++ b/node/control/cluster_test.go
@@ -30,6 +30,8 @@
 	fleet   *standin.Fleet
 	nodes   map[string]*testNode
 	places  []place
+	// closers are called after the nodes have stopped.
+	closers []func()
 }
 
 // place is where a node runs.
@@ -242,6 +244,9 @@
 	for _, n := range c.nodes {
 		n.stop()
 	}
+	for _, closeOne := range c.closers {
+		closeOne()
+	}
 	synctest.Wait()
 	for name, n := range c.nodes {
 		require.Empty(c.t, n.events.details, name)
--- a/node/control/exchange.go
+++ b/node/control/exchange.go
@@ -50,7 +50,11 @@
 	known := make(map[string]bool)
 	for _, status := range l.cfg.Peers.Peers() {
 		known[status.Node] = true
-		l.facts(status.Node).status = status
+		facts := l.facts(status.Node)
+		if status.Connected && !facts.status.Connected {
+			facts.nextExchange = time.Time{}
+		}
+		facts.status = status
 	}
 	for name := range l.peers {
 		if !known[name] {
@@ -163,6 +167,7 @@
 	l.noteJoining(facts, r, now)
 	l.noteAhead(facts, r, now)
 	l.compareDigest(name, r)
+	l.pullWhenBehind(l.running, now)
 	if !asked.IsZero() {
 		l.judgeReadiness(now)
 		l.publishFence()
--- a/node/control/loop.go
+++ b/node/control/loop.go
@@ -49,6 +49,8 @@
 	digests   digestRing
 	leaving   bool
 	started   time.Time
+	// running is the context of Run.
+	running context.Context
 }
 
 // New returns a loop that has no state yet.
@@ -83,6 +85,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	l.started = time.Now()
+	l.running = ctx
 	l.group.Go(func() { l.follow(ctx) })
 	l.group.Go(func() { l.appends.run(ctx) })
 	l.group.Go(func() { l.acts.run(ctx) })
--- a/node/peer/config.go
+++ b/node/peer/config.go
@@ -78,10 +78,10 @@
 
 // The defaults of Limits.
 const (
-	DefaultPingInterval     = 3 * time.Second
-	DefaultPingTimeout      = 3 * time.Second
+	DefaultPingInterval     = 2 * time.Second
+	DefaultPingTimeout      = 2 * time.Second
 	DefaultSilenceBound     = 7 * time.Second
-	DefaultHandshakeTimeout = 3 * time.Second
+	DefaultHandshakeTimeout = 2 * time.Second
 	DefaultWriteTimeout     = 5 * time.Second
 	DefaultHandlerTimeout   = 60 * time.Second
 	DefaultIdleTimeout      = 30 * time.Second
--- a/node/peer/dial.go
+++ b/node/peer/dial.go
@@ -54,7 +54,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	now := time.Now()
-	wanted := m.wanted()
+	wanted := m.wanted(now)
 	for name, r := range m.peers {
 		r.wanted = wanted[name]
 		if r.wanted && r.link == nil && r.dialing == nil && !now.Before(r.nextDial) {
@@ -72,11 +72,19 @@
 	return l.dialer == m.cfg.Node && now.Sub(l.lastUsed()) > m.cfg.Limits.IdleTimeout
 }
 
-func (m *Mesh) wanted() map[string]bool {
+// failingTime is how long a node is avoided after a failure where another
+// serves as well.
+const failingTime = 30 * time.Second
+
+func (r *remote) failing(now time.Time) bool {
+	return r.link == nil && r.failures > 0 && now.Sub(r.failedAt) < failingTime
+}
+
+func (m *Mesh) wanted(now time.Time) map[string]bool {
 	nodes := make([]node, 0, len(m.peers))
 	for _, r := range m.peers {
 		if r.seed || r.member {
-			nodes = append(nodes, node{name: r.node, zone: r.zone, member: r.member, failing: r.link == nil && r.failures > 1})
+			nodes = append(nodes, node{name: r.node, zone: r.zone, member: r.member, failing: r.failing(now)})
 		}
 	}
 	return wantedLinks(node{name: m.cfg.Node, zone: m.cfg.Zone}, nodes)
@@ -111,14 +119,20 @@
 	if err == nil {
 		return
 	}
-	r.failures++
-	r.nextDial = time.Now().Add(m.backoff(r.failures))
+	m.noteFailure(r, time.Now())
 	if RefusalOf(err) == RefusalDuplicate {
 		return
 	}
 	m.cfg.Events.Record(events.PeerDialFailed, events.Fields{Peer: name, Err: err})
 }
 
+// noteFailure notes a failed attempt or an ended connection.
+func (m *Mesh) noteFailure(r *remote, now time.Time) {
+	r.failures++
+	r.failedAt = now
+	r.nextDial = now.Add(m.backoff(r.failures))
+}
+
 // backoff returns the pause after the given number of failures in a row.
 func (m *Mesh) backoff(failures int) time.Duration {
 	pause := m.cfg.Limits.MaxBackoff
--- a/node/peer/mesh.go
+++ b/node/peer/mesh.go
@@ -52,6 +52,7 @@
 	dialing     chan struct{}
 	dialError   error
 	failures    int
+	failedAt    time.Time
 	nextDial    time.Time
 }
 
--- a/node/peer/register.go
+++ b/node/peer/register.go
@@ -153,11 +153,10 @@
 	now := time.Now()
 	r.heard = l.lastHeard()
 	r.link = nil
-	r.failures++
 	if now.Sub(l.since) > shortLife {
-		r.failures = 1
+		r.failures = 0
 	}
-	r.nextDial = now.Add(m.backoff(r.failures))
+	m.noteFailure(r, now)
 	r.dialError = errLinkClosed
 	m.wake()
 }
--- a/node/peer/topology.go
+++ b/node/peer/topology.go
@@ -15,7 +15,8 @@
 // form a ring in name order; a zone dials the zones 1, 2, 4, ... places on,
 // and its nodes divide these among themselves by rank. So the connections of
 // one zone grow with the logarithm of the number of zones, and no loss of one
-// zone parts the others.
+// zone parts the others. A zone that can't be reached is replaced by the next
+// one on the ring that can.
 func wantedLinks(self node, others []node) map[string]bool {
 	wanted := make(map[string]bool)
 	zones := groupByZone(self, others)
@@ -32,12 +33,27 @@
 		if i%len(own) != rank {
 			continue
 		}
-		target := zones[names[(place+step)%len(names)]]
-		wanted[pick(target, rank+i)] = true
+		wanted[target(zones, names, place, step, rank+i)] = true
 	}
 	return wanted
 }
 
+// target returns a node of the first zone that can be reached, from the given
+// number of places on.
+func target(zones map[string][]node, names []string, place, step, turn int) string {
+	first := zones[names[(place+step)%len(names)]]
+	for i := range len(names) {
+		next := (place + step + i) % len(names)
+		if next == place {
+			continue
+		}
+		if name, ok := pick(zones[names[next]], turn); ok {
+			return name
+		}
+	}
+	return first[turn%len(first)].name
+}
+
 // groupByZone sorts the nodes by zone and name. Seeds of other zones count
 // only as long as a zone has no known members.
 func groupByZone(self node, others []node) map[string][]node {
@@ -77,13 +93,14 @@
 	return 0
 }
 
-// pick takes the node at the given place and skips failing ones if it can.
-func pick(zone []node, place int) string {
+// pick returns a node of a zone that is not failing, beginning at the given
+// place.
+func pick(zone []node, place int) (string, bool) {
 	for i := range zone {
 		candidate := zone[(place+i)%len(zone)]
 		if !candidate.failing {
-			return candidate.name
+			return candidate.name, true
 		}
 	}
-	return zone[place%len(zone)].name
+	return "", false
 }
