Send waiting requests to zones that told of free slots

Cause: a zone whose pool is full queued work while another zone lay idle. Change: entry nodes tell other zones of their region, on change and at most once a second, how many slots each pool has free (rounded to a power of two); a request that would wait is relayed to the node with most, to run only if it starts at once. The pools now follow a new view before requests see it: at the start of a node requests could meet a pool without workers and were refused.

--- a/node/forward/exchange.go
+++ b/node/forward/exchange.go
@@ -27,6 +27,8 @@
 	address string
 	// fresh asks for a new connection.
 	fresh bool
+	// spare asks a peer to run the work only if it can start at once.
+	spare bool
 }
 
 // exchangeKind is what came of one sending.
@@ -134,7 +136,7 @@
 	header[HeaderRepeatable] = []string{yesNo(r.Repeatable)}
 	u := &url.URL{Scheme: "http", Host: t.address, Path: from.URL.Path, RawPath: from.URL.RawPath, RawQuery: from.URL.RawQuery}
 	if t.peer != "" {
-		s.addressRelay(header, u)
+		s.addressRelay(header, u, t)
 	}
 	out := &http.Request{
 		Method: from.Method, URL: u, Host: from.Host, Header: header,
--- a/node/forward/execute.go
+++ b/node/forward/execute.go
@@ -43,6 +43,9 @@
 	if !slices.Contains(rt.reach[r.Pool], s.cfg.Zone) {
 		return noWorker()
 	}
+	if e, ran := s.trySpare(run, rt, p, r); ran {
+		return e
+	}
 	e, again := s.attempt(wait, run, p, r)
 	for n := 1; again && n < s.cfg.Limits.Attempts && p.mayRetry(); n++ {
 		if !sleep(wait, retry.Delay(n, rand.Uint64())) {
@@ -79,6 +82,15 @@
 	if refusal != nil {
 		return refused(refusal), false
 	}
+	if r.atOnce && !pl.startsAtOnce() {
+		p.cancel(pl)
+		return busy(), false
+	}
+	return s.attemptAt(wait, run, p, pl, r)
+}
+
+// attemptAt waits at a place and sends the request from there.
+func (s *Server) attemptAt(wait, run context.Context, p *pool, pl *place, r *request) (e ending, again bool) {
 	for {
 		a, ok := p.await(wait, pl)
 		if !ok {
@@ -101,6 +113,15 @@
 	}
 }
 
+// trySpare sends a request that would have to wait here to a zone that has a
+// free slot. It reports false when the request is to wait here after all.
+func (s *Server) trySpare(run context.Context, rt *routes, p *pool, r *request) (ending, bool) {
+	if r.relayed || !p.crowded() {
+		return ending{}, false
+	}
+	return s.executeSpare(run, rt, r)
+}
+
 // gaveUp is the end of a request whose caller left, or whose time ran out,
 // while it waited.
 func (s *Server) gaveUp(wait context.Context) ending {
@@ -147,8 +168,7 @@
 
 // sendTo sends a request to a worker and reads its answer.
 func (s *Server) sendTo(run context.Context, r *request, worker string) exchange {
-	rt := s.routes.Load()
-	vm, ok := rt.view.VMByID(worker)
+	vm, ok := s.latest.Load().VMByID(worker)
 	if !ok {
 		return exchange{kind: exchangeNotRun, end: noWorker()}
 	}
--- a/node/forward/messages.go
+++ b/node/forward/messages.go
@@ -17,6 +17,7 @@
 	methodEpochCheck
 	methodLeaving
 	methodSlots
+	methodSpare
 )
 
 // maxMessageBytes bounds one message between entry nodes.
--- a/node/forward/parse.go
+++ b/node/forward/parse.go
@@ -24,9 +24,11 @@
 	issued time.Time
 	// relayed says that another entry node passed it on.
 	relayed bool
-	body    []byte
-	phase   phase
-	claim   claim
+	// atOnce says that the work is to run only if it can start at once.
+	atOnce bool
+	body   []byte
+	phase  phase
+	claim  claim
 }
 
 // claimed says whether the request's id must be claimed before it runs.
@@ -37,6 +39,7 @@
 // parse reads the headers. The end is nil when the request is valid.
 func (s *Server) parse(h *http.Request, rt *routes, relayed bool) (*request, *ending) {
 	r := &request{http: h, uri: h.URL.RequestURI(), relayed: relayed}
+	r.atOnce = relayed && h.Header.Get(HeaderRelayed) == relayedSpare
 	if e := s.parseID(r); e != nil {
 		return r, e
 	}
--- a/node/forward/peers.go
+++ b/node/forward/peers.go
@@ -20,6 +20,7 @@
 	handle(s, methodEpochCheck, s.onEpochCheck)
 	handle(s, methodLeaving, s.onLeaving)
 	handle(s, methodSlots, s.onSlots)
+	handle(s, methodSpare, s.onSpare)
 }
 
 // empty is the reply to a message that needs none.
--- a/node/forward/pool.go
+++ b/node/forward/pool.go
@@ -33,6 +33,8 @@
 	lock   sync.Mutex
 	sched  *scheduler.Scheduler
 	places map[scheduler.Ticket]*place
+	// waiting counts the places without a worker.
+	waiting int
 	// retries bounds further attempts to a share of the pool's requests.
 	retries *retry.Budget
 	// starved is called when a request has to wait.
@@ -54,6 +56,13 @@
 	return p
 }
 
+// crowded says whether requests wait for a worker.
+func (p *pool) crowded() bool {
+	p.lock.Lock()
+	defer p.lock.Unlock()
+	return p.waiting > 0
+}
+
 // mayRetry takes a further attempt from the budget.
 func (p *pool) mayRetry() bool {
 	p.lock.Lock()
@@ -72,6 +81,7 @@
 	}
 	pl := &place{ticket: ticket, next: make(chan assignment, 1)}
 	p.places[ticket] = pl
+	p.waiting++
 	if r.Repeatable {
 		p.retries.Request(now)
 	}
@@ -104,6 +114,7 @@
 	now := p.clock()
 	delete(p.places, pl.ticket)
 	if p.sched.Cancel(now, pl.ticket) {
+		p.waiting--
 		return
 	}
 	if a := <-pl.next; !a.expired {
@@ -133,6 +144,7 @@
 		p.pump(now)
 		return false
 	}
+	p.waiting++
 	p.pump(now)
 	return true
 }
@@ -158,6 +170,7 @@
 }
 
 func (p *pool) deliver(ticket scheduler.Ticket, a assignment) {
+	p.waiting--
 	if pl := p.places[ticket]; pl != nil {
 		pl.next <- a
 	}
--- a/node/forward/random_test.go
+++ b/node/forward/random_test.go
@@ -429,11 +429,45 @@
 	})
 }
 
+// sendMany sends requests that run for a second each.
+func sendMany(node *Server, n int) *sync.WaitGroup {
+	var all sync.WaitGroup
+	for i := range n {
+		r := httptest.NewRequest(http.MethodPut, "/fire", nil)
+		r.Header.Set(HeaderRequestID, fmt.Sprintf("w%d", i))
+		r.Header.Set(headerRun, "1000")
+		all.Go(func() { (&simRecorder{header: http.Header{}}).serve(node.Handler(), r) })
+	}
+	return &all
+}
+
+// TestSpareElsewhere checks that requests which would wait go to a zone that
+// has told of free slots.
+func TestSpareElsewhere(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newSimFleet(1)
+		a := f.nodes["entry-a1"].server
+		time.Sleep(2 * time.Second) // the first summaries
+		sendMany(a, 40).Wait()
+		elsewhere := uint64(0)
+		for _, n := range f.all {
+			if n.zone != "a" {
+				elsewhere += n.server.Stats().Answered
+			}
+			require.Zero(t, n.server.Stats().RefusedByWorker)
+		}
+		require.GreaterOrEqual(t, elsewhere, uint64(8))
+		require.GreaterOrEqual(t, a.Stats().Relayed, elsewhere)
+		f.stop()
+	})
+}
+
 // TestSlotsAreLent checks that a busy entry node uses slots of the other's
 // share while that one is idle, and that it gives them back.
 func TestSlotsAreLent(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := newSimFleet(1)
+		f.flag(func(bool) { f.cutZones["a"] = true }, nil)
 		node := f.nodes["entry-a1"].server
 		borrowed := func() int {
 			node.lending.lock.Lock()
@@ -444,15 +478,9 @@
 			}
 			return total
 		}
-		var all sync.WaitGroup
-		for i := range 12 { // three workers with four slots
-			r := httptest.NewRequest(http.MethodPut, "/fire", nil)
-			r.Header.Set(HeaderRequestID, fmt.Sprintf("w%d", i))
-			r.Header.Set(headerRun, "1000")
-			all.Go(func() { (&simRecorder{header: http.Header{}}).serve(node.Handler(), r) })
-		}
+		all := sendMany(node, 12) // three workers with four slots
 		time.Sleep(600 * time.Millisecond)
-		require.Positive(t, borrowed())
+		require.Positive(t, borrowed(), "%+v %+v", node.Stats(), f.nodes["entry-a2"].server.Stats())
 		all.Wait()
 		time.Sleep(10 * time.Second)
 		require.Zero(t, borrowed())
--- a/node/forward/relay.go
+++ b/node/forward/relay.go
@@ -80,12 +80,15 @@
 }
 
 // addressRelay turns an outgoing request into a relay.
-func (s *Server) addressRelay(header http.Header, u *url.URL) {
+func (s *Server) addressRelay(header http.Header, u *url.URL, t target) {
 	if auth := header.Get("Authorization"); auth != "" {
 		header.Set(headerCallerAuthorization, auth)
 	}
 	header.Set("Authorization", s.relayToken)
 	header.Set(HeaderRelayed, "1")
+	if t.spare {
+		header.Set(HeaderRelayed, relayedSpare)
+	}
 	u.Path = RelayPath + u.Path
 	if u.RawPath != "" {
 		u.RawPath = RelayPath + u.RawPath
--- a/node/forward/server.go
+++ b/node/forward/server.go
@@ -12,6 +12,7 @@
 
 	"wigeonwinch/dispatch/claims"
 	"wigeonwinch/dispatch/slots"
+	"wigeonwinch/fleet/structs"
 	"wigeonwinch/node/events"
 )
 
@@ -30,7 +31,10 @@
 	transports transports
 
 	refreshing sync.Mutex
-	routes     atomic.Pointer[routes]
+	// latest is the view whose workers the pools may name already; routes
+	// follows when the pools are in line with it.
+	latest atomic.Pointer[structs.View]
+	routes atomic.Pointer[routes]
 
 	poolsLock sync.RWMutex
 	pools     map[string]*pool
@@ -39,6 +43,7 @@
 	signs   leavingSigns
 	claims  claimSide
 	lending lending
+	spare   spareSlots
 	counts  counters
 
 	inFlight  atomic.Int64
@@ -64,6 +69,7 @@
 	s.teams.limits = make(map[string]*teamLimit)
 	s.signs.byVM = make(map[string]sign)
 	s.claims.init(cfg, self)
+	s.spare.init()
 	s.lending.ledger = slots.New(cfg.Node, slots.Options{})
 	s.handlePeers()
 	return s
@@ -130,8 +136,10 @@
 	s.teams.set(rt.view.Teams)
 	s.claims.follow(s.cfg.Clock(), s.cfg.Zone, rt)
 	s.followSlots(rt)
-	s.routes.Store(rt)
+	s.spare.forget(rt)
+	s.latest.Store(view)
 	s.setPools(rt)
+	s.routes.Store(rt)
 	return rt
 }
 
@@ -167,6 +175,7 @@
 	}
 	s.followClaims(ctx, rt, tailAt)
 	s.lend(now)
+	s.tellSpare(now, rt)
 }
 
 // tailReadAt returns how fresh the view is; zero when the fleet doesn't say.
