Measure short work's wait, urgent starts and ways to share workers

Cause: the policy had no figures. Change: a virtual-time simulation of several entry nodes with first in first out, an oracle and the scheduler side by side. From its figures: longer memory of short load, half octaves of declared run times, a declared time beyond all history is heeded, a strict reserve for urgent work, and lending by the node's total of idle slots instead of each worker's.

--- a/dispatch/runtimes/histogram.go
+++ b/dispatch/runtimes/histogram.go
@@ -78,12 +78,39 @@
 }
 
 // mixture is a histogram blended with a wider one that counts as priorWeight
-// run times.
+// run times. Of the wider one, only the buckets from first to last count.
 type mixture struct {
-	near *Histogram
-	wide *Histogram
+	near        *Histogram
+	wide        *Histogram
+	first, last int
+	wideWeight  float64
 }
 
+// withWide adds the wider histogram, cut to the buckets around a declared run
+// time that it could be. When the cut is empty, the declared time stands for
+// it.
+func (m mixture) withWide(wide *Histogram, declared time.Duration) mixture {
+	m.first = bucketOf(declared / maxDeclaredError)
+	m.last = bucketOf(declared * maxDeclaredError)
+	for i := m.first; i <= m.last; i++ {
+		m.wideWeight += float64(wide.buckets[i])
+	}
+	m.wide = wide
+	if m.wideWeight < minWideWeight {
+		m.wide = &Histogram{}
+		m.wide.buckets[bucketOf(declared)] = 1
+		m.wideWeight = 1
+	}
+	return m
+}
+
+const (
+	// maxDeclaredError is by which factor declared run times may be off.
+	maxDeclaredError = 10
+	// minWideWeight is from which weight on the cut histogram tells anything.
+	minWideWeight = 0.5
+)
+
 // priorWeight is how many run times the wider histogram counts for.
 const priorWeight = 4.0
 
@@ -94,11 +121,11 @@
 	if m.near != nil {
 		nearWeight = m.near.weight
 	}
-	if m.wide == nil || m.wide.weight == 0 {
+	if m.wide == nil {
 		return inverse(nearWeight), 0
 	}
 	total := nearWeight + priorWeight
-	return 1 / total, priorWeight / m.wide.weight / total
+	return 1 / total, priorWeight / m.wideWeight / total
 }
 
 func inverse(x float64) float64 {
@@ -116,7 +143,7 @@
 		if near > 0 && m.near != nil {
 			share += near * float64(m.near.buckets[i])
 		}
-		if wide > 0 {
+		if wide > 0 && i >= m.first && i <= m.last {
 			share += wide * float64(m.wide.buckets[i])
 		}
 		if share > 0 && !visit(i, share) {
--- a/dispatch/runtimes/runtimes.go
+++ b/dispatch/runtimes/runtimes.go
@@ -8,8 +8,10 @@
 //	long := p.LongShare > 0.2
 //
 // A declared run time is not taken at its word: it selects the history of the
-// requests that declared about the same, and that history is blended with the
-// route's whole history. Where declarations mean nothing, both are alike.
+// requests that declared about the same, and that history is blended with what
+// the route's whole history says of run times up to ten times shorter or
+// longer than declared. Where declarations mean nothing, the first outweighs
+// the second before long.
 // Memory is bounded by Options.MaxRoutes.
 package runtimes
 
@@ -20,7 +22,7 @@
 
 // The defaults of Options.
 const (
-	defaultMaxRoutes = 512
+	defaultMaxRoutes = 256
 	defaultHalfLife  = 10 * time.Minute
 )
 
@@ -71,11 +73,17 @@
 type route struct {
 	key        Key
 	all        Histogram
-	byDeclared [octaves]*Histogram
+	byDeclared [declaredBins]*Histogram
 }
 
+// Declared run times are told apart by half octaves.
+const (
+	bucketsPerBin = 2
+	declaredBins  = bucketCount / bucketsPerBin
+)
+
 // declaredBin returns the bin of a declared run time.
-func declaredBin(declared time.Duration) int { return bucketOf(declared) / bucketsPerOctave }
+func declaredBin(declared time.Duration) int { return bucketOf(declared) / bucketsPerBin }
 
 // Observe learns the run time of a finished request. A declared time of zero
 // means that none was declared.
@@ -121,9 +129,7 @@
 	r := e.Value.(*route)
 	m := mixture{near: &r.all}
 	if declared > 0 {
-		if bin := r.byDeclared[declaredBin(declared)]; bin != nil {
-			m = mixture{near: bin, wide: &r.all}
-		}
+		m = mixture{near: r.byDeclared[declaredBin(declared)]}.withWide(&r.all, declared)
 	}
 	p := m.summarize(threshold)
 	p.Known = true
--- a/dispatch/runtimes/runtimes_test.go
+++ b/dispatch/runtimes/runtimes_test.go
@@ -49,7 +49,7 @@
 	rng := rand.New(rand.NewPCG(1, 1))
 	l := New(Options{})
 	noise := Key{Service: "noise", Route: "/"}
-	for range 50_000 {
+	for range 100_000 {
 		actual := 100 * time.Millisecond
 		if rng.IntN(100) == 0 {
 			actual = 5 * time.Second
@@ -84,3 +84,25 @@
 	require.Equal(t, 10, l.Routes())
 	require.True(t, l.Predict(review, 0, time.Second).Known, "a busy route stays")
 }
+
+// TestDeclarationBeyondAllHistoryIsHeeded: work that declares far more than
+// anything seen is not taken for the usual.
+func TestDeclarationBeyondAllHistoryIsHeeded(t *testing.T) {
+	l := New(Options{})
+	for range 1000 {
+		l.Observe(epoch, review, 100*time.Millisecond, 100*time.Millisecond)
+	}
+	p := l.Predict(review, 10*time.Minute, time.Second)
+	require.Equal(t, 1.0, p.LongShare)
+	require.InEpsilon(t, 10*time.Minute, p.Median, 0.2)
+}
+
+// TestDeclarationsBeyondAnyErrorAreLearned: a route that always declares a
+// thousand times too much is known by its own record.
+func TestDeclarationsBeyondAnyErrorAreLearned(t *testing.T) {
+	l := New(Options{})
+	for range 100 {
+		l.Observe(epoch, review, 100*time.Second, 100*time.Millisecond)
+	}
+	require.Less(t, l.Predict(review, 100*time.Second, time.Second).LongShare, 0.1)
+}
--- a/dispatch/scheduler/finish.go
+++ b/dispatch/scheduler/finish.go
@@ -96,7 +96,6 @@
 	if j.lane == laneLong {
 		s.longStarted--
 	}
-	s.dropQuick(j)
 	s.overruns.remove(j)
 	s.teams.released(j.team)
 	s.workers.add(now, w, -1)
--- /dev/null
+++ b/dispatch/scheduler/fleet_test.go
@@ -0,0 +1,267 @@
+package scheduler
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"wigeonwinch/dispatch"
+	"wigeonwinch/dispatch/slots"
+)
+
+// The fleet of the benchmarks at the size to design for.
+const (
+	fleetWorkers = 950
+	fleetPools   = 27
+	fleetZones   = 10
+	fleetTeams   = 250
+	fleetSlots   = 8
+	// fleetNodes is the number of entry nodes in each zone.
+	fleetNodes = 2
+)
+
+// fleetNode is one entry node's view of one pool in its zone.
+type fleetNode struct {
+	name    string
+	pool    int
+	workers []Worker
+	total   int
+}
+
+// fleetLayout spreads the workers over pools and zones; worker numbers are
+// unique in the fleet.
+func fleetLayout() (nodes []*fleetNode, names []string) {
+	members := make([]string, fleetNodes)
+	for i := range members {
+		members[i] = fmt.Sprintf("entry-%d", i)
+	}
+	byPlace := make(map[int]*fleetNode)
+	for w := range fleetWorkers {
+		names = append(names, fmt.Sprintf("worker-%03d", w))
+		pool := w % fleetPools
+		zone := w / fleetPools % fleetZones
+		for m, member := range members {
+			place := (pool*fleetZones+zone)*fleetNodes + m
+			n := byPlace[place]
+			if n == nil {
+				n = &fleetNode{name: member, pool: pool}
+				byPlace[place] = n
+				nodes = append(nodes, n)
+			}
+			share := slots.Share(names[w], fleetSlots, members, member)
+			n.workers = append(n.workers, worker(names[w], share))
+			n.total += share
+		}
+	}
+	return nodes, names
+}
+
+// fleetTeamList are the teams with their weights.
+func fleetTeamList() []Team {
+	teams := make([]Team, fleetTeams)
+	for i := range teams {
+		teams[i] = Team{Name: fmt.Sprintf("team-%03d", i), Weight: float64(1 + i%4)}
+	}
+	return teams
+}
+
+// fleetOurs makes one scheduler for each node and pool.
+func fleetOurs(tb testing.TB, nodes []*fleetNode, names []string, opts Options) []simPolicy {
+	teams := fleetTeamList()
+	var out []simPolicy
+	for _, n := range nodes {
+		opts.Node = n.name
+		s := newTest(tb, opts, n.workers...)
+		s.SetTeams(teams)
+		out = append(out, newOurs(s, names))
+	}
+	return out
+}
+
+// fleetFIFO is first in first out on each node, urgent work first.
+func fleetFIFO(nodes []*fleetNode, names []string) []simPolicy {
+	index := make(map[string]int, len(names))
+	for i, name := range names {
+		index[name] = i
+	}
+	var out []simPolicy
+	for _, n := range nodes {
+		shares := make([]int, len(n.workers))
+		global := make([]int, len(n.workers))
+		for i, w := range n.workers {
+			shares[i] = w.Slots
+			global[i] = index[w.ID]
+		}
+		out = append(out, &urgentFirst{urgent: newPlain(shares, 1), global: global})
+	}
+	return out
+}
+
+// urgentFirst starts urgent work before the rest, without a reserve.
+type urgentFirst struct {
+	urgent *plain
+	normal []int
+	global []int
+	local  map[int]int
+}
+
+func (u *urgentFirst) submit(now time.Time, id int, r *simRequest) bool {
+	if r.req.Class == dispatch.ClassUrgent {
+		return u.urgent.submit(now, id, r)
+	}
+	u.normal = append(u.normal, id)
+	return true
+}
+
+func (u *urgentFirst) next(now time.Time) (starts []simStart, expired []int) {
+	starts, _ = u.urgent.next(now)
+	if len(u.urgent.queue) == 0 {
+		u.urgent.queue, u.normal = u.normal, nil
+		more, _ := u.urgent.next(now)
+		starts = append(starts, more...)
+		u.normal, u.urgent.queue = u.urgent.queue, nil
+	}
+	if u.local == nil {
+		u.local = make(map[int]int)
+	}
+	for i, st := range starts {
+		u.local[st.id] = st.worker
+		starts[i].worker = u.global[st.worker]
+	}
+	return starts, nil
+}
+
+func (u *urgentFirst) finish(now time.Time, id, _ int, res Result) bool {
+	worker := u.local[id]
+	delete(u.local, id)
+	return u.urgent.finish(now, id, worker, res)
+}
+
+func (u *urgentFirst) wake() time.Time { return time.Time{} }
+
+// The load of BenchmarkUrgentStart.
+const (
+	urgentCalm      = 60 * time.Second
+	urgentEnd       = 300 * time.Second
+	urgentRate      = 100.0
+	urgentMedian    = 300 * time.Millisecond
+	urgentNormal    = 0.1
+	urgentStraggler = 20 * time.Minute
+	// urgentNetwork is the way from the router to the entry node and on to the
+	// worker.
+	urgentNetwork = 6 * time.Millisecond
+)
+
+// urgentDemand is calm traffic, then enough stragglers at once to fill each
+// node's slots three times over, with short work going on. The stragglers
+// declare nothing and look like the rest, so they take every slot that short
+// work may take. Urgent work comes all the time; longUrgent is the share of it
+// that is long itself.
+func urgentDemand(nodes []*fleetNode, longUrgent float64) []*simRequest {
+	rng := rand.New(rand.NewPCG(3, 3))
+	total := 0
+	for _, n := range nodes {
+		total += n.total
+	}
+	normalRate := urgentNormal * float64(total) / urgentMedian.Seconds()
+	var out []*simRequest
+	add := func(now time.Duration, node int, class dispatch.Class, run time.Duration) {
+		r := &simRequest{arrival: now, run: run, node: node}
+		r.req = dispatch.Request{
+			Team: fmt.Sprintf("team-%03d", rng.IntN(fleetTeams)), Service: "review", Route: "/",
+			Class: class, Repeatable: true, Declared: misdeclared(rng, run),
+		}
+		out = append(out, r)
+	}
+	full := false
+	for now := time.Duration(0); now < urgentEnd; {
+		rate := urgentRate + normalRate
+		now += time.Duration(rng.ExpFloat64() / rate * float64(time.Second))
+		if now >= urgentCalm && !full {
+			full = true
+			for node, n := range nodes {
+				for range 3 * n.total {
+					add(urgentCalm, node, dispatch.ClassNormal, urgentStraggler)
+					out[len(out)-1].req.Declared = 0
+				}
+			}
+		}
+		run := logNormal(rng, urgentMedian, 0.5)
+		if rng.Float64()*rate >= urgentRate {
+			add(now, rng.IntN(len(nodes)), dispatch.ClassNormal, run)
+			continue
+		}
+		if rng.Float64() < longUrgent {
+			run *= waitLongFactor
+		}
+		add(now, rng.IntN(len(nodes)), dispatch.ClassUrgent, run)
+	}
+	return out
+}
+
+// urgentStarts are the times from the router to the start, of the urgent
+// requests while the pools are full; one never started counts until the end.
+func urgentStarts(requests []*simRequest) []time.Duration {
+	var out []time.Duration
+	for _, r := range requests {
+		if r.req.Class != dispatch.ClassUrgent || r.arrival < urgentCalm {
+			continue
+		}
+		wait := r.waited
+		if !r.started {
+			wait = max(urgentEnd-r.arrival, r.endedAt-r.arrival)
+		}
+		out = append(out, wait+urgentNetwork)
+	}
+	return out
+}
+
+// BenchmarkUrgentStart measures how soon urgent work starts at the size to
+// design for while all pools are full of stragglers. No worker offers relief.
+func BenchmarkUrgentStart(b *testing.B) {
+	for b.Loop() {
+		nodes, names := fleetLayout()
+		fullShare := 0.0
+		run := func(policies []simPolicy, longUrgent float64) []time.Duration {
+			s := &sim{nodes: policies, requests: urgentDemand(nodes, longUrgent), attempt: simPlain}
+			s.do(urgentCalm+10*time.Second, func(time.Time) { fullShare = max(fullShare, busyShare(s.busy)) })
+			s.run()
+			return urgentStarts(s.requests)
+		}
+		mine := run(fleetOurs(b, nodes, names, Options{}), 0)
+		mineFull := fullShare
+		tail := run(fleetOurs(b, nodes, names, Options{}), 0.01)
+		two := run(fleetOurs(b, nodes, names, Options{UrgentReserve: 2}), 0.01)
+		first := run(fleetFIFO(nodes, names), 0)
+		b.ReportMetric(quantile(mine, 0.99).Seconds(), "p99_start_s")
+		b.ReportMetric(quantile(mine, 1).Seconds(), "max_start_s")
+		b.ReportMetric(float64(len(mine)), "urgent_requests")
+		b.ReportMetric(quantile(tail, 0.99).Seconds(), "one_in_100_urgent_long_p99_start_s")
+		b.ReportMetric(quantile(two, 0.99).Seconds(), "one_in_100_urgent_long_reserve_2_p99_start_s")
+		b.ReportMetric(quantile(first, 0.99).Seconds(), "urgent_first_no_reserve_p99_start_s")
+		b.ReportMetric(fleetReserve(nodes), "reserve_share")
+		b.ReportMetric(mineFull, "slots_in_use_share")
+	}
+}
+
+// fleetReserve is the share of all slots that is kept free at least.
+func fleetReserve(nodes []*fleetNode) float64 {
+	held, total := 0, 0
+	for _, n := range nodes {
+		total += n.total
+		if n.total >= minForHold {
+			held++
+		}
+	}
+	return float64(held) / float64(total)
+}
+
+// busyShare is the share of the fleet's slots with work in progress.
+func busyShare(busy map[int]int) float64 {
+	n := 0
+	for _, count := range busy {
+		n += count
+	}
+	return float64(n) / (fleetWorkers * fleetSlots)
+}
--- a/dispatch/scheduler/job.go
+++ b/dispatch/scheduler/job.go
@@ -38,7 +38,6 @@
 	place     int
 	attempts  int
 	avoid     [maxAvoid]string
-	quick     bool
 	relieved  bool
 	ended     bool
 
--- a/dispatch/scheduler/next.go
+++ b/dispatch/scheduler/next.go
@@ -44,14 +44,6 @@
 		s.lanes[j.counted].running--
 		j.counted = laneLong
 		s.lanes[laneLong].running++
-		s.dropQuick(j)
-	}
-}
-
-func (s *Scheduler) dropQuick(j *job) {
-	if j.quick {
-		j.quick = false
-		s.quick--
 	}
 }
 
@@ -67,7 +59,7 @@
 }
 
 func (s *Scheduler) startShort(now time.Time, hold int, a *Actions) bool {
-	if s.workers.free <= 0 || s.workers.free <= hold && !s.mayLend(hold) {
+	if s.workers.free <= hold {
 		return false
 	}
 	return s.startOne(now, laneShort, a)
@@ -160,10 +152,6 @@
 	if s.policy.threshold > 0 {
 		s.overruns.add(j, now.Add(s.policy.threshold))
 	}
-	if s.isQuick(j) {
-		j.quick = true
-		s.quick++
-	}
 }
 
 // Wake is the earliest time at which Next may yield something without other
--- a/dispatch/scheduler/options.go
+++ b/dispatch/scheduler/options.go
@@ -10,9 +10,11 @@
 
 // The defaults of Options.
 const (
-	defaultMaxQueued   = 20_000
-	defaultMaxWait     = 30 * time.Second
-	defaultUrgentBound = time.Second
+	defaultMaxQueued     = 20_000
+	defaultMaxWait       = 30 * time.Second
+	defaultUrgentBound   = time.Second
+	defaultUrgentReserve = 1
+	defaultLongShare     = 0.08
 )
 
 // Options configures a Scheduler. Zero fields take their defaults.
@@ -26,6 +28,13 @@
 	MaxWait time.Duration
 	// UrgentBound is within which time urgent work is to start.
 	UrgentBound time.Duration
+	// UrgentReserve is the least number of slots kept free for urgent work.
+	// More are kept where more urgent work has come. Two stand a long urgent
+	// request in the reserve.
+	UrgentReserve int
+	// LongShare is the share of the slots that long work gets even while short
+	// work waits.
+	LongShare float64
 	// Learner holds the learned run times; the schedulers of one node may
 	// share it. Nil means a learner of its own.
 	Learner *runtimes.Learner
@@ -48,6 +57,12 @@
 	if o.UrgentBound <= 0 {
 		o.UrgentBound = defaultUrgentBound
 	}
+	if o.UrgentReserve <= 0 {
+		o.UrgentReserve = defaultUrgentReserve
+	}
+	if o.LongShare <= 0 {
+		o.LongShare = defaultLongShare
+	}
 	if o.Learner == nil {
 		o.Learner = runtimes.New(runtimes.Options{})
 	}
--- a/dispatch/scheduler/policy.go
+++ b/dispatch/scheduler/policy.go
@@ -16,7 +16,7 @@
 	minThreshold = 20 * time.Millisecond
 	// longCut is from which probability of a long run on a request is queued
 	// as long.
-	longCut = 0.2
+	longCut = 0.05
 	// poolHalfLife is how fast the pool's run times are forgotten.
 	poolHalfLife = 10 * time.Minute
 	// medianEvery is after how many run times the median is computed again.
@@ -36,22 +36,44 @@
 func (p *policy) arrived(now time.Time, j *job) {
 	switch j.lane {
 	case laneShort:
-		p.short.add(now, p.window(), j.cost)
+		p.short.add(now, p.span(), j.cost)
 	case laneUrgent:
-		p.urgent.add(now, p.window(), j.cost)
+		p.urgent.add(now, p.urgentSpan(), j.cost)
 	}
 }
 
 // The time over which load is measured.
 const (
-	windowRuns = 8
+	windowRuns = 2
 	minWindow  = 500 * time.Millisecond
 	maxWindow  = 30 * time.Second
 )
 
-// window is the time over which load is measured.
-func (p *policy) window() time.Duration {
-	return min(max(windowRuns*p.threshold/longFactor, minWindow), maxWindow)
+// span is how fast the load meters forget.
+func (p *policy) span() span {
+	median := p.threshold / longFactor
+	return span{
+		window:   min(max(windowRuns*median, minWindow), maxWindow),
+		peakHalf: max(peakHalfRuns*median, minPeakHalfLife),
+	}
+}
+
+// Urgent load is measured over urgentWindow, and its peaks are forgotten by
+// half after urgentPeakHalfLife: the reserve must be there before the slots
+// fill with long work.
+const (
+	urgentWindow       = 10 * time.Second
+	urgentPeakHalfLife = 30 * time.Minute
+)
+
+// urgentSpan is how fast the meter of urgent load forgets.
+func (p *policy) urgentSpan() span {
+	return span{window: urgentWindow, peakHalf: urgentPeakHalfLife}
+}
+
+// span is how fast a loadMeter forgets load and its peak.
+type span struct {
+	window, peakHalf time.Duration
 }
 
 // learn counts the run time of a whole answer.
@@ -63,23 +85,43 @@
 	}
 }
 
-// loadMeter measures offered work in slots, over a sliding window.
+// loadMeter measures offered work in slots, over a sliding window, and
+// remembers its peaks.
 type loadMeter struct {
 	load float64
+	peak float64
 	last time.Time
 }
 
-func (m *loadMeter) add(now time.Time, window, work time.Duration) {
-	m.at(now, window)
-	m.load += work.Seconds() / window.Seconds()
+// How fast a peak of load is forgotten: it counts half after peakHalfRuns
+// median runs, or minPeakHalfLife if that is longer.
+const (
+	peakHalfRuns    = 20
+	minPeakHalfLife = 5 * time.Second
+)
+
+// peakAt is the highest load of late.
+func (m *loadMeter) peakAt(now time.Time, sp span) float64 {
+	m.at(now, sp)
+	return m.peak
+}
+
+func (m *loadMeter) add(now time.Time, sp span, work time.Duration) {
+	m.at(now, sp)
+	m.load += work.Seconds() / sp.window.Seconds()
+	m.peak = max(m.peak, m.load)
 }
 
-func (m *loadMeter) at(now time.Time, window time.Duration) float64 {
-	if elapsed := now.Sub(m.last); elapsed > 0 {
-		if m.load > 0 {
-			m.load *= math.Exp(-elapsed.Seconds() / window.Seconds())
-		}
-		m.last = now
+// at is the load now.
+func (m *loadMeter) at(now time.Time, sp span) float64 {
+	elapsed := now.Sub(m.last).Seconds()
+	if elapsed <= 0 {
+		return m.load
+	}
+	m.last = now
+	if m.peak > 0 {
+		m.load *= math.Exp(-elapsed / sp.window.Seconds())
+		m.peak = max(m.load, m.peak*math.Exp2(-elapsed/sp.peakHalf.Seconds()))
 	}
 	return m.load
 }
@@ -111,9 +153,6 @@
 
 // How the slots are divided.
 const (
-	// longFloorShare is one divided by the share of slots that long work gets
-	// before short work.
-	longFloorShare = 8
 	// protectFloorShare is one divided by the least share of slots that long
 	// work can't take.
 	protectFloorShare = 4
@@ -124,9 +163,6 @@
 	minForHold = 4
 	// spread is how many standard deviations of load the reserves allow for.
 	spread = 1.0
-	// quickPerHeld is how many requests that end soon must be in progress to
-	// lend one slot of the urgent reserve to short work.
-	quickPerHeld = 4
 )
 
 // reserve is the number of slots for a load, with room for its spread.
@@ -138,27 +174,20 @@
 	if total < minForHold {
 		return 0
 	}
-	load := s.policy.urgent.at(now, s.policy.window())
+	load := s.policy.urgent.peakAt(now, s.policy.urgentSpan())
 	need := reserve(load) - s.lanes[laneUrgent].running
-	return min(max(1, need), max(1, total/urgentCeilingShare))
+	return min(max(s.opts.UrgentReserve, need), max(1, total/urgentCeilingShare))
 }
 
 // longFloor is the number of slots that long work gets before short work.
-func (s *Scheduler) longFloor() int { return max(1, s.workers.total/longFloorShare) }
+func (s *Scheduler) longFloor() int {
+	return max(1, int(s.opts.LongShare*float64(s.workers.total)))
+}
 
 // longLimit is the number of slots that long work may take.
 func (s *Scheduler) longLimit(now time.Time, hold int) int {
 	total := s.workers.total
-	load := s.policy.short.at(now, s.policy.window())
+	load := s.policy.short.peakAt(now, s.policy.span())
 	protect := max(1, total/protectFloorShare, reserve(load))
 	return max(s.longFloor(), total-hold-protect)
 }
-
-// mayLend says whether short work may take the slots held for urgent work:
-// only while enough requests in progress should end within the bound.
-func (s *Scheduler) mayLend(hold int) bool { return s.quick >= quickPerHeld*hold }
-
-// isQuick says whether a job should end well within the urgent bound.
-func (s *Scheduler) isQuick(j *job) bool {
-	return j.p90 > 0 && j.p90 <= s.opts.UrgentBound/2
-}
--- a/dispatch/scheduler/scheduler.go
+++ b/dispatch/scheduler/scheduler.go
@@ -21,13 +21,10 @@
 	started []*job
 	// longStarted counts the requests in progress that started as long.
 	longStarted int
-	// quick counts the requests in progress that should end within the
-	// urgent bound.
-	quick      int
-	policy     policy
-	deadlines  timerHeap
-	overruns   timerHeap
-	violations uint64
+	policy      policy
+	deadlines   timerHeap
+	overruns    timerHeap
+	violations  uint64
 }
 
 // New returns a scheduler without workers.
--- a/dispatch/scheduler/stats.go
+++ b/dispatch/scheduler/stats.go
@@ -29,3 +29,9 @@
 	slices.SortFunc(st.Workers, func(a, b WorkerStats) int { return strings.Compare(a.ID, b.ID) })
 	return st
 }
+
+// Backlog is the number of queued urgent and short requests: those that a
+// borrowed slot helps.
+func (s *Scheduler) Backlog() int {
+	return s.lanes[laneUrgent].queue.Len() + s.lanes[laneShort].queue.Len()
+}
--- a/dispatch/slots/exchange.go
+++ b/dispatch/slots/exchange.go
@@ -2,12 +2,22 @@
 
 import "time"
 
-// keepIdle is how many idle slots a lender keeps for itself.
-const keepIdle = 1
+const (
+	// keepIdleShare is one divided by the share of its slots that a lender
+	// keeps idle for itself.
+	keepIdleShare = 8
+	// maxLentShare is one divided by the largest share of its slots that a
+	// node lends.
+	maxLentShare = 2
+	// asksPerRound is for how many workers a node asks at a time.
+	asksPerRound = 2
+)
 
-// Tick takes the present usage and returns what to send. Call it when usage
-// changes and at least every Options.Retry.
-func (l *Ledger) Tick(now time.Time, usage []Usage) []Send {
+// Tick takes the number of requests that wait for a slot and the present
+// usage, and returns what to send. Call it when usage changes and at least
+// every Options.Retry.
+func (l *Ledger) Tick(now time.Time, waiting int, usage []Usage) []Send {
+	l.waiting = waiting
 	for _, u := range usage {
 		if a := l.byID[u.Worker]; a != nil {
 			a.usage = u
@@ -17,9 +27,8 @@
 	for _, a := range l.workers {
 		out = l.giveBack(now, a, out)
 		out = l.recall(now, a, out)
-		out = l.ask(now, a, out)
 	}
-	return out
+	return l.ask(now, out)
 }
 
 // giveBack returns borrowed slots that have been idle, or were recalled.
@@ -65,7 +74,7 @@
 
 // recall asks borrowers for lent slots while requests wait here.
 func (l *Ledger) recall(now time.Time, a *account, out []Send) []Send {
-	if a.usage.Waiting == 0 || a.idle() > 0 {
+	if l.waiting == 0 || l.idleTotal() > 0 {
 		return out
 	}
 	for i := range a.peers {
@@ -80,19 +89,31 @@
 	return out
 }
 
-// ask requests slots from one peer after the other while requests wait.
-func (l *Ledger) ask(now time.Time, a *account, out []Send) []Send {
-	if a.usage.Waiting == 0 || a.idle() > 0 || len(a.peers) == 0 || now.Before(a.askAt) {
+// ask requests slots, of one worker and from one peer after the other, while
+// requests wait.
+func (l *Ledger) ask(now time.Time, out []Send) []Send {
+	if l.waiting == 0 || l.idleTotal() > 0 || now.Before(l.askAt) {
 		return out
 	}
-	a.askAt = now.Add(l.opts.Retry)
-	p := &a.peers[a.askNext%len(a.peers)]
-	a.askNext = (a.askNext + 1) % len(a.peers)
+	l.askAt = now.Add(l.opts.Retry)
+	for range min(asksPerRound, len(l.workers)) {
+		l.askWorker = (l.askWorker + 1) % len(l.workers)
+		a := l.workers[l.askWorker]
+		if len(a.peers) == 0 {
+			continue
+		}
+		out = append(out, l.request(a, &a.peers[l.askPeer%len(a.peers)]))
+		l.askPeer++
+	}
+	return out
+}
+
+func (l *Ledger) request(a *account, p *peer) Send {
 	request := &Request{
 		Epoch: l.epoch, Worker: a.Worker, Slots: a.Slots,
-		Known: p.borrowed, Want: min(a.usage.Waiting, l.opts.MaxWant),
+		Known: p.borrowed, Want: min(l.waiting, l.opts.MaxWant),
 	}
-	return append(out, Send{To: p.id, Message: Message{Request: request}})
+	return Send{To: p.id, Message: Message{Request: request}}
 }
 
 // Receive takes a message from a peer and returns what to send.
@@ -124,17 +145,14 @@
 	return a, p
 }
 
-// onRequest lends idle slots, but never more than half of the share.
+// onRequest lends idle slots while nothing waits here.
 func (l *Ledger) onRequest(from string, m *Request) []Send {
 	a, p := l.find(from, m.Epoch, m.Worker, m.Slots)
 	if a == nil {
 		return nil
 	}
 	if m.Known == p.lent {
-		spare := min(a.idle()-keepIdle, a.share/2-a.lent())
-		if a.usage.Waiting == 0 && a.borrowed() == 0 {
-			p.lent += uint64(max(0, min(m.Want, spare)))
-		}
+		p.lent += uint64(max(0, min(m.Want, l.spare(a))))
 	}
 	if p.lent == 0 {
 		return nil
@@ -142,6 +160,16 @@
 	return []Send{l.grantTo(a, p)}
 }
 
+// spare is how many slots of a worker can be lent now.
+func (l *Ledger) spare(a *account) int {
+	if l.waiting > 0 || a.borrowed() > 0 {
+		return 0
+	}
+	share, lent := l.totals()
+	keep := max(1, share/keepIdleShare)
+	return min(a.idle(), l.idleTotal()-keep, share/maxLentShare-lent)
+}
+
 func (l *Ledger) grantTo(a *account, p *peer) Send {
 	grant := &Grant{
 		Epoch: l.epoch, Worker: a.Worker, Slots: a.Slots,
--- a/dispatch/slots/ledger.go
+++ b/dispatch/slots/ledger.go
@@ -33,12 +33,10 @@
 	Worker string
 	// InProgress counts this node's requests on the worker.
 	InProgress int
-	// Waiting counts the requests that a further slot would start.
-	Waiting int
 }
 
-// Ledger knows which slots of the zone's workers this node may use: its
-// shares, less what it lent, and what it borrowed. It is not safe for
+// Ledger knows which slots of a pool's workers in the zone this node may use:
+// its shares, less what it lent, and what it borrowed. It is not safe for
 // concurrent use.
 //
 // Each lender and borrower count what was granted and returned in an epoch,
@@ -53,6 +51,11 @@
 	members []string
 	workers []*account
 	byID    map[string]*account
+	// waiting counts the requests that further slots would start.
+	waiting int
+	// askAt is when to ask next; askWorker and askPeer are whom about what.
+	askAt              time.Time
+	askWorker, askPeer int
 }
 
 // account is one worker in the ledger.
@@ -61,9 +64,6 @@
 	share int
 	peers []peer
 	usage Usage
-	// askNext is the peer to ask next, askAt when.
-	askNext int
-	askAt   time.Time
 	// idleSince is since when a borrowed slot has been idle.
 	idleSince time.Time
 	recalled  bool
@@ -175,6 +175,24 @@
 	return n
 }
 
+// idleTotal is how many usable slots of all workers have nothing in progress.
+func (l *Ledger) idleTotal() int {
+	n := 0
+	for _, a := range l.workers {
+		n += a.idle()
+	}
+	return n
+}
+
+// totals returns this node's share of all workers and what is lent of it.
+func (l *Ledger) totals() (share, lent int) {
+	for _, a := range l.workers {
+		share += a.share
+		lent += a.lent()
+	}
+	return share, lent
+}
+
 // idle is how many usable slots have nothing in progress.
 func (a *account) idle() int { return max(0, a.usable()-a.usage.InProgress) }
 
--- a/dispatch/slots/slots_test.go
+++ b/dispatch/slots/slots_test.go
@@ -61,15 +61,15 @@
 	return ledgers[0], ledgers[1]
 }
 
-// busy is a usage with all slots taken and requests waiting.
+// busy is a usage with all slots taken.
 func busy(l *Ledger) []Usage {
-	return []Usage{{Worker: "w", InProgress: l.Usable("w"), Waiting: 4}}
+	return []Usage{{Worker: "w", InProgress: l.Usable("w")}}
 }
 
 func TestIdleSlotsAreBorrowedAndReturned(t *testing.T) {
 	lender, borrower := pair()
-	lender.Tick(epoch, []Usage{{Worker: "w"}})
-	asked := borrower.Tick(epoch, busy(borrower))
+	lender.Tick(epoch, 0, []Usage{{Worker: "w"}})
+	asked := borrower.Tick(epoch, 4, busy(borrower))
 	require.Len(t, asked, 1)
 	granted := lender.Receive(epoch, "entry-1", asked[0].Message)
 	require.Equal(t, 2, lender.Usable("w"), "half of the share is lent, before the borrower knows")
@@ -82,30 +82,30 @@
 	require.Equal(t, 6, borrower.Usable("w"))
 
 	idle := []Usage{{Worker: "w", InProgress: 1}}
-	require.Empty(t, borrower.Tick(epoch, idle))
+	require.Empty(t, borrower.Tick(epoch, 0, idle))
 	now := epoch.Add(defaultIdleReturn)
-	back := borrower.Tick(now, idle)
+	back := borrower.Tick(now, 0, idle)
 	require.Equal(t, 4, borrower.Usable("w"))
 	require.Equal(t, 2, lender.Usable("w"))
 	acknowledged := lender.Receive(now, "entry-1", back[0].Message)
 	require.Equal(t, 4, lender.Usable("w"))
 	later := now.Add(defaultRetry)
-	require.Equal(t, back, borrower.Tick(later, idle), "a return is told until it is acknowledged")
+	require.Equal(t, back, borrower.Tick(later, 0, idle), "a return is told until it is acknowledged")
 	borrower.Receive(later, "entry-0", acknowledged[0].Message)
-	require.Empty(t, borrower.Tick(later.Add(defaultRetry), idle))
+	require.Empty(t, borrower.Tick(later.Add(defaultRetry), 0, idle))
 }
 
 func TestRecalledSlotsComeBackOnceIdle(t *testing.T) {
 	lender, borrower := pair()
-	asked := borrower.Tick(epoch, busy(borrower))
+	asked := borrower.Tick(epoch, 4, busy(borrower))
 	borrower.Receive(epoch, "entry-0", lender.Receive(epoch, "entry-1", asked[0].Message)[0].Message)
-	recall := lender.Tick(epoch, busy(lender))
+	recall := lender.Tick(epoch, 4, busy(lender))
 	require.NotNil(t, recall[0].Message.Recall)
 	borrower.Receive(epoch, "entry-0", recall[0].Message)
 	working := []Usage{{Worker: "w", InProgress: 6}}
-	require.Empty(t, borrower.Tick(epoch, working), "work in progress keeps its slot")
+	require.Empty(t, borrower.Tick(epoch, 0, working), "work in progress keeps its slot")
 	working[0].InProgress = 5
-	back := borrower.Tick(epoch, working)
+	back := borrower.Tick(epoch, 0, working)
 	lender.Receive(epoch, "entry-1", back[0].Message)
 	require.Equal(t, 5, borrower.Usable("w"))
 	require.Equal(t, 3, lender.Usable("w"))
@@ -113,7 +113,7 @@
 
 func TestGrantsEndWithTheEpoch(t *testing.T) {
 	lender, borrower := pair()
-	asked := borrower.Tick(epoch, busy(borrower))
+	asked := borrower.Tick(epoch, 4, busy(borrower))
 	granted := lender.Receive(epoch, "entry-1", asked[0].Message)
 	ids := names("entry", 2)
 	lender.SetEpoch(2, ids)
@@ -209,32 +209,57 @@
 		id := ids[rng.IntN(len(ids))]
 		switch {
 		case rng.IntN(200) == 0:
-			nodes[id].SetEpoch(nodes[id].Epoch()+1, ids)
+			nodes[id].SetEpoch(lastEpoch(nodes, ids)+1, ids)
+		case rng.IntN(10) == 0:
+			nodes[id].SetEpoch(lastEpoch(nodes, ids), ids)
 		case rng.IntN(2) == 0:
-			net.send(id, nodes[id].Tick(now, randomUsage(rng, nodes[id], workers)))
+			waiting, usage := randomUsage(rng, nodes[id], workers)
+			net.send(id, nodes[id].Tick(now, waiting, usage))
 		default:
 			if e, ok := net.take(); ok {
 				net.send(e.to, nodes[e.to].Receive(now, e.from, e.message))
 			}
 		}
 		requireWithin(t, nodes, ids, workers)
-		borrowedOnce = borrowedOnce || nodes[id].Borrowed("w-0") > 0
+		borrowedOnce = borrowedOnce || anyBorrowed(nodes, ids, workers)
 	}
 	require.True(t, borrowedOnce)
 	settle(t, net, nodes, ids, workers, now)
 }
 
-func randomUsage(rng *rand.Rand, l *Ledger, workers []Size) []Usage {
-	var out []Usage
+func lastEpoch(nodes map[string]*Ledger, ids []string) uint64 {
+	last := uint64(0)
+	for _, id := range ids {
+		last = max(last, nodes[id].Epoch())
+	}
+	return last
+}
+
+func anyBorrowed(nodes map[string]*Ledger, ids []string, workers []Size) bool {
+	for _, id := range ids {
+		for _, w := range workers {
+			if nodes[id].Borrowed(w.Worker) > 0 {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// randomUsage is either some load or a full node with requests waiting.
+func randomUsage(rng *rand.Rand, l *Ledger, workers []Size) (waiting int, out []Usage) {
+	full := rng.IntN(2) == 0
+	if full {
+		waiting = 1 + rng.IntN(6)
+	}
 	for _, w := range workers {
 		u := Usage{Worker: w.Worker, InProgress: rng.IntN(l.Usable(w.Worker) + 1)}
-		if rng.IntN(2) == 0 {
+		if full {
 			u.InProgress = l.Usable(w.Worker)
-			u.Waiting = 1 + rng.IntN(6)
 		}
 		out = append(out, u)
 	}
-	return out
+	return waiting, out
 }
 
 func requireWithin(t *testing.T, nodes map[string]*Ledger, ids []string, workers []Size) {
@@ -260,17 +285,14 @@
 func settle(t *testing.T, net *network, nodes map[string]*Ledger, ids []string, workers []Size, now time.Time) {
 	t.Helper()
 	net.lossy = false
-	last := uint64(0)
-	for _, id := range ids {
-		last = max(last, nodes[id].Epoch())
-	}
+	last := lastEpoch(nodes, ids)
 	for _, id := range ids {
 		nodes[id].SetEpoch(last, ids)
 	}
 	for range 100 {
 		now = now.Add(defaultIdleReturn)
 		for _, id := range ids {
-			net.send(id, nodes[id].Tick(now, []Usage{{Worker: "w-0"}, {Worker: "w-1"}, {Worker: "w-2"}}))
+			net.send(id, nodes[id].Tick(now, 0, []Usage{{Worker: "w-0"}, {Worker: "w-1"}, {Worker: "w-2"}}))
 		}
 		for e, ok := net.take(); ok; e, ok = net.take() {
 			net.send(e.to, nodes[e.to].Receive(now, e.from, e.message))
