Lend reserve slots only to proven short work; group workers in the ledger

Cause: a strict urgent reserve raised the p99 wait of short work on small shares (six nodes: 1.3 s to 3.9 s), and the idle reserve kept nodes from borrowing. Change: a held slot may go to work whose declared and learned run times agree that it is short, while enough such work is in progress; work that declares nothing never gets it. The ledger asks whenever requests wait, for a pool's workers in turn.

--- a/dispatch/scheduler/finish.go
+++ b/dispatch/scheduler/finish.go
@@ -96,6 +96,7 @@
 	if j.lane == laneLong {
 		s.longStarted--
 	}
+	s.dropSafe(j)
 	s.overruns.remove(j)
 	s.teams.released(j.team)
 	s.workers.add(now, w, -1)
--- a/dispatch/scheduler/job.go
+++ b/dispatch/scheduler/job.go
@@ -38,6 +38,7 @@
 	place     int
 	attempts  int
 	avoid     [maxAvoid]string
+	safe      bool
 	relieved  bool
 	ended     bool
 
--- a/dispatch/scheduler/next.go
+++ b/dispatch/scheduler/next.go
@@ -44,37 +44,50 @@
 		s.lanes[j.counted].running--
 		j.counted = laneLong
 		s.lanes[laneLong].running++
+		s.dropSafe(j)
+	}
+}
+
+// dropSafe stops counting a job as all but sure to end soon.
+func (s *Scheduler) dropSafe(j *job) {
+	if j.safe {
+		j.safe = false
+		s.safe--
 	}
 }
 
 func (s *Scheduler) startUrgent(now time.Time, a *Actions) bool {
-	return s.workers.free > 0 && s.startOne(now, laneUrgent, a)
+	return s.workers.free > 0 && s.startOne(now, laneUrgent, anyJob, a)
 }
 
 func (s *Scheduler) startFloor(now time.Time, hold int, a *Actions) bool {
 	if s.longStarted >= s.longFloor() || s.workers.free <= hold {
 		return false
 	}
-	return s.startOne(now, laneLong, a)
+	return s.startOne(now, laneLong, anyJob, a)
 }
 
 func (s *Scheduler) startShort(now time.Time, hold int, a *Actions) bool {
-	if s.workers.free <= hold {
-		return false
+	if s.workers.free > hold {
+		return s.startOne(now, laneShort, anyJob, a)
 	}
-	return s.startOne(now, laneShort, a)
+	return s.workers.free > 0 && s.mayLend(hold) && s.startOne(now, laneShort, isSafe, a)
 }
 
 func (s *Scheduler) startLong(now time.Time, hold, limit int, a *Actions) bool {
 	if s.workers.free <= hold || s.lanes[laneLong].running >= limit {
 		return false
 	}
-	return s.startOne(now, laneLong, a)
+	return s.startOne(now, laneLong, anyJob, a)
 }
 
+func anyJob(*job) bool { return true }
+
+func isSafe(j *job) bool { return j.safe }
+
 // startOne starts the next job of a lane, if one may start. Jobs that could
 // not end in time any more make way for the others.
-func (s *Scheduler) startOne(now time.Time, id laneID, a *Actions) bool {
+func (s *Scheduler) startOne(now time.Time, id laneID, may func(*job) bool, a *Actions) bool {
 	for {
 		var chosen *workerState
 		late := false
@@ -86,6 +99,9 @@
 			if j.team.atBound() {
 				return quota.Park
 			}
+			if !may(j) {
+				return quota.Skip
+			}
 			chosen = s.workers.choose(now, j)
 			if chosen == nil {
 				return quota.Skip
@@ -149,6 +165,9 @@
 		s.longStarted++
 		return
 	}
+	if j.safe {
+		s.safe++
+	}
 	if s.policy.threshold > 0 {
 		s.overruns.add(j, now.Add(s.policy.threshold))
 	}
--- a/dispatch/scheduler/policy.go
+++ b/dispatch/scheduler/policy.go
@@ -136,6 +136,7 @@
 	if threshold == 0 {
 		j.cost = p.Mean
 	}
+	j.safe = j.req.Declared > 0 && p.Known && p.LongShare <= lendRisk && p.P90 <= s.opts.UrgentBound/2
 	switch {
 	case j.req.Class == dispatch.ClassUrgent:
 		j.lane = laneUrgent
@@ -159,6 +160,12 @@
 	// urgentCeilingShare is one divided by the largest share of slots kept
 	// free for urgent work.
 	urgentCeilingShare = 4
+	// lendRisk is up to which probability of a long run a request may borrow
+	// a slot held for urgent work.
+	lendRisk = 0.005
+	// safePerHeld is how many requests that are all but sure to end soon must
+	// be in progress for each held slot to be lent.
+	safePerHeld = 4
 	// minForHold is below how many slots none is kept free.
 	minForHold = 4
 	// spread is how many standard deviations of load the reserves allow for.
@@ -191,3 +198,8 @@
 	protect := max(1, total/protectFloorShare, reserve(load))
 	return max(s.longFloor(), total-hold-protect)
 }
+
+// mayLend says whether safe short work may take the slots held for urgent
+// work: only while enough work in progress is all but sure to end soon. Work
+// that declares nothing is never safe, so a flood of it leaves the reserve.
+func (s *Scheduler) mayLend(hold int) bool { return s.safe >= safePerHeld*hold }
--- a/dispatch/scheduler/scheduler.go
+++ b/dispatch/scheduler/scheduler.go
@@ -21,10 +21,12 @@
 	started []*job
 	// longStarted counts the requests in progress that started as long.
 	longStarted int
-	policy      policy
-	deadlines   timerHeap
-	overruns    timerHeap
-	violations  uint64
+	// safe counts the requests in progress that are all but sure to end soon.
+	safe       int
+	policy     policy
+	deadlines  timerHeap
+	overruns   timerHeap
+	violations uint64
 }
 
 // New returns a scheduler without workers.
--- a/dispatch/scheduler/sharing_test.go
+++ b/dispatch/scheduler/sharing_test.go
@@ -27,7 +27,7 @@
 	l.ledger.SetEpoch(1, members)
 	var sizes []slots.Size
 	for _, name := range names {
-		sizes = append(sizes, slots.Size{Worker: name, Slots: waitSlots})
+		sizes = append(sizes, slots.Size{Worker: name, Slots: waitSlots, Pool: "pool"})
 	}
 	l.ledger.SetWorkers(sizes)
 	s := newTest(tb, Options{Node: n.name, MaxWait: time.Hour})
@@ -57,10 +57,11 @@
 func (l *lender) tick(now time.Time) {
 	var usage []slots.Usage
 	for _, name := range l.names {
-		usage = append(usage, slots.Usage{Worker: name, InProgress: l.s.InProgress(name)})
+		usage = append(usage, slots.Usage{
+			Worker: name, InProgress: l.s.InProgress(name), Waiting: l.s.Backlog(),
+		})
 	}
-	waiting := l.s.Backlog()
-	l.send(l.name, l.ledger.Tick(now, waiting, usage))
+	l.send(l.name, l.ledger.Tick(now, usage))
 	l.apply(now)
 }
 
--- a/dispatch/slots/exchange.go
+++ b/dispatch/slots/exchange.go
@@ -13,11 +13,9 @@
 	asksPerRound = 2
 )
 
-// Tick takes the number of requests that wait for a slot and the present
-// usage, and returns what to send. Call it when usage changes and at least
-// every Options.Retry.
-func (l *Ledger) Tick(now time.Time, waiting int, usage []Usage) []Send {
-	l.waiting = waiting
+// Tick takes the present usage and returns what to send. Call it when usage
+// changes and at least every Options.Retry. Workers left out keep their usage.
+func (l *Ledger) Tick(now time.Time, usage []Usage) []Send {
 	for _, u := range usage {
 		if a := l.byID[u.Worker]; a != nil {
 			a.usage = u
@@ -26,9 +24,17 @@
 	var out []Send
 	for _, a := range l.workers {
 		out = l.giveBack(now, a, out)
-		out = l.recall(now, a, out)
 	}
-	return l.ask(now, out)
+	for _, g := range l.groups {
+		if g.waiting() == 0 {
+			continue
+		}
+		for _, a := range g.accounts {
+			out = l.recall(now, a, out)
+		}
+		out = l.ask(now, g, out)
+	}
+	return out
 }
 
 // giveBack returns borrowed slots that have been idle, or were recalled.
@@ -74,9 +80,6 @@
 
 // recall asks borrowers for lent slots while requests wait here.
 func (l *Ledger) recall(now time.Time, a *account, out []Send) []Send {
-	if l.waiting == 0 || l.idleTotal() > 0 {
-		return out
-	}
 	for i := range a.peers {
 		p := &a.peers[i]
 		if p.lent == p.lentBack || now.Sub(p.recalledAt) < l.opts.Retry {
@@ -91,19 +94,19 @@
 
 // ask requests slots, of one worker and from one peer after the other, while
 // requests wait.
-func (l *Ledger) ask(now time.Time, out []Send) []Send {
-	if l.waiting == 0 || l.idleTotal() > 0 || now.Before(l.askAt) {
+func (l *Ledger) ask(now time.Time, g *group, out []Send) []Send {
+	if now.Before(g.askAt) {
 		return out
 	}
-	l.askAt = now.Add(l.opts.Retry)
-	for range min(asksPerRound, len(l.workers)) {
-		l.askWorker = (l.askWorker + 1) % len(l.workers)
-		a := l.workers[l.askWorker]
+	g.askAt = now.Add(l.opts.Retry)
+	for range min(asksPerRound, len(g.accounts)) {
+		g.askWorker = (g.askWorker + 1) % len(g.accounts)
+		a := g.accounts[g.askWorker]
 		if len(a.peers) == 0 {
 			continue
 		}
-		out = append(out, l.request(a, &a.peers[l.askPeer%len(a.peers)]))
-		l.askPeer++
+		out = append(out, l.request(a, &a.peers[g.askPeer%len(a.peers)]))
+		g.askPeer++
 	}
 	return out
 }
@@ -111,7 +114,7 @@
 func (l *Ledger) request(a *account, p *peer) Send {
 	request := &Request{
 		Epoch: l.epoch, Worker: a.Worker, Slots: a.Slots,
-		Known: p.borrowed, Want: min(l.waiting, l.opts.MaxWant),
+		Known: p.borrowed, Want: min(a.group.waiting(), l.opts.MaxWant),
 	}
 	return Send{To: p.id, Message: Message{Request: request}}
 }
@@ -152,7 +155,7 @@
 		return nil
 	}
 	if m.Known == p.lent {
-		p.lent += uint64(max(0, min(m.Want, l.spare(a))))
+		p.lent += uint64(max(0, min(m.Want, a.spare())))
 	}
 	if p.lent == 0 {
 		return nil
@@ -161,13 +164,14 @@
 }
 
 // spare is how many slots of a worker can be lent now.
-func (l *Ledger) spare(a *account) int {
-	if l.waiting > 0 || a.borrowed() > 0 {
+func (a *account) spare() int {
+	g := a.group
+	if g.waiting() > 0 || a.borrowed() > 0 {
 		return 0
 	}
-	share, lent := l.totals()
+	share, lent := g.totals()
 	keep := max(1, share/keepIdleShare)
-	return min(a.idle(), l.idleTotal()-keep, share/maxLentShare-lent)
+	return min(a.idle(), g.idle()-keep, share/maxLentShare-lent)
 }
 
 func (l *Ledger) grantTo(a *account, p *peer) Send {
--- a/dispatch/slots/ledger.go
+++ b/dispatch/slots/ledger.go
@@ -26,6 +26,9 @@
 type Size struct {
 	Worker string
 	Slots  int
+	// Pool groups the workers that may serve the same requests. Without a
+	// pool, a worker is a group of its own.
+	Pool string
 }
 
 // Usage is what a node does with one worker now.
@@ -33,10 +36,13 @@
 	Worker string
 	// InProgress counts this node's requests on the worker.
 	InProgress int
+	// Waiting counts the requests that a further slot of this worker would
+	// start. While it isn't zero, the node asks for slots and lends none.
+	Waiting int
 }
 
-// Ledger knows which slots of a pool's workers in the zone this node may use:
-// its shares, less what it lent, and what it borrowed. It is not safe for
+// Ledger knows which slots of the zone's workers this node may use: its
+// shares, less what it lent, and what it borrowed. It is not safe for
 // concurrent use.
 //
 // Each lender and borrower count what was granted and returned in an epoch,
@@ -51,16 +57,13 @@
 	members []string
 	workers []*account
 	byID    map[string]*account
-	// waiting counts the requests that further slots would start.
-	waiting int
-	// askAt is when to ask next; askWorker and askPeer are whom about what.
-	askAt              time.Time
-	askWorker, askPeer int
+	groups  []*group
 }
 
 // account is one worker in the ledger.
 type account struct {
 	Size
+	group *group
 	share int
 	peers []peer
 	usage Usage
@@ -108,6 +111,7 @@
 		l.workers[i] = l.open(a.Size)
 		l.byID[a.Worker] = l.workers[i]
 	}
+	l.regroup()
 }
 
 // SetWorkers replaces the workers. One whose number of slots changed starts
@@ -125,6 +129,7 @@
 	}
 	l.workers = next
 	l.byID = byID
+	l.regroup()
 }
 
 func (l *Ledger) open(size Size) *account {
@@ -175,24 +180,6 @@
 	return n
 }
 
-// idleTotal is how many usable slots of all workers have nothing in progress.
-func (l *Ledger) idleTotal() int {
-	n := 0
-	for _, a := range l.workers {
-		n += a.idle()
-	}
-	return n
-}
-
-// totals returns this node's share of all workers and what is lent of it.
-func (l *Ledger) totals() (share, lent int) {
-	for _, a := range l.workers {
-		share += a.share
-		lent += a.lent()
-	}
-	return share, lent
-}
-
 // idle is how many usable slots have nothing in progress.
 func (a *account) idle() int { return max(0, a.usable()-a.usage.InProgress) }
 
--- a/dispatch/slots/slots_test.go
+++ b/dispatch/slots/slots_test.go
@@ -56,20 +56,20 @@
 	for i, id := range ids {
 		ledgers[i] = New(id, Options{})
 		ledgers[i].SetEpoch(1, ids)
-		ledgers[i].SetWorkers([]Size{{"w", 8}})
+		ledgers[i].SetWorkers([]Size{{Worker: "w", Slots: 8, Pool: "p"}})
 	}
 	return ledgers[0], ledgers[1]
 }
 
 // busy is a usage with all slots taken.
 func busy(l *Ledger) []Usage {
-	return []Usage{{Worker: "w", InProgress: l.Usable("w")}}
+	return []Usage{{Worker: "w", InProgress: l.Usable("w"), Waiting: 4}}
 }
 
 func TestIdleSlotsAreBorrowedAndReturned(t *testing.T) {
 	lender, borrower := pair()
-	lender.Tick(epoch, 0, []Usage{{Worker: "w"}})
-	asked := borrower.Tick(epoch, 4, busy(borrower))
+	lender.Tick(epoch, []Usage{{Worker: "w"}})
+	asked := borrower.Tick(epoch, busy(borrower))
 	require.Len(t, asked, 1)
 	granted := lender.Receive(epoch, "entry-1", asked[0].Message)
 	require.Equal(t, 2, lender.Usable("w"), "half of the share is lent, before the borrower knows")
@@ -82,30 +82,30 @@
 	require.Equal(t, 6, borrower.Usable("w"))
 
 	idle := []Usage{{Worker: "w", InProgress: 1}}
-	require.Empty(t, borrower.Tick(epoch, 0, idle))
+	require.Empty(t, borrower.Tick(epoch, idle))
 	now := epoch.Add(defaultIdleReturn)
-	back := borrower.Tick(now, 0, idle)
+	back := borrower.Tick(now, idle)
 	require.Equal(t, 4, borrower.Usable("w"))
 	require.Equal(t, 2, lender.Usable("w"))
 	acknowledged := lender.Receive(now, "entry-1", back[0].Message)
 	require.Equal(t, 4, lender.Usable("w"))
 	later := now.Add(defaultRetry)
-	require.Equal(t, back, borrower.Tick(later, 0, idle), "a return is told until it is acknowledged")
+	require.Equal(t, back, borrower.Tick(later, idle), "a return is told until it is acknowledged")
 	borrower.Receive(later, "entry-0", acknowledged[0].Message)
-	require.Empty(t, borrower.Tick(later.Add(defaultRetry), 0, idle))
+	require.Empty(t, borrower.Tick(later.Add(defaultRetry), idle))
 }
 
 func TestRecalledSlotsComeBackOnceIdle(t *testing.T) {
 	lender, borrower := pair()
-	asked := borrower.Tick(epoch, 4, busy(borrower))
+	asked := borrower.Tick(epoch, busy(borrower))
 	borrower.Receive(epoch, "entry-0", lender.Receive(epoch, "entry-1", asked[0].Message)[0].Message)
-	recall := lender.Tick(epoch, 4, busy(lender))
+	recall := lender.Tick(epoch, busy(lender))
 	require.NotNil(t, recall[0].Message.Recall)
 	borrower.Receive(epoch, "entry-0", recall[0].Message)
 	working := []Usage{{Worker: "w", InProgress: 6}}
-	require.Empty(t, borrower.Tick(epoch, 0, working), "work in progress keeps its slot")
+	require.Empty(t, borrower.Tick(epoch, working), "work in progress keeps its slot")
 	working[0].InProgress = 5
-	back := borrower.Tick(epoch, 0, working)
+	back := borrower.Tick(epoch, working)
 	lender.Receive(epoch, "entry-1", back[0].Message)
 	require.Equal(t, 5, borrower.Usable("w"))
 	require.Equal(t, 3, lender.Usable("w"))
@@ -113,7 +113,7 @@
 
 func TestGrantsEndWithTheEpoch(t *testing.T) {
 	lender, borrower := pair()
-	asked := borrower.Tick(epoch, 4, busy(borrower))
+	asked := borrower.Tick(epoch, busy(borrower))
 	granted := lender.Receive(epoch, "entry-1", asked[0].Message)
 	ids := names("entry", 2)
 	lender.SetEpoch(2, ids)
@@ -126,6 +126,26 @@
 	require.Equal(t, uint64(2), borrower.Epoch())
 }
 
+// TestPoolsAskApart: each pool asks for itself, a bounded number of workers at
+// a time, and a pool where requests wait lends nothing.
+func TestPoolsAskApart(t *testing.T) {
+	l := New("entry-0", Options{})
+	l.SetEpoch(1, names("entry", 2))
+	l.SetWorkers([]Size{{"a-0", 8, "a"}, {"a-1", 8, "a"}, {"a-2", 8, "a"}, {"b-0", 8, "b"}})
+	require.Empty(t, l.Tick(epoch, []Usage{{Worker: "a-0"}, {Worker: "b-0"}}))
+	sends := l.Tick(epoch, []Usage{{Worker: "a-0", InProgress: 4, Waiting: 9}})
+	require.Len(t, sends, asksPerRound)
+	for _, s := range sends {
+		require.Contains(t, s.Message.Request.Worker, "a-")
+		require.Equal(t, defaultMaxWant, s.Message.Request.Want)
+	}
+	require.Empty(t, l.Tick(epoch, nil), "not asked again before the time")
+	request := Message{Request: &Request{Epoch: 1, Worker: "a-1", Slots: 8, Want: 1}}
+	require.Empty(t, l.Receive(epoch, "entry-1", request))
+	request.Request.Worker = "b-0"
+	require.Len(t, l.Receive(epoch, "entry-1", request), 1)
+}
+
 func TestAbsurdMessagesAreIgnored(t *testing.T) {
 	lender, borrower := pair()
 	huge := ^uint64(0)
@@ -195,7 +215,7 @@
 	rng := rand.New(rand.NewPCG(seed, 1))
 	net := &network{rng: rng, lossy: true}
 	ids := names("entry", 2+rng.IntN(4))
-	workers := []Size{{"w-0", 8}, {"w-1", 8}, {"w-2", 5}}
+	workers := []Size{{"w-0", 8, "p"}, {"w-1", 8, "p"}, {"w-2", 5, ""}}
 	nodes := make(map[string]*Ledger)
 	for _, id := range ids {
 		nodes[id] = New(id, Options{})
@@ -213,8 +233,7 @@
 		case rng.IntN(10) == 0:
 			nodes[id].SetEpoch(lastEpoch(nodes, ids), ids)
 		case rng.IntN(2) == 0:
-			waiting, usage := randomUsage(rng, nodes[id], workers)
-			net.send(id, nodes[id].Tick(now, waiting, usage))
+			net.send(id, nodes[id].Tick(now, randomUsage(rng, nodes[id], workers)))
 		default:
 			if e, ok := net.take(); ok {
 				net.send(e.to, nodes[e.to].Receive(now, e.from, e.message))
@@ -247,19 +266,18 @@
 }
 
 // randomUsage is either some load or a full node with requests waiting.
-func randomUsage(rng *rand.Rand, l *Ledger, workers []Size) (waiting int, out []Usage) {
+func randomUsage(rng *rand.Rand, l *Ledger, workers []Size) []Usage {
+	var out []Usage
 	full := rng.IntN(2) == 0
-	if full {
-		waiting = 1 + rng.IntN(6)
-	}
 	for _, w := range workers {
 		u := Usage{Worker: w.Worker, InProgress: rng.IntN(l.Usable(w.Worker) + 1)}
 		if full {
 			u.InProgress = l.Usable(w.Worker)
+			u.Waiting = 1 + rng.IntN(6)
 		}
 		out = append(out, u)
 	}
-	return waiting, out
+	return out
 }
 
 func requireWithin(t *testing.T, nodes map[string]*Ledger, ids []string, workers []Size) {
@@ -292,7 +310,7 @@
 	for range 100 {
 		now = now.Add(defaultIdleReturn)
 		for _, id := range ids {
-			net.send(id, nodes[id].Tick(now, 0, []Usage{{Worker: "w-0"}, {Worker: "w-1"}, {Worker: "w-2"}}))
+			net.send(id, nodes[id].Tick(now, []Usage{{Worker: "w-0"}, {Worker: "w-1"}, {Worker: "w-2"}}))
 		}
 		for e, ok := net.take(); ok; e, ok = net.take() {
 			net.send(e.to, nodes[e.to].Receive(now, e.from, e.message))
