Wait for the membership before a node is ready; show reasons in the demo

Cause: a new node called itself ready about 4 s before its zone's entry epoch named it. The demo then stopped the old node, which was still the only home of the zone's claims, so that duplicates and first copies alike got unknown (home_unreachable), and the load began a second before any node held slots. Ruled out: lost handovers (the events show each one done). Change: a node that can read the log is ready only as a member.

--- a/cmd/internal/cli/demo.go
+++ b/cmd/internal/cli/demo.go
@@ -5,7 +5,9 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"maps"
 	"os"
+	"slices"
 	"time"
 
 	"github.com/urfave/cli/v3"
@@ -82,6 +84,9 @@
 	t.add("99th percentile wait, short work", fmt.Sprintf("%.0f ms", r.ShortWaitP99MS))
 	t.add("99th percentile wait, long work", fmt.Sprintf("%.0f ms", r.LongWaitP99MS))
 	t.add("99th percentile wait, urgent work", fmt.Sprintf("%.0f ms", r.UrgentWaitP99MS))
+	for _, reason := range slices.Sorted(maps.Keys(rec.Reasons)) {
+		t.add(reason, rec.Reasons[reason])
+	}
 	if err := printTable(cmd, t); err != nil {
 		return err
 	}
--- a/cmd/internal/demo/call.go
+++ b/cmd/internal/demo/call.go
@@ -92,6 +92,8 @@
 // end is how a call ended, as the sender saw it.
 type end struct {
 	outcome string
+	// reason is the node's reason for an end other than answered.
+	reason string
 	// crossed says that the answer was another request's.
 	crossed bool
 	// broken says that there was no answer, or one that was cut.
@@ -138,7 +140,7 @@
 
 // judge checks an answer against the call.
 func judge(c call, resp *http.Response, text string) end {
-	e := end{outcome: resp.Header.Get("Wigeonwinch-Outcome")}
+	e := end{outcome: resp.Header.Get("Wigeonwinch-Outcome"), reason: resp.Header.Get("Wigeonwinch-Reason")}
 	if e.outcome != "answered" {
 		return e
 	}
--- a/cmd/internal/demo/record.go
+++ b/cmd/internal/demo/record.go
@@ -71,6 +71,8 @@
 	Waits    []WaitSample     `json:"waits"`
 	Timeline []timeline.Entry `json:"timeline"`
 	Errors   []string         `json:"errors,omitempty"`
+	// Reasons counts the ends other than answered by outcome and reason.
+	Reasons map[string]int `json:"reasons,omitempty"`
 }
 
 // sampler watches a site while the load runs.
@@ -171,7 +173,7 @@
 func (s *sampler) finish() *Recording {
 	s.take()
 	site, tally := s.site, s.load.tally
-	rec := &Recording{Samples: s.samples, Waits: tally.waits, Timeline: site.timeline()}
+	rec := &Recording{Samples: s.samples, Waits: tally.waits, Timeline: site.timeline(), Reasons: tally.reasons}
 	r := tally.counts
 	r.Doubled = tally.doubled(site.ledger)
 	r.FalseWords += tally.ranAfterAll(site.ledger)
--- a/cmd/internal/demo/tally.go
+++ b/cmd/internal/demo/tally.go
@@ -37,10 +37,12 @@
 	long    *hdrhistogram.Histogram
 	urgent  *hdrhistogram.Histogram
 	waits   []WaitSample
+	reasons map[string]int
 }
 
 func newTally() *tally {
 	return &tally{
+		reasons: map[string]int{},
 		short:  hdrhistogram.New(minWaitUS, maxWaitUS, digits),
 		long:   hdrhistogram.New(minWaitUS, maxWaitUS, digits),
 		urgent: hdrhistogram.New(minWaitUS, maxWaitUS, digits),
@@ -69,6 +71,9 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.endAll++
+	if e.reason != "" {
+		t.reasons[e.outcome+" "+e.reason]++
+	}
 	switch {
 	case e.broken:
 		t.counts.Lost++
--- a/node/control/ready.go
+++ b/node/control/ready.go
@@ -21,7 +21,9 @@
 // judgeReadiness decides whether the node may take requests. A node becomes
 // ready when it has folded the log's tail; when the log can't be read, when
 // it has caught up with every connected peer and there is one that has a
-// state. From then on it serves what it has, whatever it can reach.
+// state. It waits for its membership too, since only members hold slots and
+// claims, but not while the log can't be read. From then on it serves what it
+// has, whatever it can reach.
 func (l *Loop) judgeReadiness(now time.Time) {
 	l.ready.reached = l.ready.reached || l.caughtUp(now)
 	reason := l.notReadyReason()
@@ -47,6 +49,8 @@
 		return "the log is being read"
 	case l.fold.View().Generation == 0:
 		return "no manifest is published"
+	case !l.log.lost && !l.isMember():
+		return "the node is not yet a member of its zone's entry epoch"
 	}
 	return ""
 }
