Judge a void act anew when it is appended again with its key

Cause: the planner names a record by what it decides. A drained VM that was refused because an entry node had just joined could never be reported drained under the same lease, as its key was spent. Change: keys of applied records and of refused publishes are remembered; any other void record is judged anew. Conclusion: TestRefusedActMayBeAppendedAgain fails before and passes after.

--- a/fleet/state/apply.go
+++ b/fleet/state/apply.go
@@ -59,10 +59,7 @@
 	s.view = nil
 	out := invalid
 	if out == nil {
-		out = s.once(rec.Key)
-	}
-	if out == nil {
-		out = s.dispatch(offset, &rec)
+		out = s.once(offset, &rec)
 	}
 	if out != nil {
 		verdict.Void, verdict.Detail = out.Void, out.Detail
@@ -81,18 +78,23 @@
 	return nil
 }
 
-// once checks a record's key and remembers it. A key is remembered even when
-// its record turns out to be void, so that the first verdict stands.
-func (s *State) once(key string) *Refusal {
-	if key == "" || len(key) > maxKeyBytes {
-		return refuse(structs.VoidInvalid, "the key has %d bytes: use 1 to %d", len(key), maxKeyBytes)
+// once applies a record unless its key was seen before. The keys of applied
+// records are remembered, and those of refused publishes: who was told that a
+// publish is refused must not see it come into force. Any other void record may
+// be appended again with its key and is judged anew.
+func (s *State) once(offset structs.Offset, rec *structs.Record) *Refusal {
+	if rec.Key == "" || len(rec.Key) > maxKeyBytes {
+		return refuse(structs.VoidInvalid, "the key has %d bytes: use 1 to %d", len(rec.Key), maxKeyBytes)
 	}
-	hash := hashKey(key)
+	hash := hashKey(rec.Key)
 	if s.keys.contains(hash) {
-		return refuse(structs.VoidDuplicate, "a record with the key %s came before", shown(key))
+		return refuse(structs.VoidDuplicate, "a record with the key %s came before, and its verdict stands: use a new key for a new attempt", shown(rec.Key))
 	}
-	s.keys.add(hash)
-	return nil
+	out := s.dispatch(offset, rec)
+	if out == nil || rec.Publish != nil {
+		s.keys.add(hash)
+	}
+	return out
 }
 
 // dispatch applies the one change that a record carries.
--- a/fleet/state/entry_test.go
+++ b/fleet/state/entry_test.go
@@ -69,6 +69,20 @@
 	}
 }
 
+// A holder that was refused because a member joined may append the same record
+// again once that member has acknowledged.
+func TestRefusedActMayBeAppendedAgain(t *testing.T) {
+	const id = "intake-01"
+	b := newBench(t)
+	b.ok("n1", b.step(id, structs.VMDraining))
+	rec := keyed(b.step(id, structs.VMDrained), "n1")
+	require.Equal(t, structs.VoidNotDrained, b.s.Apply(b.s.Next(), rec).Void)
+	b.ok("n1", b.ack(id, "n1", 1))
+	b.ok("n2", b.ack(id, "n2", 1))
+	require.Equal(t, structs.VoidNone, b.s.Apply(b.s.Next(), rec).Void)
+	require.Equal(t, structs.VoidDuplicate, b.s.Apply(b.s.Next(), rec).Void)
+}
+
 func TestAcknowledgementsThatDoNotCount(t *testing.T) {
 	const id = "intake-01"
 	b := newBench(t)
