Tell the life of each VM and request on the time line

Cause: the time line named neither a VM's states nor a request's path, stamps of different nodes were not tied together, and traffic would have pushed out what happened to the fleet. Change: events for applied transitions, moves, drain acknowledgements and wave stops; sent and ended requests in a ring of their own; peer messages carry the sender's hybrid logical clock (older nodes ignore the field). Conclusion: tests show that traffic leaves the fleet's events in place.

--- /dev/null
+++ b/node/control/applied.go
@@ -0,0 +1,43 @@
+package control
+
+import (
+	"fmt"
+
+	"wigeonwinch/fleet/structs"
+	"wigeonwinch/node/events"
+)
+
+// noteApplied records what an applied record did to a VM or a wave, so that
+// the time line tells the life of each VM.
+func (l *Loop) noteApplied(offset structs.Offset, rec structs.Record) {
+	switch {
+	case rec.Transition != nil:
+		l.cfg.Events.Record(events.VMState, events.Fields{
+			VM: rec.Transition.VM, Offset: offset,
+			Detail: transitionDetail(*rec.Transition),
+		})
+	case rec.Move != nil:
+		l.cfg.Events.Record(events.VMMoved, events.Fields{VM: rec.Move.VM, Pool: rec.Move.To, Offset: offset})
+	case rec.DrainAck != nil:
+		l.cfg.Events.Record(events.VMDrainAcked, events.Fields{VM: rec.DrainAck.VM, Peer: rec.DrainAck.Node, Offset: offset})
+	case rec.WaveStop != nil:
+		l.cfg.Events.Record(events.WaveStopped, events.Fields{
+			Offset: offset,
+			Detail: rec.WaveStop.Wave + ": " + rec.WaveStop.Reason,
+		})
+	}
+}
+
+func transitionDetail(t structs.Transition) string {
+	detail := t.To.String()
+	if t.Wave != "" {
+		detail += fmt.Sprintf(" for wave %s", t.Wave)
+	}
+	if t.Image != "" {
+		detail += fmt.Sprintf(" on image %s", t.Image)
+	}
+	if t.FailedProbation {
+		detail += ", probation failed"
+	}
+	return detail
+}
--- a/node/control/loop.go
+++ b/node/control/loop.go
@@ -199,7 +199,11 @@
 	if rec.Snapshot != nil {
 		l.noteSnapshot(offset, rec.Snapshot)
 	}
-	return l.fold.Apply(offset, rec)
+	verdict := l.fold.Apply(offset, rec)
+	if verdict.Void == structs.VoidNone {
+		l.noteApplied(offset, rec)
+	}
+	return verdict
 }
 
 // foldRun folds consecutive records that start at the given offset. Records
--- a/node/entry/entry.go
+++ b/node/entry/entry.go
@@ -31,8 +31,11 @@
 	"wigeonwinch/platform/client"
 )
 
-// timelineEntries is how many events the time line keeps.
-const timelineEntries = 10_000
+// How many events each part of the time line keeps.
+const (
+	fleetEntries   = 5_000
+	requestEntries = 5_000
+)
 
 // Config is what a node is made from.
 type Config struct {
@@ -44,7 +47,8 @@
 // Node is one entry node.
 type Node struct {
 	settings *settings.Settings
-	ring     *timeline.Ring
+	rings    telemetry.Rings
+	clock    *timeline.Clock
 	recorder *telemetry.Recorder
 	metrics  *telemetry.Metrics
 	mesh     *peer.Mesh
@@ -56,7 +60,9 @@
 
 // New binds the node's ports and assembles it; nothing runs before Run.
 func New(cfg Config) (*Node, error) {
-	n := &Node{settings: cfg.Settings, ring: timeline.NewRing(timelineEntries)}
+	n := &Node{settings: cfg.Settings}
+	n.rings.Fleet = timeline.NewRing(fleetEntries)
+	n.rings.Requests = timeline.NewRing(requestEntries)
 	if err := n.ports.bind(cfg.Settings); err != nil {
 		return nil, err
 	}
@@ -74,8 +80,8 @@
 	}
 	n.metrics = metrics
 	identity := telemetry.Identity{Node: n.settings.Node, Zone: n.settings.Zone}
-	clock := timeline.NewClock(time.Now)
-	n.recorder = telemetry.NewRecorder(identity, newLogger(cfg), n.ring, clock, metrics)
+	n.clock = timeline.NewClock(time.Now)
+	n.recorder = telemetry.NewRecorder(identity, newLogger(cfg), n.rings, n.clock, metrics)
 	platformClient, err := n.newPlatform()
 	if err != nil {
 		return err
@@ -116,6 +122,7 @@
 		Address: n.PeerAddress(),
 		Key:     []byte(s.PeerKeys[0].Value()),
 		Events:  n.recorder,
+		Clock:   n.clock,
 		Limits: peer.Limits{
 			PingInterval: time.Duration(s.Timing.PeerPingMS) * time.Millisecond,
 			SilenceBound: time.Duration(s.Timing.PeerSilentMS) * time.Millisecond,
@@ -217,7 +224,7 @@
 func (n *Node) Violations() int64 { return n.recorder.Violations() }
 
 // Timeline returns the node's events.
-func (n *Node) Timeline(f timeline.Filter) []timeline.Entry { return n.ring.Select(f) }
+func (n *Node) Timeline(f timeline.Filter) []timeline.Entry { return n.rings.Select(f) }
 
 // Run serves until the context ends, then stops gracefully.
 func (n *Node) Run(ctx context.Context) error {
@@ -272,7 +279,7 @@
 		Status:        func() any { return n.control.Status() },
 		Requests:      func() any { return n.forward.Stats() },
 		Forecast:      func() any { return n.control.Status().Forecasts },
-		Timeline:      n.ring,
+		Timeline:      n.rings,
 		Metrics:       n.metrics.Handler(),
 		Events:        n.recorder,
 		ReadTokens:    values(n.settings.ReadTokens),
--- a/node/events/control.go
+++ b/node/events/control.go
@@ -27,6 +27,10 @@
 	ControlMessageBad
 	ControlInvariantBroken
 	FleetInvariantBroken
+	VMState
+	VMMoved
+	VMDrainAcked
+	WaveStopped
 )
 
 var controlEvents = []Definition{
@@ -55,4 +59,8 @@
 	{ControlMessageBad, "control_message_bad", SeverityWarning, "A peer's control message could not be used.", "Look at the error; compare the versions of the two nodes."},
 	{ControlInvariantBroken, "control_invariant_broken", SeverityViolation, "The control loop refused something that would break an invariant.", "Report it with the time lines of all nodes."},
 	{FleetInvariantBroken, "fleet_invariant_broken", SeverityViolation, "The control state breaks a rule of the fleet.", "Report it with the log from the last snapshot on."},
+	{VMState, "vm_state", SeverityInfo, "A VM entered the state in the detail.", ""},
+	{VMMoved, "vm_moved", SeverityInfo, "A VM belongs to another pool now.", ""},
+	{VMDrainAcked, "vm_drain_acknowledged", SeverityInfo, "The entry node in the peer field sends nothing more to the VM and has nothing in progress on it.", ""},
+	{WaveStopped, "wave_stopped", SeverityWarning, "A wave was ended early.", "Mend the image and publish the wave under a new name."},
 }
--- a/node/events/forward.go
+++ b/node/events/forward.go
@@ -10,6 +10,8 @@
 	ForwardWorkerLeaving
 	ForwardHandoverDone
 	ForwardPeerMessageInvalid
+	ForwardSent
+	ForwardEnded
 )
 
 var forwardEvents = []Definition{
@@ -21,4 +23,6 @@
 	{ForwardWorkerLeaving, "forward_worker_leaving", SeverityInfo, "A worker leaves: it gets nothing new from this node.", ""},
 	{ForwardHandoverDone, "forward_handover_done", SeverityInfo, "The claims of the former homes are taken over; this node grants claims again.", ""},
 	{ForwardPeerMessageInvalid, "forward_peer_message_invalid", SeverityWarning, "A peer sent a message that cannot be read; it was dropped.", "Check that the nodes run versions that fit together."},
+	{ForwardSent, "forward_sent", SeverityDebug, "A request was sent to a worker or relayed to a peer.", ""},
+	{ForwardEnded, "forward_ended", SeverityDebug, "A request got its end; the detail has the outcome and the reason.", ""},
 }
--- a/node/forward/exchange.go
+++ b/node/forward/exchange.go
@@ -72,6 +72,7 @@
 		s.violated(r, err.Error())
 		return lost(ReasonViolation, "the node stopped a second run; send again with the same id")
 	}
+	s.cfg.Events.Record(events.ForwardSent, events.Fields{Request: r.ID, VM: t.worker, Peer: t.peer})
 	x := s.roundTrip(run, r, t)
 	if x.kind == exchangeNotRun {
 		s.claims.unsent(r)
--- a/node/forward/respond.go
+++ b/node/forward/respond.go
@@ -69,6 +69,7 @@
 // when an answer can't be passed on whole, so that the caller sees it cut.
 func (s *Server) respond(w http.ResponseWriter, r *request, e ending) {
 	s.counts.count(e)
+	s.noteEnd(r, e)
 	if e.answer == nil {
 		writeProblem(w, r.ID, e)
 		return
@@ -76,6 +77,17 @@
 	s.writeAnswer(w, r, e)
 }
 
+// noteEnd puts the end of a request on the time line.
+func (s *Server) noteEnd(r *request, e ending) {
+	detail := string(e.outcome)
+	if e.reason != "" {
+		detail += " " + string(e.reason)
+	}
+	s.cfg.Events.Record(events.ForwardEnded, events.Fields{
+		Request: r.ID, Team: r.Team, Service: r.Service, Pool: r.Pool, Detail: detail,
+	})
+}
+
 func (s *Server) writeAnswer(w http.ResponseWriter, r *request, e ending) {
 	h := w.Header()
 	copyHeaders(h, e.answer.header)
--- a/node/peer/config.go
+++ b/node/peer/config.go
@@ -7,6 +7,7 @@
 
 	"wigeonwinch/fleet/structs"
 	"wigeonwinch/node/events"
+	"wigeonwinch/node/timeline"
 )
 
 // Path is where the mesh's handler is mounted on the peer port.
@@ -40,6 +41,8 @@
 	// Seeds are the peers known from the settings.
 	Seeds  []Address
 	Events events.Recorder
+	// Clock stamps messages for the time line. Optional.
+	Clock  *timeline.Clock
 	Limits Limits
 	// Dial opens a connection. Default: TCP.
 	Dial func(ctx context.Context, network, address string) (net.Conn, error)
--- a/node/peer/frame.go
+++ b/node/peer/frame.go
@@ -3,6 +3,8 @@
 import (
 	"github.com/fxamacker/cbor/v2"
 	"github.com/pkg/errors"
+
+	"wigeonwinch/node/timeline"
 )
 
 // Protocol versions. Two nodes use the lower of their newest versions.
@@ -43,6 +45,8 @@
 	Body    []byte    `cbor:"4,keyasint,omitempty"`
 	Refusal Refusal   `cbor:"5,keyasint,omitempty"`
 	Failure string    `cbor:"6,keyasint,omitempty"`
+	// Stamp is the sender's hybrid logical clock; older nodes send none.
+	Stamp *timeline.Stamp `cbor:"7,keyasint,omitempty"`
 }
 
 // hello is the first message of each side.
--- a/node/peer/link.go
+++ b/node/peer/link.go
@@ -8,6 +8,8 @@
 
 	"github.com/coder/websocket"
 	"github.com/pkg/errors"
+
+	"wigeonwinch/node/timeline"
 )
 
 var (
@@ -22,6 +24,8 @@
 	// leaving is told that the peer stops.
 	leaving func(l *link)
 	traffic *counters
+	// clock stamps messages; nil means no stamps.
+	clock *timeline.Clock
 }
 
 // link is one established connection to a peer.
@@ -110,7 +114,19 @@
 	}
 }
 
+// encode stamps a message, so that the time line keeps its causal order.
+func (l *link) encode(f frame) ([]byte, error) {
+	if l.hooks.clock != nil {
+		stamp := l.hooks.clock.Now()
+		f.Stamp = &stamp
+	}
+	return encodeFrame(f)
+}
+
 func (l *link) receive(f frame) {
+	if f.Stamp != nil && l.hooks.clock != nil {
+		l.hooks.clock.Observe(*f.Stamp)
+	}
 	switch f.Kind {
 	case frameCall, frameCast:
 		l.used.Store(time.Now().UnixNano())
@@ -184,7 +200,7 @@
 func (l *link) call(ctx context.Context, method uint16, body []byte) ([]byte, error) {
 	id, answer := l.expect()
 	defer l.forget(id)
-	data, err := encodeFrame(frame{Kind: frameCall, ID: id, Method: method, Body: body})
+	data, err := l.encode(frame{Kind: frameCall, ID: id, Method: method, Body: body})
 	if err != nil {
 		return nil, unreachable(l.peer.Node, method, err)
 	}
@@ -256,7 +272,7 @@
 
 // push queues a message; it returns whether a message had to be dropped.
 func (l *link) push(f frame, cast bool) (dropped bool, err error) {
-	data, err := encodeFrame(f)
+	data, err := l.encode(f)
 	if err != nil {
 		return false, err
 	}
--- a/node/peer/register.go
+++ b/node/peer/register.go
@@ -109,7 +109,7 @@
 	if r.link != nil {
 		go r.link.close(errReplaced)
 	}
-	hooks := linkHooks{serve: m.serve, leaving: m.leaving, traffic: m.traffic}
+	hooks := linkHooks{serve: m.serve, leaving: m.leaving, traffic: m.traffic, clock: m.cfg.Clock}
 	l := newLink(conn, s, dialer, m.cfg.Limits, hooks)
 	m.adopt(r, l)
 	return l, nil
--- a/node/telemetry/recorder.go
+++ b/node/telemetry/recorder.go
@@ -21,11 +21,34 @@
 	Zone string
 }
 
+// Rings are the two parts of a node's time line. Requests have a part of
+// their own, so that traffic does not push out what happened to the fleet.
+type Rings struct {
+	Fleet    *timeline.Ring
+	Requests *timeline.Ring
+}
+
+func (r Rings) of(d events.Definition) *timeline.Ring {
+	if d.Severity == events.SeverityDebug {
+		return r.Requests
+	}
+	return r.Fleet
+}
+
+// Select returns the entries of both parts in the order of their stamps.
+func (r Rings) Select(f timeline.Filter) []timeline.Entry {
+	merged := timeline.Merge(r.Fleet.Select(f), r.Requests.Select(f))
+	if f.Limit > 0 && len(merged) > f.Limit {
+		merged = merged[len(merged)-f.Limit:]
+	}
+	return merged
+}
+
 // Recorder implements events.Recorder.
 type Recorder struct {
 	identity   Identity
 	logger     *logrus.Logger
-	ring       *timeline.Ring
+	rings      Rings
 	clock      *timeline.Clock
 	metrics    *Metrics
 	catalogue  map[events.Number]events.Definition
@@ -33,12 +56,12 @@
 }
 
 // NewRecorder returns a recorder; metrics may be nil.
-func NewRecorder(identity Identity, logger *logrus.Logger, ring *timeline.Ring, clock *timeline.Clock, metrics *Metrics) *Recorder {
+func NewRecorder(identity Identity, logger *logrus.Logger, rings Rings, clock *timeline.Clock, metrics *Metrics) *Recorder {
 	catalogue := map[events.Number]events.Definition{}
 	for _, d := range events.Catalogue() {
 		catalogue[d.Number] = d
 	}
-	return &Recorder{identity: identity, logger: logger, ring: ring, clock: clock, metrics: metrics, catalogue: catalogue}
+	return &Recorder{identity: identity, logger: logger, rings: rings, clock: clock, metrics: metrics, catalogue: catalogue}
 }
 
 // Violations returns the number of broken invariants recorded so far.
@@ -57,7 +80,7 @@
 	if f.Err != nil {
 		detail = joinDetail(detail, f.Err.Error())
 	}
-	r.ring.Add(r.entry(definition, f, detail))
+	r.rings.of(definition).Add(r.entry(definition, f, detail))
 	r.metrics.countEvent(definition)
 	r.log(definition, f, detail)
 }
--- a/node/telemetry/telemetry_test.go
+++ b/node/telemetry/telemetry_test.go
@@ -21,8 +21,8 @@
 	logger.SetFormatter(&logrus.JSONFormatter{})
 	metrics, err := NewMetrics()
 	require.NoError(t, err)
-	ring := timeline.NewRing(10)
-	rec := NewRecorder(Identity{Node: "entry-1", Zone: "a"}, logger, ring, timeline.NewClock(time.Now), metrics)
+	rings := Rings{Fleet: timeline.NewRing(10), Requests: timeline.NewRing(10)}
+	rec := NewRecorder(Identity{Node: "entry-1", Zone: "a"}, logger, rings, timeline.NewClock(time.Now), metrics)
 
 	rec.Record(events.NodeNotReady, events.Fields{Detail: "no log"})
 
@@ -30,13 +30,25 @@
 	require.NoError(t, json.Unmarshal(out.Bytes(), &line))
 	require.EqualValues(t, events.NodeNotReady, line["event"])
 	require.Equal(t, "no log", line["detail"])
-	require.Equal(t, "node_not_ready", ring.Select(timeline.Filter{})[0].Name)
+	require.Equal(t, "node_not_ready", rings.Select(timeline.Filter{})[0].Name)
 
 	answer := httptest.NewRecorder()
 	metrics.Handler().ServeHTTP(answer, httptest.NewRequest("GET", "/metrics", nil))
 	require.Contains(t, answer.Body.String(), `wigeonwinch_events_total{event="node_not_ready"`)
 }
 
+func TestTrafficDoesNotPushOutTheFleetsEvents(t *testing.T) {
+	rings := Rings{Fleet: timeline.NewRing(2), Requests: timeline.NewRing(2)}
+	rec := NewRecorder(Identity{Node: "entry-1"}, logrus.New(), rings, timeline.NewClock(time.Now), nil)
+	rec.Record(events.VMMoved, events.Fields{VM: "w-1"})
+	for range 5 {
+		rec.Record(events.ForwardEnded, events.Fields{Request: "r-1"})
+	}
+	require.Len(t, rings.Select(timeline.Filter{VM: "w-1"}), 1)
+	require.Len(t, rings.Select(timeline.Filter{}), 3)
+	require.Len(t, rings.Select(timeline.Filter{Limit: 1}), 1)
+}
+
 func TestCatalogueNumbersAndNamesAreUnique(t *testing.T) {
 	numbers := map[events.Number]string{}
 	names := map[string]bool{}
