--- a/node/control/append.go
+++ b/node/control/append.go
@@ -28,7 +28,10 @@
 	confirmAfter = 2 * time.Minute
 )
 
-var errTooManyWaiting = errors.New("too many records wait to be appended")
+var (
+	errTooManyWaiting = errors.New("too many records wait to be appended")
+	errWithdrawn      = errors.New("the record was withdrawn before it was appended")
+)
 
 // waiter is a record that waits for its verdict.
 type waiter struct {
@@ -192,6 +195,30 @@
 	return err
 }
 
+// withdraw drops a record that is not in the log and will not be. It returns
+// false when the record may be there.
+func (a *appender) withdraw(key string) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	w, ok := a.waiting[key]
+	if !ok || w.tried {
+		return false
+	}
+	a.finish(w, structs.Verdict{}, notAppended(key, errWithdrawn))
+	return true
+}
+
+// retryAll makes all waiting records due: a state was adopted that may have
+// met their keys, and only another append tells.
+func (a *appender) retryAll() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	for _, w := range a.order {
+		w.notBefore = time.Time{}
+	}
+	a.signal()
+}
+
 // run appends what waits until ctx ends.
 func (a *appender) run(ctx context.Context) {
 	for ctx.Err() == nil {
@@ -236,19 +263,33 @@
 }
 
 func (a *appender) append(ctx context.Context, batch []*waiter) {
+	batch, marked := a.mark(batch)
+	if len(batch) == 0 {
+		return
+	}
 	entries := make([][]byte, 0, len(batch))
-	a.mu.Lock()
-	marked := make([]bool, len(batch))
-	for i, w := range batch {
+	for _, w := range batch {
 		entries = append(entries, w.data)
-		marked[i] = w.tried
+	}
+	a.appended(batch, marked, a.loop.appendAnyWay(ctx, entries))
+}
+
+// mark notes that the records that still wait may be in the log from now on,
+// and returns them with what was noted before.
+func (a *appender) mark(batch []*waiter) ([]*waiter, []bool) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	var waiting []*waiter
+	var marked []bool
+	for _, w := range batch {
+		if a.waiting[w.key] != w {
+			continue
+		}
+		waiting = append(waiting, w)
+		marked = append(marked, w.tried)
 		w.tried = true
 	}
-	a.mu.Unlock()
-	appendCtx, cancel := context.WithTimeout(ctx, a.loop.cfg.Intervals.AppendTimeout)
-	_, err := a.loop.cfg.Log.Append(appendCtx, entries)
-	cancel()
-	a.appended(batch, marked, err)
+	return waiting, marked
 }
 
 // appended notes the answer to an append. A refused or unavailable append
--- a/node/control/exchange.go
+++ b/node/control/exchange.go
@@ -40,6 +40,7 @@
 	l.cfg.Peers.Handle(methodRecords, l.handleRecords)
 	l.cfg.Peers.Handle(methodState, l.handleState)
 	l.cfg.Peers.Handle(methodProbe, l.handleProbe)
+	l.cfg.Peers.Handle(methodAppend, l.handleAppend)
 }
 
 // refreshMembers takes over what the mesh knows of other nodes.
@@ -198,6 +199,7 @@
 	if !ok || own == r.Digest {
 		return
 	}
+	l.diverged = true
 	l.cfg.Events.Record(events.ControlInvariantBroken, events.Fields{
 		Peer: name, Offset: r.DigestAt, Detail: string(ViolationDiverged),
 	})
--- a/node/control/loop.go
+++ b/node/control/loop.go
@@ -48,7 +48,9 @@
 	checked   checkFacts
 	digests   digestRing
 	leaving   bool
-	started   time.Time
+	// diverged says that another node's fold differs from this one's.
+	diverged bool
+	started  time.Time
 	// running is the context of Run.
 	running context.Context
 }
@@ -250,6 +252,7 @@
 	l.digests.reset()
 	l.cfg.Events.Record(events.StateAdopted, events.Fields{Offset: st.Next()})
 	l.changed()
+	l.appends.retryAll()
 	return true
 }
 
--- a/node/control/loop_test.go
+++ b/node/control/loop_test.go
@@ -127,6 +127,24 @@
 	}
 }
 
+func TestNodeCutFromThePlatformAppendsThroughAPeer(t *testing.T) {
+	for name, hang := range map[string]bool{"refused": false, "silent": true} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := newCluster(t, standin.LogOptions{}, fourZones()...)
+				defer c.finish()
+				settled(c)
+				n := c.node(5)
+				n.platform.cut.Store(!hang)
+				n.platform.hang.Store(hang)
+				time.Sleep(15 * time.Second)
+				c.change(n, 6)
+				require.Equal(t, 6, n.weight())
+			})
+		})
+	}
+}
+
 func TestRetentionOvertakesAReader(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		c := newCluster(t, standin.LogOptions{Retain: 300}, at(1, "bhaktapur"), at(2, "kathmandu"))
--- a/node/control/members.go
+++ b/node/control/members.go
@@ -17,8 +17,11 @@
 	currentSince time.Time
 	// proposed is the newest epoch this node may have put into the log.
 	proposed structs.Epoch
-	joining  bool
-	reason   membership.Reason
+	// pending is the key of the last proposal, proposals counts them.
+	pending   string
+	proposals int
+	joining   bool
+	reason    membership.Reason
 	// entry is the zone's membership in the last view that was looked at.
 	entry structs.EntryEpoch
 	// told is the sum of the epochs of all zones that the mesh was told.
@@ -96,6 +99,7 @@
 func (l *Loop) decideMembership(now time.Time) {
 	view := l.view.Load()
 	if view == nil || l.log.lost || !l.ready.sawTail {
+		l.withdrawProposal()
 		return
 	}
 	_, declared := view.Zones[l.cfg.Zone]
@@ -125,21 +129,37 @@
 	l.cfg.Events.Record(events.MembershipDecided, events.Fields{Detail: string(reason)})
 }
 
-// proposeEpoch appends an epoch once; the next look proposes again if the
-// log did not take it.
+// proposeEpoch appends an epoch, unless the last proposal still waits for its
+// verdict. Each proposal has its own key: one that was withdrawn and one that
+// lost against another are made again on new facts.
 func (l *Loop) proposeEpoch(epoch structs.EntryEpoch) {
+	l.member.proposals++
 	rec := structs.Record{
-		Key:        fmt.Sprintf("entry/%s/%d/%s/%d", epoch.Zone, epoch.Epoch, l.cfg.Node, l.cfg.Incarnation),
+		Key:        fmt.Sprintf("entry/%s/%d/%s/%d/%d", epoch.Zone, epoch.Epoch, l.cfg.Node, l.cfg.Incarnation, l.member.proposals),
 		EntryEpoch: &epoch,
 	}
-	if l.appends.isWaiting(rec.Key) {
+	if l.member.pending != "" && l.appends.isWaiting(l.member.pending) {
 		return
 	}
+	l.member.pending = rec.Key
 	l.member.proposed = max(l.member.proposed, epoch.Epoch)
 	l.publishFence()
 	l.submit(rec)
 }
 
+// withdrawProposal takes back a proposal that did not get into the log, so
+// that the members stay fresh while the log can't be reached.
+func (l *Loop) withdrawProposal() {
+	if l.member.proposed <= l.member.current || l.member.pending == "" {
+		return
+	}
+	if l.appends.withdraw(l.member.pending) {
+		l.member.pending = ""
+		l.member.proposed = l.member.current
+		l.publishFence()
+	}
+}
+
 // publishFence makes the facts visible that Fresh looks at.
 func (l *Loop) publishFence() {
 	input := membership.FenceInput{
--- a/node/control/message.go
+++ b/node/control/message.go
@@ -19,6 +19,8 @@
 	methodState
 	// methodProbe asks a node to probe workers of its zone.
 	methodProbe
+	// methodAppend asks a node to append records to the log.
+	methodAppend
 )
 
 // report is what a node says of itself in an exchange.
--- a/node/control/plan.go
+++ b/node/control/plan.go
@@ -46,10 +46,10 @@
 	}
 }
 
-// mayPlan says that this node is fit to plan: it reads the log, is a member
-// of its zone and does not leave.
+// mayPlan says that this node is fit to plan: it reads the log, agrees with
+// the other nodes' folds, is a member of its zone and does not leave.
 func (l *Loop) mayPlan(view *structs.View) bool {
-	if l.leaving || l.log.lost || !l.ready.sawTail || view.Generation == 0 {
+	if l.leaving || l.diverged || l.log.lost || !l.ready.sawTail || view.Generation == 0 {
 		return false
 	}
 	return l.isMember()
--- a/node/control/status.go
+++ b/node/control/status.go
@@ -28,6 +28,8 @@
 	Node   string
 	Zone   string
 	Region string
+	// At is when the loop last published its status.
+	At time.Time
 	// Offset is the offset of the next record to fold.
 	Offset structs.Offset
 	// Generation counts the accepted publishes.
@@ -61,14 +63,22 @@
 	Peers []PeerLag
 }
 
-// Status returns what the loop says of itself. It does not wait.
-func (l *Loop) Status() Status { return *l.state.Load() }
+// Status returns what the loop says of itself. It does not wait. A loop that
+// has not worked for a while is not planning.
+func (l *Loop) Status() Status {
+	status := *l.state.Load()
+	if time.Since(status.At) > l.cfg.Intervals.LeaseTTL/marginShare {
+		status.Planning = false
+	}
+	return status
+}
 
 func (l *Loop) publishStatus() {
 	status := Status{
 		Node:          l.cfg.Node,
 		Zone:          l.cfg.Zone,
 		Region:        l.cfg.Region,
+		At:            time.Now(),
 		Offset:        l.fold.Next(),
 		LogReachable:  !l.log.lost && !l.log.answeredAt.IsZero(),
 		LogAnsweredAt: l.log.answeredAt,
