--- a/node/control/history.go
+++ b/node/control/history.go
@@ -66,12 +66,20 @@
 	return outcomes{byKey: make(map[string]structs.Verdict)}
 }
 
-// add keeps a verdict. The first verdict of a key stands.
+// add keeps a verdict. A duplicate does not replace what the key's record was
+// told before; an act that was void may be judged anew.
 func (o *outcomes) add(v structs.Verdict) {
-	if _, ok := o.byKey[v.Key]; ok || v.Key == "" {
+	if v.Key == "" {
+		return
+	}
+	_, known := o.byKey[v.Key]
+	if known && v.Void == structs.VoidDuplicate {
 		return
 	}
 	o.byKey[v.Key] = v
+	if known {
+		return
+	}
 	o.order = append(o.order, v.Key)
 	if len(o.order) > maxOutcomes {
 		delete(o.byKey, o.order[0])
--- a/node/control/loop_test.go
+++ b/node/control/loop_test.go
@@ -95,6 +95,9 @@
 		settled(c)
 		n := c.node(3)
 		n.platform.hang.Store(true)
+		for _, p := range c.places {
+			c.network.Cut(n.place.host, p.host)
+		}
 		_, err := n.appendFor(10*time.Second, weight(n.View(), 5))
 		require.Equal(t, KindNotKnown, KindOf(err))
 		require.ErrorContains(t, err, "same key")
--- a/node/control/plan.go
+++ b/node/control/plan.go
@@ -139,7 +139,7 @@
 	if l.acknowledged(vm) || !l.isMember() || l.appends.isWaiting(rec.Key) {
 		return
 	}
-	if _, known := l.outcomes.get(rec.Key); known {
+	if verdict, known := l.outcomes.get(rec.Key); known && verdict.Void != structs.VoidNotHolder {
 		return
 	}
 	if l.cfg.Forward.Acknowledge(vm.ID, vm.Sequence) {
