Fail a worker that the lagging list lacks only when its probes fail too

Cause: found by running the nodes as separate processes: a planner that read the VM list 2 s after the platform had started saw 37 of 50 workers, and marked all 13 of one zone as failed in its first round although they worked. Ruled out: failed probes (none had been made yet).

--- a/cmd/internal/demo/demo.go
+++ b/cmd/internal/demo/demo.go
@@ -64,6 +64,7 @@
 	defer stopLoad()
 	go sampler.run(loadCtx)
 	go site.planned(loadCtx, opts)
+	go load.progress(loadCtx, opts.Progress)
 	load.run(loadCtx)
 	fmt.Fprintln(opts.Progress, "the load has ended; waiting for the last answers")
 	if err := load.wait(drainTime); err != nil {
--- a/cmd/internal/demo/load.go
+++ b/cmd/internal/demo/load.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"fmt"
+	"io"
 	"math/rand/v2"
 	"net/http"
 	"sync"
@@ -78,6 +80,14 @@
 	senders.Wait()
 }
 
+// progress prints a line now and then.
+func (l *load) progress(ctx context.Context, out io.Writer) {
+	for sleep(ctx, progressEvery) {
+		sent, ended := l.tally.progress()
+		fmt.Fprintf(out, "%5.1fs %d requests sent, %d ended\n", time.Since(l.began).Seconds(), sent, ended)
+	}
+}
+
 // wait waits for the answers under way.
 func (l *load) wait(limit time.Duration) error {
 	done := make(chan struct{})
--- a/cmd/internal/demo/tally.go
+++ b/cmd/internal/demo/tally.go
@@ -43,16 +43,22 @@
 func newTally() *tally {
 	return &tally{
 		reasons: map[string]int{},
-		short:  hdrhistogram.New(minWaitUS, maxWaitUS, digits),
-		long:   hdrhistogram.New(minWaitUS, maxWaitUS, digits),
-		urgent: hdrhistogram.New(minWaitUS, maxWaitUS, digits),
+		short:   hdrhistogram.New(minWaitUS, maxWaitUS, digits),
+		long:    hdrhistogram.New(minWaitUS, maxWaitUS, digits),
+		urgent:  hdrhistogram.New(minWaitUS, maxWaitUS, digits),
 	}
 }
 
-func (t *tally) open() int {
+// progress returns how many calls were sent and how many have ended.
+func (t *tally) progress() (sent, ended int) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.sentAll - t.endAll
+	return t.sentAll, t.endAll
+}
+
+func (t *tally) open() int {
+	sent, ended := t.progress()
+	return sent - ended
 }
 
 func (t *tally) sent(c call) {
--- a/fleet/wave/step.go
+++ b/fleet/wave/step.go
@@ -36,7 +36,7 @@
 	if m == nil || seen == nil {
 		return Step{}
 	}
-	if seen.Gone() && vm.State != structs.VMFailed {
+	if seen.Gone(t.options.FailureProbes) && vm.State != structs.VMFailed {
 		return t.gone(vm, m, c.Now)
 	}
 	switch vm.State {
--- a/fleet/wave/wave.go
+++ b/fleet/wave/wave.go
@@ -40,9 +40,14 @@
 	InProgress int
 }
 
-// Gone says that the VM no longer exists as far as the list knows.
-func (o Observation) Gone() bool {
-	return o.Present == PresenceTerminated || o.Present == PresenceAbsent
+// Gone says that the VM no longer exists: the list shows it as terminated, or
+// the list lacks it and that many of its probes failed in a row. The list
+// lags, so that a VM it lacks may be new or may still work.
+func (o Observation) Gone(probes int) bool {
+	if o.Present == PresenceAbsent {
+		return o.Failures >= probes
+	}
+	return o.Present == PresenceTerminated
 }
 
 // Default times and counts of a VM's life.
--- a/node/control/observe.go
+++ b/node/control/observe.go
@@ -33,6 +33,15 @@
 	nextUsage time.Time
 	reading   bool
 	probes    map[string]*probeFacts
+	// live are the workers that the list shows as live.
+	live map[string]bool
+}
+
+func (o *observations) noteLive() {
+	o.live = make(map[string]bool, len(o.listed))
+	for _, vm := range o.listed {
+		o.live[vm.ID] = vm.Presence == platform.PresenceLive
+	}
 }
 
 // complete says that the list is recent enough to plan on.
@@ -86,6 +95,7 @@
 	l.observed.listing = false
 	if err == nil {
 		l.observed.listed = list
+		l.observed.noteLive()
 		l.observed.listedAt = now
 		l.tellLeaving(list)
 	}
--- a/node/control/probe.go
+++ b/node/control/probe.go
@@ -11,7 +11,8 @@
 
 // Bounds of probing.
 const (
-	// outProbeInterval is the time between two probes of a VM out of service.
+	// outProbeInterval is the time between two probes of a VM that is out of
+	// service or that the list does not show as live.
 	outProbeInterval = 5 * time.Second
 	// activeProbeInterval is the time between two probes of an active VM.
 	activeProbeInterval = time.Minute
@@ -86,7 +87,7 @@
 	for _, vm := range vms {
 		addresses = append(addresses, vm.Address)
 		interval := activeProbeInterval
-		if vm.State != structs.VMActive {
+		if vm.State != structs.VMActive || !l.observed.live[vm.ID] {
 			interval = outProbeInterval
 		}
 		l.probe(vm.ID).next = now.Add(l.jittered(interval))
