--- a/fleet/availability/availability.go
+++ b/fleet/availability/availability.go
@@ -1,5 +1,5 @@
-// Package availability counts the VMs of a pool by failure domain and says whether
-// an availability budget holds.
+// Package availability counts the VMs of a pool by failure domain and says
+// whether an availability budget holds.
 //
 //	t := availability.NewTally()
 //	t.Add("zone-a", "rack-1", true)
--- a/fleet/manifest/capacity.go
+++ b/fleet/manifest/capacity.go
@@ -1,36 +1,74 @@
 package manifest
 
 import (
+	"maps"
+	"slices"
 	"strconv"
+	"strings"
 
 	"wigeonwinch/fleet/availability"
 	"wigeonwinch/fleet/structs"
 )
 
+// poolTallies counts the VMs of each pool, all of them up.
+func poolTallies(m *structs.Manifest) map[string]*availability.Tally {
+	tallies := map[string]*availability.Tally{}
+	for _, pool := range m.Pools {
+		tallies[pool.Name] = availability.NewTally()
+	}
+	for _, vm := range m.VMs {
+		if t, ok := tallies[vm.Pool]; ok {
+			t.Add(vm.Zone, vm.Rack, true)
+		}
+	}
+	return tallies
+}
+
 // capacities checks that each pool, with all its VMs up, can keep the budgets
 // of its services and hold one request of each.
 func (p *problems) capacities(m *structs.Manifest) {
-	tallies := map[string]*availability.Tally{}
-	fits := map[string][]structs.VM{}
+	tallies := poolTallies(m)
+	vms := map[string][]structs.VM{}
 	for _, vm := range m.VMs {
-		t, ok := tallies[vm.Pool]
+		vms[vm.Pool] = append(vms[vm.Pool], vm)
+	}
+	for i, svc := range m.Services {
+		t, ok := tallies[svc.Pool]
 		if !ok {
-			t = availability.NewTally()
-			tallies[vm.Pool] = t
+			continue
+		}
+		if short := t.Shortfall(svc.Budget, availability.Declared); short != nil {
+			p.add(at("services", i)+".budget", "", "can't be kept by pool %q with all its VMs up (%v): add VMs or lower the budget", svc.Pool, short)
 		}
-		t.Add(vm.Zone, vm.Rack, true)
-		fits[vm.Pool] = append(fits[vm.Pool], vm)
+		p.requestSize(at("services", i), svc, vms[svc.Pool])
 	}
+}
+
+// Warnings lists what a manifest may hold but operators will hardly want: a
+// budget that leaves no room to take a VM out of service, so that waves never
+// reach it. The manifest must have passed Check.
+func Warnings(m *structs.Manifest) []Problem {
+	p := &problems{}
+	tallies := poolTallies(m)
 	for i, svc := range m.Services {
-		t := tallies[svc.Pool]
-		if t == nil {
-			t = availability.NewTally()
+		if zones := stuckZones(tallies[svc.Pool], svc.Budget); len(zones) > 0 {
+			p.add(at("services", i)+".budget", strings.Join(zones, ", "), "leaves no room to take a VM of pool %q out of service in these zones, so that waves never reach them: add VMs or lower the budget", svc.Pool)
 		}
-		if short := t.Shortfall(svc.Budget, availability.Declared); short != nil {
-			p.add(at("services", i)+".budget", short.Domain, "can't be kept by pool %q with all its VMs up (%v): add VMs or lower the budget", svc.Pool, short)
+	}
+	return nameItems(m, p.list)
+}
+
+// stuckZones returns the zones with a VM that a budget never lets go.
+func stuckZones(t *availability.Tally, b structs.Budget) []string {
+	stuck := map[string]bool{}
+	for _, rack := range slices.Collect(maps.Keys(t.Racks)) {
+		t.Change(rack.Zone, rack.Name, availability.Count{Available: -1})
+		if t.Shortfall(b, availability.Available) != nil {
+			stuck[rack.Zone] = true
 		}
-		p.requestSize(at("services", i), svc, fits[svc.Pool])
+		t.Change(rack.Zone, rack.Name, availability.Count{Available: 1})
 	}
+	return slices.Sorted(maps.Keys(stuck))
 }
 
 // requestSize checks that at least one VM can hold one request of a service.
--- a/fleet/manifest/check.go
+++ b/fleet/manifest/check.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"maps"
+	"slices"
 	"strconv"
 
 	"wigeonwinch/fleet/structs"
@@ -17,7 +19,7 @@
 	p.uniqueAddresses(m.VMs)
 	p.uniqueRoutes(m.Services)
 	p.capacities(m)
-	return p.list
+	return nameItems(m, p.list)
 }
 
 // values checks each value by itself.
@@ -134,9 +136,14 @@
 }
 
 func (p *problems) refers(field, name, kind string, known nameSet) {
-	if _, ok := known[name]; !ok {
-		p.add(field, name, "is not declared: add it to %s or correct the name", kind)
+	if _, ok := known[name]; ok {
+		return
 	}
+	if near := nearestKey(name, slices.Sorted(maps.Keys(known))); near != "" {
+		p.add(field, name, "is not declared: did you mean %q? Otherwise add it to %s", near, kind)
+		return
+	}
+	p.add(field, name, "is not declared: add it to %s or correct the name", kind)
 }
 
 func (p *problems) uniqueAddresses(vms []structs.VM) {
--- a/fleet/manifest/manifest_test.go
+++ b/fleet/manifest/manifest_test.go
@@ -3,6 +3,7 @@
 import (
 	"os"
 	"path/filepath"
+	"slices"
 	"strings"
 	"testing"
 
@@ -45,6 +46,7 @@
 		require.Len(t, m.Zones, 4, name)
 		require.Len(t, m.Pools, 5, name)
 		require.Len(t, m.VMs, 50, name)
+		require.Empty(t, Warnings(m), name)
 		racks := map[string]int{}
 		for _, vm := range m.VMs {
 			racks[vm.Zone+"/"+vm.Rack]++
@@ -65,35 +67,35 @@
 			"unknown key",
 			[]string{`"deadline_ms": 30000`, `"deadline": 30000`},
 			[]Problem{
-				{"services[0].deadline", "", `is not a known key: did you mean "deadline_ms"?`},
-				{"services[0].deadline_ms", "", "is missing: add this key"},
+				{"services[0].deadline", "drawing-intake", "", `is not a known key: did you mean "deadline_ms"?`},
+				{"services[0].deadline_ms", "drawing-intake", "", "is missing: add this key"},
 			},
 		},
 		{
 			"unknown key far from any",
 			[]string{`"cores": 16,`, `"cores": 16, "colour": "red",`},
-			[]Problem{{"vms[0].colour", "", "is not a known key: remove it"}},
+			[]Problem{{"vms[0].colour", "billing-admin-01", "", "is not a known key: remove it"}},
 		},
 		{
 			"wrong types",
 			[]string{`"cores": 16`, `"cores": "16"`, `"region": "bagmati"`, `"region": null`},
 			[]Problem{
-				{"vms[0].cores", "16", "is of type string: use integer"},
-				{"zones[0].region", "null", "is of type null: use string"},
+				{"vms[0].cores", "billing-admin-01", "16", "has the JSON type string: use integer"},
+				{"zones[0].region", "bhaktapur", "null", "has the JSON type null: use string"},
 			},
 		},
 		{
 			"number that does not fit",
 			[]string{`"cores": 16`, `"cores": 1e30`, `"base_generation": 0`, `"base_generation": -1`},
 			[]Problem{
-				{"base_generation", "-1", "use a whole number from 0 on, without fraction or exponent"},
-				{"vms[0].cores", "1e30", "use a whole number that fits 64 bits, without fraction or exponent"},
+				{"base_generation", "", "-1", "use a whole number from 0 on, without fraction or exponent"},
+				{"vms[0].cores", "billing-admin-01", "1e30", "use a whole number that fits 64 bits, without fraction or exponent"},
 			},
 		},
 		{
 			"cut off",
 			[]string{"\n}\n", ""},
-			[]Problem{{"manifest", "", "ends too early: the JSON text is cut off or empty"}},
+			[]Problem{{"manifest", "", "", "ends too early: the JSON text is cut off or empty"}},
 		},
 		{
 			"values",
@@ -105,11 +107,11 @@
 				`"127.0.0.1:21`, `"gateway:21`,
 			},
 			[]Problem{
-				{"format", "2", "use 1, the only format this version reads"},
-				{"zones[0].region", "", "use 1 to 63 letters, digits, dots, dashes or underscores, beginning with a letter or digit"},
-				{"vms[0].address", "gateway:21004", "use an IP address and a port, such as 10.0.0.1:8080"},
-				{"vms[0].connections", "64", "each slot needs a connection: use at least 80 or lower slots"},
-				{"services[0].budget.survive", "town", `use "vm", "rack" or "zone", or leave the key out`},
+				{"format", "", "2", "use 1, the only format this version reads"},
+				{"zones[0].region", "bhaktapur", "", "use 1 to 63 letters, digits, dots, dashes or underscores, beginning with a letter or digit"},
+				{"vms[0].address", "billing-admin-01", "gateway:21004", "use an IP address and a port, such as 10.0.0.1:8080"},
+				{"vms[0].connections", "billing-admin-01", "64", "each slot needs a connection: use at least 80 or lower slots"},
+				{"services[0].budget.survive", "drawing-intake", "town", `use "vm", "rack" or "zone", or leave the key out`},
 			},
 		},
 		{
@@ -122,11 +124,21 @@
 				`"name": "night"`, `"name": "intake", "start_minute": 1, "end_minute": 2}, {"name": "intake"`,
 			},
 			[]Problem{
-				{"windows[1].name", "intake", "is already used by windows[0]: choose another"},
-				{"vms[8].pool", "fire", "is not declared: add it to pools or correct the name"},
-				{"services[4].routes[0]", "/survey", "is already used by services[1]: a path prefix belongs to one service"},
+				{"windows[1].name", "intake", "intake", "is already used by windows[0]: choose another"},
+				{"vms[8].pool", "fire-review-01", "fire", "is not declared: add it to pools or correct the name"},
+				{"services[4].routes[0]", "site-survey", "/survey", "is already used by services[1]: a path prefix belongs to one service"},
 			},
 		},
+		{
+			"misspelt reference",
+			[]string{`"zone": "kathmandu"`, `"zone": "Katmandu"`},
+			[]Problem{{"vms[1].zone", "billing-admin-02", "Katmandu", `is not declared: did you mean "kathmandu"? Otherwise add it to zones`}},
+		},
+		{
+			"no object",
+			[]string{"{\n  \"format\"", "[{\n \"format\"", "\n}\n", "\n}]\n"},
+			[]Problem{{"manifest", "", `[{"base_generation":0,"format":1,"pools":[{"image":"worker-2026-11","name":"inta...`, "has the JSON type array: use object"}},
+		},
 		{
 			"budget and size that can't be met",
 			[]string{
@@ -134,8 +146,8 @@
 				`"memory_mb": 2048`, `"memory_mb": 100000`,
 			},
 			[]Problem{
-				{"services[0].budget", "after the loss of one zone", `can't be kept by pool "intake" with all its VMs up (after the loss of one zone: 7 VMs, the budget needs 9): add VMs or lower the budget`},
-				{"services[0].memory_mb", "100000", `is more than any VM of pool "intake" has: lower it or add larger VMs`},
+				{"services[0].budget", "drawing-intake", "", `can't be kept by pool "intake" with all its VMs up (after the loss of one zone: 7 VMs, the budget needs 9): add VMs or lower the budget`},
+				{"services[0].memory_mb", "drawing-intake", "100000", `is more than any VM of pool "intake" has: lower it or add larger VMs`},
 			},
 		},
 	}
@@ -152,3 +164,13 @@
 		})
 	}
 }
+
+func TestWarningsNameZonesThatWavesNeverReach(t *testing.T) {
+	m := parseExample(t, "gothalo.json")
+	m.VMs = slices.DeleteFunc(m.VMs, func(vm structs.VM) bool { return vm.ID == "intake-01" })
+	require.Empty(t, Check(m))
+	require.Equal(t, []Problem{{
+		"services[0].budget", "drawing-intake", "bhaktapur, kirtipur, lalitpur",
+		`leaves no room to take a VM of pool "intake" out of service in these zones, so that waves never reach them: add VMs or lower the budget`,
+	}}, Warnings(m))
+}
--- a/fleet/manifest/parse.go
+++ b/fleet/manifest/parse.go
@@ -64,8 +64,11 @@
 	if err := json.Unmarshal(data, m); err != nil && len(p.list) == 0 {
 		p.add("manifest", "", "can't be read (%v): correct the text", err)
 	}
+	if _, ok := doc.(map[string]any); !ok {
+		return nil, p.list
+	}
 	if len(p.list) > 0 {
-		return nil, p.withValues(m)
+		return nil, nameItems(m, p.withValues(m))
 	}
 	normalise(m)
 	return m, nil
@@ -138,7 +141,7 @@
 			p.add(join(field, key), "", "is missing: add this key")
 		}
 	case *kind.Type:
-		p.add(orRoot(field), shorten(value), "is of type %s: use %s", k.Got, strings.Join(k.Want, " or "))
+		p.add(orRoot(field), shorten(value), "has the JSON type %s: use %s", k.Got, strings.Join(k.Want, " or "))
 	default:
 		p.add(orRoot(field), shorten(value), "does not match the schema (%v): correct the value", fault.ErrorKind)
 	}
