Speed up the budget ledger and close gaps the mutations showed

Change: one set of counts per zone and rack in the ledger; tests for stragglers that hold their pool's headroom, failures in a cut zone, drains when a wave stops, a paused wave without refused records, and moves.

--- a/fleet/budget/budget.go
+++ b/fleet/budget/budget.go
@@ -56,22 +56,13 @@
 	rules     []rule
 	total     int
 	available int
-	failed    int      // out of service without a plan
-	zoneTotal *domains // all workers
-	zoneSound *domains // workers that have not failed
-	rackSound *domains
-	zones     *domains // available workers
+	failed    int // out of service without a plan
+	zones     *domains
 	racks     *domains
 }
 
 func newPool() *pool {
-	return &pool{
-		zoneTotal: newDomains(),
-		zoneSound: newDomains(),
-		rackSound: newDomains(),
-		zones:     newDomains(),
-		racks:     newDomains(),
-	}
+	return &pool{zones: newDomains(), racks: newDomains()}
 }
 
 // New counts the view's VMs. The function out may be nil.
@@ -109,29 +100,38 @@
 	if p == nil {
 		return
 	}
+	zone, rack := p.cells(vm)
 	p.total++
-	p.zoneTotal.add(domain{zone: vm.Zone})
+	zone.total++
+	rack.total++
 	if vm.State == structs.VMFailed || (vm.State.Available() && out != nil && out(vm)) {
 		p.failed++
 		return
 	}
-	p.zoneSound.add(domain{zone: vm.Zone})
-	p.rackSound.add(domain{zone: vm.Zone, rack: vm.Rack})
+	p.zones.addSound(zone)
+	p.racks.addSound(rack)
 	if vm.State.Available() {
-		p.add(vm)
+		p.add(zone, rack)
 	}
 }
 
-func (p *pool) add(vm *structs.VMStatus) {
+// cells returns the counts of the VM's zone and rack.
+func (p *pool) cells(vm *structs.VMStatus) (zone, rack *cell) {
+	zone = p.zones.cell(domain{zone: vm.Zone})
+	rack = p.racks.cell(domain{zone: vm.Zone, rack: vm.Rack})
+	return zone, rack
+}
+
+func (p *pool) add(zone, rack *cell) {
 	p.available++
-	p.zones.add(domain{zone: vm.Zone})
-	p.racks.add(domain{zone: vm.Zone, rack: vm.Rack})
+	p.zones.addAvailable(zone)
+	p.racks.addAvailable(rack)
 }
 
-func (p *pool) remove(vm *structs.VMStatus) {
+func (p *pool) remove(zone, rack *cell) {
 	p.available--
-	p.zones.remove(domain{zone: vm.Zone})
-	p.racks.remove(domain{zone: vm.Zone, rack: vm.Rack})
+	p.zones.removeAvailable(zone)
+	p.racks.removeAvailable(rack)
 }
 
 // Check says whether an available VM can be taken out of service now.
@@ -140,10 +140,11 @@
 	if p == nil {
 		return RefusedUnknown
 	}
-	p.remove(vm)
-	defer p.add(vm)
+	zone, rack := p.cells(vm)
+	p.remove(zone, rack)
+	defer p.add(zone, rack)
 	for _, r := range p.rules {
-		if refusal := p.violation(r, vm.Zone); refusal != Allowed {
+		if refusal := p.violation(r, zone); refusal != Allowed {
 			return refusal
 		}
 	}
@@ -151,15 +152,14 @@
 }
 
 // violation says which part of the rule the pool's availability breaks.
-func (p *pool) violation(r rule, zone string) Refusal {
+func (p *pool) violation(r rule, zone *cell) Refusal {
 	if p.available < r.min {
 		return RefusedPool
 	}
 	if p.available-p.reserve(r) < r.min {
 		return RefusedSurvive
 	}
-	at := domain{zone: zone}
-	if p.zones.of(at) < r.perZone+p.zoneReserve(r, at) {
+	if zone.available < r.perZone+r.zoneReserve(zone) {
 		return RefusedZone
 	}
 	return Allowed
@@ -169,9 +169,9 @@
 func (p *pool) reserve(r rule) int {
 	switch r.survive {
 	case structs.FailureDomainZone:
-		return p.zones.max
+		return p.zones.available.max
 	case structs.FailureDomainRack:
-		return p.racks.max
+		return p.racks.available.max
 	case structs.FailureDomainVM:
 		return min(vmReserve, p.available)
 	}
@@ -179,11 +179,11 @@
 }
 
 // zoneReserve is the number of workers kept in a zone for a random failure.
-func (p *pool) zoneReserve(r rule, at domain) int {
+func (r rule) zoneReserve(zone *cell) int {
 	if r.perZone == 0 {
 		return 0
 	}
-	return undeclaredReserve(p.zoneSound.of(at) - r.perZone)
+	return undeclaredReserve(zone.sound - r.perZone)
 }
 
 // undeclaredReserve is the reserve where no budget names one, given the
@@ -199,14 +199,14 @@
 // Take counts an available VM as out of service.
 func (l *Ledger) Take(vm *structs.VMStatus) {
 	if p := l.pools[vm.Pool]; p != nil {
-		p.remove(vm)
+		p.remove(p.cells(vm))
 	}
 }
 
 // Release counts a VM that was out of service as available.
 func (l *Ledger) Release(vm *structs.VMStatus) {
 	if p := l.pools[vm.Pool]; p != nil {
-		p.add(vm)
+		p.add(p.cells(vm))
 	}
 }
 
@@ -218,7 +218,7 @@
 		return false
 	}
 	for _, r := range p.rules {
-		if p.available < r.min || p.zones.below(r.perZone, p.zoneTotal) {
+		if p.available < r.min || p.zones.below(r.perZone) {
 			return true
 		}
 	}
@@ -259,7 +259,7 @@
 // InZone returns the number of available workers of the pool in a zone.
 func (l *Ledger) InZone(name, zone string) int {
 	if p := l.pools[name]; p != nil {
-		return p.zones.of(domain{zone: zone})
+		return p.zones.of(domain{zone: zone}).available
 	}
 	return 0
 }
@@ -267,7 +267,7 @@
 // InRack returns the number of available workers of the pool in a rack.
 func (l *Ledger) InRack(name, zone, rack string) int {
 	if p := l.pools[name]; p != nil {
-		return p.racks.of(domain{zone: zone, rack: rack})
+		return p.racks.of(domain{zone: zone, rack: rack}).available
 	}
 	return 0
 }
--- a/fleet/budget/headroom.go
+++ b/fleet/budget/headroom.go
@@ -31,9 +31,9 @@
 	sound := p.total - p.failed
 	switch r.survive {
 	case structs.FailureDomainZone:
-		return maxOutSurviving(sound, r.min, p.zoneSound)
+		return maxOutSurviving(sound, r.min, &p.zones.sound)
 	case structs.FailureDomainRack:
-		return maxOutSurviving(sound, r.min, p.rackSound)
+		return maxOutSurviving(sound, r.min, &p.racks.sound)
 	case structs.FailureDomainVM:
 		if r.min == 0 {
 			return sound
@@ -48,7 +48,7 @@
 
 // maxOutSurviving tries each size of the largest remaining domain: taking
 // VMs out of the largest domains lowers the loss that must be survived.
-func maxOutSurviving(sound, least int, d *domains) int {
+func maxOutSurviving(sound, least int, d *heights) int {
 	most := 0
 	for loss := d.max; loss >= 0; loss-- {
 		out := sound - least - loss
@@ -59,26 +59,18 @@
 	return most
 }
 
-// excess is the number of VMs that lie above the given height.
-func (d *domains) excess(height int) int {
-	sum := 0
-	for n := height + 1; n < len(d.histogram); n++ {
-		sum += (n - height) * d.histogram[n]
-	}
-	return sum
-}
-
 func (p *pool) maxOutByZone(r rule, withReserve bool) int {
 	if r.perZone == 0 {
 		return p.total
 	}
 	sum := 0
-	for at, n := range p.zoneSound.counts {
+	for i := range p.zones.cells {
+		zone := &p.zones.cells[i]
 		keep := r.perZone
 		if withReserve {
-			keep += p.zoneReserve(r, at)
+			keep += r.zoneReserve(zone)
 		}
-		sum += max(n-keep, 0)
+		sum += max(zone.sound-keep, 0)
 	}
 	return sum
 }
@@ -90,7 +82,7 @@
 	if p == nil {
 		return 0
 	}
-	n := p.zoneSound.of(domain{zone: zone})
+	n := p.zones.of(domain{zone: zone}).sound
 	most := n
 	for _, r := range p.rules {
 		most = min(most, n-r.perZone)
--- a/fleet/budget/required.go
+++ b/fleet/budget/required.go
@@ -21,9 +21,9 @@
 	least := r.min + vmReserve
 	switch r.survive {
 	case structs.FailureDomainZone:
-		return leastSurviving(p.total-p.failed, least, p.zoneSound)
+		return leastSurviving(p.total-p.failed, least, &p.zones.sound)
 	case structs.FailureDomainRack:
-		return leastSurviving(p.total-p.failed, least, p.rackSound)
+		return leastSurviving(p.total-p.failed, least, &p.racks.sound)
 	case structs.FailureDomainVM:
 		return least + vmReserve
 	}
@@ -33,7 +33,7 @@
 // leastSurviving returns how many workers must stay so that least are left
 // after the loss of the largest domain, when those of the largest domains go
 // first.
-func leastSurviving(sound, least int, d *domains) int {
+func leastSurviving(sound, least int, d *heights) int {
 	best := least + d.max
 	for loss := d.max; loss >= 0; loss-- {
 		stay := least + loss
@@ -49,8 +49,9 @@
 		return 0
 	}
 	sum := 0
-	for _, n := range p.zoneSound.counts {
-		sum += min(n, r.perZone+vmReserve)
+	for i := range p.zones.cells {
+		zone := &p.zones.cells[i]
+		sum += min(zone.sound, r.perZone+vmReserve)
 	}
 	return sum
 }
--- a/fleet/planner/failures_test.go
+++ b/fleet/planner/failures_test.go
@@ -148,6 +148,9 @@
 	s := newSim(newView(smallShape(structs.FailureDomainRack)), 6)
 	s.addWave()
 	s.breakImage = imageNew
+	for _, w := range s.workers[len(s.workers)/2:] {
+		w.longEnd = s.now.Add(testLimit) // some drains last when the wave stops
+	}
 	p := New(Options{})
 	s.runFor(p, 2*time.Hour)
 	status := s.view.Waves["march"]
@@ -198,11 +201,44 @@
 	requireSound(t, s)
 }
 
+func TestStragglersDoNotHoldTheirPoolUp(t *testing.T) {
+	s := newSim(newView(smallShape(structs.FailureDomainRack)), 8)
+	s.addWave()
+	p := New(Options{})
+	s.runFor(p, simRound)
+	stuck := map[string]bool{}
+	for _, id := range vmsIn(s, structs.VMDraining) { // all that the budgets allow
+		stuck[id] = true
+		s.workers[s.byID[id]].longEnd = s.now.Add(testLimit)
+	}
+	require.NotEmpty(t, stuck)
+	s.runFor(p, 2*time.Hour)
+	for i := range s.view.VMs {
+		vm := &s.view.VMs[i]
+		require.Equal(t, stuck[vm.ID], vm.Image != imageNew, vm.ID)
+	}
+	requireSound(t, s)
+}
+
+func TestMovesServeABurst(t *testing.T) {
+	line := newDemand(5, meanSlots, time.Hour, learnTime+2*time.Hour, 4)
+	ours := runDay(newView(moversShape()), New(Options{}), line, 4)
+	stay := runDay(newView(moversShape()), plannerWith(stayMover{}), line, 4)
+	require.Positive(t, ours.moves)
+	require.Zero(t, stay.moves)
+	require.Less(t, ours.shortage, stay.shortage/5)
+	requireSound(t, ours.sim)
+	require.Zero(t, ours.sim.voids, ours.sim.lastVoid.Detail)
+}
+
 func TestNothingIsPlannedInACutZone(t *testing.T) {
 	s := newSim(newView(smallShape(structs.FailureDomainRack)), 9)
 	s.addWave()
 	s.cut = []string{zoneName(2)}
-	s.runFor(New(Options{}), 3*time.Hour)
+	p := New(Options{})
+	s.runFor(p, 3*time.Hour)
+	s.failWhere(10*time.Minute, inZone(2))
+	s.runFor(p, 20*time.Minute)
 	for i := range s.view.VMs {
 		vm := &s.view.VMs[i]
 		if vm.Zone == zoneName(2) {
@@ -229,7 +265,9 @@
 			p := New(Options{})
 			s.runFor(p, 55*time.Minute)
 			require.Len(t, vmsIn(s, structs.VMActive), len(s.view.VMs))
+			require.Zero(t, s.voids, "the log had to refuse a drain")
 			s.runFor(p, 10*time.Minute)
+			require.Zero(t, s.voids)
 			require.Equal(t, name == "paused", len(vmsIn(s, structs.VMActive)) == len(s.view.VMs))
 		})
 	}
--- a/fleet/planner/plan_bench_test.go
+++ b/fleet/planner/plan_bench_test.go
@@ -36,7 +36,7 @@
 	return in
 }
 
-const planRounds = 20
+const planRounds = 100
 
 // roundCost is the time and the allocations of one round.
 type roundCost struct {
--- a/fleet/planner/sim_test.go
+++ b/fleet/planner/sim_test.go
@@ -58,6 +58,7 @@
 	epoch    structs.Epoch
 	writer   string
 	cut      []string
+	observed []Observation // reused between rounds
 
 	longShare    float64 // share of busy VMs that hold a long request
 	longMean     time.Duration
@@ -137,6 +138,7 @@
 
 func (s *sim) input() Input {
 	in := Input{View: s.view, Now: s.now, Scope: simScope, Epoch: s.epoch, Writer: s.writer, CutZones: s.cut}
+	in.Observed = s.observed[:0]
 	for _, w := range s.workers {
 		o := Observation{
 			VM: w.id, Present: wave.PresenceLive, Boot: w.boot, Image: w.image,
@@ -147,6 +149,7 @@
 		}
 		in.Observed = append(in.Observed, o)
 	}
+	s.observed = in.Observed
 	return in
 }
 
--- a/fleet/wave/wave_test.go
+++ b/fleet/wave/wave_test.go
@@ -126,6 +126,16 @@
 	require.Equal(t, Step{To: structs.VMProbation}, s.at(time.Second, good, Context{}))
 }
 
+func TestVMThatStopsAnsweringFails(t *testing.T) {
+	for _, state := range []structs.VMState{structs.VMActive, structs.VMDraining} {
+		s := newScene(state)
+		two := Observation{Present: PresenceLive, Boot: 1, Failures: 2}
+		require.Zero(t, s.at(0, two, Context{}).To)
+		three := Observation{Present: PresenceLive, Boot: 1, Failures: 3}
+		require.Equal(t, Step{To: structs.VMFailed}, s.at(time.Second, three, Context{}))
+	}
+}
+
 func TestRecalledDrainIsRetriedLaterAndLater(t *testing.T) {
 	s := newScene(structs.VMDraining)
 	busy := good
