Hold slow and hostile callers within the limits

Cause: limits of the callers' port had no tests. Change: tests for malformed requests, rates, slow senders, impossible work, broken kept connections, and fuzzing of every peer message. They found that a caller which stops in the middle of a body kept its connection for good when its request was refused: the HTTP server reads on without a time limit. The limit is now set before anything else and lifted only when the body is whole. Relays accept the second peer key while the key is being replaced. Conclusion: refused requests hold nothing.

--- a/node/forward/body.go
+++ b/node/forward/body.go
@@ -11,6 +11,15 @@
 // known.
 const bodyChunkBytes = 16 << 10
 
+// limitBody sets the first time limit for a body. It holds until the body is
+// read whole: for a request that is refused before, the HTTP server reads on
+// before it closes.
+func (s *Server) limitBody(w http.ResponseWriter, h *http.Request) {
+	if h.ContentLength != 0 {
+		_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(s.cfg.Limits.ProgressTimeout))
+	}
+}
+
 // readBody reads the whole body before the request waits for a worker, so
 // that a slow sender never holds a slot and the body can be sent again.
 func (s *Server) readBody(w http.ResponseWriter, r *request) *ending {
@@ -22,7 +31,6 @@
 		return s.bodyTooLarge()
 	}
 	control := http.NewResponseController(w)
-	defer func() { _ = control.SetReadDeadline(time.Time{}) }()
 	body := make([]byte, 0, bodyCapacity(h.ContentLength))
 	for {
 		_ = control.SetReadDeadline(time.Now().Add(s.cfg.Limits.ProgressTimeout))
@@ -35,6 +43,7 @@
 			return s.bodyTooLarge()
 		}
 		if err == io.EOF {
+			_ = control.SetReadDeadline(time.Time{})
 			return s.keepBody(r, body)
 		}
 		if err != nil {
--- a/node/forward/config.go
+++ b/node/forward/config.go
@@ -44,6 +44,8 @@
 	Incarnation uint64
 	// PeerKey is shared by all entry nodes.
 	PeerKey []byte
+	// OtherPeerKey is accepted too, while the key is being replaced. Optional.
+	OtherPeerKey []byte
 	// Limits bounds what callers, peers and workers may use.
 	Limits Limits
 	Fleet  Fleet
--- /dev/null
+++ b/node/forward/limits_test.go
@@ -0,0 +1,208 @@
+package forward
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"wigeonwinch/dispatch"
+	"wigeonwinch/fleet/structs"
+)
+
+// limitedServer returns a server with small limits behind a real listener,
+// and its backend server.
+func limitedServer(t *testing.T) (*Server, *httptest.Server, *echo) {
+	backend := newEcho(t, hello)
+	fleet := &fakeFleet{}
+	view := viewOf([]string{"a"}, worker("w1", "a", backend.address()))
+	view.Teams["slow"] = structs.Team{Name: "slow", RatePerSecond: 0.001, Burst: 1}
+	fleet.view.Store(view)
+	s, _ := startServer(t, fleet, newFakeNet(), "a", Limits{
+		BodyBytes: 1000, BodyBytesTotal: 1500, HeaderBytes: 4096, RequestIDBytes: 40,
+		HeaderTimeout: 100 * time.Millisecond, ProgressTimeout: 100 * time.Millisecond,
+	})
+	caller := httptest.NewUnstartedServer(s.Handler())
+	s.Configure(caller.Config)
+	caller.Start()
+	t.Cleanup(caller.Close)
+	return s, caller, backend
+}
+
+// TestHostileRequests checks that each bad request gets a clear error and
+// reaches no worker.
+func TestHostileRequests(t *testing.T) {
+	s, _, backend := limitedServer(t)
+	tests := []struct {
+		name    string
+		path    string
+		body    string
+		header  map[string]string
+		status  int
+		reason  Reason
+		outcome dispatch.Outcome
+	}{
+		{"long id", "/fire", "", map[string]string{HeaderRequestID: strings.Repeat("x", 41)}, 400, ReasonMalformed, dispatch.OutcomeNotRun},
+		{"id with a space", "/fire", "", map[string]string{HeaderRequestID: "a b"}, 400, ReasonMalformed, dispatch.OutcomeNotRun},
+		{"class", "/fire", "", map[string]string{HeaderClass: "now"}, 400, ReasonMalformed, dispatch.OutcomeNotRun},
+		{"repeatable", "/fire", "", map[string]string{HeaderRepeatable: "maybe"}, 400, ReasonMalformed, dispatch.OutcomeNotRun},
+		{"deadline", "/fire", "", map[string]string{HeaderDeadlineMS: "-1"}, 400, ReasonMalformed, dispatch.OutcomeNotRun},
+		{"run time", "/fire", "", map[string]string{HeaderRunMS: "1e9"}, 400, ReasonMalformed, dispatch.OutcomeNotRun},
+		{"issue time", "/fire", "", map[string]string{HeaderRequestID: "x", HeaderIssuedAt: "today"}, 400, ReasonMalformed, dispatch.OutcomeNotRun},
+		{"team", "/fire", "", map[string]string{HeaderTeam: "nobody"}, 403, ReasonUnknownTeam, dispatch.OutcomeNotRun},
+		{"route", "/fires", "", nil, 404, ReasonUnknownRoute, dispatch.OutcomeNotRun},
+		{"route of an id that may have run", "/fires", "", map[string]string{HeaderRequestID: "x"}, 404, ReasonUnknownRoute, dispatch.OutcomeUnknown},
+		{"body", "/fire", strings.Repeat("x", 1001), nil, 413, ReasonBodyTooLarge, dispatch.OutcomeNotRun},
+		{"id issued in the future", "/fire", "", map[string]string{HeaderRequestID: "x", HeaderIssuedAt: "2999-01-01T00:00:00Z"}, 409, ReasonExpiredID, dispatch.OutcomeUnknown},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			w := ask(s.Handler(), http.MethodPost, tt.path, tt.body, tt.header)
+			require.Equal(t, tt.status, w.Code, w.Body.String())
+			require.Equal(t, string(tt.reason), w.Header().Get(HeaderReason))
+			require.Equal(t, tt.outcome, outcome(w.Header()))
+			require.Equal(t, "application/problem+json", w.Header().Get("Content-Type"))
+		})
+	}
+	require.Zero(t, backend.runs.Load())
+	require.Zero(t, s.Stats().InFlight)
+	require.Zero(t, s.Stats().BodyBytes)
+}
+
+func TestTeamRate(t *testing.T) {
+	s, _, backend := limitedServer(t)
+	header := map[string]string{HeaderTeam: "slow"}
+	require.Equal(t, http.StatusOK, ask(s.Handler(), http.MethodPost, "/fire", "", header).Code)
+	refused := ask(s.Handler(), http.MethodPost, "/fire", "", header)
+	require.Equal(t, http.StatusTooManyRequests, refused.Code)
+	require.Equal(t, dispatch.OutcomeNotRun, outcome(refused.Header()))
+	require.NotEmpty(t, refused.Header().Get("Retry-After"))
+	header[HeaderRequestID] = newID(t)
+	mayHaveRun := ask(s.Handler(), http.MethodPost, "/fire", "", header)
+	require.Equal(t, dispatch.OutcomeUnknown, outcome(mayHaveRun.Header()), "an earlier copy may have run")
+	require.Equal(t, "same-id", mayHaveRun.Header().Get(HeaderRetry))
+	require.EqualValues(t, 1, backend.runs.Load())
+}
+
+// TestSlowSenders checks that a caller which stops sending holds neither a
+// connection nor a worker.
+func TestSlowSenders(t *testing.T) {
+	s, caller, backend := limitedServer(t)
+	tests := []struct{ name, sent, want string }{
+		{"in the headers", "POST /fire HTTP/1.1\r\nHost: x\r\nX-A: b", ""},
+		{"in the body", "POST /fire HTTP/1.1\r\nHost: x\r\nContent-Length: 100\r\n\r\nonly", "408"},
+		{"in the body for an unknown route", "POST /x HTTP/1.1\r\nHost: x\r\nContent-Length: 100\r\n\r\nonly", "404"},
+		{"in a chunk", "POST /fire HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nab", "408"},
+		{"with endless headers", "POST /fire HTTP/1.1\r\nHost: x\r\nX-A: " + strings.Repeat("x", 20_000) + "\r\n\r\n", "431"},
+		{"with two lengths", "POST /fire HTTP/1.1\r\nHost: x\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\nab", "400"},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			conn, err := net.Dial("tcp", caller.Listener.Addr().String())
+			require.NoError(t, err)
+			defer func() { _ = conn.Close() }()
+			_, err = io.WriteString(conn, tt.sent)
+			require.NoError(t, err)
+			answer, _ := io.ReadAll(conn) // until the server closes
+			require.Contains(t, strings.SplitN(string(answer), "\n", 2)[0], tt.want)
+		})
+	}
+	require.Zero(t, backend.runs.Load())
+	require.Eventually(t, func() bool { return s.Stats().InFlight == 0 && s.Stats().BodyBytes == 0 }, 5*time.Second, time.Millisecond)
+}
+
+// TestImpossible checks that work which no worker can hold is refused at once.
+func TestImpossible(t *testing.T) {
+	backend := newEcho(t, hello)
+	fleet := &fakeFleet{}
+	view := viewOf([]string{"a"}, worker("w1", "a", backend.address()))
+	view.Services["review"] = structs.Service{Name: "review", Pool: "fire", Routes: []string{"/fire"}, DeadlineMS: 60_000, Cores: 17}
+	fleet.view.Store(view)
+	s, _ := startServer(t, fleet, newFakeNet(), "a", Limits{})
+	w := ask(s.Handler(), http.MethodPost, "/fire", "", map[string]string{HeaderRequestID: newID(t)})
+	require.Equal(t, http.StatusUnprocessableEntity, w.Code)
+	require.Equal(t, dispatch.OutcomeNotRun, outcome(w.Header()))
+	require.Zero(t, backend.runs.Load())
+}
+
+// TestNotRepeatableIsSentOnce checks that the transport itself never repeats
+// work that is not repeatable when a kept connection turns out to be closed.
+func TestNotRepeatableIsSentOnce(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer func() { _ = listener.Close() }()
+	seen := make(chan string, 10)
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go answerOnce(conn, seen)
+		}
+	}()
+	fleet := &fakeFleet{}
+	fleet.view.Store(viewOf([]string{"a"}, worker("w1", "a", listener.Addr().String())))
+	s, _ := startServer(t, fleet, newFakeNet(), "a", Limits{})
+	mark := map[string]string{HeaderRepeatable: "no", HeaderRequestID: newID(t)}
+	require.Equal(t, http.StatusOK, ask(s.Handler(), http.MethodGet, "/fire", "", mark).Code)
+	mark[HeaderRequestID] = newID(t)
+	second := ask(s.Handler(), http.MethodGet, "/fire", "", mark)
+	require.Equal(t, dispatch.OutcomeUnknown, outcome(second.Header()))
+	require.Len(t, seen, 2, "each request was read once")
+}
+
+// answerOnce answers the first request of a connection and closes it on the
+// second, after reading it.
+func answerOnce(conn net.Conn, seen chan<- string) {
+	defer func() { _ = conn.Close() }()
+	reader := bufio.NewReader(conn)
+	for range 2 {
+		r, err := http.ReadRequest(reader)
+		if err != nil {
+			return
+		}
+		id := r.Header.Get(HeaderRequestID)
+		seen <- id
+		if len(seen) == 1 {
+			_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\n%s: %s\r\nContent-Length: 0\r\n\r\n", HeaderRequestID, id)
+		}
+	}
+}
+
+// FuzzPeerMessages feeds any bytes to every handler of peer messages.
+func FuzzPeerMessages(f *testing.F) {
+	fleet := &fakeFleet{}
+	fleet.view.Store(viewOf([]string{"a", "b"}))
+	peers := newFakeNet().join(member("a"))
+	New(Config{Node: "entry-a", Zone: "a", Incarnation: 1, Fleet: fleet, Peers: peers})
+	for _, message := range []any{
+		lookRequest{Token: 1, Incarnation: 1}, leavingMessage{VM: "w1"}, slotMessages{}, spareMessage{Pools: []poolSpare{{Pool: "fire", Free: 4}}},
+		problem{}, map[string]int{"x": 1}, []int{1, 2, 3},
+	} {
+		data, err := encode(message)
+		require.NoError(f, err)
+		for method := methodClaim; method <= methodSpare; method++ {
+			f.Add(method, data)
+			f.Add(method, data[:len(data)/2])
+		}
+	}
+	f.Add(methodClaim, []byte{0xbf, 0x9f, 0xff, 0xff})
+	f.Fuzz(func(t *testing.T, method uint16, data []byte) {
+		h := peers.handlers[method]
+		if h == nil {
+			return
+		}
+		reply, err := h(t.Context(), "entry-b", data)
+		if err == nil {
+			require.LessOrEqual(t, len(reply), maxMessageBytes)
+		}
+	})
+}
--- a/node/forward/serve.go
+++ b/node/forward/serve.go
@@ -30,6 +30,7 @@
 // serve takes one request from its arrival to its end.
 func (s *Server) serve(w http.ResponseWriter, h *http.Request, relayed bool) {
 	s.counts.arrived.Add(1)
+	s.limitBody(w, h)
 	rt := s.refresh()
 	if rt == nil || (s.stopping.Load() && !relayed) {
 		s.respondNotReady(w, h, relayed)
--- a/node/forward/server.go
+++ b/node/forward/server.go
@@ -96,8 +96,7 @@
 }
 
 func (s *Server) serveRelayed(w http.ResponseWriter, h *http.Request) {
-	shown := []byte(h.Header.Get("Authorization"))
-	if !hmac.Equal(shown, []byte(s.relayToken)) || h.Header.Get(HeaderRelayed) == "" {
+	if !s.isPeer(h) || h.Header.Get(HeaderRelayed) == "" {
 		e := notRun(http.StatusForbidden, ReasonNotAllowed, "only entry nodes that hold the peer key may relay; check the settings")
 		s.respond(w, &request{http: h}, e)
 		return
@@ -110,6 +109,15 @@
 	s.serve(w, h, true)
 }
 
+// isPeer says whether a request shows one of the peer keys.
+func (s *Server) isPeer(h *http.Request) bool {
+	shown := []byte(h.Header.Get("Authorization"))
+	if hmac.Equal(shown, []byte(s.relayToken)) {
+		return true
+	}
+	return len(s.cfg.OtherPeerKey) > 0 && hmac.Equal(shown, []byte(relayToken(s.cfg.OtherPeerKey)))
+}
+
 // Configure sets the limits of the server that serves the callers' port.
 func (s *Server) Configure(server *http.Server) {
 	limits := s.cfg.Limits
