--- a/dispatch/eject/eject.go
+++ b/dispatch/eject/eject.go
@@ -21,7 +21,7 @@
 const (
 	defaultRun            = 2.5
 	defaultHalfLife       = 20 * time.Second
-	defaultMaxShare       = 0.5
+	defaultMaxShare       = 0.7
 	defaultMinAvailable   = 1
 	defaultBaseEjection   = 5 * time.Second
 	defaultMaxEjection    = 5 * time.Minute
@@ -120,7 +120,7 @@
 	workers  map[string]*worker
 	order    []*worker
 	services map[string]int
-	totals   []counts
+	pool     poolRecord
 	started  bool
 	out      int
 }
@@ -134,7 +134,7 @@
 	run        float64
 	surprise   decayed
 	all        decayed
-	services   []counts
+	services   []recent
 	successes  int
 	ejections  int
 	lastReturn time.Time
@@ -289,3 +289,18 @@
 
 // Unavailable is the number of workers ejected or probing.
 func (t *Tracker) Unavailable() int { return t.out }
+
+// NoneWorks says whether there are workers and all of them are ejected, being
+// probed or suspect, or have lately failed all that they got, of more than one
+// service.
+func (t *Tracker) NoneWorks() bool {
+	if len(t.order) > 0 && t.pool.failsAll(len(t.order)) {
+		return true
+	}
+	for _, w := range t.order {
+		if w.state == Healthy || w.state == Ramping {
+			return false
+		}
+	}
+	return len(t.order) > 0
+}
--- a/dispatch/eject/eject_test.go
+++ b/dispatch/eject/eject_test.go
@@ -81,6 +81,18 @@
 	require.LessOrEqual(t, tr.Unavailable(), 1)
 }
 
+// TestServiceThatStartsToFailEverywhere: a long good record before the failure
+// must not make the failures look like the workers'.
+func TestServiceThatStartsToFailEverywhere(t *testing.T) {
+	for _, size := range []int{3, 10} {
+		tr, ids := pool(size, Options{})
+		now := rounds(tr, ids, epoch, 100, func(string, int) (string, bool) { return "review", true })
+		rounds(tr, ids, now, 50, func(string, int) (string, bool) { return "review", false })
+		require.LessOrEqual(t, tr.Unavailable(), 1, "%d workers", size)
+		require.False(t, tr.NoneWorks())
+	}
+}
+
 func TestWorkerThatFailsHalfIsEjected(t *testing.T) {
 	tr, ids := pool(10, Options{})
 	now := rounds(tr, ids, epoch, 40, func(id string, round int) (string, bool) {
@@ -121,6 +133,29 @@
 	}
 }
 
+func TestNoneWorks(t *testing.T) {
+	tr, ids := pool(3, Options{})
+	require.False(t, tr.NoneWorks())
+	now := rounds(tr, ids, epoch, 5, func(string, int) (string, bool) { return "review", true })
+	rounds(tr, ids, now, 30, func(string, int) (string, bool) { return "review", false })
+	require.False(t, tr.NoneWorks(), "a service that starts to fail everywhere doesn't blame all")
+	good := rounds(tr, ids, now.Add(time.Hour), 5, func(string, int) (string, bool) { return "review", true })
+	for _, id := range ids {
+		for range 20 {
+			tr.Observe(good, id, "of "+id, false)
+		}
+	}
+	require.True(t, tr.NoneWorks(), "each fails what only it runs")
+	tr, ids = pool(3, Options{})
+	now = rounds(tr, ids, epoch, 5, func(string, int) (string, bool) { return "review", true })
+	now = rounds(tr, ids, now, 4, func(_ string, round int) (string, bool) { return strconv.Itoa(round % 2), false })
+	require.True(t, tr.NoneWorks(), "every worker fails every service")
+	tr.Observe(now, ids[0], "review", true)
+	require.False(t, tr.NoneWorks())
+	empty, _ := pool(0, Options{})
+	require.False(t, empty.NoneWorks())
+}
+
 func TestLateArrivalsRamp(t *testing.T) {
 	tr, ids := pool(3, Options{})
 	require.Equal(t, 1.0, tr.Share(epoch, ids[0]), "the first workers start at once")
@@ -146,7 +181,7 @@
 		tr.Observe(epoch, ids[0], strconv.Itoa(i), true)
 	}
 	require.LessOrEqual(t, len(tr.services), 8)
-	require.LessOrEqual(t, len(tr.totals), 8)
+	require.LessOrEqual(t, len(tr.workers[ids[0]].services), 8)
 	tr.SetWorkers(epoch, nil)
 	require.Empty(t, tr.workers)
 }
--- a/dispatch/eject/observe.go
+++ b/dispatch/eject/observe.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"math/bits"
 	"time"
 )
 
@@ -27,21 +28,40 @@
 	d.value += x
 }
 
-// counts are the outcomes of one service.
-type counts struct {
-	total, failures decayed
+// recent is how a worker has lately ended one service's requests: 1 when all
+// were answered, 0 when all failed.
+type recent struct {
+	ok   float64
+	last time.Time
 }
 
-func (c *counts) add(now time.Time, halfLife time.Duration, ok bool) {
-	c.total.add(now, halfLife, 1)
-	if !ok {
-		c.failures.add(now, halfLife, 1)
+// newestShare is how much the newest outcome counts in recent.
+const newestShare = 0.5
+
+func (r *recent) add(now time.Time, ok bool) {
+	value := 0.0
+	if ok {
+		value = 1
+	}
+	if r.last.IsZero() {
+		r.ok = value
+	} else {
+		r.ok += newestShare * (value - r.ok)
+	}
+	r.last = now
+}
+
+// weight is how much an outcome of some time ago still tells.
+func (r *recent) weight(now time.Time, halfLife time.Duration) float64 {
+	if r.last.IsZero() {
+		return 0
 	}
+	return math.Exp2(-max(0, now.Sub(r.last)).Seconds() / halfLife.Seconds())
 }
 
-// priorOutcomes is how many outcomes, half of them failures, a service starts
-// with: a first failure of an unseen service surprises only half.
-const priorOutcomes = 1.0
+// priorWeight is how many workers of unknown outcome are added to the others:
+// without any knowledge a failure surprises half.
+const priorWeight = 0.2
 
 // serviceIndex numbers the services; those beyond the bound share the last.
 func (t *Tracker) serviceIndex(service string) int {
@@ -56,12 +76,12 @@
 	return i
 }
 
-// countsOf returns the counts of a service, grown as needed.
-func countsOf(list *[]counts, index int) *counts {
-	for len(*list) <= index {
-		*list = append(*list, counts{})
+// recentOf returns a worker's record of a service, grown as needed.
+func (w *worker) recentOf(index int) *recent {
+	for len(w.services) <= index {
+		w.services = append(w.services, recent{})
 	}
-	return &(*list)[index]
+	return &w.services[index]
 }
 
 // Observe counts an outcome of a request of a service on a worker.
@@ -72,28 +92,67 @@
 	}
 	t.advance(now, w)
 	index := t.serviceIndex(service)
-	surprise := t.surprise(now, w, index)
-	countsOf(&t.totals, index).add(now, t.opts.HalfLife, ok)
-	countsOf(&w.services, index).add(now, t.opts.HalfLife, ok)
+	w.recentOf(index).add(now, ok)
+	t.pool.add(index, ok)
 	w.all.add(now, t.opts.HalfLife, 1)
 	if ok {
 		t.succeeded(now, w)
 		return
 	}
+	surprise := t.surprise(now, w, index)
 	w.run += surprise
 	w.surprise.add(now, t.opts.HalfLife, surprise)
 	t.failed(now, w, surprise)
 }
 
-// surprise is how little the other workers fail this service, from 0 to 1.
+// surprise is the share of the other workers that lately answered this
+// service's requests, from 0 to 1.
 func (t *Tracker) surprise(now time.Time, w *worker, index int) float64 {
-	all := countsOf(&t.totals, index)
-	own := countsOf(&w.services, index)
-	h := t.opts.HalfLife
-	total := max(0, all.total.at(now, h)-own.total.at(now, h))
-	failures := max(0, all.failures.at(now, h)-own.failures.at(now, h))
-	ratio := (failures + priorOutcomes/2) / (total + priorOutcomes)
-	return max(0, 1-ratio)
+	weights, answered := priorWeight, priorWeight/2
+	for _, other := range t.order {
+		if other == w || len(other.services) <= index {
+			continue
+		}
+		r := &other.services[index]
+		weight := r.weight(now, t.opts.HalfLife)
+		weights += weight
+		answered += weight * r.ok
+	}
+	if ratio := answered / weights; ratio >= minSurprise {
+		return ratio
+	}
+	return 0
+}
+
+// minSurprise is below which share of other workers that answer a failure says
+// nothing against the worker.
+const minSurprise = 0.15
+
+// The rule for a pool of which all workers fail all services.
+const (
+	poolFailuresPerWorker = 3
+	poolMinServices       = 2
+)
+
+// poolRecord is the run of failures over all workers.
+type poolRecord struct {
+	failures int
+	// services has a bit for each service that failed.
+	services uint64
+}
+
+func (p *poolRecord) add(index int, ok bool) {
+	if ok {
+		*p = poolRecord{}
+		return
+	}
+	p.failures++
+	p.services |= 1 << (index % 64)
+}
+
+// failsAll says whether every worker has failed several services in a row.
+func (p *poolRecord) failsAll(workers int) bool {
+	return p.failures >= poolFailuresPerWorker*workers && bits.OnesCount64(p.services) >= poolMinServices
 }
 
 func (t *Tracker) succeeded(now time.Time, w *worker) {
--- a/dispatch/scheduler/admit.go
+++ b/dispatch/scheduler/admit.go
@@ -12,6 +12,9 @@
 	if refusal := s.workers.refuseImpossible(j.req); refusal != nil {
 		return refusal
 	}
+	if refusal := s.refuseWhileNoneWorks(now); refusal != nil {
+		return refusal
+	}
 	if !now.Before(j.deadline) {
 		return &dispatch.Refusal{
 			Reason: dispatch.RefusedDeadline,
@@ -28,6 +31,27 @@
 	return s.refuseInfeasible(now, j)
 }
 
+// probeInterval is how often a request is let through while no worker works.
+const probeInterval = time.Second
+
+// refuseWhileNoneWorks lets a request through from time to time, to find out
+// when a worker works again, and refuses the others: another zone may have
+// workers that do.
+func (s *Scheduler) refuseWhileNoneWorks(now time.Time) *dispatch.Refusal {
+	if !s.workers.tracker.NoneWorks() {
+		return nil
+	}
+	if !now.Before(s.probeAt) {
+		s.probeAt = now.Add(probeInterval)
+		return nil
+	}
+	return &dispatch.Refusal{
+		Reason:     dispatch.RefusedNoWorker,
+		Detail:     "all workers of the pool in reach fail what they start; send through another zone or again later",
+		RetryAfter: probeInterval,
+	}
+}
+
 // refuseInfeasible refuses a job that could not end before its deadline
 // behind what is queued. Without a queue it is taken, so that a wrong
 // prediction is put right by running.
@@ -36,7 +60,7 @@
 	if ahead == 0 {
 		return nil
 	}
-	wait := s.drainTime(ahead, j.lane)
+	wait := s.drainTime(ahead, j.lane) * waitMargin / 100
 	if !now.Add(wait + s.runMargin(j)).After(j.deadline) {
 		return nil
 	}
@@ -47,6 +71,10 @@
 	}
 }
 
+// waitMargin is what an estimated wait is taken for, in percent, as work that
+// comes later may go first.
+const waitMargin = 120
+
 // runMargin is the time to leave for the run itself.
 func (s *Scheduler) runMargin(j *job) time.Duration {
 	if j.req.Deadline.IsZero() {
@@ -86,7 +114,7 @@
 	case laneUrgent:
 		return max(1, total-s.lanes[laneLong].running)
 	case laneShort:
-		return max(1, total-s.lanes[laneLong].running-s.lanes[laneUrgent].running)
+		return max(1, total-s.hold-s.lanes[laneLong].running-s.lanes[laneUrgent].running)
 	}
 	return max(1, s.longFloor(), s.lanes[laneLong].running)
 }
--- a/dispatch/scheduler/fleet_test.go
+++ b/dispatch/scheduler/fleet_test.go
@@ -265,3 +265,27 @@
 	}
 	return float64(n) / (fleetWorkers * fleetSlots)
 }
+
+// fleetRelay sends to the same entry node of the pool's next zone.
+func fleetRelay(nodes []*fleetNode) func(node int) int {
+	next := make([]int, len(nodes))
+	first := make(map[fleetPlace]int)
+	last := make(map[fleetPlace]int)
+	for i, n := range nodes {
+		place := fleetPlace{name: n.name, pool: n.pool}
+		if previous, ok := last[place]; ok {
+			next[previous] = i
+		} else {
+			first[place] = i
+		}
+		last[place] = i
+		next[i] = first[place]
+	}
+	return func(node int) int { return next[node] }
+}
+
+// fleetPlace names an entry node's schedulers of one pool in all zones.
+type fleetPlace struct {
+	name string
+	pool int
+}
--- a/dispatch/scheduler/next.go
+++ b/dispatch/scheduler/next.go
@@ -15,6 +15,7 @@
 	for s.startUrgent(now, &a) {
 	}
 	hold := s.urgentHold(now)
+	s.hold = hold
 	limit := s.longLimit(now, hold)
 	for s.startFloor(now, hold, &a) {
 	}
--- a/dispatch/scheduler/policy.go
+++ b/dispatch/scheduler/policy.go
@@ -140,7 +140,7 @@
 	switch {
 	case j.req.Class == dispatch.ClassUrgent:
 		j.lane = laneUrgent
-	case threshold > 0 && p.LongShare >= longCut:
+	case threshold > 0 && p.LongShare >= longCut && !s.tooDoubtful(j, p.LongShare):
 		j.lane = laneLong
 		j.cost = p.Mean
 	default:
@@ -148,6 +148,17 @@
 	}
 }
 
+// tooDoubtful says whether a job that is more likely short than long would
+// miss its deadline behind the long ones, while short work doesn't wait.
+func (s *Scheduler) tooDoubtful(j *job, longShare float64) bool {
+	if longShare >= 0.5 || j.req.Deadline.IsZero() || s.lanes[laneShort].queue.Len() > 0 {
+		return false
+	}
+	ahead := s.lanes[laneLong].queue.Work()
+	wait := time.Duration(ahead / float64(s.longFloor()) * float64(time.Second))
+	return j.queuedAt.Add(wait + j.p90).After(j.deadline)
+}
+
 func keyOf(r *dispatch.Request) runtimes.Key {
 	return runtimes.Key{Service: r.Service, Route: r.Route}
 }
--- a/dispatch/scheduler/scheduler.go
+++ b/dispatch/scheduler/scheduler.go
@@ -21,9 +21,13 @@
 	started []*job
 	// longStarted counts the requests in progress that started as long.
 	longStarted int
+	// hold is the number of slots last kept free for urgent work.
+	hold int
 	// safe counts the requests in progress that are all but sure to end soon.
-	safe       int
-	policy     policy
+	safe   int
+	policy policy
+	// probeAt is when a request is next let through while no worker works.
+	probeAt    time.Time
 	deadlines  timerHeap
 	overruns   timerHeap
 	violations uint64
--- a/dispatch/scheduler/sim_test.go
+++ b/dispatch/scheduler/sim_test.go
@@ -94,6 +94,9 @@
 	woken    []time.Duration
 	// busy counts what is in progress on each worker over all nodes.
 	busy map[int]int
+	// relay returns the node in another zone that gets what a node refuses;
+	// nil means that there is none.
+	relay func(node int) int
 	// refusals counts the attempts that a worker refused.
 	refusals int
 }
@@ -126,7 +129,12 @@
 
 func (s *sim) arrive(id int) {
 	r := s.requests[id]
-	if !s.nodes[r.node].submit(at(r.arrival), id, r) {
+	ok := s.nodes[r.node].submit(at(r.arrival), id, r)
+	if !ok && s.relay != nil {
+		r.node = s.relay(r.node)
+		ok = s.nodes[r.node].submit(at(r.arrival), id, r)
+	}
+	if !ok {
 		r.end, r.endedAt = simRefused, r.arrival
 		return
 	}
