Check each step's invariants at a cost that a running node can bear

Cause: the invariants ran in tests only. Change: ApplyChecked folds a record and lists what the step broke; the long run also hashes old views again.

--- a/fleet/state/bench_test.go
+++ b/fleet/state/bench_test.go
@@ -186,6 +186,27 @@
 	}
 }
 
+// BenchmarkApplyChecked folds one change with the checks of all invariants
+// that a step can break. The baseline is BenchmarkView.
+func BenchmarkApplyChecked(b *testing.B) {
+	for _, vms := range benchSizes {
+		for _, rec := range benchRecords {
+			b.Run(fmt.Sprintf("%s/%d", rec.name, vms), func(b *testing.B) {
+				s := largeState(b, vms)
+				b.ReportAllocs()
+				for i := 0; b.Loop(); i++ {
+					step := rec.make(s, i)
+					step.Key = fmt.Sprintf("k%d", s.Next())
+					step.Writer = "n1"
+					if _, broken := s.ApplyChecked(s.Next(), step); len(broken) > 0 {
+						b.Fatal(broken[0])
+					}
+				}
+			})
+		}
+	}
+}
+
 // BenchmarkStateSize reports the memory of a state with its view, and the
 // size and time of a snapshot.
 func BenchmarkStateSize(b *testing.B) {
--- a/fleet/state/fleet_sim_test.go
+++ b/fleet/state/fleet_sim_test.go
@@ -38,6 +38,9 @@
 	voids   map[structs.Void]int
 	// domains counts the failures by kind of failure domain.
 	domains map[structs.FailureDomain]int
+	// kept is a view with its digest when it was taken.
+	kept       *structs.View
+	keptDigest uint64
 }
 
 // fleetPlanner writes records on a view that may be old.
@@ -233,9 +236,35 @@
 			return list[0]
 		}
 	}
+	if err := f.checkKeptView(); err != nil {
+		return err
+	}
 	return f.digests.compare(f.primary)
 }
 
+// checkKeptView checks now and then that an old view has not changed, and
+// keeps a new one.
+func (f *fleetSim) checkKeptView() error {
+	if f.primary.Next()%32 != 0 {
+		return nil
+	}
+	if f.kept != nil && viewDigest(f.kept) != f.keptDigest {
+		return violated(RuleNoRevert, "the view of offset %d has changed", f.kept.Offset)
+	}
+	f.kept = f.primary.View()
+	f.keptDigest = viewDigest(f.kept)
+	return nil
+}
+
+// viewDigest hashes all that a view shows.
+func viewDigest(view *structs.View) uint64 {
+	data, err := stateEncMode.Marshal(view)
+	if err != nil {
+		panic(err)
+	}
+	return hashBytes(data)
+}
+
 func kindOf(rec structs.Record) string {
 	switch {
 	case rec.Publish != nil:
--- a/fleet/state/fleet_test.go
+++ b/fleet/state/fleet_test.go
@@ -104,3 +104,16 @@
 	f.replicas[1].s.unsafe.budgets = true
 	requireRule(t, RuleSameFold, f.run(defaultFleetRecords))
 }
+
+// TestKeptViewsNoticeAChangeInPlace changes a VM behind a view's back.
+func TestKeptViewsNoticeAChangeInPlace(t *testing.T) {
+	f, err := newFleetSim(1, unsafeSkips{})
+	require.NoError(t, err)
+	require.NoError(t, f.run(2000))
+	f.kept = f.primary.View()
+	f.keptDigest = viewDigest(f.kept)
+	f.primary.vms.list[0].Slots++
+	f.primary.view = nil
+	f.primary.next += 32 - f.primary.next%32
+	requireRule(t, RuleNoRevert, f.checkKeptView())
+}
--- a/fleet/state/helpers_test.go
+++ b/fleet/state/helpers_test.go
@@ -40,10 +40,9 @@
 	b.keys++
 	rec.Key = fmt.Sprintf("k%d", b.keys)
 	rec.Writer = writer
-	before := b.s.View()
-	verdict := b.s.Apply(b.s.Next(), rec)
+	verdict, broken := b.s.ApplyChecked(b.s.Next(), rec)
+	require.Empty(b.t, broken)
 	require.Empty(b.t, b.s.Check())
-	require.Empty(b.t, CheckStep(before, b.s.View(), rec, verdict))
 	return verdict
 }
 
--- a/fleet/state/invariants_step.go
+++ b/fleet/state/invariants_step.go
@@ -56,10 +56,14 @@
 	if p.Base != before.Generation || after.Generation != before.Generation+1 {
 		list = append(list, violated(RuleNoRevert, "a publish based on generation %d led from %d to %d", p.Base, before.Generation, after.Generation))
 	}
-	for i := range before.VMs {
-		old := &before.VMs[i]
-		if now, ok := after.VMByID(old.ID); ok && now.Pool != old.Pool {
-			list = append(list, violated(RuleOnePool, "a publish took VM %s from pool %s to %s", old.ID, old.Pool, now.Pool))
+	i := 0
+	for j := range after.VMs {
+		now := &after.VMs[j]
+		for i < len(before.VMs) && before.VMs[i].ID < now.ID {
+			i++
+		}
+		if i < len(before.VMs) && before.VMs[i].ID == now.ID && before.VMs[i].Pool != now.Pool {
+			list = append(list, violated(RuleOnePool, "a publish took VM %s from pool %s to %s", now.ID, before.VMs[i].Pool, now.Pool))
 		}
 	}
 	return list
--- a/fleet/state/invariants_test.go
+++ b/fleet/state/invariants_test.go
@@ -81,9 +81,8 @@
 	b := newBench(t)
 	b.s.index.tally("intake").Pool.Available += 5
 	require.NotEmpty(t, b.s.Check())
-	verdict := b.s.Apply(b.s.Next(), keyed(b.step("intake-01", structs.VMDraining), "n1"))
+	verdict, list := b.s.ApplyChecked(b.s.Next(), keyed(b.step("intake-01", structs.VMDraining), "n1"))
 	require.Equal(t, structs.VoidNone, verdict.Void, verdict.Detail)
-	list := b.s.TakeViolations()
 	require.Len(t, list, 1)
 	require.Equal(t, RuleCounts, list[0].Rule)
 	require.Empty(t, b.s.TakeViolations())
