--- a/fleet/planner/failures_test.go
+++ b/fleet/planner/failures_test.go
@@ -6,6 +6,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"wigeonwinch/fleet/moves"
 	"wigeonwinch/fleet/structs"
 	"wigeonwinch/fleet/wave"
 )
@@ -301,7 +302,7 @@
 	s := newSim(newView(smallShape(structs.FailureDomainRack)), 2)
 	s.addWave()
 	s.workers[0].image = imageNew
-	s.run(New(Options{}), testLimit)
+	s.runFor(New(Options{}), 3*time.Hour)
 	require.True(t, s.finished())
 	require.Equal(t, uint64(1), s.workers[0].boot)
 }
@@ -314,3 +315,18 @@
 	require.False(t, found)
 	requireSound(t, s)
 }
+
+// wildMover wants more VMs than any budget lets go.
+type wildMover struct{}
+
+func (wildMover) Decide([]moves.Pool, time.Time, time.Duration) []moves.Shift {
+	return []moves.Shift{{From: poolName(0), To: poolName(1), Count: 50}}
+}
+
+func TestMovesKeepBudgets(t *testing.T) {
+	s := newSim(newView(smallShape(structs.FailureDomainRack)), 3)
+	s.runFor(plannerWith(wildMover{}), time.Hour)
+	require.Less(t, startOf(s)[0], 12, "some VMs moved")
+	require.Zero(t, s.voids, s.lastVoid.Detail)
+	requireSound(t, s)
+}
