--- a/dispatch/scheduler/finish.go
+++ b/dispatch/scheduler/finish.go
@@ -97,6 +97,10 @@
 		s.longStarted--
 	}
 	s.dropSafe(j)
+	if j.relieved {
+		j.relieved = false
+		s.relieving--
+	}
 	s.overruns.remove(j)
 	s.teams.released(j.team)
 	s.workers.add(now, w, -1)
--- a/dispatch/scheduler/next.go
+++ b/dispatch/scheduler/next.go
@@ -148,7 +148,6 @@
 	j.worker = w
 	j.startedAt = now
 	j.attempts++
-	j.relieved = false
 	s.count(now, j)
 	s.workers.add(now, w, 1)
 	a.Starts = append(a.Starts, Start{Ticket: j.ticket, Request: j.req, Worker: w.ID})
--- a/dispatch/scheduler/overload_test.go
+++ b/dispatch/scheduler/overload_test.go
@@ -92,7 +92,6 @@
 	atOnce, atFive         float64
 	workAtOnce, workAtFive float64
 	recovery               time.Duration
-	attempts               int
 }
 
 func runOverload(policies func() []simPolicy) overResult {
--- a/dispatch/scheduler/relief.go
+++ b/dispatch/scheduler/relief.go
@@ -24,7 +24,7 @@
 
 // reliefAt is when relief is next to be asked for; zero when it isn't.
 func (s *Scheduler) reliefAt() time.Time {
-	if s.lanes[laneUrgent].queue.Len() == 0 || s.reliefTarget() == nil {
+	if s.lanes[laneUrgent].queue.Len() <= s.relieving || s.reliefTarget() == nil {
 		return time.Time{}
 	}
 	oldest := s.oldestUrgent()
@@ -34,23 +34,24 @@
 	return oldest.queuedAt.Add(s.opts.UrgentBound / reliefShare)
 }
 
-// relieve asks for as many slots as urgent requests wait, when the oldest has
-// waited for long.
+// relieve asks for as many slots as urgent requests wait, less those asked for
+// before, when the oldest has waited for long.
 func (s *Scheduler) relieve(now time.Time, a *Actions) {
 	waiting := s.lanes[laneUrgent].queue.Len()
-	if waiting == 0 || s.workers.free > 0 {
+	if waiting <= s.relieving || s.workers.free > 0 {
 		return
 	}
 	oldest := s.oldestUrgent()
 	if oldest == nil || now.Before(oldest.queuedAt.Add(s.opts.UrgentBound/reliefShare)) {
 		return
 	}
-	for range waiting {
+	for s.relieving < waiting {
 		j := s.reliefTarget()
 		if j == nil {
 			return
 		}
 		j.relieved = true
+		s.relieving++
 		kind, _ := reliefOf(j)
 		a.Relieve = append(a.Relieve, Relief{Ticket: j.ticket, Worker: j.worker.ID, Kind: kind})
 	}
--- a/dispatch/scheduler/scheduler.go
+++ b/dispatch/scheduler/scheduler.go
@@ -21,6 +21,8 @@
 	started []*job
 	// longStarted counts the requests in progress that started as long.
 	longStarted int
+	// relieving counts the requests in progress for which relief was asked.
+	relieving int
 	// hold is the number of slots last kept free for urgent work.
 	hold int
 	// safe counts the requests in progress that are all but sure to end soon.
--- a/dispatch/scheduler/sharing_test.go
+++ b/dispatch/scheduler/sharing_test.go
@@ -18,7 +18,6 @@
 	*ours
 	name   string
 	ledger *slots.Ledger
-	used   []Worker
 	send   func(from string, sends []slots.Send)
 }
 
--- a/dispatch/scheduler/shortwait_test.go
+++ b/dispatch/scheduler/shortwait_test.go
@@ -112,7 +112,6 @@
 	shorts   []time.Duration
 	slowdown float64
 	longs    int
-	queued   int
 }
 
 func (w *waitResult) p99() time.Duration { return quantile(w.shorts, 0.99) }
--- a/dispatch/scheduler/workerheap.go
+++ b/dispatch/scheduler/workerheap.go
@@ -14,7 +14,8 @@
 	return h.Sum64()
 }
 
-// workerHeap orders workers by load; full ones come last.
+// workerHeap orders workers by load, then by how long they have got nothing;
+// full ones come last.
 type workerHeap []*workerState
 
 func (h workerHeap) Len() int { return len(h) }
@@ -28,6 +29,9 @@
 	if left != right {
 		return left < right
 	}
+	if a.lastStart != b.lastStart {
+		return a.lastStart < b.lastStart
+	}
 	if a.order != b.order {
 		return a.order < b.order
 	}
--- a/dispatch/scheduler/workers.go
+++ b/dispatch/scheduler/workers.go
@@ -14,6 +14,7 @@
 type workerState struct {
 	Worker
 	order       uint64
+	lastStart   uint64
 	inProgress  int
 	limit       int
 	pausedUntil time.Time
@@ -39,6 +40,8 @@
 	tracker *eject.Tracker
 	// changes is when a limit next changes by time alone.
 	changes time.Time
+	// starts numbers the starts.
+	starts uint64
 	// free counts the free slots, total the usable ones.
 	free, total int
 }
@@ -148,6 +151,10 @@
 
 // add counts n more requests on a worker.
 func (wt *workerTable) add(now time.Time, w *workerState, n int) {
+	if n > 0 {
+		wt.starts++
+		w.lastStart = wt.starts
+	}
 	wt.free -= w.free()
 	w.inProgress += n
 	wt.free += w.free()
