Spend fewer bytes on lists, probes and pings

Cause: the planner's node was at 2,600 of 3,000 bytes a second, and all nodes read the VM list at the planner's rate.

Change: the list is read at 150 bytes a second unless this node plans or a membership waits for it; probes of one zone go in one message every 5 s; only the dialing side pings, the accepting side expects the pings.

--- a/node/control/cluster_test.go
+++ b/node/control/cluster_test.go
@@ -18,6 +18,7 @@
 	"wigeonwinch/node/events"
 	"wigeonwinch/node/peer"
 	"wigeonwinch/node/peer/peertest"
+	"wigeonwinch/node/timeline"
 	"wigeonwinch/platform"
 	"wigeonwinch/platform/standin"
 )
@@ -206,6 +207,7 @@
 	n.mesh = peer.New(peer.Config{
 		Node: p.node, Zone: p.zone, Incarnation: incarnation, Address: p.address(),
 		Key: []byte("shared"), Seeds: seeds, Events: n.events, Dial: c.network.Dialer(p.host),
+		Clock: timeline.NewClock(time.Now),
 	})
 	cfg := Config{
 		Node: p.node, Zone: p.zone, PeerAddress: p.address(), Incarnation: incarnation,
--- a/node/control/loop.go
+++ b/node/control/loop.go
@@ -33,16 +33,18 @@
 	acts    *actor
 
 	// All fields below belong to the owner goroutine.
-	fold      *state.State
-	history   history
-	outcomes  outcomes
-	random    *rand.Rand
-	log       logFacts
-	peers     map[string]*peerFacts
-	zones     map[string]*zoneFacts
-	member    memberFacts
-	planner   plannerFacts
-	observed  observations
+	fold     *state.State
+	history  history
+	outcomes outcomes
+	random   *rand.Rand
+	log      logFacts
+	peers    map[string]*peerFacts
+	zones    map[string]*zoneFacts
+	member   memberFacts
+	planner  plannerFacts
+	observed observations
+	// jitter is added to the time between two reads of the VM list.
+	jitter    time.Duration
 	ready     readiness
 	snapshots snapshotFacts
 	checked   checkFacts
--- a/node/control/observe.go
+++ b/node/control/observe.go
@@ -15,8 +15,11 @@
 const (
 	listedVMBytes       = 130
 	usageBytes          = 45
-	listBytesPerSecond  = 500
-	usageBytesPerSecond = 500
+	usageBytesPerSecond = 400
+	// listBytesPerSecond applies while this node plans or a membership
+	// waits for the list, idleListBytesPerSecond otherwise.
+	listBytesPerSecond     = 500
+	idleListBytesPerSecond = 150
 	// staleFactor is after how many intervals an observation is too old to
 	// plan on.
 	staleFactor = 4
@@ -24,9 +27,10 @@
 
 // observations is what the owner goroutine knows of VMs besides the log.
 type observations struct {
-	listed    []platform.ListedVM
-	listedAt  time.Time
-	nextList  time.Time
+	listed   []platform.ListedVM
+	listedAt time.Time
+	// triedAt is when the list was last asked for.
+	triedAt   time.Time
 	listing   bool
 	usage     []platform.Usage
 	usageAt   time.Time
@@ -49,11 +53,11 @@
 	if o.listedAt.IsZero() {
 		return false
 	}
-	return now.Sub(o.listedAt) < staleFactor*o.listInterval(intervals)
+	return now.Sub(o.listedAt) < staleFactor*o.listInterval(intervals, listBytesPerSecond)
 }
 
-func (o *observations) listInterval(intervals Intervals) time.Duration {
-	return max(intervals.List, costInterval(len(o.listed)*listedVMBytes, listBytesPerSecond))
+func (o *observations) listInterval(intervals Intervals, bytesPerSecond int) time.Duration {
+	return max(intervals.List, costInterval(len(o.listed)*listedVMBytes, bytesPerSecond))
 }
 
 func (o *observations) usageInterval(intervals Intervals) time.Duration {
@@ -67,7 +71,7 @@
 
 // observeDue reads the platform's list, the usage and the probes when due.
 func (l *Loop) observeDue(ctx context.Context, now time.Time) {
-	if l.cfg.VMs != nil && !l.observed.listing && !now.Before(l.observed.nextList) {
+	if l.cfg.VMs != nil && !l.observed.listing && l.listDue(now) {
 		l.readList(ctx)
 	}
 	if !l.planner.holding {
@@ -80,6 +84,26 @@
 	l.hearZones(ctx, now)
 }
 
+// listDue says that the list is to be read now.
+func (l *Loop) listDue(now time.Time) bool {
+	rate := idleListBytesPerSecond
+	if l.planner.holding || l.member.joining || l.memberSilent(now) {
+		rate = listBytesPerSecond
+	}
+	return now.Sub(l.observed.triedAt) >= l.jitter+l.observed.listInterval(l.cfg.Intervals, rate)
+}
+
+// memberSilent says that a member of the zone has not been heard for a while.
+func (l *Loop) memberSilent(now time.Time) bool {
+	for _, m := range l.member.entry.Members {
+		facts, ok := l.peers[m.Node]
+		if m.Node != l.cfg.Node && (!ok || now.Sub(facts.status.Heard) > l.cfg.Intervals.Fence) {
+			return true
+		}
+	}
+	return false
+}
+
 func (l *Loop) readList(ctx context.Context) {
 	l.observed.listing = true
 	l.group.Go(func() {
@@ -99,7 +123,8 @@
 		l.observed.listedAt = now
 		l.tellLeaving(list)
 	}
-	l.observed.nextList = now.Add(l.jittered(l.observed.listInterval(l.cfg.Intervals)))
+	l.observed.triedAt = now
+	l.jitter = l.jittered(l.cfg.Intervals.List) - l.cfg.Intervals.List
 }
 
 // tellLeaving tells the request path which workers of the zone leave.
--- a/node/control/probe.go
+++ b/node/control/probe.go
@@ -18,6 +18,9 @@
 	activeProbeInterval = time.Minute
 	// probeTimeout bounds one probe.
 	probeTimeout = time.Second
+	// zoneProbeInterval is the least time between two messages that ask one
+	// zone for probes.
+	zoneProbeInterval = 5 * time.Second
 	// maxProbes bounds the probes that one message asks for.
 	maxProbes = 32
 	// parallelProbes bounds the probes that a node makes at once.
@@ -37,6 +40,8 @@
 	next    time.Time
 	turn    int
 	probing bool
+	// nextProbe is when the zone may be asked for probes again.
+	nextProbe time.Time
 }
 
 func (l *Loop) zone(name string) *zoneFacts {
@@ -63,8 +68,9 @@
 	}
 	for zone, vms := range due {
 		facts := l.zone(zone)
-		if !facts.probing {
+		if !facts.probing && !now.Before(facts.nextProbe) {
 			facts.probing = true
+			facts.nextProbe = now.Add(zoneProbeInterval)
 			l.probeZone(ctx, view, zone, vms, now)
 		}
 	}
--- a/node/control/share_test.go
+++ b/node/control/share_test.go
@@ -168,6 +168,7 @@
 		cfg.VMs = reach
 		cfg.Workers = reach
 		cfg.Probe = prober
+		cfg.Intervals.LeaseTTL = 20 * time.Second
 	})
 	c.closers = append(c.closers, transport.CloseIdleConnections)
 }
--- a/node/peer/handshake.go
+++ b/node/peer/handshake.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 
 	"github.com/coder/websocket"
 	"github.com/pkg/errors"
@@ -11,6 +12,8 @@
 type session struct {
 	peer    hello
 	version int
+	// heard is when a ping last came, on the accepting side.
+	heard *atomic.Int64
 }
 
 // handshake holds what one side brings to the first messages.
--- a/node/peer/link.go
+++ b/node/peer/link.go
@@ -42,8 +42,9 @@
 	out    *outbox
 	ctx    context.Context
 	cancel context.CancelFunc
-	// heard and used are times in nanoseconds since the epoch.
-	heard atomic.Int64
+	// heard and used are times in nanoseconds since the epoch. Heard is shared
+	// with the callback for pings.
+	heard *atomic.Int64
 	used  atomic.Int64
 
 	mu      sync.Mutex
@@ -54,6 +55,10 @@
 }
 
 func newLink(conn *websocket.Conn, s session, dialer string, limits Limits, hooks linkHooks) *link {
+	heard := s.heard
+	if heard == nil {
+		heard = new(atomic.Int64)
+	}
 	l := &link{
 		conn:    conn,
 		peer:    s.peer,
@@ -62,6 +67,7 @@
 		since:   time.Now(),
 		limits:  limits,
 		hooks:   hooks,
+		heard:   heard,
 		out:     newOutbox(limits.MaxCalls, limits.MaxCasts),
 		waiting: make(map[uint64]chan frame),
 		serving: make(map[uint64]context.CancelFunc),
@@ -76,7 +82,7 @@
 func (l *link) run() error {
 	var group sync.WaitGroup
 	group.Go(l.write)
-	group.Go(l.ping)
+	group.Go(l.watch)
 	l.read()
 	l.close(errLinkClosed)
 	group.Wait()
@@ -85,10 +91,11 @@
 	return l.cause
 }
 
-// close ends the connection; the first cause is kept.
+// close ends the connection. The first cause is kept, except that silence
+// explains the errors that closing for it brings about.
 func (l *link) close(cause error) {
 	l.mu.Lock()
-	if l.cause == nil {
+	if l.cause == nil || errors.Is(cause, errSilent) {
 		l.cause = cause
 	}
 	l.mu.Unlock()
@@ -175,8 +182,9 @@
 // errSilent is the cause of closing a connection that went silent.
 var errSilent = errors.New("the connection went silent")
 
-// ping proves in both directions that the connection still carries messages.
-func (l *link) ping() {
+// watch closes the connection when it goes silent. The dialing side pings,
+// which proves both directions; the accepting side expects these pings.
+func (l *link) watch() {
 	ticker := time.NewTicker(l.limits.PingInterval)
 	defer ticker.Stop()
 	for {
@@ -185,17 +193,27 @@
 		case <-l.ctx.Done():
 			return
 		}
-		ctx, cancel := context.WithTimeout(l.ctx, l.limits.PingTimeout)
-		err := l.conn.Ping(ctx)
-		cancel()
-		if err != nil {
+		if !l.answers() {
 			l.close(errSilent)
 			return
 		}
-		l.heard.Store(time.Now().UnixNano())
 	}
 }
 
+// answers says that the connection still carries messages.
+func (l *link) answers() bool {
+	if l.dialer == l.peer.Node {
+		return time.Since(l.lastHeard()) <= 2*l.limits.PingInterval+l.limits.PingTimeout
+	}
+	ctx, cancel := context.WithTimeout(l.ctx, l.limits.PingTimeout)
+	defer cancel()
+	if l.conn.Ping(ctx) != nil {
+		return false
+	}
+	l.heard.Store(time.Now().UnixNano())
+	return true
+}
+
 // call sends a message and waits for its reply.
 func (l *link) call(ctx context.Context, method uint16, body []byte) ([]byte, error) {
 	id, answer := l.expect()
--- a/node/peer/mesh_test.go
+++ b/node/peer/mesh_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -155,6 +156,21 @@
 	})
 }
 
+func TestBothSidesNoticeASilentConnection(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench(t)
+		defer b.stop()
+		one := b.start(1, "north", 1, nil, seed(2, "north"))
+		two := b.start(2, "north", 1, nil)
+		time.Sleep(time.Minute)
+		require.Zero(t, two.events.count(events.PeerSilent), "pings keep a quiet connection open")
+		b.network.Cut(host(1), host(2))
+		time.Sleep(3*DefaultPingInterval + DefaultPingTimeout + time.Second)
+		require.Equal(t, 1, one.events.count(events.PeerSilent))
+		require.Equal(t, 1, two.events.count(events.PeerSilent))
+	})
+}
+
 func TestCutPeerIsNotAliveAndReturns(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		b := newBench(t)
@@ -372,7 +388,7 @@
 		require.Less(t, attempts, 40)
 		one.mu.Lock()
 		one.peers["e-2"].failures = 3
-		one.unlink(one.peers["e-2"], &link{since: time.Now()})
+		one.unlink(one.peers["e-2"], &link{since: time.Now(), heard: new(atomic.Int64)})
 		require.Equal(t, 4, one.peers["e-2"].failures, "a connection that ended at once counts as a failure")
 		one.mu.Unlock()
 	})
--- a/node/peer/register.go
+++ b/node/peer/register.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/coder/websocket"
@@ -40,7 +41,13 @@
 		http.Error(w, "this node has no peer key, add one to its settings", http.StatusServiceUnavailable)
 		return nil, handshakeFailed("", RefusalKey, errors.New("this node has no peer key"))
 	}
-	conn, err := websocket.Accept(w, r, nil)
+	heard := new(atomic.Int64)
+	conn, err := websocket.Accept(w, r, &websocket.AcceptOptions{
+		OnPingReceived: func(context.Context, []byte) bool {
+			heard.Store(time.Now().UnixNano())
+			return true
+		},
+	})
 	if err != nil {
 		return nil, handshakeFailed("", RefusalNone, err)
 	}
@@ -53,6 +60,7 @@
 		_ = conn.CloseNow()
 		return nil, err
 	}
+	s.heard = heard
 	return m.register(conn, s, s.peer.Node)
 }
 
