--- a/node/forward/bench_test.go
+++ b/node/forward/bench_test.go
@@ -11,6 +11,7 @@
 	"testing"
 	"time"
 
+	"github.com/google/uuid"
 	"github.com/stretchr/testify/require"
 
 	"wigeonwinch/fleet/structs"
@@ -42,7 +43,9 @@
 
 // benchSide is one way to reach the backend server.
 type benchSide struct {
-	url    string
+	url string
+	// ids says that requests carry ids of their own, so that each is claimed.
+	ids    bool
 	client *http.Client
 	took   []time.Duration
 	allocs uint64
@@ -52,8 +55,13 @@
 	var before, after runtime.MemStats
 	runtime.ReadMemStats(&before)
 	for range n {
+		r, err := http.NewRequest(http.MethodPost, s.url+"/fire", strings.NewReader("body"))
+		require.NoError(b, err)
+		if s.ids {
+			r.Header.Set(HeaderRequestID, uuid.Must(uuid.NewV7()).String())
+		}
 		began := time.Now()
-		resp, err := s.client.Post(s.url+"/fire", "text/plain", strings.NewReader("body"))
+		resp, err := s.client.Do(r)
 		require.NoError(b, err)
 		_, err = io.Copy(io.Discard, resp.Body)
 		require.NoError(b, err)
@@ -83,7 +91,9 @@
 	direct := &benchSide{url: backend.URL, client: &http.Client{Transport: &http.Transport{}}}
 	small := benchNode(b, benchView(50, 4, 5, address))
 	large := benchNode(b, benchView(950, 5, 27, address))
-	sides := []*benchSide{direct, small, large}
+	claimed := benchNode(b, benchView(10, 1, 1, address)) // this node is the home of every id
+	claimed.ids = true
+	sides := []*benchSide{direct, small, large, claimed}
 	for _, s := range sides {
 		s.run(b, benchWarmUp)
 		s.took, s.allocs = nil, 0
@@ -101,6 +111,7 @@
 	b.ReportMetric(overhead(small, 0.99), "overhead_us_p99")
 	b.ReportMetric(overhead(large, 0.5)/overhead(small, 0.5), "ratio_950_vs_50")
 	b.ReportMetric(direct.quantile(0.5), "direct_us_p50")
+	b.ReportMetric(claimed.quantile(0.5)-small.quantile(0.5), "claim_here_us_p50")
 	b.ReportMetric((float64(small.allocs)-float64(direct.allocs))/float64(len(small.took)), "allocs_per_op")
 }
 
--- a/node/forward/transport.go
+++ b/node/forward/transport.go
@@ -15,8 +15,8 @@
 
 // The probes that find a connection which went silent while work is awaited.
 const (
-	keepAliveIdle     = 5 * time.Second
-	keepAliveInterval = 2 * time.Second
+	keepAliveIdle     = 3 * time.Second
+	keepAliveInterval = time.Second
 	keepAliveProbes   = 3
 )
 
