--- a/fleet/planner/failures_test.go
+++ b/fleet/planner/failures_test.go
@@ -149,8 +149,10 @@
 	s := newSim(newView(smallShape(structs.FailureDomainRack)), 6)
 	s.addWave()
 	s.breakImage = imageNew
-	for _, w := range s.workers[len(s.workers)/2:] {
-		w.longEnd = s.now.Add(testLimit) // some drains last when the wave stops
+	for i := range s.view.VMs { // one pool's drains last when the wave stops
+		if vm := &s.view.VMs[i]; vm.Pool == poolName(4) {
+			s.of(vm).longEnd = s.now.Add(testLimit)
+		}
 	}
 	p := New(Options{})
 	s.runFor(p, 2*time.Hour)
@@ -304,7 +306,8 @@
 	s.workers[0].image = imageNew
 	s.runFor(New(Options{}), 3*time.Hour)
 	require.True(t, s.finished())
-	require.Equal(t, uint64(1), s.workers[0].boot)
+	vm, _ := s.view.VMByID(s.workers[0].id)
+	require.Zero(t, vm.Sequence, "it was taken out")
 }
 
 func TestRemovedVMsAreDrainedAndDropped(t *testing.T) {
