--- a/fleet/planner/moves_bench_test.go
+++ b/fleet/planner/moves_bench_test.go
@@ -110,10 +110,19 @@
 func BenchmarkMoves(b *testing.B) {
 	for b.Loop() {
 		results := make([]moversResult, moversSeeds)
+		var short, long moversResult
+		var wg sync.WaitGroup
 		for i := range results {
-			results[i] = runMovers(time.Hour, int64(i+1))
+			wg.Go(func() { results[i] = runMovers(time.Hour, int64(i+1)) })
 		}
+		wg.Go(func() { short = runMovers(15*time.Minute, 1) })
+		wg.Go(func() { long = runMovers(4*time.Hour, 1) })
+		wg.Wait()
 		reportMovers(b, results)
+		b.ReportMetric(float64(short.ours.moves)/short.bound, "moves_vs_bound_15m_turns")
+		b.ReportMetric(short.ours.shortage/short.greedy.shortage, "shortage_vs_greedy_15m_turns")
+		b.ReportMetric(float64(long.ours.moves)/long.bound, "moves_vs_bound_4h_turns")
+		b.ReportMetric(long.ours.shortage/long.greedy.shortage, "shortage_vs_greedy_4h_turns")
 	}
 }
 
