Drop grants that arrive after a pause

Cause: a home that is paused between its check and its reply could grant an id that its successor grants too; and a header that is stamped anew could replace the issue time inside an id. Change: a claimant drops a grant that took longer than what a takeover waits on top of the fence time; the time inside a UUIDv7 goes before the header; summaries of free slots go out at most once in 2 s. Figures: TestLateGrantIsNotUsed fails without the check and passes with it. Conclusion: pauses of either side no longer break at most once.

--- a/dispatch/claims/takeover.go
+++ b/dispatch/claims/takeover.go
@@ -16,6 +16,12 @@
 // for clocks that run at different rates.
 const fenceMarginDivisor = 4
 
+// FenceMargin returns how much longer than the fence time a takeover waits. A
+// claimant that waited longer for a grant must not use it.
+func FenceMargin(fence time.Duration) time.Duration {
+	return fence / fenceMarginDivisor
+}
+
 // handoverPageEntries is the least number of records that fill a page.
 const handoverPageEntries = 2000
 
@@ -234,7 +240,7 @@
 	if t.takeover == nil || !t.presentAcked(now) {
 		return
 	}
-	wait := t.cfg.Fence + t.cfg.Fence/fenceMarginDivisor
+	wait := t.cfg.Fence + FenceMargin(t.cfg.Fence)
 	fencePassed := now.Sub(t.takeover.allAckedAt) >= wait
 	if t.takeover.fenceAll || !t.takeover.known {
 		if fencePassed {
--- a/node/forward/forward_test.go
+++ b/node/forward/forward_test.go
@@ -1,10 +1,12 @@
 package forward
 
 import (
+	"context"
 	"io"
 	"net/http"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -12,6 +14,7 @@
 	"github.com/stretchr/testify/require"
 
 	"wigeonwinch/dispatch"
+	"wigeonwinch/dispatch/claims"
 	"wigeonwinch/fleet/structs"
 	"wigeonwinch/node/events"
 )
@@ -203,3 +206,41 @@
 	require.Equal(t, http.StatusForbidden, stranger.Code)
 	require.EqualValues(t, 1, backend.runs.Load())
 }
+
+// pausedPeers makes the process seem paused during every claim.
+type pausedPeers struct {
+	*fakePeers
+	offset *atomic.Int64
+}
+
+func (p pausedPeers) Call(ctx context.Context, node string, method uint16, body []byte) ([]byte, error) {
+	reply, err := p.fakePeers.Call(ctx, node, method, body)
+	if method == methodClaim {
+		p.offset.Add(int64(Defaults().ClaimFence))
+	}
+	return reply, err
+}
+
+// TestLateGrantIsNotUsed checks that a grant which arrives after a pause is
+// not used: the home may have been replaced, and the id granted to another.
+func TestLateGrantIsNotUsed(t *testing.T) {
+	backend := newEcho(t, hello)
+	fleet := &fakeFleet{}
+	fleet.view.Store(viewOf([]string{"a", "b"}, worker("w1", "a", backend.address())))
+	net := newFakeNet()
+	startServer(t, fleet, net, "b", Limits{})
+	offset := &atomic.Int64{}
+	a := New(Config{
+		Node: "entry-a", Zone: "a", Region: "r", Incarnation: 1, Fleet: fleet,
+		Peers: pausedPeers{net.join(member("a")), offset},
+		Clock: func() time.Time { return time.Now().Add(time.Duration(offset.Load())) },
+	})
+	id := newID(t)
+	for claims.HomeZone(claims.KeyOf("", id), []string{"a", "b"}) != "b" {
+		id = newID(t)
+	}
+	w := ask(a.Handler(), http.MethodPost, "/fire", "", map[string]string{HeaderRequestID: id})
+	require.Equal(t, string(ReasonHomeAway), w.Header().Get(HeaderReason))
+	require.Equal(t, dispatch.OutcomeUnknown, outcome(w.Header()))
+	require.Zero(t, backend.runs.Load())
+}
--- a/node/forward/parse.go
+++ b/node/forward/parse.go
@@ -116,29 +116,39 @@
 // uuidTextBytes is the length of a UUID in its usual text form.
 const uuidTextBytes = 36
 
-// parseIssued takes the issue time from the header or from a UUIDv7.
+// parseIssued takes the issue time from a UUIDv7, which no copy can change, or
+// else from the header.
 func parseIssued(r *request) *ending {
-	if text := r.http.Header.Get(HeaderIssuedAt); text != "" {
-		at, err := time.Parse(time.RFC3339Nano, text)
-		if err != nil {
-			return malformed(HeaderIssuedAt + " is not a time after RFC 3339")
-		}
+	if at, ok := uuidTime(r.ID); ok {
 		r.issued = at
 		return nil
 	}
-	if len(r.ID) != uuidTextBytes {
+	text := r.http.Header.Get(HeaderIssuedAt)
+	if text == "" {
 		return nil
 	}
-	id, err := uuid.Parse(r.ID)
+	at, err := time.Parse(time.RFC3339Nano, text)
+	if err != nil {
+		return malformed(HeaderIssuedAt + " is not a time after RFC 3339")
+	}
+	r.issued = at
+	return nil
+}
+
+// uuidTime returns the time inside a UUIDv7.
+func uuidTime(text string) (time.Time, bool) {
+	if len(text) != uuidTextBytes {
+		return time.Time{}, false
+	}
+	id, err := uuid.Parse(text)
 	if err != nil || id.Version() != 7 {
-		return nil
+		return time.Time{}, false
 	}
 	var ms int64
 	for _, b := range id[:6] {
 		ms = ms<<8 | int64(b)
 	}
-	r.issued = time.UnixMilli(ms)
-	return nil
+	return time.UnixMilli(ms), true
 }
 
 func (s *Server) parseTeam(r *request, rt *routes) *ending {
--- a/node/forward/peers.go
+++ b/node/forward/peers.go
@@ -83,8 +83,9 @@
 	reached = true
 	for pause := minClaimPause; ; pause = min(2*pause, maxClaimPause) {
 		var err error
+		sent := s.cfg.Clock()
 		reply, err = s.claimOnce(ctx, r)
-		if err != nil {
+		if err != nil || s.tooLate(sent, reply) {
 			reached = false
 			reply = claims.ClaimReply{Verdict: claims.NotHome}
 		}
@@ -94,6 +95,13 @@
 	}
 }
 
+// tooLate says whether a grant took so long that the home may have been paused
+// and replaced in between. A takeover waits longer than this after the fence.
+func (s *Server) tooLate(sent time.Time, reply claims.ClaimReply) bool {
+	took := s.cfg.Clock().Sub(sent)
+	return reply.Verdict == claims.Granted && took > claims.FenceMargin(s.cfg.Limits.ClaimFence)
+}
+
 // tryAgain says whether a verdict may change soon.
 func tryAgain(v claims.Verdict) bool {
 	return v == claims.NotHome || v == claims.Fenced || v == claims.HandingOver
--- a/node/forward/spare.go
+++ b/node/forward/spare.go
@@ -22,7 +22,7 @@
 // The bounds of the summaries that zones send each other.
 const (
 	// spareInterval is the least time between two summaries.
-	spareInterval = time.Second
+	spareInterval = 2 * time.Second
 	// spareRepeat is how often a summary is sent whole.
 	spareRepeat = 30 * time.Second
 	// spareStale is how long a summary counts.
