--- a/dispatch/claims/claims_test.go
+++ b/dispatch/claims/claims_test.go
@@ -416,3 +416,59 @@
 	}
 	return ids
 }
+
+// TestZoneChange checks that ids which come from another zone are granted
+// only when they were issued after every node knows the change.
+func TestZoneChange(t *testing.T) {
+	zones := []string{"a", "b"}
+	idOf := func(zone string, after int) string {
+		for i := after; ; i++ {
+			if id := fmt.Sprint(i); HomeZone(KeyOf("team", id), zones) == zone {
+				return id
+			}
+		}
+	}
+	tests := []struct {
+		name   string
+		id     string
+		issued time.Duration
+		now    time.Duration
+		want   Verdict
+	}{
+		{"an id of this zone", idOf("a", 0), time.Second, time.Second, Granted},
+		{"an id of the former zone", idOf("b", 0), time.Second, time.Second, Expired},
+		{"sent again later", idOf("b", 0), time.Second, time.Minute, Expired},
+		{"issued after the change is in force", idOf("b", 0), 31 * time.Second, 31 * time.Second, Granted},
+		{"without issue time", idOf("b", 0), 0, time.Minute, Expired},
+		{"without issue time, after the horizon", idOf("b", 0), 0, 11 * time.Minute, Granted},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			table := NewTable(testConfig(node("n1")))
+			table.SetZones(start, zones)
+			table.SetMembership(start, Membership{Epoch: 1, Members: []Member{node("n1")}}, true)
+			require.Equal(t, NotHome, table.Claim(start, claimOf(idOf("b", 0), start, 9)).Verdict)
+			table.SetZones(start, []string{"a"})
+			c := claimOf(tt.id, time.Time{}, 1)
+			if tt.issued > 0 {
+				c.IssuedMS = start.Add(tt.issued).UnixMilli()
+			}
+			require.Equal(t, tt.want, table.Claim(start.Add(tt.now), c).Verdict)
+		})
+	}
+}
+
+// TestLossesAreBounded checks that old losses are merged, never forgotten.
+func TestLossesAreBounded(t *testing.T) {
+	table := soleTable()
+	for i := range 20 {
+		former := Membership{Epoch: uint64(i + 1), Members: []Member{node("n2")}}
+		table.addLoss(Loss{Former: former, Removed: former.Members, AtMS: start.Add(time.Duration(i) * time.Minute).UnixMilli()})
+	}
+	require.Len(t, table.losses, maxLosses)
+	require.Equal(t, start.Add(11*time.Minute).UnixMilli(), table.since.UnixMilli())
+	now := start.Add(19 * time.Minute)
+	require.Equal(t, Expired, table.Claim(now, claimOf("x", now, 1)).Verdict)
+	later := now.Add(time.Minute)
+	require.Equal(t, Granted, table.Claim(later, claimOf("x", later, 1)).Verdict)
+}
