--- a/node/control/observe.go
+++ b/node/control/observe.go
@@ -15,10 +15,10 @@
 const (
 	listedVMBytes       = 130
 	usageBytes          = 45
-	usageBytesPerSecond = 400
+	usageBytesPerSecond = 300
 	// listBytesPerSecond applies while this node plans or a membership
 	// waits for the list, idleListBytesPerSecond otherwise.
-	listBytesPerSecond     = 500
+	listBytesPerSecond     = 400
 	idleListBytesPerSecond = 150
 	// staleFactor is after how many intervals an observation is too old to
 	// plan on.
--- a/node/control/probe.go
+++ b/node/control/probe.go
@@ -117,10 +117,12 @@
 		}
 		facts := l.probe(vm.ID)
 		facts.ok = result.OK[i]
-		facts.failures++
 		if facts.ok {
 			facts.failures = 0
+			continue
 		}
+		facts.failures++
+		facts.next = time.Now().Add(outProbeInterval)
 	}
 }
 
--- /dev/null
+++ b/node/control/probe_test.go
@@ -0,0 +1,64 @@
+package control
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/stretchr/testify/require"
+
+	"wigeonwinch/fleet/structs"
+	"wigeonwinch/platform/standin"
+)
+
+// downProber is a prober for which some addresses do not answer.
+type downProber struct {
+	mu    sync.Mutex
+	down  map[string]bool
+	asked map[string]int
+}
+
+func (p *downProber) Probe(_ context.Context, address string) error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.asked[address]++
+	if p.down[address] {
+		return errors.New("no answer")
+	}
+	return nil
+}
+
+func (p *downProber) setDown(address string, down bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.down[address] = down
+}
+
+func TestFailedWorkerIsNoticedAndReturnsThroughProbation(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, standin.LogOptions{}, fourZones()...)
+		defer c.finish()
+		c.addWorkers()
+		prober := &downProber{down: make(map[string]bool), asked: make(map[string]int)}
+		for _, p := range c.places {
+			c.start(p, 1, func(cfg *Config) { cfg.Probe = prober })
+		}
+		time.Sleep(5 * time.Second)
+		c.publish(c.node(1))
+		time.Sleep(time.Hour)
+		vm := c.node(1).View().VMs[0]
+		require.Equal(t, structs.VMActive, vm.State)
+		prober.setDown(vm.Address, true)
+		time.Sleep(activeProbeInterval + time.Minute)
+		failed, _ := c.node(1).View().VMByID(vm.ID)
+		require.Equal(t, structs.VMFailed, failed.State)
+		prober.setDown(vm.Address, false)
+		time.Sleep(20 * time.Minute)
+		back, _ := c.node(1).View().VMByID(vm.ID)
+		require.Equal(t, structs.VMActive, back.State)
+		require.Positive(t, prober.asked[vm.Address])
+	})
+}
--- a/node/control/share_test.go
+++ b/node/control/share_test.go
@@ -30,6 +30,9 @@
 	// received, to peers, platform and workers. The planner has the most.
 	meanBytes float64
 	maxBytes  float64
+	// maxWrites is the most writes to connections that a node made a second;
+	// each is at least one packet with headers that bytes leave out.
+	maxWrites float64
 	// snapshotKB is the size of the encoded state.
 	snapshotKB float64
 }
@@ -65,6 +68,7 @@
 		b.ReportMetric(full.stateMB, "state_MB")
 		b.ReportMetric(full.maxBytes, "bytes_per_s")
 		b.ReportMetric(full.meanBytes, "mean_bytes_per_s")
+		b.ReportMetric(full.maxWrites, "writes_per_s")
 		b.ReportMetric(full.snapshotKB, "snapshot_KB")
 		workers, teams, nodes, changes := planSize(), planSize(), planSize(), planSize()
 		workers.fleet.workers /= 2
@@ -108,7 +112,7 @@
 	}
 	publishWave(t, n)
 	time.Sleep(2 * time.Minute)
-	before := bytesOf(c)
+	before := trafficOf(c)
 	cpuBefore := processorTime()
 	began := time.Now()
 	changeRegularly(c, size)
@@ -117,7 +121,7 @@
 		coreFraction: (processorTime() - cpuBefore).Seconds() / took / float64(size.nodes),
 		stateMB:      (heapMB() - memoryBefore) / float64(size.nodes),
 	}
-	result.addBytes(before, bytesOf(c), took)
+	result.addTraffic(before, trafficOf(c), took)
 	for _, part := range snapshotOf(n) {
 		result.snapshotKB += float64(len(part.Snapshot.Data)) / 1024
 	}
@@ -208,19 +212,23 @@
 	}
 }
 
-func bytesOf(c *cluster) map[string]uint64 {
-	bytes := make(map[string]uint64)
+// hostTraffic is what one host has moved.
+type hostTraffic struct{ bytes, writes uint64 }
+
+func trafficOf(c *cluster) map[string]hostTraffic {
+	traffic := make(map[string]hostTraffic)
 	for _, p := range c.places {
-		bytes[p.host] = c.network.Bytes(p.host)
+		traffic[p.host] = hostTraffic{bytes: c.network.Bytes(p.host), writes: c.network.Writes(p.host)}
 	}
-	return bytes
+	return traffic
 }
 
-func (s *share) addBytes(before, after map[string]uint64, seconds float64) {
-	for host, bytes := range after {
-		rate := float64(bytes-before[host]) / seconds
+func (s *share) addTraffic(before, after map[string]hostTraffic, seconds float64) {
+	for host, now := range after {
+		rate := float64(now.bytes-before[host].bytes) / seconds
 		s.maxBytes = max(s.maxBytes, rate)
 		s.meanBytes += rate / float64(len(after))
+		s.maxWrites = max(s.maxWrites, float64(now.writes-before[host].writes)/seconds)
 	}
 }
 
--- a/node/peer/peertest/network.go
+++ b/node/peer/peertest/network.go
@@ -26,6 +26,7 @@
 	cut       map[pair]bool
 	conns     map[*conn]bool
 	bytes     map[string]uint64
+	writes    map[string]uint64
 }
 
 // pair is an unordered pair of hosts.
@@ -45,6 +46,7 @@
 		cut:       make(map[pair]bool),
 		conns:     make(map[*conn]bool),
 		bytes:     make(map[string]uint64),
+		writes:    make(map[string]uint64),
 	}
 }
 
@@ -86,6 +88,14 @@
 	return n.bytes[host]
 }
 
+// Writes returns how often a host has written to a connection so far. Each
+// write is at least one packet.
+func (n *Network) Writes(host string) uint64 {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.writes[host]
+}
+
 // OpenConnections returns the number of connections between two hosts.
 func (n *Network) OpenConnections(a, b string) int {
 	n.mu.Lock()
@@ -104,6 +114,7 @@
 	defer n.mu.Unlock()
 	n.bytes[from] += uint64(bytes)
 	n.bytes[to] += uint64(bytes)
+	n.writes[from]++
 }
 
 // Listen opens a listener at an IP address and port.
