Forget peaks of short load sooner and allow more for their spread

Change: peaks count half after 8 median runs instead of 20, the reserve for short work allows 1.5 standard deviations instead of one, and 10% instead of 5% probability makes work long.

--- a/dispatch/scheduler/policy.go
+++ b/dispatch/scheduler/policy.go
@@ -16,7 +16,7 @@
 	minThreshold = 20 * time.Millisecond
 	// longCut is from which probability of a long run on a request is queued
 	// as long.
-	longCut = 0.05
+	longCut = 0.1
 	// poolHalfLife is how fast the pool's run times are forgotten.
 	poolHalfLife = 10 * time.Minute
 	// medianEvery is after how many run times the median is computed again.
@@ -96,8 +96,8 @@
 // How fast a peak of load is forgotten: it counts half after peakHalfRuns
 // median runs, or minPeakHalfLife if that is longer.
 const (
-	peakHalfRuns    = 20
-	minPeakHalfLife = 5 * time.Second
+	peakHalfRuns    = 8
+	minPeakHalfLife = 2 * time.Second
 )
 
 // peakAt is the highest load of late.
@@ -180,7 +180,7 @@
 	// minForHold is below how many slots none is kept free.
 	minForHold = 4
 	// spread is how many standard deviations of load the reserves allow for.
-	spread = 1.0
+	spread = 1.5
 )
 
 // reserve is the number of slots for a load, with room for its spread.
--- a/dispatch/scheduler/sim_test.go
+++ b/dispatch/scheduler/sim_test.go
@@ -5,6 +5,7 @@
 	"math"
 	"math/rand/v2"
 	"slices"
+	"sync"
 	"time"
 
 	"wigeonwinch/dispatch"
@@ -388,3 +389,22 @@
 func logNormal(rng *rand.Rand, median time.Duration, sigma float64) time.Duration {
 	return time.Duration(float64(median) * math.Exp(sigma*rng.NormFloat64()))
 }
+
+// maxParallel bounds the simulations that run at the same time.
+const maxParallel = 3
+
+// inParallel runs independent simulations and returns their results in order.
+func inParallel[T any](n int, run func(i int) T) []T {
+	out := make([]T, n)
+	var group sync.WaitGroup
+	free := make(chan struct{}, maxParallel)
+	for i := range n {
+		free <- struct{}{}
+		group.Go(func() {
+			out[i] = run(i)
+			<-free
+		})
+	}
+	group.Wait()
+	return out
+}
