--- /dev/null
+++ b/cmd/internal/measure/targets.go
@@ -0,0 +1,66 @@
+package main
+
+import "strings"
+
+// comparison says how a figure is held against its target.
+type comparison string
+
+// The comparisons.
+const (
+	atMost  comparison = "at most"
+	atLeast comparison = "at least"
+	exactly comparison = "exactly"
+)
+
+// target is what the users or the design direction ask of a figure.
+type target struct {
+	benchmark string
+	metric    string
+	compare   comparison
+	bound     float64
+}
+
+// targets come from the stated aims, never from what was measured.
+var targets = []target{
+	{"BenchmarkShortWait", "p99_wait_vs_fifo", atMost, 0.2},
+	{"BenchmarkShortWait", "p99_wait_vs_oracle", atMost, 1.5},
+	{"BenchmarkShortWait", "long_slowdown_vs_fifo", atMost, 1.3},
+	{"BenchmarkUrgentStart", "p99_start_s", atMost, 1.1},
+	{"BenchmarkUrgentStart", "max_start_s", atMost, 1.1},
+	{"BenchmarkOverload", "goodput_5x_vs_1x", atLeast, 0.95},
+	{"BenchmarkBlackHole", "failed_share", atMost, 0.001},
+	{"BenchmarkForward", "ratio_950_vs_50", atMost, 1.2},
+	{"BenchmarkWave", "rollout_vs_bound", atMost, 1.2},
+	{"BenchmarkWave", "budget_breaches", exactly, 0},
+	{"BenchmarkWave", "cut", exactly, 0},
+	{"BenchmarkBuffer", "buffer_vs_bound", atMost, 1.15},
+	{"BenchmarkMoves", "moves_vs_bound", atMost, 1.3},
+	{"BenchmarkMoves", "shortage_vs_greedy", atMost, 1},
+	{"BenchmarkConfigInForce", "max_s", atMost, 14},
+	{"BenchmarkConfigInForce", "reverts", exactly, 0},
+	{"BenchmarkControlNode", "core_fraction", atMost, 0.04},
+	{"BenchmarkControlNode", "state_MB", atMost, 32},
+	{"BenchmarkControlNode", "bytes_per_s", atMost, 3000},
+}
+
+// targetOf returns the target of a reading, if it has one.
+func targetOf(r reading) (target, bool) {
+	top, _, _ := strings.Cut(r.benchmark, "/")
+	for _, t := range targets {
+		if t.benchmark == top && t.metric == r.metric {
+			return t, true
+		}
+	}
+	return target{}, false
+}
+
+// met says whether a value meets the target.
+func (t target) met(value float64) bool {
+	switch t.compare {
+	case atMost:
+		return value <= t.bound
+	case atLeast:
+		return value >= t.bound
+	}
+	return value == t.bound
+}
