Tell a pipeline everything that speaks against a publish; check each fold step

Cause: a refused publish named one reason only, its key was spent so that the same manifest stayed void as a duplicate, and no node called the fold's own step checks (found by reading). Change: the API asks the control loop for all refusals before it appends, a refused body gets a new key, nodes fold with ApplyChecked and record a violation event; manifest check prints warnings. Conclusion: the test shows that a refused body is accepted when sent again.

--- a/cmd/internal/cli/manifest.go
+++ b/cmd/internal/cli/manifest.go
@@ -79,8 +79,12 @@
 }
 
 func checkManifest(cmd *cli.Command, data []byte) error {
-	_, problems := manifest.Parse(data)
+	m, problems := manifest.Parse(data)
 	if len(problems) == 0 {
+		if warnings := manifest.Warnings(m); len(warnings) > 0 {
+			fmt.Fprintln(cmd.Root().ErrWriter, "warnings:")
+			printProblems(cmd.Root().ErrWriter, warnings)
+		}
 		_, err := fmt.Fprintln(cmd.Root().Writer, "the manifest is valid")
 		return err
 	}
@@ -144,5 +148,8 @@
 		return fail(ExitNotKnown, "the outcome is not known: run the same command again, it is safe")
 	}
 	printProblems(cmd.Root().ErrWriter, answer.Errors)
+	for _, refusal := range answer.Refusals {
+		fmt.Fprintf(cmd.Root().ErrWriter, "  %s: %s\n", refusal.Reason, refusal.Detail)
+	}
 	return fail(ExitFailed, "refused (%s): %s", answer.Reason, answer.Detail)
 }
--- a/node/admin/admin.go
+++ b/node/admin/admin.go
@@ -11,6 +11,7 @@
 	"net/http"
 	"strings"
 
+	"wigeonwinch/fleet/state"
 	"wigeonwinch/fleet/structs"
 	"wigeonwinch/node/events"
 	"wigeonwinch/node/timeline"
@@ -28,6 +29,8 @@
 	Ready() (bool, string)
 	Append(ctx context.Context, rec structs.Record) (structs.Verdict, error)
 	Lookup(key string) (structs.Verdict, bool)
+	// CheckPublish lists everything that speaks against a publish as of now.
+	CheckPublish(ctx context.Context, p *structs.Publish) []*state.Refusal
 }
 
 // Timeline is the node's ring of events.
--- a/node/admin/admin_test.go
+++ b/node/admin/admin_test.go
@@ -3,15 +3,18 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"net/http"
 	"net/http/httptest"
 	"os"
 	"strings"
 	"testing"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/pkg/errors"
 	"github.com/stretchr/testify/require"
 
+	"wigeonwinch/fleet/manifest"
 	"wigeonwinch/fleet/state"
 	"wigeonwinch/fleet/structs"
 	"wigeonwinch/node/timeline"
@@ -47,6 +50,10 @@
 	return verdict, ok
 }
 
+func (f *fakeControl) CheckPublish(_ context.Context, p *structs.Publish) []*state.Refusal {
+	return f.fold.CheckPublish(p)
+}
+
 func newTestAPI(control *fakeControl) http.Handler {
 	return New(Config{
 		Node: "entry-1", Control: control,
@@ -137,6 +144,36 @@
 	require.Equal(t, OutcomeAccepted, known.Outcome)
 }
 
+func TestARefusedPublishListsEverythingAndCanBeSentAgain(t *testing.T) {
+	control := newFakeControl()
+	api := newTestAPI(control)
+	first := published(t, call(api, "POST", "/v1/manifest", "publisher", example(t)))
+	require.Equal(t, OutcomeAccepted, first.Outcome)
+
+	// A record between the check and the append makes the publish void.
+	m, _ := manifest.Parse([]byte(example(t)))
+	m.BaseGeneration = 1
+	m.Teams[0].Weight = 9
+	body, err := json.Marshal(m)
+	require.NoError(t, err)
+	key := fmt.Sprintf("publish-%016x", xxhash.Sum64(body))
+	control.verdicts[key] = structs.Verdict{Offset: 7, Key: key, Void: structs.VoidBudget}
+	again := published(t, call(api, "POST", "/v1/manifest", "publisher", string(body)))
+	require.Equal(t, OutcomeAccepted, again.Outcome, again.Detail)
+	require.NotEqual(t, key, again.Key)
+
+	// A budget that the pool can't keep, and a zone that is in use.
+	m.BaseGeneration = 2
+	m.Zones = m.Zones[1:]
+	m.VMs = m.VMs[:len(m.VMs)-1]
+	m.Services[0].Budget.MinAvailable = 100
+	body, err = json.Marshal(m)
+	require.NoError(t, err)
+	refused := call(api, "POST", "/v1/manifest", "publisher", string(body))
+	require.GreaterOrEqual(t, refused.Code, 400)
+	require.EqualValues(t, 2, control.View().Generation)
+}
+
 func TestPublishListsEveryFault(t *testing.T) {
 	api := newTestAPI(newFakeControl())
 	answer := call(api, "POST", "/v1/manifest", "publisher", `{"format": 9, "colour": "red"}`)
--- a/node/admin/publish.go
+++ b/node/admin/publish.go
@@ -8,6 +8,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"wigeonwinch/fleet/manifest"
+	"wigeonwinch/fleet/state"
 	"wigeonwinch/fleet/structs"
 )
 
@@ -35,6 +36,14 @@
 	Reason structs.Void       `json:"reason,omitempty"`
 	Detail string             `json:"detail,omitempty"`
 	Errors []manifest.Problem `json:"errors,omitempty"`
+	// Refusals lists everything in the fleet that speaks against it.
+	Refusals []Refusal `json:"refusals,omitempty"`
+}
+
+// Refusal is one thing in the fleet that speaks against a publish.
+type Refusal struct {
+	Reason structs.Void `json:"reason"`
+	Detail string       `json:"detail"`
 }
 
 // readManifest reads and checks the body. It answers the caller itself when
@@ -69,7 +78,7 @@
 	if !ok {
 		return
 	}
-	key := fmt.Sprintf("publish-%016x", xxhash.Sum64(data))
+	key := a.publishKey(data)
 	if len(problems) > 0 {
 		writeJSON(w, http.StatusUnprocessableEntity, Published{
 			Outcome: OutcomeRefused, Key: key, Reason: structs.VoidInvalid,
@@ -88,6 +97,20 @@
 	a.publish(w, r, key, m, view)
 }
 
+// publishKey returns the key of a manifest. It follows from the body, so that
+// sending it again is safe. The key of a refused publish is spent: the same
+// body then gets one that follows from the refusal too.
+func (a *API) publishKey(data []byte) string {
+	key := fmt.Sprintf("publish-%016x", xxhash.Sum64(data))
+	for {
+		verdict, known := a.cfg.Control.Lookup(key)
+		if !known || verdict.Void == structs.VoidNone {
+			return key
+		}
+		key = fmt.Sprintf("publish-%016x-%d", xxhash.Sum64(data), verdict.Offset)
+	}
+}
+
 func (a *API) publish(w http.ResponseWriter, r *http.Request, key string, m *structs.Manifest, view *structs.View) {
 	changes := manifest.Diff(view, m)
 	if len(changes) == 0 {
@@ -106,6 +129,10 @@
 		Writer:  a.cfg.Node,
 		Publish: &structs.Publish{Base: structs.Generation(m.BaseGeneration), Changes: changes},
 	}
+	if refusals := a.cfg.Control.CheckPublish(r.Context(), rec.Publish); len(refusals) > 0 {
+		a.answerRefusals(w, key, refusals, view)
+		return
+	}
 	verdict, err := a.cfg.Control.Append(r.Context(), rec)
 	if err != nil {
 		writeJSON(w, http.StatusGatewayTimeout, Published{
@@ -117,6 +144,19 @@
 	a.answerVerdict(w, key, len(changes), verdict, a.cfg.Control.View())
 }
 
+// answerRefusals tells everything that speaks against a publish; nothing was
+// appended.
+func (a *API) answerRefusals(w http.ResponseWriter, key string, refusals []*state.Refusal, view *structs.View) {
+	answer := Published{
+		Outcome: OutcomeRefused, Key: key, Generation: view.Generation,
+		Reason: refusals[0].Void, Detail: refusals[0].Detail,
+	}
+	for _, refusal := range refusals {
+		answer.Refusals = append(answer.Refusals, Refusal{Reason: refusal.Void, Detail: refusal.Detail})
+	}
+	writeJSON(w, http.StatusConflict, answer)
+}
+
 // answerVerdict turns the fold's verdict into the answer.
 func (a *API) answerVerdict(w http.ResponseWriter, key string, changes int, verdict structs.Verdict, view *structs.View) {
 	if verdict.Void == structs.VoidNone {
--- a/node/control/append.go
+++ b/node/control/append.go
@@ -8,6 +8,7 @@
 
 	"github.com/pkg/errors"
 
+	"wigeonwinch/fleet/state"
 	"wigeonwinch/fleet/structs"
 	"wigeonwinch/node/events"
 	"wigeonwinch/platform"
@@ -102,6 +103,14 @@
 	}
 }
 
+// CheckPublish lists everything that speaks against a publish as of now and
+// changes nothing.
+func (l *Loop) CheckPublish(ctx context.Context, p *structs.Publish) []*state.Refusal {
+	var list []*state.Refusal
+	l.ask(ctx, func() { list = l.fold.CheckPublish(p) })
+	return list
+}
+
 // submit appends a record without waiting for the verdict.
 func (l *Loop) submit(rec structs.Record) {
 	if rec.Writer == "" {
--- a/node/control/loop.go
+++ b/node/control/loop.go
@@ -203,7 +203,10 @@
 	if rec.Snapshot != nil {
 		l.noteSnapshot(offset, rec.Snapshot)
 	}
-	verdict := l.fold.Apply(offset, rec)
+	verdict, broken := l.fold.ApplyChecked(offset, rec)
+	for _, v := range broken {
+		l.cfg.Events.Record(events.FleetInvariantBroken, events.Fields{Offset: offset, Detail: v.Error()})
+	}
 	if verdict.Void == structs.VoidNone {
 		l.noteApplied(offset, rec)
 	}
--- a/node/entry/entry.go
+++ b/node/entry/entry.go
@@ -17,6 +17,7 @@
 	"github.com/sirupsen/logrus"
 
 	"wigeonwinch/fleet/planner"
+	"wigeonwinch/fleet/state"
 	"wigeonwinch/fleet/structs"
 	"wigeonwinch/fleet/wave"
 	"wigeonwinch/node/admin"
@@ -217,6 +218,11 @@
 	return n.control.Append(ctx, rec)
 }
 
+// CheckPublish lists everything that speaks against a publish as of now.
+func (n *Node) CheckPublish(ctx context.Context, p *structs.Publish) []*state.Refusal {
+	return n.control.CheckPublish(ctx, p)
+}
+
 // Lookup returns the outcome of an earlier append.
 func (n *Node) Lookup(key string) (structs.Verdict, bool) { return n.control.Lookup(key) }
 
