--- a/node/forward/fake_test.go
+++ b/node/forward/fake_test.go
@@ -30,6 +30,8 @@
 	peers map[string]*fakePeers
 	// cut says whether two nodes hear each other; nil: always.
 	cut func(a, b string) bool
+	// stall waits while a node is paused; nil: never.
+	stall func(node string)
 }
 
 type fakePeers struct {
@@ -73,14 +75,18 @@
 }
 
 func (p *fakePeers) Call(ctx context.Context, node string, method uint16, body []byte) ([]byte, error) {
+	p.net.wait(p.member.Node)
 	to := p.net.reach(p.member.Node, node)
 	if to == nil {
 		return nil, errCut
 	}
+	p.net.wait(node)
 	to.lock.Lock()
 	h := to.handlers[method]
 	to.lock.Unlock()
 	reply, err := h(ctx, p.member.Node, bytes.Clone(body))
+	p.net.wait(node)
+	p.net.wait(p.member.Node)
 	if p.net.reach(p.member.Node, node) == nil {
 		return nil, errCut
 	}
@@ -88,7 +94,14 @@
 }
 
 func (p *fakePeers) Cast(node string, method uint16, body []byte) {
-	_, _ = p.Call(context.Background(), node, method, body)
+	go func() { _, _ = p.Call(context.Background(), node, method, body) }()
+}
+
+// wait holds a message up while a node is paused.
+func (n *fakeNet) wait(node string) {
+	if n.stall != nil {
+		n.stall(node)
+	}
 }
 
 func (p *fakePeers) Alive() []structs.EntryMember {
--- a/node/forward/random_test.go
+++ b/node/forward/random_test.go
@@ -27,6 +27,7 @@
 	simWorksPerCaller  = 25
 	simFaultsAtOnce    = 2
 	simLatestEndAfter  = 5 * time.Second
+	simLongestPause    = 9 * time.Second
 	simDefaultRounds   = 3
 	simDefaultDeadline = 2 * time.Second
 )
@@ -159,7 +160,11 @@
 	case <-node.killed:
 		return c.note(w, "", "node died")
 	}
-	if time.Since(began) > simDefaultDeadline+simLatestEndAfter && ctx.Err() == nil {
+	latest := began.Add(simDefaultDeadline + simLatestEndAfter)
+	if c.f.pausedAfter(began) {
+		latest = latest.Add(simLongestPause)
+	}
+	if time.Now().After(latest) && ctx.Err() == nil {
 		c.f.ledger.violated("%s ended after %v", arrival, time.Since(began))
 	}
 	if ctx.Err() != nil {
@@ -248,7 +253,7 @@
 func (f *simFleet) fault(rng *rand.Rand) (heal func()) {
 	w := f.workers[rng.Intn(len(f.workers))]
 	zone := f.zones[rng.Intn(len(f.zones))]
-	switch rng.Intn(12) {
+	switch rng.Intn(13) {
 	case 0, 1:
 		return f.killSome(rng, zone)
 	case 2:
@@ -266,6 +271,8 @@
 	case 6:
 		f.silence(func(l *simLink) bool { return l.to == w.id })
 		return func() {}
+	case 12:
+		return f.pause(rng)
 	case 7:
 		return f.failWorker(w)
 	case 8, 9:
@@ -318,6 +325,28 @@
 	return func() { f.replace(zone) }
 }
 
+// pause stops all messages and connections of a node for some seconds, and
+// with them its view of the log; then they go on where they were.
+func (f *simFleet) pause(rng *rand.Rand) func() {
+	n := f.pickNode(rng)
+	f.lock.Lock()
+	defer f.lock.Unlock()
+	f.pauses[n.member.Node] = time.Now().Add(time.Second + time.Duration(rng.Int63n(int64(simLongestPause-time.Second))))
+	return func() {}
+}
+
+// pausedAfter says whether some node was paused after a time.
+func (f *simFleet) pausedAfter(at time.Time) bool {
+	f.lock.Lock()
+	defer f.lock.Unlock()
+	for _, until := range f.pauses {
+		if until.After(at) {
+			return true
+		}
+	}
+	return false
+}
+
 // failWorker takes a worker down with all its work, and up again.
 func (f *simFleet) failWorker(w *simWorker) func() {
 	w.set(func() { w.down, w.failed = true, true })
@@ -390,6 +419,7 @@
 	callers.Wait()
 	cancel()
 	others.Wait()
+	time.Sleep(simLongestPause)
 	f.stop()
 	return f.ledger
 }
--- a/node/forward/sim_test.go
+++ b/node/forward/sim_test.go
@@ -30,12 +30,15 @@
 // simLink is what both ends of a connection share.
 type simLink struct {
 	from, to string
-	silent   atomic.Bool
-	killed   atomic.Bool
+	// stall waits while a node is paused.
+	stall  func(node string)
+	silent atomic.Bool
+	killed atomic.Bool
 }
 
 func (c *simConn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
+	c.stall(c.from)
 	if c.silent.Load() {
 		<-c.closed
 		return 0, net.ErrClosed
@@ -44,6 +47,7 @@
 }
 
 func (c *simConn) Write(p []byte) (int, error) {
+	c.stall(c.from)
 	if c.silent.Load() {
 		return len(p), nil
 	}
@@ -94,6 +98,7 @@
 	listeners map[string]*simListener
 	conns     []*simConn
 	blocked   func(from, to string) bool
+	stall     func(node string)
 }
 
 func (w *simWire) listen(address string) *simListener {
@@ -112,7 +117,7 @@
 		return nil, errCut
 	}
 	a, b := net.Pipe()
-	link := &simLink{from: from, to: to}
+	link := &simLink{from: from, to: to, stall: w.stall}
 	near := &simConn{Conn: a, simLink: link, closed: make(chan struct{})}
 	far := &simConn{Conn: b, simLink: link, closed: make(chan struct{})}
 	select {
--- a/node/forward/simfleet_test.go
+++ b/node/forward/simfleet_test.go
@@ -78,17 +78,20 @@
 	noLog    map[string]bool // zones that can't read the log
 	cutPeers map[string]bool // nodes that no peer hears
 	loseCall bool
+	pauses   map[string]time.Time // until when a node stands still
 }
 
 func newSimFleet(seed int64) *simFleet {
 	f := &simFleet{
 		ledger: newLedger(), rng: rand.New(rand.NewSource(seed)), zones: []string{"a", "b", "c"},
-		nodes: map[string]*simNode{}, cutZones: map[string]bool{}, noLog: map[string]bool{}, cutPeers: map[string]bool{},
+		nodes: map[string]*simNode{}, cutZones: map[string]bool{}, noLog: map[string]bool{}, cutPeers: map[string]bool{}, pauses: map[string]time.Time{},
 		wire: &simWire{listeners: map[string]*simListener{}}, net: newFakeNet(),
 		limits: Limits{AnswerBytes: 8 << 10, ClaimHorizon: 30 * time.Second, ClaimSkew: 200 * time.Millisecond, OverrunTime: time.Minute, AnswerHeld: 5 * time.Second},
 	}
 	f.wire.blocked = f.apart
 	f.net.cut = f.apart
+	f.net.stall = f.stall
+	f.wire.stall = f.stall
 	f.view = viewOf(f.zones)
 	for _, zone := range f.zones {
 		for i := range 3 {
@@ -170,6 +173,14 @@
 	return f.cutPeers[a] || f.cutPeers[b] || (f.loseCall && f.rng.Intn(3) == 0)
 }
 
+// stall waits while a node is paused.
+func (f *simFleet) stall(node string) {
+	f.lock.Lock()
+	until := f.pauses[node]
+	f.lock.Unlock()
+	time.Sleep(time.Until(until))
+}
+
 // notActive says since when a node's view takes a worker out.
 func (f *simFleet) notActive(node, vm string) (time.Time, bool) {
 	f.lock.Lock()
@@ -201,7 +212,7 @@
 	view := f.view
 	var readers []*simNode
 	for _, n := range f.nodes {
-		if !f.noLog[n.zone] && !n.peers.dead.Load() {
+		if !f.noLog[n.zone] && time.Now().After(f.pauses[n.member.Node]) && !n.peers.dead.Load() {
 			readers = append(readers, n)
 		}
 	}
