Plan nothing on a log that lost records

Cause: a node whose log answers with a tail before what was folded went on planning, although its records could not be folded.

Change: such a node serves on, plans nothing and changes no membership; the event is recorded once, and the status says log_behind. New tests: a lost log, a state taken from a peer that keeps no records, rate limited appends.

--- a/node/control/cluster_test.go
+++ b/node/control/cluster_test.go
@@ -55,7 +55,9 @@
 // cutPlatform is the log as one node reaches it.
 type cutPlatform struct {
 	log platform.Log
-	cut atomic.Bool
+	// other answers in place of the log when it is set.
+	other atomic.Pointer[standin.Log]
+	cut   atomic.Bool
 	// hang makes calls hang instead of failing at once.
 	hang atomic.Bool
 	// loseNext makes the next append's answer get lost after its effect.
@@ -87,6 +89,9 @@
 	if c.cut.Load() {
 		return platform.Batch{}, errCut
 	}
+	if other := c.other.Load(); other != nil {
+		return other.Read(ctx, from, limit, wait)
+	}
 	batch, err := c.log.Read(ctx, from, limit, wait)
 	if c.cut.Load() {
 		return platform.Batch{}, errCut
--- a/node/control/follow.go
+++ b/node/control/follow.go
@@ -27,6 +27,9 @@
 	lost      bool
 	lostSince time.Time
 	failures  int
+	// behind says that the log's tail lies before what this node has folded:
+	// it has lost records, or another log answers.
+	behind bool
 	// uncovered says that neither the kept records nor a snapshot in them
 	// continue this node's state.
 	uncovered bool
@@ -107,9 +110,11 @@
 	l.log.answeredAt = now
 	l.log.first = batch.First
 	l.log.next = batch.Next
-	if batch.Next < from {
+	behind := batch.Next < from
+	if behind && !l.log.behind {
 		l.cfg.Events.Record(events.LogBehind, events.Fields{Offset: batch.Next})
 	}
+	l.log.behind = behind
 	if len(batch.Entries) > 0 {
 		l.foldBatch(batch.Entries)
 	}
--- a/node/control/loop_test.go
+++ b/node/control/loop_test.go
@@ -1,10 +1,13 @@
 package control
 
 import (
+	"fmt"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
 	"wigeonwinch/fleet/structs"
@@ -209,3 +212,71 @@
 		require.Contains(t, reason, "neither the log nor a peer")
 	})
 }
+
+func TestStateComesFromAPeerThatKeepsNoRecords(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, standin.LogOptions{Retain: 300}, at(1, "bhaktapur"), at(2, "bhaktapur"), at(3, "kathmandu"))
+		defer c.finish()
+		settled(c)
+		c.kill("e-02")
+		c.kill("e-03")
+		for i := range 500 {
+			c.change(c.node(1), 1+i%50)
+			time.Sleep(100 * time.Millisecond)
+		}
+		second := c.start(c.places[1], 2, nil)
+		time.Sleep(20 * time.Second)
+		require.Positive(t, second.events.count(events.StateAdopted))
+		c.log.SetFaults(standin.LogFaults{Down: true})
+		c.kill("e-01")
+		third := c.start(c.places[2], 2, nil)
+		time.Sleep(20 * time.Second)
+		require.Equal(t, 1, third.events.count(events.StateAdopted))
+		require.Equal(t, second.View().Offset, third.View().Offset)
+		ready, reason := third.Ready()
+		require.True(t, ready, reason)
+	})
+}
+
+func TestLogThatLostRecordsRevertsNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, standin.LogOptions{}, fourZones()...)
+		defer c.finish()
+		settled(c)
+		c.change(c.node(1), 42)
+		time.Sleep(5 * time.Second)
+		offset := c.node(1).View().Offset
+		empty := standin.NewLog(standin.LogOptions{})
+		for _, n := range c.nodes {
+			n.platform.other.Store(empty)
+		}
+		time.Sleep(2 * time.Minute)
+		for name, n := range c.nodes {
+			require.GreaterOrEqual(t, n.View().Offset, offset, name)
+			require.Equal(t, 42, n.weight(), name)
+			require.Positive(t, n.events.count(events.LogBehind), name)
+			require.False(t, n.Status().Planning, "nothing is planned on a log that lost records")
+			ready, reason := n.Ready()
+			require.True(t, ready, reason)
+		}
+	})
+}
+
+func TestRateLimitedAppendsAllArrive(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, standin.LogOptions{AppendsPerSecond: 1}, at(1, "bhaktapur"))
+		defer c.finish()
+		c.startAll()
+		time.Sleep(2 * time.Second)
+		var group sync.WaitGroup
+		for i := range 20 {
+			group.Go(func() {
+				rec := structs.Record{Lease: &structs.Lease{Scope: fmt.Sprint(i), Epoch: 1, Sequence: 1, Holder: "e-01", TTLMS: 1000}}
+				verdict, err := c.node(1).appendFor(time.Minute, rec)
+				assert.NoError(t, err)
+				assert.Equal(t, structs.VoidNone, verdict.Void, verdict.Detail)
+			})
+		}
+		group.Wait()
+	})
+}
--- a/node/control/members.go
+++ b/node/control/members.go
@@ -98,7 +98,7 @@
 // proposed while the log can't be read: the proposal would rest on old facts.
 func (l *Loop) decideMembership(now time.Time) {
 	view := l.view.Load()
-	if view == nil || l.log.lost || !l.ready.sawTail {
+	if view == nil || !l.readsLog() {
 		l.withdrawProposal()
 		return
 	}
--- a/node/control/plan.go
+++ b/node/control/plan.go
@@ -49,12 +49,18 @@
 // mayPlan says that this node is fit to plan: it reads the log, agrees with
 // the other nodes' folds, is a member of its zone and does not leave.
 func (l *Loop) mayPlan(view *structs.View) bool {
-	if l.leaving || l.diverged || l.log.lost || !l.ready.sawTail || view.Generation == 0 {
+	if l.leaving || l.diverged || !l.readsLog() || view.Generation == 0 {
 		return false
 	}
 	return l.isMember()
 }
 
+// readsLog says that this node knows the log's tail and that the log knows
+// what this node has folded.
+func (l *Loop) readsLog() bool {
+	return !l.log.lost && !l.log.behind && l.ready.sawTail
+}
+
 func (l *Loop) noteHolding(now time.Time) {
 	epoch, holding := l.leaseHeld(now)
 	if holding == l.planner.holding {
--- a/node/control/status.go
+++ b/node/control/status.go
@@ -40,6 +40,9 @@
 	LogAnsweredAt time.Time
 	// LogNext is the log's tail as of then.
 	LogNext structs.Offset
+	// LogBehind says that the log's tail lies before this node's offset: it
+	// has lost records.
+	LogBehind bool
 	// LogUncovered says that the log no longer covers this node's state.
 	LogUncovered bool
 	// EntryEpoch is the zone's entry epoch, Member says that this node is in.
@@ -83,6 +86,7 @@
 		LogReachable:  !l.log.lost && !l.log.answeredAt.IsZero(),
 		LogAnsweredAt: l.log.answeredAt,
 		LogNext:       l.log.next,
+		LogBehind:     l.log.behind,
 		LogUncovered:  l.log.uncovered,
 		EntryEpoch:    l.member.current,
 		Member:        l.isMember(),
