Test that signs of leaving reach the zone; split the randomised test

Cause: passing a sign of leaving on had no test, and the test file had grown. Conclusion: one node's sign keeps the others of its zone from sending.

--- /dev/null
+++ b/node/forward/sharing_test.go
@@ -0,0 +1,100 @@
+package forward
+
+import (
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// sendMany sends requests that run for a second each.
+func sendMany(node *Server, n int) *sync.WaitGroup {
+	var all sync.WaitGroup
+	for i := range n {
+		r := httptest.NewRequest(http.MethodPut, "/fire", nil)
+		r.Header.Set(HeaderRequestID, fmt.Sprintf("w%d", i))
+		r.Header.Set(headerRun, "1000")
+		all.Go(func() { (&simRecorder{header: http.Header{}}).serve(node.Handler(), r) })
+	}
+	return &all
+}
+
+// TestSpareElsewhere checks that requests which would wait go to a zone that
+// has told of free slots.
+func TestSpareElsewhere(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newSimFleet(1)
+		a := f.nodes["entry-a1"].server
+		time.Sleep(2 * time.Second) // the first summaries
+		sendMany(a, 40).Wait()
+		elsewhere := uint64(0)
+		for _, n := range f.all {
+			if n.zone != "a" {
+				elsewhere += n.server.Stats().Answered
+			}
+			require.Zero(t, n.server.Stats().RefusedByWorker)
+		}
+		require.GreaterOrEqual(t, elsewhere, uint64(8))
+		require.GreaterOrEqual(t, a.Stats().Relayed, elsewhere)
+		f.stop()
+	})
+}
+
+// TestSlotsAreLent checks that a busy entry node uses slots of the other's
+// share while that one is idle, and that it gives them back.
+func TestSlotsAreLent(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newSimFleet(1)
+		f.flag(func(bool) { f.cutZones["a"] = true }, nil)
+		node := f.nodes["entry-a1"].server
+		borrowed := func() int {
+			node.lending.lock.Lock()
+			defer node.lending.lock.Unlock()
+			total := 0
+			for _, w := range f.workers {
+				total += node.lending.ledger.Borrowed(w.id)
+			}
+			return total
+		}
+		all := sendMany(node, 12) // three workers with four slots
+		time.Sleep(600 * time.Millisecond)
+		require.Positive(t, borrowed(), "%+v %+v", node.Stats(), f.nodes["entry-a2"].server.Stats())
+		all.Wait()
+		time.Sleep(10 * time.Second)
+		require.Zero(t, borrowed())
+		require.Zero(t, node.Stats().RefusedByWorker)
+		f.stop()
+	})
+}
+
+// TestLeavingIsTold checks that a sign of leaving which one entry node sees
+// keeps the others of its zone from sending, whatever the sign is.
+func TestLeavingIsTold(t *testing.T) {
+	for _, sign := range []string{"refusal", "list"} {
+		synctest.Test(t, func(t *testing.T) {
+			f := newSimFleet(1)
+			a1, a2 := f.nodes["entry-a1"].server, f.nodes["entry-a2"].server
+			leaving := f.workers[0]
+			if sign == "list" {
+				a1.Leaving(leaving.id)
+			} else {
+				leaving.set(func() { leaving.refuses = true })
+				sendMany(a1, 6).Wait()
+				require.Positive(t, a1.Stats().RefusedByWorker)
+			}
+			time.Sleep(100 * time.Millisecond)
+			all := sendMany(a2, 6)
+			time.Sleep(100 * time.Millisecond)
+			require.Zero(t, a2.InProgress(leaving.id))
+			require.Positive(t, a2.InProgress(f.workers[1].id))
+			all.Wait()
+			require.Zero(t, a2.Stats().RefusedByWorker)
+			f.stop()
+		})
+	}
+}
