--- a/node/control/members.go
+++ b/node/control/members.go
@@ -111,6 +111,7 @@
 		CurrentSince: l.member.currentSince,
 		Peers:        l.zonePeers(),
 		Listed:       l.observed.listed,
+		ListedAt:     l.observed.listedAt,
 		Leaving:      l.leaving,
 		Now:          now,
 	}, l.cfg.Members)
--- a/node/control/random_test.go
+++ b/node/control/random_test.go
@@ -42,7 +42,12 @@
 // believes to hold the planner's lease, no node shows an older view than
 // before, and an epoch is replaced only by a member or when all are gone.
 func TestRandomisedMembershipAndLease(t *testing.T) {
+	// Seed 291 found a list that was older than the epoch it was held against.
+	seeds := []uint64{291}
 	for seed := uint64(1); seed <= seedCount(t); seed++ {
+		seeds = append(seeds, seed)
+	}
+	for _, seed := range seeds {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) { newRandomRun(t, seed).run(randomLength) })
 		})
--- a/node/membership/membership.go
+++ b/node/membership/membership.go
@@ -81,8 +81,11 @@
 	CurrentSince time.Time
 	// Peers are the other nodes of the zone that this node has heard.
 	Peers []Peer
-	// Listed is the platform's list of VMs; it lags, and may be old.
-	Listed []platform.ListedVM
+	// Listed is the platform's list of VMs; it lags. ListedAt is when it was
+	// read. A list read before the current epoch was seen says nothing of the
+	// epoch's members.
+	Listed   []platform.ListedVM
+	ListedAt time.Time
 	// Leaving says that this node stops.
 	Leaving bool
 	Now     time.Time
@@ -115,7 +118,10 @@
 
 // Decide returns what this node should propose now.
 func Decide(in Input, limits Limits) Decision {
-	d := decider{in: in, limits: limits.withDefaults(), listed: presences(in.Listed)}
+	d := decider{in: in, limits: limits.withDefaults()}
+	if !in.ListedAt.Before(in.CurrentSince) {
+		d.listed = presences(in.Listed)
+	}
 	if !in.Declared {
 		return Decision{Reason: ReasonUndeclared}
 	}
--- a/node/membership/membership_test.go
+++ b/node/membership/membership_test.go
@@ -57,6 +57,11 @@
 			"a joiner replaces members that are all terminated",
 			Input{Self: c, Declared: true, Current: epoch(2, a, b), Listed: terminated("a", "b")}, []structs.EntryMember{c}, ReasonReplaceAll, false,
 		},
+		{
+			"but not by a list that is older than their epoch",
+			Input{Self: c, Declared: true, Current: epoch(2, a, b), CurrentSince: at(50), ListedAt: at(49), Now: at(60), Listed: terminated("a", "b")},
+			nil, ReasonAskMembers, true,
+		},
 		{
 			"one live member of two keeps a joiner waiting",
 			Input{Self: c, Declared: true, Current: epoch(2, a, b), Listed: terminated("a")}, nil, ReasonAskMembers, true,
@@ -107,7 +112,7 @@
 		},
 		{
 			"unless the other is terminated",
-			Input{Self: a, Declared: true, Current: epoch(2, a, b), Now: at(50), CurrentSince: at(0), Peers: []Peer{heard(b, 0)}, Listed: terminated("b")},
+			Input{Self: a, Declared: true, Current: epoch(2, a, b), Now: at(50), CurrentSince: at(0), Peers: []Peer{heard(b, 0)}, Listed: terminated("b"), ListedAt: at(40)},
 			[]structs.EntryMember{a}, ReasonChange, false,
 		},
 		{
