Try a free slot elsewhere for the first request that would wait

Cause: only requests behind others were sent to zones with free slots, and one whose relay was lost was not tried again although it was repeatable. Change: any request that cannot start at once takes a slot that another zone told of; it leaves its place here first, so that no slot waits for it.

--- a/node/forward/execute.go
+++ b/node/forward/execute.go
@@ -43,8 +43,8 @@
 	if !slices.Contains(rt.reach[r.Pool], s.cfg.Zone) {
 		return noWorker()
 	}
-	if e, ran := s.trySpare(run, rt, p, r); ran {
-		return e
+	if r.Repeatable {
+		p.countFirst()
 	}
 	e, again := s.attempt(wait, run, p, r)
 	for n := 1; again && n < s.cfg.Limits.Attempts && p.mayRetry(); n++ {
@@ -82,10 +82,25 @@
 	if refusal != nil {
 		return refused(refusal), false
 	}
-	if r.atOnce && !pl.startsAtOnce() {
+	if pl.startsAtOnce() {
+		return s.attemptAt(wait, run, p, pl, r)
+	}
+	if r.atOnce {
 		p.cancel(pl)
 		return busy(), false
 	}
+	peer, ok := s.takeSpare(r)
+	if !ok {
+		return s.attemptAt(wait, run, p, pl, r)
+	}
+	p.cancel(pl)
+	if x := s.sendSpare(run, r, peer); x.kind != exchangeNotRun {
+		return x.end, x.kind == exchangeLost && r.Repeatable && !x.canceled
+	}
+	pl, refusal = p.submit(&r.Request)
+	if refusal != nil {
+		return refused(refusal), false
+	}
 	return s.attemptAt(wait, run, p, pl, r)
 }
 
@@ -113,15 +128,6 @@
 	}
 }
 
-// trySpare sends a request that would have to wait here to a zone that has a
-// free slot. It reports false when the request is to wait here after all.
-func (s *Server) trySpare(run context.Context, rt *routes, p *pool, r *request) (ending, bool) {
-	if r.relayed || !p.crowded() {
-		return ending{}, false
-	}
-	return s.executeSpare(run, rt, r)
-}
-
 // gaveUp is the end of a request whose caller left, or whose time ran out,
 // while it waited.
 func (s *Server) gaveUp(wait context.Context) ending {
--- a/node/forward/pool.go
+++ b/node/forward/pool.go
@@ -33,8 +33,6 @@
 	lock   sync.Mutex
 	sched  *scheduler.Scheduler
 	places map[scheduler.Ticket]*place
-	// waiting counts the places without a worker.
-	waiting int
 	// retries bounds further attempts to a share of the pool's requests.
 	retries *retry.Budget
 	// starved is called when a request has to wait.
@@ -56,11 +54,11 @@
 	return p
 }
 
-// crowded says whether requests wait for a worker.
-func (p *pool) crowded() bool {
+// countFirst counts a first attempt towards the budget of retries.
+func (p *pool) countFirst() {
 	p.lock.Lock()
 	defer p.lock.Unlock()
-	return p.waiting > 0
+	p.retries.Request(p.clock())
 }
 
 // mayRetry takes a further attempt from the budget.
@@ -81,10 +79,6 @@
 	}
 	pl := &place{ticket: ticket, next: make(chan assignment, 1)}
 	p.places[ticket] = pl
-	p.waiting++
-	if r.Repeatable {
-		p.retries.Request(now)
-	}
 	p.pump(now)
 	if len(pl.next) == 0 {
 		p.starved()
@@ -114,7 +108,6 @@
 	now := p.clock()
 	delete(p.places, pl.ticket)
 	if p.sched.Cancel(now, pl.ticket) {
-		p.waiting--
 		return
 	}
 	if a := <-pl.next; !a.expired {
@@ -144,7 +137,6 @@
 		p.pump(now)
 		return false
 	}
-	p.waiting++
 	p.pump(now)
 	return true
 }
@@ -170,7 +162,6 @@
 }
 
 func (p *pool) deliver(ticket scheduler.Ticket, a assignment) {
-	p.waiting--
 	if pl := p.places[ticket]; pl != nil {
 		pl.next <- a
 	}
--- a/node/forward/spare.go
+++ b/node/forward/spare.go
@@ -108,7 +108,11 @@
 
 // takeSpare returns the node of another zone that has the most free slots of
 // a pool, and counts one of them off.
-func (s *Server) takeSpare(rt *routes, pool string) (structs.EntryMember, bool) {
+func (s *Server) takeSpare(r *request) (structs.EntryMember, bool) {
+	if r.relayed {
+		return structs.EntryMember{}, false
+	}
+	rt := s.routes.Load()
 	now := s.cfg.Clock()
 	s.spare.lock.Lock()
 	defer s.spare.lock.Unlock()
@@ -119,7 +123,7 @@
 			continue
 		}
 		for _, m := range rt.view.Entry[zone].Members {
-			free := s.spare.free[spareKey{m.Node, pool}]
+			free := s.spare.free[spareKey{m.Node, r.Pool}]
 			if free > most && now.Sub(s.spare.at[m.Node]) < spareStale {
 				best, most = m, free
 			}
@@ -128,7 +132,7 @@
 	if most == 0 {
 		return best, false
 	}
-	s.spare.free[spareKey{best.Node, pool}]--
+	s.spare.free[spareKey{best.Node, r.Pool}]--
 	return best, true
 }
 
@@ -138,20 +142,15 @@
 	s.spare.free[spareKey{node, pool}] = 0
 }
 
-// executeSpare sends a request that would have to wait here to a zone that
-// has a free slot. It reports false when the request has not run there.
-func (s *Server) executeSpare(run context.Context, rt *routes, r *request) (ending, bool) {
-	peer, ok := s.takeSpare(rt, r.Pool)
-	if !ok {
-		return ending{}, false
-	}
+// sendSpare sends a request that would have to wait here to a node that has
+// told of a free slot.
+func (s *Server) sendSpare(run context.Context, r *request, peer structs.EntryMember) exchange {
 	s.counts.relayed.Add(1)
 	x := s.exchange(run, r, target{peer: peer.Node, address: peer.PeerAddress, spare: true})
 	if x.kind == exchangeNotRun {
 		s.noSpare(peer.Node, r.Pool)
-		return ending{}, false
 	}
-	return x.end, true
+	return x
 }
 
 func busy() ending {
