--- a/cmd/internal/demo/call.go
+++ b/cmd/internal/demo/call.go
@@ -36,13 +36,14 @@
 
 // draw makes the next call of a sender.
 func (l *load) draw(rng *rand.Rand, services []structs.Service) call {
+	team := l.site.manifest.Teams[rng.IntN(len(l.site.manifest.Teams))]
 	c := call{
+		team:       team.Name,
 		id:         uuid.Must(uuid.NewV7()).String(),
 		service:    services[rng.IntN(len(services))],
-		team:       l.site.manifest.Teams[rng.IntN(len(l.site.manifest.Teams))].Name,
 		run:        time.Duration((0.5 + rng.Float64()) * float64(shortRun)),
 		repeatable: rng.Float64() >= writeShare,
-		urgent:     rng.Float64() < urgentShare,
+		urgent:     rng.Float64() < urgentShare && team.UrgentPercent > 0,
 		first:      true,
 		pick:       rng.IntN(1 << 16),
 	}
