--- a/dispatch/scheduler/failure_test.go
+++ b/dispatch/scheduler/failure_test.go
@@ -29,6 +29,57 @@
 	require.Equal(t, at(pauseAfterRefusal), s.Wake())
 }
 
+// TestFailedRequestAvoidsItsWorker: a retry goes to another worker, even to a
+// fuller one, and back only when there is no other.
+func TestFailedRequestAvoidsItsWorker(t *testing.T) {
+	s := newTest(t, Options{}, worker("w1", 8), worker("w2", 8))
+	tickets := make(map[string][]Ticket)
+	for range 8 {
+		submit(t, s, epoch, request("a"))
+	}
+	for _, st := range s.Next(epoch).Starts {
+		tickets[st.Worker] = append(tickets[st.Worker], st.Ticket)
+	}
+	for _, ticket := range tickets["w1"][1:] {
+		s.Finish(epoch, ticket, OK)
+	}
+	failed := tickets["w1"][0]
+	require.True(t, s.Retry(epoch, failed, Failed))
+	require.Equal(t, "w2", s.Next(epoch).Starts[0].Worker)
+	s.SetWorkers(epoch, []Worker{worker("w1", 8)})
+	require.True(t, s.Retry(epoch, failed, Failed))
+	require.Equal(t, "w1", s.Next(epoch).Starts[0].Worker)
+}
+
+// TestWhereNothingWorksRequestsAreTurnedAway: one request a second finds out
+// whether a worker works again.
+func TestWhereNothingWorksRequestsAreTurnedAway(t *testing.T) {
+	s := newTest(t, Options{}, worker("w1", 4), worker("w2", 4))
+	now := epoch
+	for i := range 40 {
+		now = now.Add(time.Millisecond)
+		r := request("a")
+		r.Service = fmt.Sprintf("service-%d", i%2)
+		r.Repeatable = false
+		if _, refusal := s.Submit(now, r); refusal != nil {
+			require.Equal(t, dispatch.RefusedNoWorker, refusal.Reason)
+			require.Equal(t, probeInterval, refusal.RetryAfter)
+			continue
+		}
+		for _, st := range s.Next(now).Starts {
+			s.Finish(now, st.Ticket, Failed)
+		}
+	}
+	taken := 0
+	for range 100 {
+		now = now.Add(100 * time.Millisecond)
+		if _, refusal := s.Submit(now, request("a")); refusal == nil {
+			taken++
+		}
+	}
+	require.InDelta(t, 10, taken, 1)
+}
+
 func TestOnlyWorkerIsTriedAgainAfterAPause(t *testing.T) {
 	s := newTest(t, Options{}, worker("w1", 4))
 	ticket := submit(t, s, epoch, request("a"))
--- a/dispatch/slots/slots_test.go
+++ b/dispatch/slots/slots_test.go
@@ -95,6 +95,23 @@
 	require.Empty(t, borrower.Tick(later.Add(defaultRetry), idle))
 }
 
+// TestLateRequestGrantsNothingMore: a request that doesn't know of the last
+// grant is answered with that grant, though more could be lent.
+func TestLateRequestGrantsNothingMore(t *testing.T) {
+	lender, _ := pair()
+	request := Message{Request: &Request{Epoch: 1, Worker: "w", Slots: 8, Want: 1}}
+	first := lender.Receive(epoch, "entry-1", request)
+	require.Equal(t, 3, lender.Usable("w"))
+	require.Equal(t, first, lender.Receive(epoch, "entry-1", request))
+	require.Equal(t, 3, lender.Usable("w"))
+	request.Request.Known = 1
+	lender.Receive(epoch, "entry-1", request)
+	require.Equal(t, 2, lender.Usable("w"))
+	request.Request.Known = 2
+	lender.Receive(epoch, "entry-1", request)
+	require.Equal(t, 2, lender.Usable("w"), "half of the share at most")
+}
+
 func TestRecalledSlotsComeBackOnceIdle(t *testing.T) {
 	lender, borrower := pair()
 	asked := borrower.Tick(epoch, busy(borrower))
