Count requests in the metrics; name the API's fields in one case; mend the report

Cause: the metrics said nothing of requests, the status and the figures of the request path showed Go's field names, and in the rendered report the legend lay over the lines and the axes had odd marks.

--- a/cmd/internal/demo/site.go
+++ b/cmd/internal/demo/site.go
@@ -171,6 +171,7 @@
 	conf.Limits.NoticeSeconds = 1
 	conf.Timing.ListMS = 500
 	conf.Timing.PlanMS = 250
+	conf.Timing.ProbeMS = 500
 	conf.Timing.ProbationMS = 1000
 	conf.Timing.LeaseTTLMS = 5000
 	for _, other := range s.nodes {
--- a/cmd/internal/report/page.go
+++ b/cmd/internal/report/page.go
@@ -62,6 +62,7 @@
 td, th { text-align: left; padding: .2rem .6rem; border-bottom: 1px solid #e5e5e5; vertical-align: top; }
 .figures td:nth-child(2) { text-align: right; font-variant-numeric: tabular-nums; }
 .events { font-size: 12.5px; }
+.events td:nth-child(-n+4) { white-space: nowrap; }
 .ok { color: #137333; } .bad { color: #b3261e; }
 tr.warning td { background: #fff7e0; } tr.error td, tr.violation td { background: #fde8e6; }
 </style>
--- a/cmd/internal/report/plots.go
+++ b/cmd/internal/report/plots.go
@@ -4,6 +4,7 @@
 	"image/color"
 	"math"
 	"sort"
+	"strconv"
 
 	"gonum.org/v1/plot"
 	"gonum.org/v1/plot/plotter"
@@ -18,6 +19,10 @@
 	bucketMS = 500
 	// quantile is the quantile shown.
 	quantile = 0.99
+	// legendShare is the width kept free for the legend.
+	legendShare = 0.2
+	// headShare is the height kept free above the lines.
+	headShare = 0.05
 	// leastShownMS keeps the logarithmic axis finite.
 	leastShownMS = 1
 )
@@ -35,14 +40,38 @@
 func newPlot(yLabel string) *plot.Plot {
 	p := plot.New()
 	p.X.Label.Text = "seconds since the load began"
+	p.X.Tick.Marker = wholeTicks{}
 	p.Y.Label.Text = yLabel
 	p.Legend.Top = true
-	p.Legend.Left = false
+	p.Legend.Left = true
+	p.Legend.XOffs = pictureWidth - legendWidth
 	p.Legend.Padding = vg.Points(2)
 	p.Add(plotter.NewGrid())
 	return p
 }
 
+// wholeTicks marks whole numbers, about ten of them.
+type wholeTicks struct{}
+
+// Ticks returns the marks between two values.
+func (wholeTicks) Ticks(low, high float64) []plot.Tick {
+	step := max(math.Ceil((high-low)/12), 1)
+	var ticks []plot.Tick
+	for value := math.Ceil(low/step) * step; value <= high; value += step {
+		ticks = append(ticks, plot.Tick{Value: value, Label: strconv.Itoa(int(value))})
+	}
+	return ticks
+}
+
+// makeRoom widens the plot so that the legend stands beside the lines.
+func makeRoom(p *plot.Plot) {
+	if p.X.Max <= p.X.Min {
+		return
+	}
+	p.X.Max += legendShare * (p.X.Max - p.X.Min)
+	p.Y.Max += headShare * (p.Y.Max - p.Y.Min)
+}
+
 func addLine(p *plot.Plot, name string, index int, points plotter.XYs, dashed bool) error {
 	if len(points) == 0 {
 		return nil
--- a/cmd/internal/report/report.go
+++ b/cmd/internal/report/report.go
@@ -21,6 +21,7 @@
 const (
 	pictureWidth  = 10 * vg.Inch
 	pictureHeight = 3.4 * vg.Inch
+	legendWidth   = 2.3 * vg.Inch
 )
 
 // maxTimelineRows bounds the events shown.
@@ -62,6 +63,7 @@
 
 // render turns a plot into an embedded SVG picture.
 func render(p *plot.Plot, title, note string) (picture, error) {
+	makeRoom(p)
 	writer, err := p.WriterTo(pictureWidth, pictureHeight, "svg")
 	if err != nil {
 		return picture{}, errors.Wrapf(err, "draw %s", title)
--- a/dispatch/scheduler/types.go
+++ b/dispatch/scheduler/types.go
@@ -87,21 +87,24 @@
 // Stats is a picture of the scheduler.
 type Stats struct {
 	// QueuedUrgent, QueuedShort and QueuedLong count the queued requests.
-	QueuedUrgent, QueuedShort, QueuedLong int
+	QueuedUrgent int `json:"queued_urgent"`
+	QueuedShort  int `json:"queued_short"`
+	QueuedLong   int `json:"queued_long"`
 	// InProgress counts the started requests, Long those that count as long.
-	InProgress, Long int
+	InProgress int `json:"in_progress"`
+	Long       int `json:"long"`
 	// FreeSlots counts the slots that could take work now.
-	FreeSlots int
+	FreeSlots int `json:"free_slots"`
 	// Violations counts broken invariants; it stays zero.
-	Violations uint64
+	Violations uint64 `json:"violations"`
 	// Workers are sorted by ID.
-	Workers []WorkerStats
+	Workers []WorkerStats `json:"workers"`
 }
 
 // WorkerStats is one worker in Stats.
 type WorkerStats struct {
-	ID         string
-	InProgress int
-	Slots      int
-	Ejected    bool
+	ID         string `json:"id"`
+	InProgress int    `json:"in_progress"`
+	Slots      int    `json:"slots"`
+	Ejected    bool   `json:"ejected"`
 }
--- a/fleet/buffer/report.go
+++ b/fleet/buffer/report.go
@@ -23,18 +23,18 @@
 // VMs.
 type Report struct {
 	// Pool is the pool, or empty for the whole fleet.
-	Pool string
+	Pool string `json:"pool"`
 	// Have is the number of workers, Available those in service.
-	Have      int
-	Available int
+	Have      int `json:"have"`
+	Available int `json:"available"`
 	// Required is the least number that keeps the budgets.
-	Required int
+	Required int `json:"required"`
 	// Shared is the part of Required that all pools share; only the report of
 	// the whole fleet has it.
-	Shared int
+	Shared int `json:"shared"`
 	// Bound is what no plan that keeps the budgets can go below, wherever its
 	// VMs stand.
-	Bound int
+	Bound int `json:"bound"`
 }
 
 // Need is what is known of one pool.
--- a/fleet/planner/waves.go
+++ b/fleet/planner/waves.go
@@ -189,19 +189,19 @@
 
 // WaveForecast is a wave's progress and the expected time of its end.
 type WaveForecast struct {
-	Wave string
+	Wave string `json:"wave"`
 	// Pending, Out, Done and Failed count VMs; together they are all the VMs
 	// that the wave concerns.
-	Pending int
-	Out     int
-	Done    int
-	Failed  int
+	Pending int `json:"pending"`
+	Out     int `json:"out"`
+	Done    int `json:"done"`
+	Failed  int `json:"failed"`
 	// Blocked are the pools whose budgets let no VM be taken out, sorted.
-	Blocked []string
+	Blocked []string `json:"blocked"`
 	// Stopped is the reason the wave was ended early, or empty.
-	Stopped string
+	Stopped string `json:"stopped"`
 	// Paused says that the wave takes no further VMs until resumed.
-	Paused bool
+	Paused bool `json:"paused"`
 	// End is the expected end; zero when none can be given.
-	End time.Time
+	End time.Time `json:"end"`
 }
--- a/node/control/config.go
+++ b/node/control/config.go
@@ -93,6 +93,10 @@
 	List time.Duration
 	// Usage is the least time between two reads of the workers' usage.
 	Usage time.Duration
+	// Probe is the time between two probes of a VM that is out of service or
+	// that the list does not show as live, and the least time between two
+	// messages that ask one zone for probes.
+	Probe time.Duration
 	// Zones is the time between two checks that a zone can be heard.
 	Zones time.Duration
 	// MinBackoff and MaxBackoff bound the pause after a failed call.
@@ -116,6 +120,7 @@
 	DefaultPlan           = 5 * time.Second
 	DefaultList           = 5 * time.Second
 	DefaultUsage          = 15 * time.Second
+	DefaultProbe          = 5 * time.Second
 	DefaultZones          = 10 * time.Second
 	DefaultMinBackoff     = 250 * time.Millisecond
 	DefaultMaxBackoff     = 4 * time.Second
@@ -135,6 +140,7 @@
 	setDuration(&i.Plan, DefaultPlan)
 	setDuration(&i.List, DefaultList)
 	setDuration(&i.Usage, DefaultUsage)
+	setDuration(&i.Probe, DefaultProbe)
 	setDuration(&i.Zones, DefaultZones)
 	setDuration(&i.MinBackoff, DefaultMinBackoff)
 	setDuration(&i.MaxBackoff, DefaultMaxBackoff)
--- a/node/control/probe.go
+++ b/node/control/probe.go
@@ -11,16 +11,10 @@
 
 // Bounds of probing.
 const (
-	// outProbeInterval is the time between two probes of a VM that is out of
-	// service or that the list does not show as live.
-	outProbeInterval = 5 * time.Second
 	// activeProbeInterval is the time between two probes of an active VM.
 	activeProbeInterval = time.Minute
 	// probeTimeout bounds one probe.
 	probeTimeout = time.Second
-	// zoneProbeInterval is the least time between two messages that ask one
-	// zone for probes.
-	zoneProbeInterval = 5 * time.Second
 	// maxProbes bounds the probes that one message asks for.
 	maxProbes = 32
 	// parallelProbes bounds the probes that a node makes at once.
@@ -70,7 +64,7 @@
 		facts := l.zone(zone)
 		if !facts.probing && !now.Before(facts.nextProbe) {
 			facts.probing = true
-			facts.nextProbe = now.Add(zoneProbeInterval)
+			facts.nextProbe = now.Add(l.cfg.Intervals.Probe)
 			l.probeZone(ctx, view, zone, vms, now)
 		}
 	}
@@ -94,7 +88,7 @@
 		addresses = append(addresses, vm.Address)
 		interval := activeProbeInterval
 		if vm.State != structs.VMActive || !l.observed.live[vm.ID] {
-			interval = outProbeInterval
+			interval = l.cfg.Intervals.Probe
 		}
 		l.probe(vm.ID).next = now.Add(l.jittered(interval))
 	}
@@ -122,7 +116,7 @@
 			continue
 		}
 		facts.failures++
-		facts.next = time.Now().Add(outProbeInterval)
+		facts.next = time.Now().Add(l.cfg.Intervals.Probe)
 	}
 }
 
--- a/node/control/status.go
+++ b/node/control/status.go
@@ -9,61 +9,61 @@
 
 // PeerLag is how far another node has come.
 type PeerLag struct {
-	Node string
-	Zone string
+	Node string `json:"node"`
+	Zone string `json:"zone"`
 	// Offset is the offset the node last reported.
-	Offset structs.Offset
+	Offset structs.Offset `json:"offset"`
 	// Behind is how many records it lags behind this node.
-	Behind uint64
+	Behind uint64 `json:"behind"`
 	// Heard is when it last reported; zero means never.
-	Heard time.Time
+	Heard time.Time `json:"heard"`
 	// LogLost says that the node can't read the log.
-	LogLost bool
+	LogLost bool `json:"log_lost"`
 	// Connected says that a connection to it is open.
-	Connected bool
+	Connected bool `json:"connected"`
 }
 
 // Status is what a node's control loop says of itself.
 type Status struct {
-	Node   string
-	Zone   string
-	Region string
+	Node   string `json:"node"`
+	Zone   string `json:"zone"`
+	Region string `json:"region"`
 	// At is when the loop last published its status.
-	At time.Time
+	At time.Time `json:"at"`
 	// Offset is the offset of the next record to fold.
-	Offset structs.Offset
+	Offset structs.Offset `json:"offset"`
 	// Generation counts the accepted publishes.
-	Generation structs.Generation
+	Generation structs.Generation `json:"generation"`
 	// LogReachable says that the last read of the log was answered.
-	LogReachable bool
+	LogReachable bool `json:"log_reachable"`
 	// LogAnsweredAt is when the log last answered; zero means never.
-	LogAnsweredAt time.Time
+	LogAnsweredAt time.Time `json:"log_answered_at"`
 	// LogNext is the log's tail as of then.
-	LogNext structs.Offset
+	LogNext structs.Offset `json:"log_next"`
 	// LogBehind says that the log's tail lies before this node's offset: it
 	// has lost records.
-	LogBehind bool
+	LogBehind bool `json:"log_behind"`
 	// LogUncovered says that the log no longer covers this node's state.
-	LogUncovered bool
+	LogUncovered bool `json:"log_uncovered"`
 	// EntryEpoch is the zone's entry epoch, Member says that this node is in.
-	EntryEpoch structs.Epoch
-	Member     bool
+	EntryEpoch structs.Epoch `json:"entry_epoch"`
+	Member     bool          `json:"member"`
 	// Membership says what the node waits for, or is empty.
-	Membership string
+	Membership string `json:"membership"`
 	// LeaseHolder holds the planner's lease as far as this node knows.
-	LeaseHolder string
-	LeaseEpoch  structs.Epoch
+	LeaseHolder string        `json:"lease_holder"`
+	LeaseEpoch  structs.Epoch `json:"lease_epoch"`
 	// Planning says that this node holds the lease now.
-	Planning bool
+	Planning bool `json:"planning"`
 	// Forecasts are those of the last planning round made here.
-	Forecasts []planner.WaveForecast
+	Forecasts []planner.WaveForecast `json:"forecasts"`
 	// Buffers are those of the last planning round made here.
-	Buffers []planner.BufferReport
-	Ready   bool
+	Buffers []planner.BufferReport `json:"buffers"`
+	Ready   bool                   `json:"ready"`
 	// Reason says why the node is not ready.
-	Reason string
+	Reason string `json:"reason"`
 	// Peers are the other nodes that reported here, by name.
-	Peers []PeerLag
+	Peers []PeerLag `json:"peers"`
 }
 
 // Status returns what the loop says of itself. It does not wait. A loop that
--- a/node/entry/metrics.go
+++ b/node/entry/metrics.go
@@ -3,6 +3,7 @@
 import (
 	"go.opentelemetry.io/otel/attribute"
 
+	"wigeonwinch/dispatch/scheduler"
 	"wigeonwinch/fleet/structs"
 	"wigeonwinch/node/telemetry"
 )
@@ -19,6 +20,14 @@
 		telemetry.MetricViolations: func() []telemetry.Reading { return one(float64(n.recorder.Violations())) },
 		telemetry.MetricPeersAlive: func() []telemetry.Reading { return one(float64(len(n.mesh.Alive()))) },
 		telemetry.MetricPeerBytes:  n.readTraffic,
+		telemetry.MetricRequests:   n.readRequests,
+		telemetry.MetricAttempts:   n.readAttempts,
+		telemetry.MetricInFlight:   func() []telemetry.Reading { return one(float64(n.forward.Stats().InFlight)) },
+		telemetry.MetricQueued:     n.readQueued,
+		telemetry.MetricInProgress: n.readPools(func(s scheduler.Stats) float64 { return float64(s.InProgress) }),
+		telemetry.MetricFreeSlots:  n.readPools(func(s scheduler.Stats) float64 { return float64(s.FreeSlots) }),
+		telemetry.MetricEjected:    n.readPools(countEjected),
+		telemetry.MetricClaims:     func() []telemetry.Reading { return one(float64(n.forward.Stats().Claims)) },
 	}
 	for _, in := range telemetry.Instruments() {
 		read, ok := sources[in.Name]
--- a/node/forward/stats.go
+++ b/node/forward/stats.go
@@ -31,31 +31,33 @@
 // Stats is a picture of the request path. Counts are since the start.
 type Stats struct {
 	// Arrived counts the requests, relayed ones included.
-	Arrived uint64
+	Arrived uint64 `json:"arrived"`
 	// Answered, NotRun and Unknown count their ends.
-	Answered, NotRun, Unknown uint64
+	Answered uint64 `json:"answered"`
+	NotRun   uint64 `json:"not_run"`
+	Unknown  uint64 `json:"unknown"`
 	// Duplicates counts the answers that went to a second copy.
-	Duplicates uint64
+	Duplicates uint64 `json:"duplicates"`
 	// Retried counts further attempts of repeatable requests.
-	Retried uint64
+	Retried uint64 `json:"retried"`
 	// Relayed counts the requests passed on to another zone.
-	Relayed uint64
+	Relayed uint64 `json:"relayed"`
 	// RefusedByWorker counts the workers' own refusals.
-	RefusedByWorker uint64
+	RefusedByWorker uint64 `json:"refused_by_worker"`
 	// Violations counts broken invariants; it stays zero.
-	Violations uint64
+	Violations uint64 `json:"violations"`
 	// InFlight is the number of requests in progress and queued.
-	InFlight int
+	InFlight int `json:"in_flight"`
 	// BodyBytes is what their bodies take, in bytes.
-	BodyBytes int64
+	BodyBytes int64 `json:"body_bytes"`
 	// Claims is the number of claims that this node keeps as a home.
-	Claims int
+	Claims int `json:"claims"`
 	// Works is the number of works that this node claimed and holds.
-	Works int
+	Works int `json:"works"`
 	// AnswerBytes is what the answers held for duplicates take, in bytes.
-	AnswerBytes int
+	AnswerBytes int `json:"answer_bytes"`
 	// Pools are the queues by pool.
-	Pools map[string]scheduler.Stats
+	Pools map[string]scheduler.Stats `json:"pools"`
 }
 
 // Stats returns a picture of the request path.
