Let moves help a pool that is short by more than one VM

Cause: a move was refused while the receiving pool's budget was still not possible after it, so that a pool short by two could not be helped. Ruled out: dropping the check. A move of a first VM into a zone that needs two makes a budget short that held before; it is still refused. Change: what is missing from each part of each budget (pool, after the named loss, each zone) may not grow in the receiving pool. The giving pool's checks are unchanged. Figures: go test ./fleet/state -run Move: three of the five new cases fail on the old check, none on the new one. No publish and no move can make a pool so short today, so the test switches the budget check off to build one.

--- a/fleet/availability/availability.go
+++ b/fleet/availability/availability.go
@@ -123,6 +123,41 @@
 	return nil
 }
 
+// Missing says how many VMs are missing from each part of a budget that does
+// not hold.
+type Missing struct {
+	Pool int
+	// AfterLoss counts what is missing after the loss the budget names.
+	AfterLoss int
+	Zones     map[string]int
+}
+
+// Missing returns what is missing from a budget. Zones without declared VMs
+// are left out.
+func (t *Tally) Missing(b structs.Budget, m Measure) Missing {
+	have := t.Pool.of(m)
+	missing := Missing{Pool: max(b.MinAvailable-have, 0), Zones: map[string]int{}}
+	if b.Survive != structs.FailureDomainNone {
+		missing.AfterLoss = max(b.MinAvailable-have+t.LargestLoss(b.Survive, m), 0)
+	}
+	for zone, c := range t.Zones {
+		if short := b.MinAvailablePerZone - c.of(m); c.Declared > 0 && short > 0 {
+			missing.Zones[zone] = short
+		}
+	}
+	return missing
+}
+
+// Exceeds says that more is missing from some part than before.
+func (m Missing) Exceeds(before Missing) bool {
+	for zone, short := range m.Zones {
+		if short > before.Zones[zone] {
+			return true
+		}
+	}
+	return m.Pool > before.Pool || m.AfterLoss > before.AfterLoss
+}
+
 // zoneShortfall checks the zones in which the pool has declared VMs. Of
 // several short zones it names the first by name.
 func (t *Tally) zoneShortfall(b structs.Budget, m Measure) *Shortage {
--- a/fleet/state/budget.go
+++ b/fleet/state/budget.go
@@ -37,6 +37,21 @@
 	return s.checkBudgets(pool, availability.Declared)
 }
 
+// missing returns what is missing from the budget of each service on a pool,
+// by name, as if all its declared VMs were up.
+func (s *State) missing(pool string) []availability.Missing {
+	tally, ok := s.index.tallies[pool]
+	if !ok {
+		tally = availability.NewTally()
+	}
+	var list []availability.Missing
+	for _, name := range slices.Sorted(maps.Keys(s.index.services[pool])) {
+		svc, _ := s.services.get(name)
+		list = append(list, tally.Missing(svc.Budget, availability.Declared))
+	}
+	return list
+}
+
 func (s *State) checkBudgets(pool string, measure availability.Measure) *Refusal {
 	if s.unsafe.budgets {
 		return nil
--- a/fleet/state/transition.go
+++ b/fleet/state/transition.go
@@ -1,6 +1,7 @@
 package state
 
 import (
+	"wigeonwinch/fleet/availability"
 	"wigeonwinch/fleet/structs"
 )
 
@@ -144,23 +145,31 @@
 	}
 	s.repairTally(vm.Pool)
 	before := vm
+	missing := s.missing(m.To)
 	vm.Pool = m.To
 	vm.Sequence++
 	s.putVM(vm)
-	if out := s.moveKeepsBudgets(before.Pool, vm.Pool); out != nil {
+	if out := s.moveKeepsBudgets(before.Pool, vm.Pool, missing); out != nil {
 		s.putVM(before)
 		return out
 	}
 	return nil
 }
 
-// moveKeepsBudgets checks both pools after a move.
-func (s *State) moveKeepsBudgets(from, to string) *Refusal {
+// moveKeepsBudgets checks both pools after a move. The giving pool must keep
+// its budgets. The receiving pool may be short, as long as it is no shorter
+// than before: it could else not be helped one VM at a time.
+func (s *State) moveKeepsBudgets(from, to string, missing []availability.Missing) *Refusal {
 	if out := s.budgetsHold(from); out != nil {
 		return out
 	}
 	if out := s.budgetsPossible(from); out != nil {
 		return out
 	}
-	return s.budgetsPossible(to)
+	for i, after := range s.missing(to) {
+		if after.Exceeds(missing[i]) {
+			return s.budgetsPossible(to)
+		}
+	}
+	return nil
 }
--- a/fleet/state/transition_test.go
+++ b/fleet/state/transition_test.go
@@ -142,3 +142,38 @@
 	require.Equal(t, "intake", vm.Pool)
 	require.Equal(t, "billing-admin", vm.VM.Pool)
 }
+
+// The pool billing-admin, two VMs in each of four zones, is made short as no
+// publish may: it is helped one VM at a time, and a move that makes a zone
+// short is refused.
+func TestMoveHelpsAPoolThatIsShortByTwo(t *testing.T) {
+	tests := []struct {
+		name    string
+		budget  structs.Budget
+		without []string
+		want    structs.Void
+	}{
+		{"pool short by two", structs.Budget{MinAvailable: 10}, nil, structs.VoidNone},
+		{"short by two after the loss of a VM", structs.Budget{MinAvailable: 9, Survive: structs.FailureDomainVM}, nil, structs.VoidNone},
+		{"zones short by two", structs.Budget{MinAvailablePerZone: 4}, nil, structs.VoidNone},
+		{"first VM of a zone that needs one", structs.Budget{MinAvailablePerZone: 1}, []string{"billing-admin-01", "billing-admin-05"}, structs.VoidNone},
+		{"first VM of a zone that needs two", structs.Budget{MinAvailablePerZone: 2}, []string{"billing-admin-01", "billing-admin-05"}, structs.VoidBudget},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			b := newBench(t)
+			svc := b.s.View().Services["billing"]
+			svc.Budget = tt.budget
+			b.s.unsafe.budgets = true
+			for _, id := range tt.without {
+				b.ok("n1", b.step(id, structs.VMFailed))
+				b.ok("pipeline", b.publish(structs.Change{Kind: structs.ItemVM, Name: id, Delete: true}))
+			}
+			b.ok("pipeline", b.publish(structs.Change{Kind: structs.ItemService, Name: "billing", Service: &svc}))
+			b.s.unsafe.budgets = false
+			b.drain("intake-01")
+			verdict := b.apply("n1", b.move("intake-01", "billing-admin"))
+			require.Equal(t, tt.want, verdict.Void, verdict.Detail)
+		})
+	}
+}
