--- a/cmd/internal/cli/manifest.go
+++ b/cmd/internal/cli/manifest.go
@@ -31,8 +31,11 @@
 			},
 			{
 				Name: "publish", Usage: "publish a manifest through a node; safe to repeat", ArgsUsage: "FILE",
-				Description: "Example:\n  wigeonwinch --nodes 10.0.0.5:8082 --token-file publish.token manifest publish manifest.json",
-				Action:      publishManifest,
+				Description: "Examples:\n  wigeonwinch --nodes 10.0.0.5:8082 --token-file publish.token manifest publish manifest.json\n  wigeonwinch manifest publish --platform 10.0.9.1:9000 manifest.json",
+				Flags: []cli.Flag{
+					&cli.StringFlag{Name: "platform", Usage: "publish straight to the platform's log at this IP address and port, without a node; WIGEONWINCH_PLATFORM_TOKEN holds its token"},
+				},
+				Action: publishManifest,
 			},
 			{
 				Name: "show", Usage: "print the manifest in force",
@@ -107,11 +110,7 @@
 		printProblems(cmd.Root().ErrWriter, problems)
 		return fail(ExitUsage, "the manifest has %d faults, listed above; nothing was published", len(problems))
 	}
-	list, err := clients(cmd)
-	if err != nil {
-		return err
-	}
-	answer, err := publishThrough(ctx, list, data)
+	answer, err := publishData(ctx, cmd, data)
 	if err != nil {
 		return err
 	}
@@ -126,6 +125,18 @@
 	return publishExit(cmd, answer)
 }
 
+// publishData publishes through the nodes or straight to the log.
+func publishData(ctx context.Context, cmd *cli.Command, data []byte) (admin.Published, error) {
+	if address := cmd.String("platform"); address != "" {
+		return publishToLog(ctx, address, data)
+	}
+	list, err := clients(cmd)
+	if err != nil {
+		return admin.Published{}, err
+	}
+	return publishThrough(ctx, list, data)
+}
+
 // publishThrough tries the nodes in turn until one answers. Sending the same
 // manifest through another node is safe because its key is the same.
 func publishThrough(ctx context.Context, list []*apiclient.Client, data []byte) (admin.Published, error) {
--- a/node/admin/publish.go
+++ b/node/admin/publish.go
@@ -78,7 +78,7 @@
 	if !ok {
 		return
 	}
-	key := a.publishKey(data)
+	key := PublishKey(data, a.cfg.Control.Lookup)
 	if len(problems) > 0 {
 		writeJSON(w, http.StatusUnprocessableEntity, Published{
 			Outcome: OutcomeRefused, Key: key, Reason: structs.VoidInvalid,
@@ -97,13 +97,13 @@
 	a.publish(w, r, key, m, view)
 }
 
-// publishKey returns the key of a manifest. It follows from the body, so that
+// PublishKey returns the key of a manifest. It follows from the body, so that
 // sending it again is safe. The key of a refused publish is spent: the same
 // body then gets one that follows from the refusal too.
-func (a *API) publishKey(data []byte) string {
+func PublishKey(data []byte, lookup func(key string) (structs.Verdict, bool)) string {
 	key := fmt.Sprintf("publish-%016x", xxhash.Sum64(data))
 	for {
-		verdict, known := a.cfg.Control.Lookup(key)
+		verdict, known := lookup(key)
 		if !known || verdict.Void == structs.VoidNone {
 			return key
 		}
--- a/node/control/catchup.go
+++ b/node/control/catchup.go
@@ -9,10 +9,11 @@
 	"wigeonwinch/fleet/structs"
 	"wigeonwinch/node/events"
 	"wigeonwinch/platform"
+	"wigeonwinch/platform/logstate"
 )
 
 // errNoSnapshot says that the log no longer covers this node's state.
-var errNoSnapshot = errors.New("the log keeps neither the next record nor a whole snapshot: the state must come from a peer, or be published again")
+var errNoSnapshot = logstate.ErrNoSnapshot
 
 // catchUp restores a state after retention has overtaken this node: from a
 // connected peer if one is ahead, otherwise from the newest snapshot that the
@@ -42,7 +43,7 @@
 // scan reads the log from its first kept record to the tail and returns the
 // parts of the newest whole snapshot.
 func (f *follower) scan(ctx context.Context) ([]structs.Record, error) {
-	var found collector
+	var found logstate.Collector
 	next, err := f.firstKept(ctx)
 	for err == nil {
 		var batch platform.Batch
@@ -51,11 +52,11 @@
 			break
 		}
 		for _, entry := range batch.Entries {
-			found.add(entry.Data)
+			found.Add(entry.Data)
 		}
 		next += structs.Offset(len(batch.Entries))
 		if next >= batch.Next || len(batch.Entries) == 0 {
-			return found.result()
+			return found.Result()
 		}
 	}
 	return nil, err
@@ -69,42 +70,3 @@
 	}
 	return 0, err
 }
-
-// collector puts together the newest whole snapshot of a run of records.
-type collector struct {
-	current []structs.Record
-	whole   []structs.Record
-}
-
-func (c *collector) add(data []byte) {
-	rec, err := structs.DecodeRecord(data)
-	if err != nil || rec.Snapshot == nil {
-		return
-	}
-	if rec.Snapshot.Part == 0 {
-		c.current = nil
-	}
-	if len(c.current) > 0 && !sameSnapshot(c.current[0], rec) {
-		return
-	}
-	c.current = append(c.current, rec)
-	if len(c.current) == rec.Snapshot.Parts && newer(c.current, c.whole) {
-		c.whole = c.current
-		c.current = nil
-	}
-}
-
-func sameSnapshot(a, b structs.Record) bool {
-	return a.Snapshot.Through == b.Snapshot.Through && a.Snapshot.Digest == b.Snapshot.Digest
-}
-
-func newer(a, b []structs.Record) bool {
-	return len(b) == 0 || a[0].Snapshot.Through >= b[0].Snapshot.Through
-}
-
-func (c *collector) result() ([]structs.Record, error) {
-	if len(c.whole) == 0 {
-		return nil, errNoSnapshot
-	}
-	return c.whole, nil
-}
