--- a/node/forward/sim_test.go
+++ b/node/forward/sim_test.go
@@ -203,6 +203,8 @@
 	down    bool // closes connections
 	failed  bool // went down with work in progress
 	acked   bool // every entry node acknowledged the drain
+	// draining says that a drain goes on.
+	draining bool
 	// notActive says since when a node's view takes the worker out.
 	notActive func(node, vm string) (time.Time, bool)
 }
--- a/node/forward/simfaults_test.go
+++ b/node/forward/simfaults_test.go
@@ -126,7 +126,9 @@
 // drain takes a worker out as planned: it may refuse new work itself, and it
 // restarts only after every entry node of its zone has acknowledged.
 func (f *simFleet) drain(w *simWorker, refuses bool) func() {
-	w.set(func() { w.refuses = refuses })
+	if !w.beginDrain(refuses) {
+		return func() {} // as the fold voids a second drain
+	}
 	sequence := f.setVM(w.id, structs.VMDraining)
 	return func() {
 		for range 200 {
@@ -143,9 +145,22 @@
 		time.Sleep(time.Second)
 		w.set(func() { w.acked, w.refuses = false, false })
 		f.setVM(w.id, structs.VMActive)
+		w.set(func() { w.draining = false })
 	}
 }
 
+// beginDrain reports false while another drain of the worker goes on.
+func (w *simWorker) beginDrain(refuses bool) bool {
+	w.lock.Lock()
+	defer w.lock.Unlock()
+	if w.draining {
+		return false
+	}
+	w.draining = true
+	w.refuses = refuses
+	return true
+}
+
 // acknowledged says whether every member of the worker's zone acknowledged.
 func (f *simFleet) acknowledged(w *simWorker, sequence uint64) bool {
 	f.lock.Lock()
