--- a/node/control/probe_test.go
+++ b/node/control/probe_test.go
@@ -37,6 +37,12 @@
 	p.down[address] = down
 }
 
+func (p *downProber) askedFor(address string) int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.asked[address]
+}
+
 func TestFailedWorkerIsNoticedAndReturnsThroughProbation(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		c := newCluster(t, standin.LogOptions{}, fourZones()...)
@@ -59,6 +65,6 @@
 		time.Sleep(20 * time.Minute)
 		back, _ := c.node(1).View().VMByID(vm.ID)
 		require.Equal(t, structs.VMActive, back.State)
-		require.Positive(t, prober.asked[vm.Address])
+		require.Positive(t, prober.askedFor(vm.Address))
 	})
 }
