Write the loops of the fold's benchmarks and a VM's failure once

Cause: three benchmarks held the same loop over sizes and changes, two tests the same life of a VM. Change: eachChange, eachSize and failReturned; no case and no check dropped.

--- a/fleet/state/bench_test.go
+++ b/fleet/state/bench_test.go
@@ -114,26 +114,39 @@
 	{"transition", drainOrCancel},
 }
 
-// BenchmarkApplyPublish folds one small change and reports its size in the
-// log. The baseline publishes the whole manifest for the change.
-func BenchmarkApplyPublish(b *testing.B) {
+// eachChange benchmarks a fold of each kind of small change at each size. The
+// run may report figures when its loop has ended.
+func eachChange(b *testing.B, run func(b *testing.B, s *State, change func(*State, int) structs.Record)) {
 	for _, vms := range benchSizes {
 		for _, rec := range benchRecords {
 			b.Run(fmt.Sprintf("%s/%d", rec.name, vms), func(b *testing.B) {
 				s := largeState(b, vms)
 				b.ReportAllocs()
-				for i := 0; b.Loop(); i++ {
-					mustApply(b, s, rec.make(s, i))
-				}
-				b.ReportMetric(encodedBytes(b, rec.make(s, 1)), "log_bytes")
+				run(b, s, rec.make)
 			})
 		}
-		b.Run(fmt.Sprintf("whole_manifest/%d", vms), func(b *testing.B) {
-			benchWholeManifest(b, vms)
-		})
 	}
 }
 
+// eachSize benchmarks a baseline at each size.
+func eachSize(b *testing.B, name string, run func(b *testing.B, vms int)) {
+	for _, vms := range benchSizes {
+		b.Run(fmt.Sprintf("%s/%d", name, vms), func(b *testing.B) { run(b, vms) })
+	}
+}
+
+// BenchmarkApplyPublish folds one small change and reports its size in the
+// log. The baseline publishes the whole manifest for the change.
+func BenchmarkApplyPublish(b *testing.B) {
+	eachChange(b, func(b *testing.B, s *State, change func(*State, int) structs.Record) {
+		for i := 0; b.Loop(); i++ {
+			mustApply(b, s, change(s, i))
+		}
+		b.ReportMetric(encodedBytes(b, change(s, 1)), "log_bytes")
+	})
+	eachSize(b, "whole_manifest", benchWholeManifest)
+}
+
 func encodedBytes(b *testing.B, rec structs.Record) float64 {
 	rec.Key = "0198f2c1-6b1e-7c3a-9a2b-000000000001"
 	rec.Writer = "pipeline"
@@ -163,48 +176,36 @@
 // BenchmarkView folds one change and takes a view. The baseline copies the
 // whole state for each view.
 func BenchmarkView(b *testing.B) {
-	for _, vms := range benchSizes {
-		for _, rec := range benchRecords {
-			b.Run(fmt.Sprintf("%s/%d", rec.name, vms), func(b *testing.B) {
-				s := largeState(b, vms)
-				s.View()
-				b.ReportAllocs()
-				for i := 0; b.Loop(); i++ {
-					mustApply(b, s, rec.make(s, i))
-					s.View()
-				}
-			})
+	eachChange(b, func(b *testing.B, s *State, change func(*State, int) structs.Record) {
+		s.View()
+		for i := 0; b.Loop(); i++ {
+			mustApply(b, s, change(s, i))
+			s.View()
 		}
-		b.Run(fmt.Sprintf("whole_copy/%d", vms), func(b *testing.B) {
-			s := largeState(b, vms)
-			b.ReportAllocs()
-			for b.Loop() {
-				e := s.export()
-				e.state().View()
-			}
-		})
-	}
+	})
+	eachSize(b, "whole_copy", func(b *testing.B, vms int) {
+		s := largeState(b, vms)
+		b.ReportAllocs()
+		for b.Loop() {
+			e := s.export()
+			e.state().View()
+		}
+	})
 }
 
 // BenchmarkApplyChecked folds one change with the checks of all invariants
 // that a step can break. The baseline is BenchmarkView.
 func BenchmarkApplyChecked(b *testing.B) {
-	for _, vms := range benchSizes {
-		for _, rec := range benchRecords {
-			b.Run(fmt.Sprintf("%s/%d", rec.name, vms), func(b *testing.B) {
-				s := largeState(b, vms)
-				b.ReportAllocs()
-				for i := 0; b.Loop(); i++ {
-					step := rec.make(s, i)
-					step.Key = fmt.Sprintf("k%d", s.Next())
-					step.Writer = "n1"
-					if _, broken := s.ApplyChecked(s.Next(), step); len(broken) > 0 {
-						b.Fatal(broken[0])
-					}
-				}
-			})
+	eachChange(b, func(b *testing.B, s *State, change func(*State, int) structs.Record) {
+		for i := 0; b.Loop(); i++ {
+			step := change(s, i)
+			step.Key = fmt.Sprintf("k%d", s.Next())
+			step.Writer = "n1"
+			if _, broken := s.ApplyChecked(s.Next(), step); len(broken) > 0 {
+				b.Fatal(broken[0])
+			}
 		}
-	}
+	})
 }
 
 // BenchmarkStateSize reports the memory of a state with its view, and the
--- a/fleet/state/transition_test.go
+++ b/fleet/state/transition_test.go
@@ -167,7 +167,7 @@
 			b.s.unsafe.budgets = true
 			for _, id := range tt.without {
 				b.ok("n1", b.step(id, structs.VMFailed))
-				b.ok("pipeline", b.publish(structs.Change{Kind: structs.ItemVM, Name: id, Delete: true}))
+				b.ok("pipeline", b.publish(drop(structs.ItemVM, id)))
 			}
 			b.ok("pipeline", b.publish(structs.Change{Kind: structs.ItemService, Name: "billing", Service: &svc}))
 			b.s.unsafe.budgets = false
--- a/fleet/state/wave_test.go
+++ b/fleet/state/wave_test.go
@@ -122,12 +122,18 @@
 	}
 }
 
+// failReturned lets a VM return from its reboot into the new image and fail.
+func (b *bench) failReturned(id string) {
+	b.t.Helper()
+	b.reboot(id)
+	b.comeBack(id, newImage)
+	b.ok("n1", b.step(id, structs.VMActive))
+	b.ok("n1", b.step(id, structs.VMFailed))
+}
+
 func TestWaveForgetsDroppedVMs(t *testing.T) {
 	b := newBench(t)
-	b.reboot("survey-01")
-	b.comeBack("survey-01", newImage)
-	b.ok("n1", b.step("survey-01", structs.VMActive))
-	b.ok("n1", b.step("survey-01", structs.VMFailed))
+	b.failReturned("survey-01")
 	b.ok("pipeline", b.publish(drop(structs.ItemVM, "survey-01")))
 	require.Zero(t, b.wave().Returned)
 	require.Equal(t, rebuilt(t, b.s).progress, b.s.progress)
@@ -137,10 +143,7 @@
 // refused for another change.
 func TestRefusedPublishKeepsWaveCounts(t *testing.T) {
 	b := newBench(t)
-	b.reboot("survey-01")
-	b.comeBack("survey-01", newImage)
-	b.ok("n1", b.step("survey-01", structs.VMActive))
-	b.ok("n1", b.step("survey-01", structs.VMFailed))
+	b.failReturned("survey-01")
 	bad := editedWave(b, func(w *structs.Wave) { w.Image = "other"; w.Window = "noon" })
 	b.void(structs.VoidInvalid, "pipeline", b.publish(bad, drop(structs.ItemVM, "survey-01")))
 	require.Equal(t, 1, b.wave().Returned)
