--- a/dispatch/eject/eject.go
+++ b/dispatch/eject/eject.go
@@ -149,6 +149,15 @@
 	}
 }
 
+// SetMinAvailable replaces the least number of workers that stay in use; a
+// number below one takes the default.
+func (t *Tracker) SetMinAvailable(workers int) {
+	if workers <= 0 {
+		workers = defaultMinAvailable
+	}
+	t.opts.MinAvailable = workers
+}
+
 // SetWorkers replaces the workers. The first ones are healthy at once; later
 // ones are new or returning and get a growing share.
 func (t *Tracker) SetWorkers(now time.Time, ids []string) {
--- a/dispatch/scheduler/scheduler.go
+++ b/dispatch/scheduler/scheduler.go
@@ -45,6 +45,10 @@
 	return s
 }
 
+// SetMinAvailable sets how many workers stay in use however many fail, from
+// the availability budgets.
+func (s *Scheduler) SetMinAvailable(workers int) { s.workers.tracker.SetMinAvailable(workers) }
+
 // SetTeams replaces the teams. Requests of teams not named share one flow.
 func (s *Scheduler) SetTeams(teams []Team) { s.teams.set(teams) }
 
--- a/node/forward/lending.go
+++ b/node/forward/lending.go
@@ -50,7 +50,7 @@
 	var sizes []slots.Size
 	for _, vm := range rt.view.VMs {
 		if vm.Zone == s.cfg.Zone {
-			sizes = append(sizes, slots.Size{Worker: vm.ID, Slots: vm.Slots})
+			sizes = append(sizes, slots.Size{Worker: vm.ID, Slots: vm.Slots, Pool: vm.Pool})
 		}
 	}
 	s.lending.lock.Lock()
@@ -134,7 +134,7 @@
 		p.lock.Lock()
 		defer p.lock.Unlock()
 		st := p.sched.Stats()
-		queued := st.QueuedUrgent + st.QueuedShort + st.QueuedLong
+		queued := p.sched.Backlog()
 		waiting = waiting || queued > 0
 		asked := 0
 		for _, w := range st.Workers {
--- a/node/forward/pool.go
+++ b/node/forward/pool.go
@@ -228,11 +228,13 @@
 	s.addPools(rt)
 	workers := s.workersByPool(rt)
 	teams := schedulerTeams(rt)
+	floor := floors(rt.view, s.cfg.Zone)
 	s.eachPool(func(p *pool) {
 		p.lock.Lock()
 		defer p.lock.Unlock()
 		now := p.clock()
 		p.sched.SetTeams(teams)
+		p.sched.SetMinAvailable(floor[p.name])
 		p.sched.SetWorkers(now, workers[p.name])
 		p.pump(now)
 	})
