Let the test's pauses act as real ones

Change: the fake mesh heeds the context; a paused node does not acknowledge; an end may be late only by the pause of the node that was asked, which is stricter than before. Conclusion: the faults were the test's; a million requests on this state are still to be run.

--- a/node/forward/fake_test.go
+++ b/node/forward/fake_test.go
@@ -31,7 +31,7 @@
 	// cut says whether two nodes hear each other; nil: always.
 	cut func(a, b string) bool
 	// stall waits while a node is paused; nil: never.
-	stall func(node string)
+	stall func(ctx context.Context, node string)
 }
 
 type fakePeers struct {
@@ -75,18 +75,24 @@
 }
 
 func (p *fakePeers) Call(ctx context.Context, node string, method uint16, body []byte) ([]byte, error) {
-	p.net.wait(p.member.Node)
+	p.net.wait(ctx, p.member.Node)
 	to := p.net.reach(p.member.Node, node)
 	if to == nil {
 		return nil, errCut
 	}
-	p.net.wait(node)
+	p.net.wait(ctx, node)
+	if ctx.Err() != nil {
+		return nil, ctx.Err() // as the mesh, which doesn't wait for a paused peer
+	}
 	to.lock.Lock()
 	h := to.handlers[method]
 	to.lock.Unlock()
 	reply, err := h(ctx, p.member.Node, bytes.Clone(body))
-	p.net.wait(node)
-	p.net.wait(p.member.Node)
+	p.net.wait(ctx, node)
+	p.net.wait(ctx, p.member.Node)
+	if ctx.Err() != nil {
+		return nil, ctx.Err()
+	}
 	if p.net.reach(p.member.Node, node) == nil {
 		return nil, errCut
 	}
@@ -98,9 +104,9 @@
 }
 
 // wait holds a message up while a node is paused.
-func (n *fakeNet) wait(node string) {
+func (n *fakeNet) wait(ctx context.Context, node string) {
 	if n.stall != nil {
-		n.stall(node)
+		n.stall(ctx, node)
 	}
 }
 
--- a/node/forward/random_test.go
+++ b/node/forward/random_test.go
@@ -160,8 +160,8 @@
 		return c.note(w, "", "node died")
 	}
 	latest := began.Add(simDefaultDeadline + simLatestEndAfter)
-	if c.f.pausedAfter(began) {
-		latest = latest.Add(simLongestPause)
+	if pause := c.f.pausedUntil(node.member.Node).Add(simLatestEndAfter); pause.After(latest) {
+		latest = pause
 	}
 	if time.Now().After(latest) && ctx.Err() == nil {
 		c.f.ledger.violated("%s ended after %v", arrival, time.Since(began))
--- a/node/forward/sim_test.go
+++ b/node/forward/sim_test.go
@@ -31,14 +31,14 @@
 type simLink struct {
 	from, to string
 	// stall waits while a node is paused.
-	stall  func(node string)
+	stall  func(ctx context.Context, node string)
 	silent atomic.Bool
 	killed atomic.Bool
 }
 
 func (c *simConn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
-	c.stall(c.from)
+	c.stall(context.Background(), c.from)
 	if c.silent.Load() {
 		<-c.closed
 		return 0, net.ErrClosed
@@ -47,7 +47,7 @@
 }
 
 func (c *simConn) Write(p []byte) (int, error) {
-	c.stall(c.from)
+	c.stall(context.Background(), c.from)
 	if c.silent.Load() {
 		return len(p), nil
 	}
@@ -98,7 +98,7 @@
 	listeners map[string]*simListener
 	conns     []*simConn
 	blocked   func(from, to string) bool
-	stall     func(node string)
+	stall     func(ctx context.Context, node string)
 }
 
 func (w *simWire) listen(address string) *simListener {
--- a/node/forward/simfaults_test.go
+++ b/node/forward/simfaults_test.go
@@ -104,18 +104,6 @@
 	return func() {}
 }
 
-// pausedAfter says whether some node was paused after a time.
-func (f *simFleet) pausedAfter(at time.Time) bool {
-	f.lock.Lock()
-	defer f.lock.Unlock()
-	for _, until := range f.pauses {
-		if until.After(at) {
-			return true
-		}
-	}
-	return false
-}
-
 // failWorker takes a worker down with all its work, and up again.
 func (f *simFleet) failWorker(w *simWorker) func() {
 	w.set(func() { w.down, w.failed = true, true })
@@ -170,7 +158,8 @@
 	}
 	f.lock.Unlock()
 	for _, n := range members {
-		if n.peers.dead.Load() || !n.server.Acknowledge(w.id, sequence) {
+		paused := time.Now().Before(f.pausedUntil(n.member.Node)) // can't append
+		if paused || n.peers.dead.Load() || !n.server.Acknowledge(w.id, sequence) {
 			return false
 		}
 	}
--- a/node/forward/simfleet_test.go
+++ b/node/forward/simfleet_test.go
@@ -174,11 +174,16 @@
 }
 
 // stall waits while a node is paused.
-func (f *simFleet) stall(node string) {
+func (f *simFleet) stall(ctx context.Context, node string) {
+	if left := time.Until(f.pausedUntil(node)); left > 0 {
+		sleep(ctx, left)
+	}
+}
+
+func (f *simFleet) pausedUntil(node string) time.Time {
 	f.lock.Lock()
-	until := f.pauses[node]
-	f.lock.Unlock()
-	time.Sleep(time.Until(until))
+	defer f.lock.Unlock()
+	return f.pauses[node]
 }
 
 // notActive says since when a node's view takes a worker out.
