--- a/fleet/planner/demand_test.go
+++ b/fleet/planner/demand_test.go
@@ -70,11 +70,12 @@
 	sim      *sim
 }
 
-// learnTime is how long a day's planner has run before the day begins.
+// learnTime is how long a day's planner has run before the day begins, unless
+// the day is a cold one.
 const learnTime = 6 * time.Hour
 
 // runDay plans a time to learn and a day under the demand, and counts the day.
-func runDay(view *structs.View, p policy, line demandLine, seed int64) dayResult {
+func runDay(view *structs.View, p policy, line demandLine, learn time.Duration, seed int64) dayResult {
 	s := newSim(view, seed)
 	s.longShare = 0.002
 	d := &demandPolicy{inner: p, sim: s, line: line}
@@ -82,7 +83,7 @@
 	for i := range line[0] {
 		d.round = i
 		d.serving()
-		if i == int(learnTime/simRound) {
+		if i == int(learn/simRound) {
 			result.shortage, d.moves = 0, 0
 			result.start = startOf(s)
 		}
--- a/fleet/planner/failures_test.go
+++ b/fleet/planner/failures_test.go
@@ -225,8 +225,8 @@
 
 func TestMovesServeABurst(t *testing.T) {
 	line := newDemand(5, meanSlots, time.Hour, learnTime+2*time.Hour, 4)
-	ours := runDay(newView(moversShape()), New(Options{}), line, 4)
-	stay := runDay(newView(moversShape()), plannerWith(stayMover{}), line, 4)
+	ours := runDay(newView(moversShape()), New(Options{}), line, learnTime, 4)
+	stay := runDay(newView(moversShape()), plannerWith(stayMover{}), line, learnTime, 4)
 	require.Positive(t, ours.moves)
 	require.Zero(t, stay.moves)
 	require.Less(t, ours.shortage, stay.shortage/5)
--- a/fleet/planner/moves_bench_test.go
+++ b/fleet/planner/moves_bench_test.go
@@ -78,23 +78,33 @@
 
 const meanSlots = 20.0 // five times this is more than a pool of ten holds
 
-const moversSeeds = 3
-
 // moversResult is what one seed of the benchmark came to.
 type moversResult struct {
 	ours, greedy, stay dayResult
 	bound              float64
 }
 
-func runMovers(turn time.Duration, seed int64) moversResult {
-	line := newDemand(5, meanSlots, turn, learnTime+24*time.Hour, seed)
-	var r moversResult
-	var wg sync.WaitGroup
-	wg.Go(func() { r.greedy = runDay(newView(moversShape()), plannerWith(greedyMover{}), line, seed) })
-	wg.Go(func() { r.stay = runDay(newView(moversShape()), plannerWith(stayMover{}), line, seed) })
-	r.ours = runDay(newView(moversShape()), New(Options{}), line, seed)
-	r.bound = movesBound(line.from(learnTime), r.ours.start, keptBy(r.ours.sim), r.ours.shortage)
-	wg.Wait()
+// moversCase is one kind of day: how long the pools' turns last and how long
+// the planner has learned before.
+type moversCase struct {
+	suffix string // of the metrics
+	turn   time.Duration
+	learn  time.Duration
+	seeds  int
+}
+
+var moversCases = []moversCase{
+	{"", time.Hour, learnTime, 3},
+	{"_15min", 15 * time.Minute, learnTime, 2},
+	{"_4h", 4 * time.Hour, learnTime, 2},
+	{"_cold_day", time.Hour, 0, 2},
+}
+
+func (c moversCase) run(seed int64) moversResult {
+	line := newDemand(5, meanSlots, c.turn, c.learn+24*time.Hour, seed)
+	day := func(p *Planner) dayResult { return runDay(newView(moversShape()), p, line, c.learn, seed) }
+	r := moversResult{ours: day(New(Options{})), greedy: day(plannerWith(greedyMover{})), stay: day(plannerWith(stayMover{}))}
+	r.bound = movesBound(line.from(c.learn), r.ours.start, keptBy(r.ours.sim), r.ours.shortage)
 	return r
 }
 
@@ -109,24 +119,22 @@
 
 func BenchmarkMoves(b *testing.B) {
 	for b.Loop() {
-		results := make([]moversResult, moversSeeds)
-		var short, long moversResult
+		results := make([][]moversResult, len(moversCases))
 		var wg sync.WaitGroup
-		for i := range results {
-			wg.Go(func() { results[i] = runMovers(time.Hour, int64(i+1)) })
+		for i, c := range moversCases {
+			results[i] = make([]moversResult, c.seeds)
+			for j := range results[i] {
+				wg.Go(func() { results[i][j] = c.run(int64(j + 1)) })
+			}
 		}
-		wg.Go(func() { short = runMovers(15*time.Minute, 1) })
-		wg.Go(func() { long = runMovers(4*time.Hour, 1) })
 		wg.Wait()
-		reportMovers(b, results)
-		b.ReportMetric(float64(short.ours.moves)/short.bound, "moves_vs_bound_15m_turns")
-		b.ReportMetric(short.ours.shortage/short.greedy.shortage, "shortage_vs_greedy_15m_turns")
-		b.ReportMetric(float64(long.ours.moves)/long.bound, "moves_vs_bound_4h_turns")
-		b.ReportMetric(long.ours.shortage/long.greedy.shortage, "shortage_vs_greedy_4h_turns")
+		for i, c := range moversCases {
+			c.report(b, results[i])
+		}
 	}
 }
 
-func reportMovers(b *testing.B, results []moversResult) {
+func (c moversCase) report(b *testing.B, results []moversResult) {
 	var all moversResult
 	for _, r := range results {
 		require.Zero(b, r.ours.sim.breaches)
@@ -137,13 +145,15 @@
 		all.bound += r.bound
 	}
 	moved := float64(all.ours.moves)
-	b.ReportMetric(moved/float64(len(results)), "moves_per_day")
-	b.ReportMetric(all.bound/float64(len(results)), "bound_per_day")
-	b.ReportMetric(moved/all.bound, "moves_vs_bound")
-	b.ReportMetric(moved/float64(all.greedy.moves), "moves_vs_greedy")
-	b.ReportMetric(all.ours.shortage/all.greedy.shortage, "shortage_vs_greedy")
-	b.ReportMetric(all.ours.shortage/all.stay.shortage, "shortage_vs_no_move")
-	b.ReportMetric(all.ours.shortage/float64(len(results)), "shortage_slot_h")
+	b.ReportMetric(moved/float64(len(results)), "moves_per_day"+c.suffix)
+	b.ReportMetric(float64(all.greedy.moves)/float64(len(results)), "greedy_moves_per_day"+c.suffix)
+	b.ReportMetric(all.bound/float64(len(results)), "bound_per_day"+c.suffix)
+	b.ReportMetric(moved/all.bound, "moves_vs_bound"+c.suffix)
+	b.ReportMetric(moved/float64(all.greedy.moves), "moves_vs_greedy"+c.suffix)
+	b.ReportMetric(all.ours.shortage/all.greedy.shortage, "shortage_vs_greedy"+c.suffix)
+	b.ReportMetric(all.ours.shortage/all.stay.shortage, "shortage_vs_no_move"+c.suffix)
+	b.ReportMetric(all.ours.shortage/float64(len(results)), "shortage_slot_h"+c.suffix)
+	b.ReportMetric(all.greedy.shortage/float64(len(results)), "greedy_shortage_slot_h"+c.suffix)
 }
 
 func (d *dayResult) add(other dayResult) {
