--- a/fleet/budget/headroom.go
+++ b/fleet/budget/headroom.go
@@ -65,16 +65,35 @@
 	}
 	sum := 0
 	for i := range p.zones.cells {
-		zone := &p.zones.cells[i]
-		keep := r.perZone
-		if withReserve {
-			keep += r.zoneReserve(zone)
-		}
-		sum += max(zone.sound-keep, 0)
+		sum += r.maxOutOfZone(&p.zones.cells[i], withReserve)
 	}
 	return sum
 }
 
+func (r rule) maxOutOfZone(zone *cell, withReserve bool) int {
+	keep := r.perZone
+	if withReserve {
+		keep += r.zoneReserve(zone)
+	}
+	return max(zone.sound-keep, 0)
+}
+
+// MaxOutInZone returns the largest number of a pool's workers in one zone that
+// can be out of service by plan at once, as far as the budgets for each zone
+// allow.
+func (l *Ledger) MaxOutInZone(name, zone string) int {
+	p := l.pools[name]
+	if p == nil {
+		return 0
+	}
+	counts := p.zones.of(domain{zone: zone})
+	most := counts.sound
+	for _, r := range p.rules {
+		most = min(most, r.maxOutOfZone(&counts, true))
+	}
+	return most
+}
+
 // ZoneBound returns the largest number of a pool's workers in one zone that
 // any plan could have out at once under the declared budgets.
 func (l *Ledger) ZoneBound(name, zone string) int {
