--- a/fleet/planner/failures_test.go
+++ b/fleet/planner/failures_test.go
@@ -24,10 +24,16 @@
 	require.Zero(t, s.early, "a VM was rebooted before it was drained")
 }
 
-// midWave returns a fleet a few minutes into a wave.
-func midWave(survive structs.FailureDomain, seed int64) (*sim, *Planner) {
+// smallWave returns a small fleet at the beginning of a wave.
+func smallWave(survive structs.FailureDomain, seed int64) *sim {
 	s := newSim(newView(smallShape(survive)), seed)
 	s.addWave()
+	return s
+}
+
+// midWave returns a fleet a few minutes into a wave.
+func midWave(survive structs.FailureDomain, seed int64) (*sim, *Planner) {
+	s := smallWave(survive, seed)
 	s.longShare = 0.02
 	p := New(Options{})
 	s.runFor(p, 4*time.Minute)
@@ -110,8 +116,7 @@
 }
 
 func TestFailureCallsDrainsBack(t *testing.T) {
-	s := newSim(newView(smallShape(structs.FailureDomainZone)), 3)
-	s.addWave()
+	s := smallWave(structs.FailureDomainZone, 3)
 	p := New(Options{Wave: wave.Options{Patience: time.Hour}})
 	for i := range s.workers {
 		s.workers[i].longEnd = s.now.Add(20 * time.Minute) // every drain lasts
@@ -125,8 +130,7 @@
 }
 
 func TestAnotherHolderResumesTheWave(t *testing.T) {
-	s := newSim(newView(smallShape(structs.FailureDomainRack)), 5)
-	s.addWave()
+	s := smallWave(structs.FailureDomainRack, 5)
 	s.longShare = 0.05
 	nodes := []string{"e-0-0", "e-1-0", "e-2-0"}
 	old := New(Options{})
@@ -146,8 +150,7 @@
 }
 
 func TestWaveStopsWhenReturningVMsFail(t *testing.T) {
-	s := newSim(newView(smallShape(structs.FailureDomainRack)), 6)
-	s.addWave()
+	s := smallWave(structs.FailureDomainRack, 6)
 	s.breakImage = imageNew
 	for i := range s.view.VMs { // one pool's drains last when the wave stops
 		if vm := &s.view.VMs[i]; vm.Pool == poolName(4) {
@@ -182,8 +185,7 @@
 }
 
 func TestStragglerDelaysOnlyItsVM(t *testing.T) {
-	s := newSim(newView(smallShape(structs.FailureDomainRack)), 8)
-	s.addWave()
+	s := smallWave(structs.FailureDomainRack, 8)
 	stuck := map[string]bool{"w-00003": true, "w-00010": true}
 	for id := range stuck {
 		s.workers[s.byID[id]].longEnd = s.now.Add(365 * 24 * time.Hour)
@@ -205,8 +207,7 @@
 }
 
 func TestStragglersDoNotHoldTheirPoolUp(t *testing.T) {
-	s := newSim(newView(smallShape(structs.FailureDomainRack)), 8)
-	s.addWave()
+	s := smallWave(structs.FailureDomainRack, 8)
 	p := New(Options{})
 	s.runFor(p, simRound)
 	stuck := map[string]bool{}
@@ -235,8 +236,7 @@
 }
 
 func TestNothingIsPlannedInACutZone(t *testing.T) {
-	s := newSim(newView(smallShape(structs.FailureDomainRack)), 9)
-	s.addWave()
+	s := smallWave(structs.FailureDomainRack, 9)
 	s.cut = []string{zoneName(2)}
 	p := New(Options{})
 	s.runFor(p, 3*time.Hour)
@@ -277,8 +277,7 @@
 }
 
 func TestRoundOnAStaleViewTakesNoMore(t *testing.T) {
-	s := newSim(newView(smallShape(structs.FailureDomainRack)), 2)
-	s.addWave()
+	s := smallWave(structs.FailureDomainRack, 2)
 	p := New(Options{})
 	first := drains(p.Round(s.input()))
 	require.NotEmpty(t, first)
@@ -301,8 +300,7 @@
 }
 
 func TestRestartOnTheImageCountsAsDone(t *testing.T) {
-	s := newSim(newView(smallShape(structs.FailureDomainRack)), 2)
-	s.addWave()
+	s := smallWave(structs.FailureDomainRack, 2)
 	s.workers[0].image = imageNew
 	s.runFor(New(Options{}), 3*time.Hour)
 	require.True(t, s.finished())
--- a/fleet/planner/forecast_test.go
+++ b/fleet/planner/forecast_test.go
@@ -10,8 +10,7 @@
 )
 
 func TestForecastComesNearTheEnd(t *testing.T) {
-	s := newSim(newView(smallShape(structs.FailureDomainRack)), 3)
-	s.addWave()
+	s := smallWave(structs.FailureDomainRack, 3)
 	p := New(Options{})
 	var early, middle WaveForecast
 	for !s.finished() && s.now.Sub(s.start) < testLimit {
--- a/fleet/planner/planner_test.go
+++ b/fleet/planner/planner_test.go
@@ -20,15 +20,12 @@
 		structs.FailureDomainNone, structs.FailureDomainVM, structs.FailureDomainRack, structs.FailureDomainZone,
 	} {
 		t.Run(string(survive), func(t *testing.T) {
-			s := newSim(newView(smallShape(survive)), 1)
-			s.addWave()
+			s := smallWave(survive, 1)
 			s.longShare = 0.1
 			took := s.run(New(Options{}), 12*time.Hour)
 			require.True(t, s.finished(), "after %s", took)
 			require.Less(t, took, 12*time.Hour)
-			require.Zero(t, s.breaches)
-			require.Zero(t, s.cutWork)
-			require.Zero(t, s.early)
+			requireSound(t, s)
 			require.Zero(t, s.voids, s.lastVoid.Detail)
 		})
 	}
--- a/fleet/planner/random_test.go
+++ b/fleet/planner/random_test.go
@@ -84,8 +84,7 @@
 	for seed := int64(1); seed <= 8; seed++ {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			t.Parallel()
-			s := newSim(newView(smallShape(structs.FailureDomainRack)), seed)
-			s.addWave()
+			s := smallWave(structs.FailureDomainRack, seed)
 			s.longShare = 0.02
 			st := newStorm(s, seed)
 			line := newDemand(5, meanSlots, 40*time.Minute, 8*time.Hour, seed)
