Drain after a lost member only on the worker's own word

Cause: an entry node that is removed from its zone's epoch though it lives acknowledges no drain; its work on a draining worker could be cut by the reboot. The usage was looked at, but an unread or older figure counted as idle (found by reading). Change: for 15 minutes after a member was lost, or after a planner took over, drained needs a usage figure from after the drain began; what the reads of list and usage may cost are settings (same defaults).

--- a/cmd/internal/demo/site.go
+++ b/cmd/internal/demo/site.go
@@ -171,6 +171,9 @@
 	conf.Limits.NoticeSeconds = 1
 	conf.Timing.ListMS = 500
 	conf.Timing.PlanMS = 250
+	conf.Timing.UsageMS = 500
+	conf.Timing.ListRate = 100_000
+	conf.Timing.UsageRate = 100_000
 	conf.Timing.ProbeMS = 500
 	conf.Timing.ProbationMS = 1000
 	conf.Timing.LeaseTTLMS = 5000
--- a/fleet/planner/sim_test.go
+++ b/fleet/planner/sim_test.go
@@ -151,6 +151,7 @@
 		}
 		if w.up(s.now) {
 			o.InProgress = w.inProgress(s.now)
+			o.BusyAt = s.now
 		}
 		in.Observed = append(in.Observed, o)
 	}
--- a/fleet/wave/step.go
+++ b/fleet/wave/step.go
@@ -43,7 +43,7 @@
 	case structs.VMActive:
 		return t.nextActive(seen)
 	case structs.VMDraining:
-		return t.nextDraining(vm, seen, c.Members)
+		return t.nextDraining(vm, m, seen, c)
 	case structs.VMRebooting:
 		return t.nextRebooting(m, seen, c)
 	case structs.VMProbation:
@@ -73,11 +73,11 @@
 	return Step{}
 }
 
-func (t *Tracker) nextDraining(vm *structs.VMStatus, seen *Observation, members []structs.EntryMember) Step {
+func (t *Tracker) nextDraining(vm *structs.VMStatus, m *memory, seen *Observation, c Context) Step {
 	if seen.Failures >= t.options.FailureProbes {
 		return Step{To: structs.VMFailed}
 	}
-	if seen.InProgress > 0 || !Acknowledged(vm, members) {
+	if !Acknowledged(vm, c.Members) || !t.idleSince(vm, m, seen, c.Now) {
 		return Step{Drain: true}
 	}
 	return Step{To: structs.VMDrained, Drain: true}
--- a/fleet/wave/tracker.go
+++ b/fleet/wave/tracker.go
@@ -11,6 +11,7 @@
 type Tracker struct {
 	options Options
 	vms     map[string]*memory
+	zones   map[string]*zoneMemory
 	started bool
 	// outDuration is the smoothed time from draining to active.
 	outDuration time.Duration
@@ -36,6 +37,7 @@
 	return &Tracker{
 		options:       options.withDefaults(),
 		vms:           make(map[string]*memory),
+		zones:         make(map[string]*zoneMemory),
 		outDuration:   defaultOutDuration,
 		drainDuration: defaultDrainDuration,
 	}
@@ -43,6 +45,7 @@
 
 // Observe notes the state of every VM. Call it once a round before Next.
 func (t *Tracker) Observe(view *structs.View, seen map[string]*Observation, now time.Time) {
+	t.observeZones(view, now)
 	for i := range view.VMs {
 		t.observeVM(&view.VMs[i], seen[view.VMs[i].ID], now)
 	}
--- a/fleet/wave/wave.go
+++ b/fleet/wave/wave.go
@@ -38,6 +38,9 @@
 	Failures int    // probes that failed in a row
 	// InProgress is the number of requests running on the worker.
 	InProgress int
+	// BusyAt is the time as of which InProgress holds; zero when nothing is
+	// known of it.
+	BusyAt time.Time
 }
 
 // Gone says that the VM no longer exists: the list shows it as terminated, or
--- a/node/control/config.go
+++ b/node/control/config.go
@@ -93,6 +93,10 @@
 	List time.Duration
 	// Usage is the least time between two reads of the workers' usage.
 	Usage time.Duration
+	// ListBytesPerSecond and UsageBytesPerSecond bound what the planner's reads
+	// of the VM list and of the usage cost; large ones are read less often.
+	ListBytesPerSecond  int
+	UsageBytesPerSecond int
 	// Probe is the time between two probes of a VM that is out of service or
 	// that the list does not show as live, and the least time between two
 	// messages that ask one zone for probes.
@@ -120,11 +124,15 @@
 	DefaultPlan           = 5 * time.Second
 	DefaultList           = 5 * time.Second
 	DefaultUsage          = 15 * time.Second
-	DefaultProbe          = 5 * time.Second
-	DefaultZones          = 10 * time.Second
-	DefaultMinBackoff     = 250 * time.Millisecond
-	DefaultMaxBackoff     = 4 * time.Second
-	DefaultSnapshot       = time.Hour
+
+	DefaultListBytesPerSecond  = 400
+	DefaultUsageBytesPerSecond = 300
+
+	DefaultProbe      = 5 * time.Second
+	DefaultZones      = 10 * time.Second
+	DefaultMinBackoff = 250 * time.Millisecond
+	DefaultMaxBackoff = 4 * time.Second
+	DefaultSnapshot   = time.Hour
 )
 
 func (i Intervals) withDefaults() Intervals {
@@ -141,6 +149,8 @@
 	setDuration(&i.List, DefaultList)
 	setDuration(&i.Usage, DefaultUsage)
 	setDuration(&i.Probe, DefaultProbe)
+	setRate(&i.ListBytesPerSecond, DefaultListBytesPerSecond)
+	setRate(&i.UsageBytesPerSecond, DefaultUsageBytesPerSecond)
 	setDuration(&i.Zones, DefaultZones)
 	setDuration(&i.MinBackoff, DefaultMinBackoff)
 	setDuration(&i.MaxBackoff, DefaultMaxBackoff)
@@ -171,3 +181,9 @@
 func (c Config) self() structs.EntryMember {
 	return structs.EntryMember{Node: c.Node, Incarnation: c.Incarnation, PeerAddress: c.PeerAddress}
 }
+
+func setRate(rate *int, fallback int) {
+	if *rate <= 0 {
+		*rate = fallback
+	}
+}
--- a/node/control/observe.go
+++ b/node/control/observe.go
@@ -13,12 +13,10 @@
 // What reading the platform may cost. The intervals grow with the fleet, so
 // that the bytes a second stay the same.
 const (
-	listedVMBytes       = 130
-	usageBytes          = 45
-	usageBytesPerSecond = 300
-	// listBytesPerSecond applies while this node plans or a membership
-	// waits for the list, idleListBytesPerSecond otherwise.
-	listBytesPerSecond     = 400
+	listedVMBytes = 130
+	usageBytes    = 45
+	// idleListBytesPerSecond applies while this node doesn't plan and no
+	// membership waits for the list.
 	idleListBytesPerSecond = 150
 	// staleFactor is after how many intervals an observation is too old to
 	// plan on.
@@ -53,7 +51,7 @@
 	if o.listedAt.IsZero() {
 		return false
 	}
-	return now.Sub(o.listedAt) < staleFactor*o.listInterval(intervals, listBytesPerSecond)
+	return now.Sub(o.listedAt) < staleFactor*o.listInterval(intervals, intervals.ListBytesPerSecond)
 }
 
 func (o *observations) listInterval(intervals Intervals, bytesPerSecond int) time.Duration {
@@ -61,7 +59,7 @@
 }
 
 func (o *observations) usageInterval(intervals Intervals) time.Duration {
-	return max(intervals.Usage, costInterval(len(o.usage)*usageBytes, usageBytesPerSecond))
+	return max(intervals.Usage, costInterval(len(o.usage)*usageBytes, intervals.UsageBytesPerSecond))
 }
 
 // costInterval returns how long a transfer takes at a rate.
@@ -88,7 +86,7 @@
 func (l *Loop) listDue(now time.Time) bool {
 	rate := idleListBytesPerSecond
 	if l.planner.holding || l.member.joining || l.memberSilent(now) {
-		rate = listBytesPerSecond
+		rate = l.cfg.Intervals.ListBytesPerSecond
 	}
 	return now.Sub(l.observed.triedAt) >= l.jitter+l.observed.listInterval(l.cfg.Intervals, rate)
 }
@@ -141,20 +139,21 @@
 
 func (l *Loop) readUsage(ctx context.Context) {
 	l.observed.reading = true
+	asked := time.Now()
 	l.group.Go(func() {
 		callCtx, cancel := context.WithTimeout(ctx, l.cfg.Intervals.AppendTimeout)
 		usage, err := l.cfg.Workers.Usage(callCtx)
 		cancel()
-		l.post(ctx, func() { l.usageRead(usage, err) })
+		l.post(ctx, func() { l.usageRead(asked, usage, err) })
 	})
 }
 
-func (l *Loop) usageRead(usage []platform.Usage, err error) {
+func (l *Loop) usageRead(asked time.Time, usage []platform.Usage, err error) {
 	now := time.Now()
 	l.observed.reading = false
 	if err == nil {
 		l.observed.usage = usage
-		l.observed.usageAt = now
+		l.observed.usageAt = asked
 	}
 	l.observed.nextUsage = now.Add(l.jittered(l.observed.usageInterval(l.cfg.Intervals)))
 }
@@ -165,19 +164,23 @@
 }
 
 // observations returns what a planning round looks at.
-func (l *Loop) observations(view *structs.View) []planner.Observation {
+func (l *Loop) observations(view *structs.View, wall time.Time) []planner.Observation {
 	byID := make(map[string]platform.ListedVM, len(l.observed.listed))
 	for _, vm := range l.observed.listed {
 		byID[vm.ID] = vm
 	}
-	busy := make(map[string]int, len(l.observed.usage))
+	busy := make(map[string]platform.Usage, len(l.observed.usage))
 	for _, u := range l.observed.usage {
-		busy[u.VM] = u.Busy
+		busy[u.VM] = u
 	}
 	seen := make([]planner.Observation, 0, len(view.VMs))
 	for i := range view.VMs {
 		vm := &view.VMs[i]
-		o := planner.Observation{VM: vm.ID, Present: wave.PresenceAbsent, InProgress: busy[vm.ID]}
+		o := planner.Observation{VM: vm.ID, Present: wave.PresenceAbsent}
+		if usage, ok := busy[vm.ID]; ok {
+			o.InProgress = usage.Busy
+			o.BusyAt = wall.Add(-time.Since(l.observed.usageAt) - time.Duration(usage.LagMS)*time.Millisecond)
+		}
 		if listed, ok := byID[vm.ID]; ok {
 			o.Present = wave.Presence(listed.Presence)
 			o.Boot = listed.Boot
--- a/node/control/plan.go
+++ b/node/control/plan.go
@@ -82,13 +82,14 @@
 	if !ok || !l.observed.complete(now, l.cfg.Intervals) {
 		return
 	}
+	wall := l.cfg.Wall()
 	plan := l.planner.planner.Round(planner.Input{
 		View:     view,
-		Now:      l.cfg.Wall(),
+		Now:      wall,
 		Scope:    l.cfg.Scope,
 		Epoch:    epoch,
 		Writer:   l.cfg.Node,
-		Observed: l.observations(view),
+		Observed: l.observations(view, wall),
 		Demand:   l.observed.demand(view),
 		CutZones: l.cutZones(view, now),
 	})
--- a/node/entry/entry.go
+++ b/node/entry/entry.go
@@ -181,9 +181,13 @@
 		Intervals: control.Intervals{
 			ReadWait: time.Duration(s.Timing.ReadWaitMS) * time.Millisecond,
 			List:     time.Duration(s.Timing.ListMS) * time.Millisecond,
+			Usage:    time.Duration(s.Timing.UsageMS) * time.Millisecond,
 			Probe:    time.Duration(s.Timing.ProbeMS) * time.Millisecond,
 			Plan:     time.Duration(s.Timing.PlanMS) * time.Millisecond,
 			LeaseTTL: time.Duration(s.Timing.LeaseTTLMS) * time.Millisecond,
+
+			ListBytesPerSecond:  s.Timing.ListRate,
+			UsageBytesPerSecond: s.Timing.UsageRate,
 		},
 		Planner: planner.Options{
 			Wave: wave.Options{Probation: time.Duration(s.Timing.ProbationMS) * time.Millisecond},
--- a/node/settings/settings.go
+++ b/node/settings/settings.go
@@ -71,6 +71,9 @@
 	ListMS       int `json:"list_ms,omitempty" doc:"Span between two reads of the VM list." unit:"ms" default:"5000"`
 	PlanMS       int `json:"plan_ms,omitempty" doc:"Span between two planning rounds of the lease holder." unit:"ms" default:"2000"`
 	LeaseTTLMS   int `json:"lease_ttl_ms,omitempty" doc:"How long a planning lease lasts after its renewal was sent." unit:"ms" default:"20000"`
+	UsageMS      int `json:"usage_ms,omitempty" doc:"Least span between two reads of the workers' usage." unit:"ms" default:"15000"`
+	ListRate     int `json:"list_bytes_per_s,omitempty" doc:"What the planner's reads of the VM list may cost; a long list is read less often." unit:"bytes/s" default:"400"`
+	UsageRate    int `json:"usage_bytes_per_s,omitempty" doc:"What the planner's reads of the usage may cost." unit:"bytes/s" default:"300"`
 	ProbeMS      int `json:"probe_ms,omitempty" doc:"Span between two probes of a VM that is out of service." unit:"ms" default:"5000"`
 	ProbationMS  int `json:"probation_ms,omitempty" doc:"How long a VM that came back must answer probes before it takes work." unit:"ms" default:"60000"`
 	PeerPingMS   int `json:"peer_ping_ms,omitempty" doc:"Span between two pings on a peer connection." unit:"ms" default:"2000"`
