--- a/fleet/state/snapshot.go
+++ b/fleet/state/snapshot.go
@@ -5,9 +5,9 @@
 	"maps"
 	"slices"
 
-	"github.com/fxamacker/cbor/v2"
 	"github.com/pkg/errors"
 
+	"wigeonwinch/fleet/codec"
 	"wigeonwinch/fleet/structs"
 )
 
@@ -59,30 +59,10 @@
 }
 
 var (
-	stateEncMode = mustStateEncMode()
-	stateDecMode = mustStateDecMode()
+	stateEncMode = codec.Encoder()
+	stateDecMode = codec.Decoder(codec.Limits{ArrayElements: 1 << 17, MapPairs: 1 << 16, NestedLevels: 16})
 )
 
-func mustStateEncMode() cbor.EncMode {
-	mode, err := cbor.CoreDetEncOptions().EncMode()
-	if err != nil {
-		panic(err)
-	}
-	return mode
-}
-
-func mustStateDecMode() cbor.DecMode {
-	mode, err := cbor.DecOptions{
-		MaxArrayElements: 1 << 17,
-		MaxMapPairs:      1 << 16,
-		MaxNestedLevels:  16,
-	}.DecMode()
-	if err != nil {
-		panic(err)
-	}
-	return mode
-}
-
 // encode returns the deterministic form of the state.
 func (s *State) encode() []byte {
 	data, err := stateEncMode.Marshal(s.export())
--- a/fleet/structs/record.go
+++ b/fleet/structs/record.go
@@ -1,8 +1,9 @@
 package structs
 
 import (
-	"github.com/fxamacker/cbor/v2"
 	"github.com/pkg/errors"
+
+	"wigeonwinch/fleet/codec"
 )
 
 // Offset is a position in the platform's log.
@@ -192,28 +193,8 @@
 // MaxRecordBytes bounds one encoded record.
 const MaxRecordBytes = 256 << 10
 
-var encMode = mustEncMode()
-var decMode = mustDecMode()
-
-func mustEncMode() cbor.EncMode {
-	mode, err := cbor.CoreDetEncOptions().EncMode()
-	if err != nil {
-		panic(err)
-	}
-	return mode
-}
-
-func mustDecMode() cbor.DecMode {
-	mode, err := cbor.DecOptions{
-		MaxArrayElements: 1 << 17,
-		MaxMapPairs:      1 << 16,
-		MaxNestedLevels:  16,
-	}.DecMode()
-	if err != nil {
-		panic(err)
-	}
-	return mode
-}
+var encMode = codec.Encoder()
+var decMode = codec.Decoder(codec.Limits{ArrayElements: 1 << 17, MapPairs: 1 << 16, NestedLevels: 16})
 
 // EncodeRecord returns the record's deterministic CBOR form. It fails when
 // the form is larger than MaxRecordBytes.
--- a/node/control/message.go
+++ b/node/control/message.go
@@ -1,9 +1,9 @@
 package control
 
 import (
-	"github.com/fxamacker/cbor/v2"
 	"github.com/pkg/errors"
 
+	"wigeonwinch/fleet/codec"
 	"wigeonwinch/fleet/structs"
 )
 
@@ -81,30 +81,10 @@
 }
 
 var (
-	encMode = mustEncMode()
-	decMode = mustDecMode()
+	encMode = codec.Encoder()
+	decMode = codec.Decoder(codec.Limits{ArrayElements: 1 << 13, MapPairs: 1 << 8, NestedLevels: 8})
 )
 
-func mustEncMode() cbor.EncMode {
-	mode, err := cbor.CoreDetEncOptions().EncMode()
-	if err != nil {
-		panic(err)
-	}
-	return mode
-}
-
-func mustDecMode() cbor.DecMode {
-	mode, err := cbor.DecOptions{
-		MaxArrayElements: 1 << 13,
-		MaxMapPairs:      1 << 8,
-		MaxNestedLevels:  8,
-	}.DecMode()
-	if err != nil {
-		panic(err)
-	}
-	return mode
-}
-
 func encode(message any) []byte {
 	data, err := encMode.Marshal(message)
 	if err != nil {
--- a/node/forward/messages.go
+++ b/node/forward/messages.go
@@ -1,10 +1,10 @@
 package forward
 
 import (
-	"github.com/fxamacker/cbor/v2"
 	"github.com/pkg/errors"
 
 	"wigeonwinch/dispatch/claims"
+	"wigeonwinch/fleet/codec"
 )
 
 // The methods of the messages between entry nodes.
@@ -43,28 +43,8 @@
 	VM string `cbor:"1,keyasint"`
 }
 
-var messageEncoding = mustEncoding()
-var messageDecoding = mustDecoding()
-
-func mustEncoding() cbor.EncMode {
-	mode, err := cbor.CoreDetEncOptions().EncMode()
-	if err != nil {
-		panic(err)
-	}
-	return mode
-}
-
-func mustDecoding() cbor.DecMode {
-	mode, err := cbor.DecOptions{
-		MaxArrayElements: 1 << 14,
-		MaxMapPairs:      64,
-		MaxNestedLevels:  8,
-	}.DecMode()
-	if err != nil {
-		panic(err)
-	}
-	return mode
-}
+var messageEncoding = codec.Encoder()
+var messageDecoding = codec.Decoder(codec.Limits{ArrayElements: 1 << 14, MapPairs: 1 << 6, NestedLevels: 8})
 
 // encode returns a message's CBOR form.
 func encode(message any) ([]byte, error) {
--- a/node/peer/frame.go
+++ b/node/peer/frame.go
@@ -1,9 +1,9 @@
 package peer
 
 import (
-	"github.com/fxamacker/cbor/v2"
 	"github.com/pkg/errors"
 
+	"wigeonwinch/fleet/codec"
 	"wigeonwinch/node/timeline"
 )
 
@@ -79,30 +79,10 @@
 }
 
 var (
-	encMode = mustEncMode()
-	decMode = mustDecMode()
+	encMode = codec.Encoder()
+	decMode = codec.Decoder(codec.Limits{ArrayElements: 1 << 10, MapPairs: 1 << 8, NestedLevels: 8})
 )
 
-func mustEncMode() cbor.EncMode {
-	mode, err := cbor.CoreDetEncOptions().EncMode()
-	if err != nil {
-		panic(err)
-	}
-	return mode
-}
-
-func mustDecMode() cbor.DecMode {
-	mode, err := cbor.DecOptions{
-		MaxArrayElements: 1 << 10,
-		MaxMapPairs:      1 << 8,
-		MaxNestedLevels:  8,
-	}.DecMode()
-	if err != nil {
-		panic(err)
-	}
-	return mode
-}
-
 func encodeFrame(f frame) ([]byte, error) {
 	if len(f.Body) > MaxBodyBytes {
 		return nil, errors.Errorf("message body has %d bytes, the limit is %d: split it", len(f.Body), MaxBodyBytes)
