--- a/node/forward/simfaults_test.go
+++ b/node/forward/simfaults_test.go
@@ -100,7 +100,10 @@
 	n := f.pickNode(rng)
 	f.lock.Lock()
 	defer f.lock.Unlock()
-	f.pauses[n.member.Node] = time.Now().Add(time.Second + time.Duration(rng.Int63n(int64(simLongestPause-time.Second))))
+	until := time.Now().Add(time.Second + time.Duration(rng.Int63n(int64(simLongestPause-time.Second))))
+	if until.After(f.pauses[n.member.Node]) { // a second pause doesn't end the first
+		f.pauses[n.member.Node] = until
+	}
 	return func() {}
 }
 
