--- a/cmd/internal/cli/cli_test.go
+++ b/cmd/internal/cli/cli_test.go
@@ -105,6 +105,16 @@
 	require.Contains(t, got.errOut, missing)
 }
 
+func TestWavesTakesTheForecastFromTheNodeThatPlans(t *testing.T) {
+	other := serveEntries(t, `{"waves":[{"name":"march","done":3,"total":8}]}`)
+	holder := serveEntries(t, `{"waves":[{"name":"march","done":3,"total":8}],"forecast":[{"wave":"march","blocked":["billing"],"end":"2026-12-04T23:00:00Z"}]}`)
+	got := run(t, "--nodes", other+","+holder, "waves")
+	require.Equal(t, ExitOK, got.code, got.errOut)
+	require.Contains(t, got.out, "billing")
+	require.Contains(t, got.out, "2026-12-04T23:00:00Z")
+	require.Contains(t, run(t, "--nodes", other, "waves").out, "not known")
+}
+
 func TestSubjectJoinsWhatIsSet(t *testing.T) {
 	require.Equal(t, "r-1 w-2", subject(timeline.Entry{Request: "r-1", VM: "w-2"}))
 }
--- a/cmd/internal/cli/read.go
+++ b/cmd/internal/cli/read.go
@@ -77,25 +77,6 @@
 	}
 }
 
-func wavesCommand() *cli.Command {
-	return &cli.Command{
-		Name: "waves", Usage: "show the maintenance waves and how far they are",
-		Action: func(ctx context.Context, cmd *cli.Command) error {
-			var report admin.WaveReport
-			if err := first(ctx, cmd, "/v1/waves", &report); err != nil {
-				return err
-			}
-			return show(cmd, report, func() table {
-				t := table{header: []string{"wave", "image", "done", "total", "out", "failed probation", "paused", "stopped"}}
-				for _, w := range report.Waves {
-					t.add(w.Name, w.Image, w.Done, w.Total, w.Out, w.FailedProbation, w.Paused, w.Stopped)
-				}
-				return t
-			})
-		},
-	}
-}
-
 func teamsCommand() *cli.Command {
 	return &cli.Command{
 		Name: "teams", Usage: "show the teams and their quotas",
--- a/cmd/internal/cli/standin.go
+++ b/cmd/internal/cli/standin.go
@@ -67,7 +67,9 @@
 	}()
 	fmt.Fprintf(cmd.Root().Writer, "platform on %s, %d backend servers; stop with Ctrl-C\n", listener.Addr(), len(m.VMs))
 	_ = server.Serve(listener)
-	fmt.Fprintf(cmd.Root().Writer, "runs cut by reboots: %d\n", ledger.Cut())
+	totals := ledger.Totals()
+	fmt.Fprintf(cmd.Root().Writer, "%d requests ran, %d runs, %d ran more than once, %d cut by reboots\n",
+		totals.Requests, totals.Runs, totals.Repeated, ledger.Cut())
 	return nil
 }
 
--- a/node/admin/admin.go
+++ b/node/admin/admin.go
@@ -11,6 +11,7 @@
 	"net/http"
 	"strings"
 
+	"wigeonwinch/fleet/planner"
 	"wigeonwinch/fleet/state"
 	"wigeonwinch/fleet/structs"
 	"wigeonwinch/node/events"
@@ -47,8 +48,9 @@
 	Status func() any
 	// Requests returns figures of the request path; it is shown as JSON.
 	Requests func() any
-	// Waves returns the forecast of the waves; it is shown as JSON.
-	Forecast func() any
+	// Forecast returns the forecasts of the last planning round made on this
+	// node; empty on nodes that do not hold the lease.
+	Forecast func() []planner.WaveForecast
 	Timeline Timeline
 	Metrics  http.Handler
 	Events   events.Recorder
--- a/node/admin/admin_test.go
+++ b/node/admin/admin_test.go
@@ -15,6 +15,7 @@
 	"github.com/stretchr/testify/require"
 
 	"wigeonwinch/fleet/manifest"
+	"wigeonwinch/fleet/planner"
 	"wigeonwinch/fleet/state"
 	"wigeonwinch/fleet/structs"
 	"wigeonwinch/node/timeline"
@@ -59,7 +60,7 @@
 		Node: "entry-1", Control: control,
 		Status:     func() any { return nil },
 		Requests:   func() any { return nil },
-		Forecast:   func() any { return nil },
+		Forecast:   func() []planner.WaveForecast { return nil },
 		Timeline:   timeline.NewRing(4),
 		Metrics:    http.NotFoundHandler(),
 		ReadTokens: []string{"reader"}, PublishTokens: []string{"publisher"},
--- a/node/admin/read.go
+++ b/node/admin/read.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"wigeonwinch/fleet/manifest"
+	"wigeonwinch/fleet/planner"
 	"wigeonwinch/fleet/structs"
 	"wigeonwinch/node/timeline"
 )
@@ -195,8 +196,9 @@
 
 // WaveReport is the answer of /v1/waves.
 type WaveReport struct {
-	Waves    []WaveLine `json:"waves"`
-	Forecast any        `json:"forecast,omitempty"`
+	Waves []WaveLine `json:"waves"`
+	// Forecast is set by the node that holds the planner's lease.
+	Forecast []planner.WaveForecast `json:"forecast,omitempty"`
 }
 
 func (a *API) waves(w http.ResponseWriter, _ *http.Request) {
--- a/node/entry/entry.go
+++ b/node/entry/entry.go
@@ -296,7 +296,7 @@
 		Control:       n,
 		Status:        func() any { return n.control.Status() },
 		Requests:      func() any { return n.forward.Stats() },
-		Forecast:      func() any { return n.control.Status().Forecasts },
+		Forecast:      func() []planner.WaveForecast { return n.control.Status().Forecasts },
 		Timeline:      n.rings,
 		Metrics:       n.metrics.Handler(),
 		Events:        n.recorder,
--- a/node/timeline/ring.go
+++ b/node/timeline/ring.go
@@ -94,7 +94,7 @@
 // Merge orders the entries of several nodes by their stamps; entries with the
 // same stamp are ordered by node.
 func Merge(parts ...[]Entry) []Entry {
-	var all []Entry
+	all := []Entry{}
 	for _, part := range parts {
 		all = append(all, part...)
 	}
