--- a/node/control/cluster_test.go
+++ b/node/control/cluster_test.go
@@ -149,6 +149,7 @@
 func (fakeMachine) Drain()    {}
 func (fakeMachine) Reboot()   {}
 func (fakeMachine) Boot()     {}
+func (fakeMachine) Task(platform.ActionKind, string) {}
 func (fakeMachine) Busy() int { return 0 }
 
 // addWorkers puts the example's workers on the platform's list.
