--- a/node/control/cluster_test.go
+++ b/node/control/cluster_test.go
@@ -146,11 +146,11 @@
 // fakeMachine is a worker without work.
 type fakeMachine struct{}
 
-func (fakeMachine) Drain()    {}
-func (fakeMachine) Reboot()   {}
-func (fakeMachine) Boot()     {}
+func (fakeMachine) Drain()                           {}
+func (fakeMachine) Reboot()                          {}
+func (fakeMachine) Boot()                            {}
 func (fakeMachine) Task(platform.ActionKind, string) {}
-func (fakeMachine) Busy() int { return 0 }
+func (fakeMachine) Busy() int                        { return 0 }
 
 // addWorkers puts the example's workers on the platform's list.
 func (c *cluster) addWorkers() {
