Read the metrics once a scrape and count available workers in one place

Change: the observed metrics share one callback; structs.View.AvailableByPool; an unused look-up is gone. Conclusion: a new check scrapes a running node and finds every metric of the list.

--- a/fleet/structs/view.go
+++ b/fleet/structs/view.go
@@ -69,6 +69,17 @@
 	return VMStatus{}, false
 }
 
+// AvailableByPool counts the workers of each pool that count for budgets.
+func (v *View) AvailableByPool() map[string]int {
+	counts := make(map[string]int, len(v.Pools))
+	for i := range v.VMs {
+		if v.VMs[i].State.Available() {
+			counts[v.VMs[i].Pool]++
+		}
+	}
+	return counts
+}
+
 // Available says whether a VM in this state counts for a budget.
 func (s VMState) Available() bool { return s == VMActive }
 
--- a/node/admin/read.go
+++ b/node/admin/read.go
@@ -130,12 +130,7 @@
 	if view == nil {
 		return
 	}
-	available := map[string]int{}
-	for _, vm := range view.VMs {
-		if vm.State.Available() {
-			available[vm.Pool]++
-		}
-	}
+	available := view.AvailableByPool()
 	list := []ServiceStatus{}
 	for _, service := range view.Services {
 		count := available[service.Pool]
--- a/node/entry/entry_test.go
+++ b/node/entry/entry_test.go
@@ -17,6 +17,7 @@
 	"wigeonwinch/fleet/structs"
 	"wigeonwinch/node/entry"
 	"wigeonwinch/node/settings"
+	"wigeonwinch/node/telemetry"
 	"wigeonwinch/platform"
 	"wigeonwinch/platform/standin"
 )
@@ -128,6 +129,16 @@
 	return resp, string(body)
 }
 
+func scrape(t *testing.T, node *entry.Node) string {
+	t.Helper()
+	resp, err := http.Get("http://" + node.AdminAddress() + "/metrics")
+	require.NoError(t, err)
+	defer resp.Body.Close()
+	body, err := io.ReadAll(resp.Body)
+	require.NoError(t, err)
+	return string(body)
+}
+
 // localRoute returns a route whose pool has workers in the node's zone.
 func (w *world) localRoute() string {
 	for _, service := range w.manifest.Services {
@@ -152,6 +163,12 @@
 	require.Contains(t, body, "id=request-1 ")
 	require.Equal(t, 1, w.ledger.Of("request-1").Finished)
 
+	scraped := scrape(t, node)
+	for _, in := range telemetry.Instruments() {
+		require.Contains(t, scraped, in.Name, "each metric of the list is served")
+	}
+	require.Regexp(t, `wigeonwinch_requests_total\{outcome="answered"\} 1\b`, scraped)
+
 	resp, _ = ask(t, node, "/no/such/route", "request-2", "1")
 	require.Equal(t, "not-run", resp.Header.Get("Wigeonwinch-Outcome"))
 	require.Zero(t, w.ledger.Of("request-2").Started)
--- a/node/entry/metrics.go
+++ b/node/entry/metrics.go
@@ -1,44 +1,35 @@
 package entry
 
 import (
-	"go.opentelemetry.io/otel/attribute"
-
-	"wigeonwinch/dispatch/scheduler"
 	"wigeonwinch/fleet/structs"
 	"wigeonwinch/node/telemetry"
 )
 
-// observe registers the metrics that are read when they are scraped.
+// observe registers the metrics that are read when they are scraped. The
+// events are counted as they happen.
 func (n *Node) observe() error {
-	sources := map[string]func() []telemetry.Reading{
-		telemetry.MetricReady:      n.readReady,
-		telemetry.MetricOffset:     n.readView(func(v *structs.View) float64 { return float64(v.Offset) }),
-		telemetry.MetricGeneration: n.readView(func(v *structs.View) float64 { return float64(v.Generation) }),
-		telemetry.MetricVMs:        n.readVMs,
-		telemetry.MetricHeadroom:   n.readHeadroom,
-		telemetry.MetricWaveDone:   n.readWaves,
-		telemetry.MetricViolations: func() []telemetry.Reading { return one(float64(n.recorder.Violations())) },
-		telemetry.MetricPeersAlive: func() []telemetry.Reading { return one(float64(len(n.mesh.Alive()))) },
-		telemetry.MetricPeerBytes:  n.readTraffic,
-		telemetry.MetricRequests:   n.readRequests,
-		telemetry.MetricAttempts:   n.readAttempts,
-		telemetry.MetricInFlight:   func() []telemetry.Reading { return one(float64(n.forward.Stats().InFlight)) },
-		telemetry.MetricQueued:     n.readQueued,
-		telemetry.MetricInProgress: n.readPools(func(s scheduler.Stats) float64 { return float64(s.InProgress) }),
-		telemetry.MetricFreeSlots:  n.readPools(func(s scheduler.Stats) float64 { return float64(s.FreeSlots) }),
-		telemetry.MetricEjected:    n.readPools(countEjected),
-		telemetry.MetricClaims:     func() []telemetry.Reading { return one(float64(n.forward.Stats().Claims)) },
-	}
+	var instruments []telemetry.Instrument
 	for _, in := range telemetry.Instruments() {
-		read, ok := sources[in.Name]
-		if !ok {
-			continue
-		}
-		if err := n.metrics.Observe(in, read); err != nil {
-			return err
+		if in.Name != telemetry.MetricEventsTotal {
+			instruments = append(instruments, in)
 		}
 	}
-	return nil
+	return n.metrics.Observe(instruments, n.readMetrics)
+}
+
+// readMetrics reads everything once.
+func (n *Node) readMetrics() telemetry.Readings {
+	readings := telemetry.Readings{
+		telemetry.MetricReady:      n.readReady(),
+		telemetry.MetricViolations: one(float64(n.recorder.Violations())),
+		telemetry.MetricPeersAlive: one(float64(len(n.mesh.Alive()))),
+		telemetry.MetricPeerBytes:  n.readTraffic(),
+	}
+	readRequests(readings, n.forward.Stats())
+	if view := n.View(); view != nil {
+		readView(readings, view)
+	}
+	return readings
 }
 
 func one(value float64) []telemetry.Reading {
@@ -52,14 +43,24 @@
 	return one(0)
 }
 
-func (n *Node) readView(pick func(*structs.View) float64) func() []telemetry.Reading {
-	return func() []telemetry.Reading {
-		view := n.View()
-		if view == nil {
-			return nil
-		}
-		return one(pick(view))
+func (n *Node) readTraffic() []telemetry.Reading {
+	var in, out uint64
+	for _, m := range n.mesh.Traffic().Methods {
+		in += m.BytesIn
+		out += m.BytesOut
 	}
+	return []telemetry.Reading{
+		labelled("direction", "in", float64(in)),
+		labelled("direction", "out", float64(out)),
+	}
+}
+
+func readView(readings telemetry.Readings, view *structs.View) {
+	readings[telemetry.MetricOffset] = one(float64(view.Offset))
+	readings[telemetry.MetricGeneration] = one(float64(view.Generation))
+	readings[telemetry.MetricVMs] = readVMs(view)
+	readings[telemetry.MetricHeadroom] = readHeadroom(view)
+	readings[telemetry.MetricWaveDone] = readWaves(view)
 }
 
 // poolState is the key of one reading of the VM counts.
@@ -68,70 +69,33 @@
 	state structs.VMState
 }
 
-func (n *Node) readVMs() []telemetry.Reading {
-	view := n.View()
-	if view == nil {
-		return nil
-	}
+func readVMs(view *structs.View) []telemetry.Reading {
 	counts := map[poolState]int{}
 	for _, vm := range view.VMs {
 		counts[poolState{vm.Pool, vm.State}]++
 	}
 	var readings []telemetry.Reading
 	for key, count := range counts {
-		r := telemetry.Reading{Value: float64(count)}
-		r.Labels = append(r.Labels, telemetry.Label("pool", key.pool), telemetry.Label("state", key.state.String()))
+		r := labelled("pool", key.pool, float64(count))
+		r.Labels = append(r.Labels, telemetry.Label("state", key.state.String()))
 		readings = append(readings, r)
 	}
 	return readings
 }
 
-func (n *Node) readHeadroom() []telemetry.Reading {
-	view := n.View()
-	if view == nil {
-		return nil
-	}
-	available := map[string]int{}
-	for _, vm := range view.VMs {
-		if vm.State.Available() {
-			available[vm.Pool]++
-		}
-	}
+func readHeadroom(view *structs.View) []telemetry.Reading {
+	available := view.AvailableByPool()
 	var readings []telemetry.Reading
 	for _, s := range view.Services {
-		r := telemetry.Reading{Value: float64(available[s.Pool] - s.Budget.MinAvailable)}
-		r.Labels = append(r.Labels, telemetry.Label("service", s.Name))
-		readings = append(readings, r)
+		readings = append(readings, labelled("service", s.Name, float64(available[s.Pool]-s.Budget.MinAvailable)))
 	}
 	return readings
 }
 
-func (n *Node) readWaves() []telemetry.Reading {
-	view := n.View()
-	if view == nil {
-		return nil
-	}
+func readWaves(view *structs.View) []telemetry.Reading {
 	var readings []telemetry.Reading
 	for _, w := range view.Waves {
-		r := telemetry.Reading{Value: float64(w.Returned)}
-		r.Labels = append(r.Labels, telemetry.Label("wave", w.Name))
-		readings = append(readings, r)
+		readings = append(readings, labelled("wave", w.Name, float64(w.Returned)))
 	}
 	return readings
 }
-
-func (n *Node) readTraffic() []telemetry.Reading {
-	var in, out uint64
-	for _, m := range n.mesh.Traffic().Methods {
-		in += m.BytesIn
-		out += m.BytesOut
-	}
-	return []telemetry.Reading{
-		{Labels: direction("in"), Value: float64(in)},
-		{Labels: direction("out"), Value: float64(out)},
-	}
-}
-
-func direction(value string) []attribute.KeyValue {
-	return []attribute.KeyValue{telemetry.Label("direction", value)}
-}
--- a/node/entry/requestmetrics.go
+++ b/node/entry/requestmetrics.go
@@ -2,6 +2,7 @@
 
 import (
 	"wigeonwinch/dispatch/scheduler"
+	"wigeonwinch/node/forward"
 	"wigeonwinch/node/telemetry"
 )
 
@@ -11,50 +12,43 @@
 	return r
 }
 
-func (n *Node) readRequests() []telemetry.Reading {
-	stats := n.forward.Stats()
-	return []telemetry.Reading{
+func readRequests(readings telemetry.Readings, stats forward.Stats) {
+	readings[telemetry.MetricRequests] = []telemetry.Reading{
 		labelled("outcome", "answered", float64(stats.Answered)),
 		labelled("outcome", "not-run", float64(stats.NotRun)),
 		labelled("outcome", "unknown", float64(stats.Unknown)),
 	}
-}
-
-func (n *Node) readAttempts() []telemetry.Reading {
-	stats := n.forward.Stats()
-	return []telemetry.Reading{
+	readings[telemetry.MetricAttempts] = []telemetry.Reading{
 		labelled("kind", "retried", float64(stats.Retried)),
 		labelled("kind", "relayed", float64(stats.Relayed)),
 		labelled("kind", "refused_by_worker", float64(stats.RefusedByWorker)),
 		labelled("kind", "duplicate", float64(stats.Duplicates)),
 	}
+	readings[telemetry.MetricInFlight] = one(float64(stats.InFlight))
+	readings[telemetry.MetricClaims] = one(float64(stats.Claims))
+	for pool, s := range stats.Pools {
+		readPool(readings, pool, s)
+	}
 }
 
-func (n *Node) readQueued() []telemetry.Reading {
-	var readings []telemetry.Reading
-	for pool, stats := range n.forward.Stats().Pools {
-		for class, count := range map[string]int{
-			"urgent": stats.QueuedUrgent,
-			"short":  stats.QueuedShort,
-			"long":   stats.QueuedLong,
-		} {
-			r := labelled("pool", pool, float64(count))
-			r.Labels = append(r.Labels, telemetry.Label("class", class))
-			readings = append(readings, r)
-		}
+func readPool(readings telemetry.Readings, pool string, s scheduler.Stats) {
+	add := func(metric string, figure float64) {
+		readings[metric] = append(readings[metric], labelled("pool", pool, figure))
 	}
-	return readings
+	add(telemetry.MetricInProgress, float64(s.InProgress))
+	add(telemetry.MetricFreeSlots, float64(s.FreeSlots))
+	add(telemetry.MetricEjected, countEjected(s))
+	readings[telemetry.MetricQueued] = append(readings[telemetry.MetricQueued],
+		queued(pool, "urgent", s.QueuedUrgent),
+		queued(pool, "short", s.QueuedShort),
+		queued(pool, "long", s.QueuedLong),
+	)
 }
 
-// readPools reads one figure of each pool's queue.
-func (n *Node) readPools(pick func(scheduler.Stats) float64) func() []telemetry.Reading {
-	return func() []telemetry.Reading {
-		var readings []telemetry.Reading
-		for pool, stats := range n.forward.Stats().Pools {
-			readings = append(readings, labelled("pool", pool, pick(stats)))
-		}
-		return readings
-	}
+func queued(pool, class string, count int) telemetry.Reading {
+	r := labelled("pool", pool, float64(count))
+	r.Labels = append(r.Labels, telemetry.Label("class", class))
+	return r
 }
 
 func countEjected(s scheduler.Stats) float64 {
--- a/node/telemetry/instruments.go
+++ b/node/telemetry/instruments.go
@@ -46,13 +46,3 @@
 		{MetricEventsTotal, "", "counter", "event, severity", "Events recorded, by name.", "severity error or violation"},
 	}
 }
-
-// InstrumentNamed returns the description of a metric.
-func InstrumentNamed(name string) Instrument {
-	for _, in := range Instruments() {
-		if in.Name == name {
-			return in
-		}
-	}
-	return Instrument{Name: name}
-}
--- a/node/telemetry/metrics.go
+++ b/node/telemetry/metrics.go
@@ -75,20 +75,36 @@
 // Label returns one attribute of a reading.
 func Label(key, value string) attribute.KeyValue { return attribute.String(key, value) }
 
-// Observe registers a metric that is read when it is scraped. Its kind is
-// counter or gauge.
-func (m *Metrics) Observe(in Instrument, read func() []Reading) error {
-	callback := func(_ context.Context, o metric.Float64Observer) error {
-		for _, r := range read() {
-			o.Observe(r.Value, metric.WithAttributes(r.Labels...))
+// Readings are the values of observed metrics by the name of the metric.
+type Readings map[string][]Reading
+
+// Observe registers metrics that are read together when they are scraped.
+// Their kinds are counter or gauge.
+func (m *Metrics) Observe(instruments []Instrument, read func() Readings) error {
+	observed := make(map[string]metric.Float64Observable, len(instruments))
+	all := make([]metric.Observable, 0, len(instruments))
+	for _, in := range instruments {
+		o, err := m.observable(in)
+		if err != nil {
+			return errors.Wrapf(err, "register metric %s", in.Name)
 		}
-		return nil
+		observed[in.Name] = o
+		all = append(all, o)
 	}
-	var err error
+	_, err := m.meter.RegisterCallback(func(_ context.Context, o metric.Observer) error {
+		for name, readings := range read() {
+			for _, r := range readings {
+				o.ObserveFloat64(observed[name], r.Value, metric.WithAttributes(r.Labels...))
+			}
+		}
+		return nil
+	}, all...)
+	return errors.Wrap(err, "register the metrics' callback")
+}
+
+func (m *Metrics) observable(in Instrument) (metric.Float64Observable, error) {
 	if in.Kind == "counter" {
-		_, err = m.meter.Float64ObservableCounter(in.Name, metric.WithDescription(in.Meaning), metric.WithUnit(in.Unit), metric.WithFloat64Callback(callback))
-	} else {
-		_, err = m.meter.Float64ObservableGauge(in.Name, metric.WithDescription(in.Meaning), metric.WithUnit(in.Unit), metric.WithFloat64Callback(callback))
+		return m.meter.Float64ObservableCounter(in.Name, metric.WithDescription(in.Meaning), metric.WithUnit(in.Unit))
 	}
-	return errors.Wrapf(err, "register metric %s", in.Name)
+	return m.meter.Float64ObservableGauge(in.Name, metric.WithDescription(in.Meaning), metric.WithUnit(in.Unit))
 }
