--- a/cmd/internal/cli/direct.go
+++ b/cmd/internal/cli/direct.go
@@ -7,10 +7,10 @@
 	"wigeonwinch/fleet/manifest"
 	"wigeonwinch/fleet/state"
 	"wigeonwinch/fleet/structs"
+	"wigeonwinch/infra"
+	"wigeonwinch/infra/client"
+	"wigeonwinch/infra/logstate"
 	"wigeonwinch/node/admin"
-	"wigeonwinch/platform"
-	"wigeonwinch/platform/client"
-	"wigeonwinch/platform/logstate"
 )
 
 // directWriter names the command line as the writer of a record.
@@ -18,7 +18,7 @@
 
 // directPublish is one publish straight to the platform's log.
 type directPublish struct {
-	log      platform.Log
+	log      infra.Log
 	state    *state.State
 	verdicts map[string]structs.Verdict
 }
@@ -72,7 +72,7 @@
 	case known:
 		answer.Outcome = admin.OutcomeRefused
 		answer.Reason, answer.Detail = verdict.Void, verdict.Detail
-	case platform.KindOf(appendErr) == platform.KindUnavailable || platform.KindOf(appendErr) == platform.KindRateLimited:
+	case infra.KindOf(appendErr) == infra.KindUnavailable || infra.KindOf(appendErr) == infra.KindRateLimited:
 		return answer, fail(ExitUnreachable, "nothing was published: %v", appendErr)
 	default:
 		answer.Outcome = admin.OutcomeNotKnown
--- a/cmd/internal/cli/direct_test.go
+++ b/cmd/internal/cli/direct_test.go
@@ -7,7 +7,7 @@
 
 	"github.com/stretchr/testify/require"
 
-	"wigeonwinch/platform/standin"
+	"wigeonwinch/infra/standin"
 )
 
 func TestPublishStraightToTheLog(t *testing.T) {
--- a/cmd/internal/cli/lists_test.go
+++ b/cmd/internal/cli/lists_test.go
@@ -9,8 +9,8 @@
 
 	"github.com/stretchr/testify/require"
 
-	"wigeonwinch/platform"
-	"wigeonwinch/platform/client"
+	"wigeonwinch/infra"
+	"wigeonwinch/infra/client"
 )
 
 var (
@@ -60,15 +60,15 @@
 	for _, path := range []string{client.PathAppend, client.PathRead, client.PathVMs, client.PathAct, client.PathUsage} {
 		require.Contains(t, text, path)
 	}
-	kinds := []platform.Kind{
-		platform.KindUnavailable, platform.KindUnknown, platform.KindTrimmed,
-		platform.KindRateLimited, platform.KindFenced, platform.KindRefused,
+	kinds := []infra.Kind{
+		infra.KindUnavailable, infra.KindUnknown, infra.KindTrimmed,
+		infra.KindRateLimited, infra.KindFenced, infra.KindRefused,
 	}
 	for _, kind := range kinds {
 		require.Contains(t, text, "`"+string(kind)+"`")
 	}
-	actions := []platform.ActionKind{
-		platform.ActionDrain, platform.ActionReboot, platform.ActionCheckpoint, platform.ActionThrottle, platform.ActionStop,
+	actions := []infra.ActionKind{
+		infra.ActionDrain, infra.ActionReboot, infra.ActionCheckpoint, infra.ActionThrottle, infra.ActionStop,
 	}
 	for _, action := range actions {
 		require.Contains(t, text, string(action))
--- a/cmd/internal/cli/standin.go
+++ b/cmd/internal/cli/standin.go
@@ -11,8 +11,8 @@
 
 	"wigeonwinch/fleet/manifest"
 	"wigeonwinch/fleet/structs"
-	"wigeonwinch/platform"
-	"wigeonwinch/platform/standin"
+	"wigeonwinch/infra"
+	"wigeonwinch/infra/standin"
 )
 
 // Behaviour of the stand-ins started from the command line.
@@ -86,6 +86,6 @@
 			image = pool.Image
 		}
 	}
-	fleet.Add(platform.ListedVM{ID: vm.ID, Kind: platform.VMKindWorker, Zone: vm.Zone, Address: vm.Address, Image: image}, backend)
+	fleet.Add(infra.ListedVM{ID: vm.ID, Kind: infra.VMKindWorker, Zone: vm.Zone, Address: vm.Address, Image: image}, backend)
 	return nil
 }
--- a/cmd/internal/demo/call.go
+++ b/cmd/internal/demo/call.go
@@ -14,7 +14,7 @@
 	"github.com/google/uuid"
 
 	"wigeonwinch/fleet/structs"
-	"wigeonwinch/platform/standin"
+	"wigeonwinch/infra/standin"
 )
 
 // call is one request as a router sends it.
--- a/cmd/internal/demo/site.go
+++ b/cmd/internal/demo/site.go
@@ -15,11 +15,11 @@
 	"wigeonwinch/cmd/internal/apiclient"
 	"wigeonwinch/fleet/manifest"
 	"wigeonwinch/fleet/structs"
+	"wigeonwinch/infra"
+	"wigeonwinch/infra/standin"
 	"wigeonwinch/node/admin"
 	"wigeonwinch/node/entry"
 	"wigeonwinch/node/settings"
-	"wigeonwinch/platform"
-	"wigeonwinch/platform/standin"
 )
 
 // Secrets of the demo; they protect nothing.
@@ -106,8 +106,8 @@
 		}
 		vm.Address = backend.Address()
 		s.backends[vm.ID] = backend
-		s.fleet.Add(platform.ListedVM{
-			ID: vm.ID, Kind: platform.VMKindWorker, Zone: vm.Zone, Address: vm.Address, Image: s.imageOf(vm.Pool),
+		s.fleet.Add(infra.ListedVM{
+			ID: vm.ID, Kind: infra.VMKindWorker, Zone: vm.Zone, Address: vm.Address, Image: s.imageOf(vm.Pool),
 		}, backend)
 	}
 	return nil
@@ -153,7 +153,7 @@
 			s.fail(errors.Wrapf(err, "node %s", name))
 		}
 	}()
-	s.fleet.Add(platform.ListedVM{ID: name, Kind: platform.VMKindEntry, Zone: zone.Name, Address: node.PeerAddress()}, nil)
+	s.fleet.Add(infra.ListedVM{ID: name, Kind: infra.VMKindEntry, Zone: zone.Name, Address: node.PeerAddress()}, nil)
 	s.mu.Lock()
 	s.nodes = append(s.nodes, running)
 	s.mu.Unlock()
@@ -315,14 +315,14 @@
 }
 
 func (s *site) retire(old *runningNode) {
-	s.fleet.SetPresence(old.node.Name(), platform.PresenceLeaving)
+	s.fleet.SetPresence(old.node.Name(), infra.PresenceLeaving)
 	old.stop()
 	select {
 	case <-old.done:
 	case <-time.After(stopTime):
 		s.fail(errors.Errorf("node %s did not stop within %s", old.node.Name(), stopTime))
 	}
-	s.fleet.SetPresence(old.node.Name(), platform.PresenceTerminated)
+	s.fleet.SetPresence(old.node.Name(), infra.PresenceTerminated)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.retired += old.node.Violations()
--- a/cmd/internal/demo/tally.go
+++ b/cmd/internal/demo/tally.go
@@ -6,7 +6,7 @@
 
 	"github.com/HdrHistogram/hdrhistogram-go"
 
-	"wigeonwinch/platform/standin"
+	"wigeonwinch/infra/standin"
 )
 
 // Bounds of the waiting time histograms, in microseconds.
--- a/platform/client/client.go
+++ b/infra/client/client.go
@@ -19,7 +19,7 @@
 	"github.com/pkg/errors"
 
 	"wigeonwinch/fleet/structs"
-	"wigeonwinch/platform"
+	"wigeonwinch/infra"
 )
 
 // Paths of the platform's protocol.
@@ -50,7 +50,7 @@
 	Transport http.RoundTripper
 }
 
-// Client implements platform.Log, platform.VMList and platform.Workers.
+// Client implements infra.Log, infra.VMList and infra.Workers.
 type Client struct {
 	base    string
 	token   string
@@ -97,7 +97,7 @@
 
 // ErrorResponse is the body of every refused call.
 type ErrorResponse struct {
-	Kind   platform.Kind  `json:"kind"`
+	Kind   infra.Kind     `json:"kind"`
 	Detail string         `json:"detail"`
 	First  structs.Offset `json:"first,omitempty"`
 }
@@ -110,7 +110,7 @@
 }
 
 // Read reads entries from the log.
-func (c *Client) Read(ctx context.Context, from structs.Offset, max int, wait time.Duration) (platform.Batch, error) {
+func (c *Client) Read(ctx context.Context, from structs.Offset, max int, wait time.Duration) (infra.Batch, error) {
 	query := url.Values{}
 	query.Set("from", strconv.FormatUint(uint64(from), 10))
 	query.Set("max", strconv.Itoa(max))
@@ -118,31 +118,31 @@
 	var answer ReadResponse
 	err := c.get(ctx, "read", PathRead+"?"+query.Encode(), wait, &answer)
 	if err != nil {
-		return platform.Batch{}, err
+		return infra.Batch{}, err
 	}
-	batch := platform.Batch{First: answer.First, Next: answer.Next}
+	batch := infra.Batch{First: answer.First, Next: answer.Next}
 	for i, data := range answer.Entries {
 		offset := answer.Start + structs.Offset(i)
-		batch.Entries = append(batch.Entries, platform.Entry{Offset: offset, Data: data})
+		batch.Entries = append(batch.Entries, infra.Entry{Offset: offset, Data: data})
 	}
 	return batch, nil
 }
 
 // List returns the platform's list of VMs.
-func (c *Client) List(ctx context.Context) ([]platform.ListedVM, error) {
-	var answer []platform.ListedVM
+func (c *Client) List(ctx context.Context) ([]infra.ListedVM, error) {
+	var answer []infra.ListedVM
 	err := c.get(ctx, "list", PathVMs, 0, &answer)
 	return answer, err
 }
 
 // Act asks the platform to act on a worker.
-func (c *Client) Act(ctx context.Context, action platform.Action) error {
+func (c *Client) Act(ctx context.Context, action infra.Action) error {
 	return c.post(ctx, "act", PathAct, action, nil)
 }
 
 // Usage returns the workers' load.
-func (c *Client) Usage(ctx context.Context) ([]platform.Usage, error) {
-	var answer []platform.Usage
+func (c *Client) Usage(ctx context.Context) ([]infra.Usage, error) {
+	var answer []infra.Usage
 	err := c.get(ctx, "usage", PathUsage, 0, &answer)
 	return answer, err
 }
@@ -159,7 +159,7 @@
 		return errors.Wrapf(err, "platform %s", op)
 	}
 	req.Header.Set("Content-Type", "application/json")
-	return c.do(op, req, platform.KindUnknown, answer)
+	return c.do(op, req, infra.KindUnknown, answer)
 }
 
 func (c *Client) get(ctx context.Context, op, path string, wait time.Duration, answer any) error {
@@ -169,12 +169,12 @@
 	if err != nil {
 		return errors.Wrapf(err, "platform %s", op)
 	}
-	return c.do(op, req, platform.KindUnavailable, answer)
+	return c.do(op, req, infra.KindUnavailable, answer)
 }
 
 // do sends a request. A lost answer has the given kind, unless the connection
 // was never made.
-func (c *Client) do(op string, req *http.Request, lost platform.Kind, answer any) error {
+func (c *Client) do(op string, req *http.Request, lost infra.Kind, answer any) error {
 	if c.token != "" {
 		req.Header.Set("Authorization", "Bearer "+c.token)
 	}
@@ -188,7 +188,7 @@
 		return transportError(op, lost, err)
 	}
 	if len(data) > maxAnswerBytes {
-		return &platform.Error{Kind: lost, Op: op, Remedy: "the answer is too large; read fewer entries at once"}
+		return &infra.Error{Kind: lost, Op: op, Remedy: "the answer is too large; read fewer entries at once"}
 	}
 	if resp.StatusCode != http.StatusOK {
 		return statusError(op, lost, resp.StatusCode, data)
@@ -197,29 +197,29 @@
 		return nil
 	}
 	if err := json.Unmarshal(data, answer); err != nil {
-		return &platform.Error{Kind: lost, Op: op, Cause: err, Remedy: "check that the address is the platform's"}
+		return &infra.Error{Kind: lost, Op: op, Cause: err, Remedy: "check that the address is the platform's"}
 	}
 	return nil
 }
 
-func transportError(op string, lost platform.Kind, err error) error {
+func transportError(op string, lost infra.Kind, err error) error {
 	var opErr *net.OpError
 	if errors.As(err, &opErr) && opErr.Op == "dial" {
-		return &platform.Error{
-			Kind: platform.KindUnavailable, Op: op, Cause: err,
+		return &infra.Error{
+			Kind: infra.KindUnavailable, Op: op, Cause: err,
 			Remedy: "check the platform's address and that it is up; nothing was done",
 		}
 	}
-	return &platform.Error{Kind: lost, Op: op, Cause: err, Remedy: "the answer was lost; ask for the outcome, then try again"}
+	return &infra.Error{Kind: lost, Op: op, Cause: err, Remedy: "the answer was lost; ask for the outcome, then try again"}
 }
 
-func statusError(op string, lost platform.Kind, status int, data []byte) error {
+func statusError(op string, lost infra.Kind, status int, data []byte) error {
 	var answer ErrorResponse
 	if err := json.Unmarshal(data, &answer); err != nil || answer.Kind == "" {
-		return &platform.Error{
+		return &infra.Error{
 			Kind: lost, Op: op, Cause: errors.Errorf("HTTP status %d", status),
 			Remedy: "the answer is not the platform's; check the address",
 		}
 	}
-	return &platform.Error{Kind: answer.Kind, Op: op, Remedy: answer.Detail, First: answer.First}
+	return &infra.Error{Kind: answer.Kind, Op: op, Remedy: answer.Detail, First: answer.First}
 }
--- a/platform/errors.go
+++ b/infra/errors.go
@@ -1,4 +1,4 @@
-package platform
+package infra
 
 import (
 	"fmt"
--- a/platform/platform.go
+++ b/infra/infra.go
@@ -1,11 +1,11 @@
-// Package platform names what the system asks of the platform it runs on:
+// Package infra names what the system asks of the platform it runs on:
 // the append-only log, the list of VMs and the control of workers. The
 // subpackage client reaches them over HTTP, the subpackage standin takes
 // their place in tests and in the demo.
 //
 //	batch, err := log.Read(ctx, from, 100, time.Second)
 //	if platform.KindOf(err) == platform.KindTrimmed { ... }
-package platform
+package infra
 
 import (
 	"context"
--- a/platform/logstate/logstate.go
+++ b/infra/logstate/logstate.go
@@ -11,7 +11,7 @@
 
 	"wigeonwinch/fleet/state"
 	"wigeonwinch/fleet/structs"
-	"wigeonwinch/platform"
+	"wigeonwinch/infra"
 )
 
 // readEntries bounds the entries of one read.
@@ -23,12 +23,12 @@
 
 // Read folds the log up to its tail. It begins at the first record or, when
 // that is no longer kept, from the newest whole snapshot.
-func Read(ctx context.Context, log platform.Log) (*state.State, error) {
+func Read(ctx context.Context, log infra.Log) (*state.State, error) {
 	batch, err := log.Read(ctx, 0, readEntries, 0)
-	if platform.KindOf(err) != platform.KindTrimmed {
+	if infra.KindOf(err) != infra.KindTrimmed {
 		return foldOn(ctx, log, state.New(), batch, err, ignore)
 	}
-	var perr *platform.Error
+	var perr *infra.Error
 	errors.As(err, &perr)
 	parts, err := collect(ctx, log, perr.First)
 	if err != nil {
@@ -43,14 +43,14 @@
 
 // Follow folds what the log holds beyond a state, up to its tail, and shows
 // the verdict of each record.
-func Follow(ctx context.Context, log platform.Log, st *state.State, seen func(structs.Verdict)) (*state.State, error) {
+func Follow(ctx context.Context, log infra.Log, st *state.State, seen func(structs.Verdict)) (*state.State, error) {
 	batch, err := log.Read(ctx, st.Next(), readEntries, 0)
 	return foldOn(ctx, log, st, batch, err, seen)
 }
 
 func ignore(structs.Verdict) {}
 
-func foldOn(ctx context.Context, log platform.Log, st *state.State, batch platform.Batch, err error, seen func(structs.Verdict)) (*state.State, error) {
+func foldOn(ctx context.Context, log infra.Log, st *state.State, batch infra.Batch, err error, seen func(structs.Verdict)) (*state.State, error) {
 	for err == nil {
 		for _, entry := range batch.Entries {
 			seen(st.ApplyEncoded(entry.Offset, entry.Data))
@@ -64,7 +64,7 @@
 }
 
 // collect returns the parts of the newest whole snapshot that the log keeps.
-func collect(ctx context.Context, log platform.Log, from structs.Offset) ([]structs.Record, error) {
+func collect(ctx context.Context, log infra.Log, from structs.Offset) ([]structs.Record, error) {
 	var found Collector
 	for {
 		batch, err := log.Read(ctx, from, readEntries, 0)
--- a/platform/logstate/logstate_test.go
+++ b/infra/logstate/logstate_test.go
@@ -8,7 +8,7 @@
 
 	"wigeonwinch/fleet/manifest"
 	"wigeonwinch/fleet/structs"
-	"wigeonwinch/platform/standin"
+	"wigeonwinch/infra/standin"
 )
 
 func TestCollectorTakesTheNewestWholeSnapshot(t *testing.T) {
--- a/platform/standin/backend.go
+++ b/infra/standin/backend.go
@@ -11,7 +11,7 @@
 
 	"github.com/pkg/errors"
 
-	"wigeonwinch/platform"
+	"wigeonwinch/infra"
 )
 
 // Headers of the backend protocol; docs/PLATFORM.md describes them.
@@ -67,7 +67,7 @@
 	down     bool
 	stopped  chan struct{}
 	conns    map[net.Conn]struct{}
-	tasks    map[string]chan platform.ActionKind
+	tasks    map[string]chan infra.ActionKind
 	refused  int
 }
 
@@ -82,7 +82,7 @@
 		listener: listener,
 		stopped:  make(chan struct{}),
 		conns:    map[net.Conn]struct{}{},
-		tasks:    map[string]chan platform.ActionKind{},
+		tasks:    map[string]chan infra.ActionKind{},
 	}
 	b.server = &http.Server{Handler: b, ConnState: b.connState, ReadHeaderTimeout: 10 * time.Second}
 	go func() { _ = b.server.Serve(listener) }()
--- a/platform/standin/fleet.go
+++ b/infra/standin/fleet.go
@@ -7,7 +7,7 @@
 	"time"
 
 	"wigeonwinch/fleet/structs"
-	"wigeonwinch/platform"
+	"wigeonwinch/infra"
 )
 
 // FleetOptions tunes a Fleet.
@@ -31,7 +31,7 @@
 	// Busy returns the number of requests in progress.
 	Busy() int
 	// Task checkpoints, throttles or stops one request in progress.
-	Task(kind platform.ActionKind, task string)
+	Task(kind infra.ActionKind, task string)
 }
 
 // Fleet stands in for the platform's VM list and worker control.
@@ -48,20 +48,20 @@
 }
 
 type standinVM struct {
-	listed  platform.ListedVM
+	listed  infra.ListedVM
 	machine Machine
 	// done holds the highest sequence of each act, by kind and task.
 	done map[actKey]uint64
 }
 
 type actKey struct {
-	kind platform.ActionKind
+	kind infra.ActionKind
 	task string
 }
 
 type listedAt struct {
 	at  time.Time
-	vms []platform.ListedVM
+	vms []infra.ListedVM
 }
 
 // NewFleet returns a fleet without VMs.
@@ -70,16 +70,16 @@
 }
 
 // Add adds a VM. The machine may be nil for an entry VM.
-func (f *Fleet) Add(vm platform.ListedVM, machine Machine) {
+func (f *Fleet) Add(vm infra.ListedVM, machine Machine) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	vm.Presence = platform.PresenceLive
+	vm.Presence = infra.PresenceLive
 	f.vms[vm.ID] = &standinVM{listed: vm, machine: machine, done: map[actKey]uint64{}}
 	f.remember()
 }
 
 // SetPresence changes what the list says of a VM.
-func (f *Fleet) SetPresence(id string, presence platform.Presence) {
+func (f *Fleet) SetPresence(id string, presence infra.Presence) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if vm, ok := f.vms[id]; ok {
@@ -102,8 +102,8 @@
 	return f.reboots
 }
 
-// List implements platform.VMList: the list as it was ListLag ago.
-func (f *Fleet) List(context.Context) ([]platform.ListedVM, error) {
+// List implements infra.VMList: the list as it was ListLag ago.
+func (f *Fleet) List(context.Context) ([]infra.ListedVM, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.down {
@@ -118,8 +118,8 @@
 	return f.listed[0].vms, nil
 }
 
-// Act implements platform.Workers.
-func (f *Fleet) Act(_ context.Context, action platform.Action) error {
+// Act implements infra.Workers.
+func (f *Fleet) Act(_ context.Context, action infra.Action) error {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.down {
@@ -127,12 +127,12 @@
 	}
 	if action.Epoch < f.epochs[action.Scope] {
 		f.fenced++
-		return &platform.Error{Kind: platform.KindFenced, Op: "act", Remedy: "the lease has a newer holder; stop planning"}
+		return &infra.Error{Kind: infra.KindFenced, Op: "act", Remedy: "the lease has a newer holder; stop planning"}
 	}
 	f.epochs[action.Scope] = action.Epoch
 	vm, ok := f.vms[action.VM]
 	if !ok || vm.machine == nil {
-		return &platform.Error{Kind: platform.KindRefused, Op: "act", Remedy: "there is no such worker; check the manifest"}
+		return &infra.Error{Kind: infra.KindRefused, Op: "act", Remedy: "there is no such worker; check the manifest"}
 	}
 	key := actKey{kind: action.Kind, task: action.Task}
 	if action.Sequence <= vm.done[key] {
@@ -143,11 +143,11 @@
 	return nil
 }
 
-func (f *Fleet) apply(vm *standinVM, action platform.Action) {
+func (f *Fleet) apply(vm *standinVM, action infra.Action) {
 	switch action.Kind {
-	case platform.ActionDrain:
+	case infra.ActionDrain:
 		vm.machine.Drain()
-	case platform.ActionReboot:
+	case infra.ActionReboot:
 		f.reboots++
 		vm.machine.Reboot()
 		time.AfterFunc(f.opts.RebootTime, func() { f.booted(vm, action.Image) })
@@ -165,19 +165,19 @@
 	f.remember()
 }
 
-// Usage implements platform.Workers.
-func (f *Fleet) Usage(context.Context) ([]platform.Usage, error) {
+// Usage implements infra.Workers.
+func (f *Fleet) Usage(context.Context) ([]infra.Usage, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.down {
 		return nil, errDown("usage")
 	}
-	var usage []platform.Usage
+	var usage []infra.Usage
 	for id, vm := range f.vms {
 		if vm.machine == nil {
 			continue
 		}
-		usage = append(usage, platform.Usage{VM: id, Busy: vm.machine.Busy(), LagMS: f.opts.UsageLag.Milliseconds()})
+		usage = append(usage, infra.Usage{VM: id, Busy: vm.machine.Busy(), LagMS: f.opts.UsageLag.Milliseconds()})
 	}
 	sort.Slice(usage, func(i, j int) bool { return usage[i].VM < usage[j].VM })
 	return usage, nil
@@ -185,7 +185,7 @@
 
 // remember stores the list as of now, for readers that see it late.
 func (f *Fleet) remember() {
-	vms := make([]platform.ListedVM, 0, len(f.vms))
+	vms := make([]infra.ListedVM, 0, len(f.vms))
 	for _, vm := range f.vms {
 		vms = append(vms, vm.listed)
 	}
--- a/platform/standin/handler.go
+++ b/infra/standin/handler.go
@@ -10,8 +10,8 @@
 	"github.com/pkg/errors"
 
 	"wigeonwinch/fleet/structs"
-	"wigeonwinch/platform"
-	"wigeonwinch/platform/client"
+	"wigeonwinch/infra"
+	"wigeonwinch/infra/client"
 )
 
 const (
@@ -24,7 +24,7 @@
 )
 
 // Handler serves the platform's protocol from a log and a fleet.
-func Handler(log platform.Log, fleet *Fleet) http.Handler {
+func Handler(log infra.Log, fleet *Fleet) http.Handler {
 	h := &handler{log: log, fleet: fleet}
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST "+client.PathAppend, h.append)
@@ -36,7 +36,7 @@
 }
 
 type handler struct {
-	log   platform.Log
+	log   infra.Log
 	fleet *Fleet
 }
 
@@ -46,7 +46,7 @@
 		return
 	}
 	first, err := h.log.Append(r.Context(), body.Entries)
-	if platform.KindOf(err) == platform.KindUnknown {
+	if infra.KindOf(err) == infra.KindUnknown {
 		panic(http.ErrAbortHandler)
 	}
 	answer(w, client.AppendResponse{First: first}, err)
@@ -83,7 +83,7 @@
 }
 
 func (h *handler) act(w http.ResponseWriter, r *http.Request) {
-	var action platform.Action
+	var action infra.Action
 	if !readJSON(w, r, &action) {
 		return
 	}
@@ -109,7 +109,7 @@
 }
 
 func refuse(w http.ResponseWriter, detail string) {
-	answer(w, nil, &platform.Error{Kind: platform.KindRefused, Remedy: detail})
+	answer(w, nil, &infra.Error{Kind: infra.KindRefused, Remedy: detail})
 }
 
 func answer(w http.ResponseWriter, body any, err error) {
@@ -118,23 +118,23 @@
 		_ = json.NewEncoder(w).Encode(body)
 		return
 	}
-	var perr *platform.Error
+	var perr *infra.Error
 	if !errors.As(err, &perr) {
-		perr = &platform.Error{Kind: platform.KindUnavailable, Remedy: err.Error()}
+		perr = &infra.Error{Kind: infra.KindUnavailable, Remedy: err.Error()}
 	}
 	w.WriteHeader(statusOf(perr.Kind))
 	_ = json.NewEncoder(w).Encode(client.ErrorResponse{Kind: perr.Kind, Detail: perr.Remedy, First: perr.First})
 }
 
-func statusOf(kind platform.Kind) int {
+func statusOf(kind infra.Kind) int {
 	switch kind {
-	case platform.KindTrimmed:
+	case infra.KindTrimmed:
 		return http.StatusGone
-	case platform.KindRateLimited:
+	case infra.KindRateLimited:
 		return http.StatusTooManyRequests
-	case platform.KindFenced:
+	case infra.KindFenced:
 		return http.StatusConflict
-	case platform.KindRefused:
+	case infra.KindRefused:
 		return http.StatusBadRequest
 	}
 	return http.StatusServiceUnavailable
--- a/platform/standin/log.go
+++ b/infra/standin/log.go
@@ -13,7 +13,7 @@
 	"time"
 
 	"wigeonwinch/fleet/structs"
-	"wigeonwinch/platform"
+	"wigeonwinch/infra"
 )
 
 // DefaultAppendsPerSecond is the number of appends the log takes a second.
@@ -40,7 +40,7 @@
 	LostAnswers float64
 }
 
-// Log is an in-memory platform.Log.
+// Log is an in-memory infra.Log.
 type Log struct {
 	opts LogOptions
 
@@ -81,7 +81,7 @@
 	return l.appends
 }
 
-// Append implements platform.Log.
+// Append implements infra.Log.
 func (l *Log) Append(ctx context.Context, entries [][]byte) (structs.Offset, error) {
 	if err := l.enter(ctx, "append"); err != nil {
 		return 0, err
@@ -89,7 +89,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.limited() {
-		return 0, &platform.Error{Kind: platform.KindRateLimited, Op: "append", Remedy: "wait a second and try again"}
+		return 0, &infra.Error{Kind: infra.KindRateLimited, Op: "append", Remedy: "wait a second and try again"}
 	}
 	first := l.next()
 	for _, data := range entries {
@@ -100,15 +100,15 @@
 	close(l.grown)
 	l.grown = make(chan struct{})
 	if l.rng.Float64() < l.faults.LostAnswers {
-		return 0, &platform.Error{Kind: platform.KindUnknown, Op: "append", Remedy: "the answer was lost; read the log to learn the outcome"}
+		return 0, &infra.Error{Kind: infra.KindUnknown, Op: "append", Remedy: "the answer was lost; read the log to learn the outcome"}
 	}
 	return first, nil
 }
 
-// Read implements platform.Log.
-func (l *Log) Read(ctx context.Context, from structs.Offset, max int, wait time.Duration) (platform.Batch, error) {
+// Read implements infra.Log.
+func (l *Log) Read(ctx context.Context, from structs.Offset, max int, wait time.Duration) (infra.Batch, error) {
 	if err := l.enter(ctx, "read"); err != nil {
-		return platform.Batch{}, err
+		return infra.Batch{}, err
 	}
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
@@ -127,22 +127,22 @@
 	}
 }
 
-func (l *Log) tryRead(from structs.Offset, max int) (platform.Batch, <-chan struct{}, error) {
+func (l *Log) tryRead(from structs.Offset, max int) (infra.Batch, <-chan struct{}, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.faults.Down {
-		return platform.Batch{}, nil, errDown("read")
+		return infra.Batch{}, nil, errDown("read")
 	}
-	batch := platform.Batch{First: l.first, Next: l.next()}
+	batch := infra.Batch{First: l.first, Next: l.next()}
 	if from < l.first {
-		return batch, nil, &platform.Error{
-			Kind: platform.KindTrimmed, Op: "read", First: l.first,
+		return batch, nil, &infra.Error{
+			Kind: infra.KindTrimmed, Op: "read", First: l.first,
 			Remedy: "begin from a snapshot at or after the first kept offset",
 		}
 	}
 	for offset := from; offset < l.next() && len(batch.Entries) < max; offset++ {
 		data := l.entries[offset-l.first]
-		batch.Entries = append(batch.Entries, platform.Entry{Offset: offset, Data: data})
+		batch.Entries = append(batch.Entries, infra.Entry{Offset: offset, Data: data})
 	}
 	return batch, l.grown, nil
 }
@@ -189,5 +189,5 @@
 }
 
 func errDown(op string) error {
-	return &platform.Error{Kind: platform.KindUnavailable, Op: op, Remedy: "the platform is down; nothing was done; try again later"}
+	return &infra.Error{Kind: infra.KindUnavailable, Op: op, Remedy: "the platform is down; nothing was done; try again later"}
 }
--- a/platform/standin/standin_test.go
+++ b/infra/standin/standin_test.go
@@ -10,9 +10,9 @@
 
 	"github.com/stretchr/testify/require"
 
-	"wigeonwinch/platform"
-	"wigeonwinch/platform/client"
-	"wigeonwinch/platform/standin"
+	"wigeonwinch/infra"
+	"wigeonwinch/infra/client"
+	"wigeonwinch/infra/standin"
 )
 
 func serve(t *testing.T, log *standin.Log, fleet *standin.Fleet) *client.Client {
@@ -38,7 +38,7 @@
 	require.EqualValues(t, 3, batch.Next)
 
 	_, err = c.Read(t.Context(), 0, 10, 0)
-	require.Equal(t, platform.KindTrimmed, platform.KindOf(err))
+	require.Equal(t, infra.KindTrimmed, infra.KindOf(err))
 }
 
 func TestLogFaultsOverHTTP(t *testing.T) {
@@ -47,12 +47,12 @@
 
 	log.SetFaults(standin.LogFaults{Down: true})
 	_, err := c.Append(t.Context(), [][]byte{[]byte("a")})
-	require.Equal(t, platform.KindUnavailable, platform.KindOf(err))
+	require.Equal(t, infra.KindUnavailable, infra.KindOf(err))
 	require.Equal(t, 0, log.Appends())
 
 	log.SetFaults(standin.LogFaults{LostAnswers: 1})
 	_, err = c.Append(t.Context(), [][]byte{[]byte("a")})
-	require.Equal(t, platform.KindUnknown, platform.KindOf(err))
+	require.Equal(t, infra.KindUnknown, infra.KindOf(err))
 	require.Equal(t, 1, log.Appends())
 }
 
@@ -62,7 +62,7 @@
 		var refused int
 		for range 5 {
 			_, err := log.Append(t.Context(), [][]byte{nil})
-			if platform.KindOf(err) == platform.KindRateLimited {
+			if infra.KindOf(err) == infra.KindRateLimited {
 				refused++
 			}
 		}
@@ -76,16 +76,16 @@
 func TestListLags(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		fleet := standin.NewFleet(standin.FleetOptions{ListLag: 10 * time.Second})
-		fleet.Add(platform.ListedVM{ID: "w-1"}, nil)
+		fleet.Add(infra.ListedVM{ID: "w-1"}, nil)
 		time.Sleep(20 * time.Second)
-		fleet.SetPresence("w-1", platform.PresenceLeaving)
+		fleet.SetPresence("w-1", infra.PresenceLeaving)
 		vms, err := fleet.List(context.Background())
 		require.NoError(t, err)
-		require.Equal(t, platform.PresenceLive, vms[0].Presence)
+		require.Equal(t, infra.PresenceLive, vms[0].Presence)
 		time.Sleep(11 * time.Second)
 		vms, err = fleet.List(context.Background())
 		require.NoError(t, err)
-		require.Equal(t, platform.PresenceLeaving, vms[0].Presence)
+		require.Equal(t, infra.PresenceLeaving, vms[0].Presence)
 	})
 }
 
@@ -95,8 +95,8 @@
 	backend, err := standin.StartBackend("127.0.0.1:0", standin.BackendOptions{ID: "w-1", Slots: 1, Connections: 4, Ledger: ledger})
 	require.NoError(t, err)
 	t.Cleanup(backend.Close)
-	fleet.Add(platform.ListedVM{ID: "w-1"}, backend)
-	reboot := platform.Action{Kind: platform.ActionReboot, VM: "w-1", Sequence: 4, Scope: "r", Epoch: 2}
+	fleet.Add(infra.ListedVM{ID: "w-1"}, backend)
+	reboot := infra.Action{Kind: infra.ActionReboot, VM: "w-1", Sequence: 4, Scope: "r", Epoch: 2}
 	require.NoError(t, fleet.Act(t.Context(), reboot))
 	require.NoError(t, fleet.Act(t.Context(), reboot))
 	require.Equal(t, 1, fleet.Reboots())
@@ -104,6 +104,6 @@
 	reboot.Epoch = 1
 	reboot.Sequence = 5
 	err = fleet.Act(t.Context(), reboot)
-	require.Equal(t, platform.KindFenced, platform.KindOf(err))
+	require.Equal(t, infra.KindFenced, infra.KindOf(err))
 	require.Equal(t, 1, fleet.Reboots())
 }
--- a/platform/standin/task.go
+++ b/infra/standin/task.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"wigeonwinch/platform"
+	"wigeonwinch/infra"
 )
 
 const (
@@ -14,7 +14,7 @@
 )
 
 // Task implements Machine. An act on a task that is not here does nothing.
-func (b *Backend) Task(kind platform.ActionKind, id string) {
+func (b *Backend) Task(kind infra.ActionKind, id string) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	acts, ok := b.tasks[id]
@@ -27,10 +27,10 @@
 	}
 }
 
-func (b *Backend) openTask(id string) <-chan platform.ActionKind {
+func (b *Backend) openTask(id string) <-chan infra.ActionKind {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	acts := make(chan platform.ActionKind, maxTaskActs)
+	acts := make(chan infra.ActionKind, maxTaskActs)
 	b.tasks[id] = acts
 	return acts
 }
@@ -82,7 +82,7 @@
 			b.opts.Ledger.cutShort(id)
 			return false
 		case kind := <-acts:
-			if kind == platform.ActionStop {
+			if kind == infra.ActionStop {
 				b.opts.Ledger.stopped(id)
 				return false
 			}
@@ -91,11 +91,11 @@
 	}
 }
 
-func (b *Backend) actOn(run *taskRun, id string, kind platform.ActionKind) {
+func (b *Backend) actOn(run *taskRun, id string, kind infra.ActionKind) {
 	switch kind {
-	case platform.ActionThrottle:
+	case infra.ActionThrottle:
 		run.throttle()
-	case platform.ActionCheckpoint:
+	case infra.ActionCheckpoint:
 		b.opts.Ledger.save(id, run.total-run.left())
 	}
 }
--- a/platform/standin/task_test.go
+++ b/infra/standin/task_test.go
@@ -8,14 +8,14 @@
 
 	"github.com/stretchr/testify/require"
 
-	"wigeonwinch/platform"
+	"wigeonwinch/infra"
 )
 
 func newTestBackend(ledger *Ledger) *Backend {
 	return &Backend{
 		opts:    BackendOptions{ID: "w-1", Slots: 1, Ledger: ledger},
 		stopped: make(chan struct{}),
-		tasks:   map[string]chan platform.ActionKind{},
+		tasks:   map[string]chan infra.ActionKind{},
 	}
 }
 
@@ -34,7 +34,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		ledger := NewLedger()
 		b := newTestBackend(ledger)
-		time.AfterFunc(4*time.Second, func() { b.Task(platform.ActionThrottle, "r-1") })
+		time.AfterFunc(4*time.Second, func() { b.Task(infra.ActionThrottle, "r-1") })
 		require.Equal(t, 16*time.Second, serveTask(b))
 		require.Equal(t, 1, ledger.Of("r-1").Finished)
 	})
@@ -44,8 +44,8 @@
 	synctest.Test(t, func(t *testing.T) {
 		ledger := NewLedger()
 		b := newTestBackend(ledger)
-		time.AfterFunc(6*time.Second, func() { b.Task(platform.ActionCheckpoint, "r-1") })
-		time.AfterFunc(7*time.Second, func() { b.Task(platform.ActionStop, "r-1") })
+		time.AfterFunc(6*time.Second, func() { b.Task(infra.ActionCheckpoint, "r-1") })
+		time.AfterFunc(7*time.Second, func() { b.Task(infra.ActionStop, "r-1") })
 		serveTask(b)
 		require.Equal(t, Run{Started: 1, Stopped: 1, Saved: 6 * time.Second}, ledger.Of("r-1"))
 		require.Equal(t, 4*time.Second, serveTask(newTestBackend(ledger)))
--- a/node/control/actor.go
+++ b/node/control/actor.go
@@ -4,8 +4,8 @@
 	"context"
 	"time"
 
+	"wigeonwinch/infra"
 	"wigeonwinch/node/events"
-	"wigeonwinch/platform"
 )
 
 // maxActs bounds the acts that wait to be carried out.
@@ -15,15 +15,15 @@
 // again that the lease holds.
 type actor struct {
 	loop  *Loop
-	queue chan platform.Action
+	queue chan infra.Action
 }
 
 func newActor(l *Loop) *actor {
-	return &actor{loop: l, queue: make(chan platform.Action, maxActs)}
+	return &actor{loop: l, queue: make(chan infra.Action, maxActs)}
 }
 
 // add queues an act. A full queue drops it: the planner asks again.
-func (a *actor) add(action platform.Action) {
+func (a *actor) add(action infra.Action) {
 	select {
 	case a.queue <- action:
 	default:
@@ -42,7 +42,7 @@
 	}
 }
 
-func (a *actor) act(ctx context.Context, action platform.Action) {
+func (a *actor) act(ctx context.Context, action infra.Action) {
 	allowed := false
 	a.loop.ask(ctx, func() { allowed = a.loop.mayAct(action, time.Now()) })
 	if !allowed {
@@ -56,7 +56,7 @@
 	switch {
 	case err == nil:
 		a.loop.cfg.Events.Record(events.ActDone, fields)
-	case platform.KindOf(err) == platform.KindFenced:
+	case infra.KindOf(err) == infra.KindFenced:
 		a.loop.cfg.Events.Record(events.ActFenced, fields)
 		a.loop.post(ctx, func() { a.loop.planner.loseLease(action.Epoch) })
 	default:
--- a/node/control/append.go
+++ b/node/control/append.go
@@ -10,8 +10,8 @@
 
 	"wigeonwinch/fleet/state"
 	"wigeonwinch/fleet/structs"
+	"wigeonwinch/infra"
 	"wigeonwinch/node/events"
-	"wigeonwinch/platform"
 )
 
 // Bounds of one append and of the records that wait for one.
@@ -306,15 +306,15 @@
 func (a *appender) appended(batch []*waiter, marked []bool, err error) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	kind := platform.KindOf(err)
+	kind := infra.KindOf(err)
 	retryAt := time.Now().Add(a.retryAfter(err))
 	for i, w := range batch {
 		w.notBefore = retryAt
 		w.lastError = err
-		if kind == platform.KindUnavailable || kind == platform.KindRateLimited || kind == platform.KindRefused {
+		if kind == infra.KindUnavailable || kind == infra.KindRateLimited || kind == infra.KindRefused {
 			w.tried = marked[i]
 		}
-		if _, waits := a.waiting[w.key]; waits && kind == platform.KindRefused && !w.tried {
+		if _, waits := a.waiting[w.key]; waits && kind == infra.KindRefused && !w.tried {
 			a.finish(w, structs.Verdict{}, refused(w.key, err))
 		}
 	}
@@ -326,7 +326,7 @@
 		return confirmAfter
 	}
 	pause := a.backoff.next()
-	if platform.KindOf(err) == platform.KindUnknown {
+	if infra.KindOf(err) == infra.KindUnknown {
 		pause = max(pause, resolveAfter)
 	}
 	return pause
--- a/node/control/catchup.go
+++ b/node/control/catchup.go
@@ -7,9 +7,9 @@
 
 	"wigeonwinch/fleet/state"
 	"wigeonwinch/fleet/structs"
+	"wigeonwinch/infra"
+	"wigeonwinch/infra/logstate"
 	"wigeonwinch/node/events"
-	"wigeonwinch/platform"
-	"wigeonwinch/platform/logstate"
 )
 
 // errNoSnapshot says that the log no longer covers this node's state.
@@ -46,7 +46,7 @@
 	var found logstate.Collector
 	next, err := f.firstKept(ctx)
 	for err == nil {
-		var batch platform.Batch
+		var batch infra.Batch
 		batch, err = f.read(ctx, next)
 		if err != nil {
 			break
@@ -64,8 +64,8 @@
 
 func (f *follower) firstKept(ctx context.Context) (structs.Offset, error) {
 	_, err := f.read(ctx, 0)
-	var perr *platform.Error
-	if errors.As(err, &perr) && perr.Kind == platform.KindTrimmed {
+	var perr *infra.Error
+	if errors.As(err, &perr) && perr.Kind == infra.KindTrimmed {
 		return perr.First, nil
 	}
 	return 0, err
--- a/node/control/cluster_test.go
+++ b/node/control/cluster_test.go
@@ -15,12 +15,12 @@
 
 	"wigeonwinch/fleet/manifest"
 	"wigeonwinch/fleet/structs"
+	"wigeonwinch/infra"
+	"wigeonwinch/infra/standin"
 	"wigeonwinch/node/events"
 	"wigeonwinch/node/peer"
 	"wigeonwinch/node/peer/peertest"
 	"wigeonwinch/node/timeline"
-	"wigeonwinch/platform"
-	"wigeonwinch/platform/standin"
 )
 
 // cluster is a set of nodes on one in-memory network with one log.
@@ -54,7 +54,7 @@
 
 // cutPlatform is the log as one node reaches it.
 type cutPlatform struct {
-	log platform.Log
+	log infra.Log
 	// other answers in place of the log when it is set.
 	other atomic.Pointer[standin.Log]
 	cut   atomic.Bool
@@ -64,7 +64,7 @@
 	loseNext atomic.Bool
 }
 
-var errCut = &platform.Error{Kind: platform.KindUnavailable, Op: "cut", Remedy: "wait"}
+var errCut = &infra.Error{Kind: infra.KindUnavailable, Op: "cut", Remedy: "wait"}
 
 func (c *cutPlatform) Append(ctx context.Context, entries [][]byte) (structs.Offset, error) {
 	if c.hang.Load() {
@@ -76,29 +76,29 @@
 	}
 	first, err := c.log.Append(ctx, entries)
 	if c.loseNext.Swap(false) {
-		return 0, &platform.Error{Kind: platform.KindUnknown, Op: "append", Remedy: "ask"}
+		return 0, &infra.Error{Kind: infra.KindUnknown, Op: "append", Remedy: "ask"}
 	}
 	return first, err
 }
 
-func (c *cutPlatform) Read(ctx context.Context, from structs.Offset, limit int, wait time.Duration) (platform.Batch, error) {
+func (c *cutPlatform) Read(ctx context.Context, from structs.Offset, limit int, wait time.Duration) (infra.Batch, error) {
 	if c.hang.Load() {
 		<-ctx.Done()
-		return platform.Batch{}, ctx.Err()
+		return infra.Batch{}, ctx.Err()
 	}
 	if c.cut.Load() {
-		return platform.Batch{}, errCut
+		return infra.Batch{}, errCut
 	}
 	if other := c.other.Load(); other != nil {
 		return other.Read(ctx, from, limit, wait)
 	}
 	batch, err := c.log.Read(ctx, from, limit, wait)
 	if c.cut.Load() {
-		return platform.Batch{}, errCut
+		return infra.Batch{}, errCut
 	}
 	if c.hang.Load() {
 		<-ctx.Done()
-		return platform.Batch{}, ctx.Err()
+		return infra.Batch{}, ctx.Err()
 	}
 	return batch, err
 }
@@ -146,17 +146,17 @@
 // fakeMachine is a worker without work.
 type fakeMachine struct{}
 
-func (fakeMachine) Drain()                           {}
-func (fakeMachine) Reboot()                          {}
-func (fakeMachine) Boot()                            {}
-func (fakeMachine) Task(platform.ActionKind, string) {}
-func (fakeMachine) Busy() int                        { return 0 }
+func (fakeMachine) Drain()                        {}
+func (fakeMachine) Reboot()                       {}
+func (fakeMachine) Boot()                         {}
+func (fakeMachine) Task(infra.ActionKind, string) {}
+func (fakeMachine) Busy() int                     { return 0 }
 
 // addWorkers puts the example's workers on the platform's list.
 func (c *cluster) addWorkers() {
 	for _, vm := range exampleManifest(c.t).VMs {
-		c.fleet.Add(platform.ListedVM{
-			ID: vm.ID, Kind: platform.VMKindWorker, Zone: vm.Zone, Address: vm.Address, Boot: 1,
+		c.fleet.Add(infra.ListedVM{
+			ID: vm.ID, Kind: infra.VMKindWorker, Zone: vm.Zone, Address: vm.Address, Boot: 1,
 		}, fakeMachine{})
 	}
 }
--- a/node/control/config.go
+++ b/node/control/config.go
@@ -6,10 +6,10 @@
 
 	"wigeonwinch/fleet/planner"
 	"wigeonwinch/fleet/structs"
+	"wigeonwinch/infra"
 	"wigeonwinch/node/events"
 	"wigeonwinch/node/membership"
 	"wigeonwinch/node/peer"
-	"wigeonwinch/platform"
 )
 
 // DefaultScope is the lease scope of planning. One planner plans for the
@@ -51,9 +51,9 @@
 	Incarnation uint64
 	// Scope is the lease scope of planning. Default DefaultScope.
 	Scope   string
-	Log     platform.Log
-	VMs     platform.VMList
-	Workers platform.Workers
+	Log     infra.Log
+	VMs     infra.VMList
+	Workers infra.Workers
 	Peers   Peers
 	Forward Drainer
 	Probe   Prober
--- a/node/control/follow.go
+++ b/node/control/follow.go
@@ -8,8 +8,8 @@
 	"github.com/pkg/errors"
 
 	"wigeonwinch/fleet/structs"
+	"wigeonwinch/infra"
 	"wigeonwinch/node/events"
-	"wigeonwinch/platform"
 )
 
 // maxReadEntries bounds the records of one read.
@@ -63,7 +63,7 @@
 	if ctx.Err() != nil {
 		return
 	}
-	if platform.KindOf(err) == platform.KindTrimmed {
+	if infra.KindOf(err) == infra.KindTrimmed {
 		err = f.catchUp(ctx, from)
 		if err == nil {
 			return
@@ -80,7 +80,7 @@
 }
 
 // read reads from an offset with a bound on the time.
-func (f *follower) read(ctx context.Context, from structs.Offset) (platform.Batch, error) {
+func (f *follower) read(ctx context.Context, from structs.Offset) (infra.Batch, error) {
 	intervals := f.loop.cfg.Intervals
 	readCtx, cancel := context.WithTimeout(ctx, f.wait+intervals.ReadGrace)
 	defer cancel()
@@ -99,7 +99,7 @@
 }
 
 // batchRead folds what the log returned.
-func (l *Loop) batchRead(from structs.Offset, asked time.Time, batch platform.Batch) {
+func (l *Loop) batchRead(from structs.Offset, asked time.Time, batch infra.Batch) {
 	now := time.Now()
 	if l.log.lost {
 		l.cfg.Events.Record(events.LogBack, events.Fields{Offset: batch.Next})
@@ -131,7 +131,7 @@
 	l.publishStatus()
 }
 
-func (l *Loop) foldBatch(entries []platform.Entry) {
+func (l *Loop) foldBatch(entries []infra.Entry) {
 	data := make([][]byte, 0, len(entries))
 	for i, entry := range entries {
 		if entry.Offset != entries[0].Offset+structs.Offset(i) {
--- a/node/control/inforce_test.go
+++ b/node/control/inforce_test.go
@@ -11,7 +11,7 @@
 	"github.com/stretchr/testify/require"
 
 	"wigeonwinch/fleet/structs"
-	"wigeonwinch/platform/standin"
+	"wigeonwinch/infra/standin"
 )
 
 // inBubble runs f in virtual time from within a benchmark.
--- a/node/control/loop_test.go
+++ b/node/control/loop_test.go
@@ -11,8 +11,8 @@
 	"github.com/stretchr/testify/require"
 
 	"wigeonwinch/fleet/structs"
+	"wigeonwinch/infra/standin"
 	"wigeonwinch/node/events"
-	"wigeonwinch/platform/standin"
 )
 
 func TestManifestIsInForceOnEveryNode(t *testing.T) {
--- a/node/control/message_test.go
+++ b/node/control/message_test.go
@@ -8,8 +8,8 @@
 	"github.com/stretchr/testify/require"
 
 	"wigeonwinch/fleet/structs"
+	"wigeonwinch/infra/standin"
 	"wigeonwinch/node/events"
-	"wigeonwinch/platform/standin"
 )
 
 // FuzzPeerMessages gives bytes of a peer to every handler. None may panic,
--- a/node/control/observe.go
+++ b/node/control/observe.go
@@ -7,7 +7,7 @@
 	"wigeonwinch/fleet/planner"
 	"wigeonwinch/fleet/structs"
 	"wigeonwinch/fleet/wave"
-	"wigeonwinch/platform"
+	"wigeonwinch/infra"
 )
 
 // What reading the platform may cost. The intervals grow with the fleet, so
@@ -25,12 +25,12 @@
 
 // observations is what the owner goroutine knows of VMs besides the log.
 type observations struct {
-	listed   []platform.ListedVM
+	listed   []infra.ListedVM
 	listedAt time.Time
 	// triedAt is when the list was last asked for.
 	triedAt   time.Time
 	listing   bool
-	usage     []platform.Usage
+	usage     []infra.Usage
 	usageAt   time.Time
 	nextUsage time.Time
 	reading   bool
@@ -42,7 +42,7 @@
 func (o *observations) noteLive() {
 	o.live = make(map[string]bool, len(o.listed))
 	for _, vm := range o.listed {
-		o.live[vm.ID] = vm.Presence == platform.PresenceLive
+		o.live[vm.ID] = vm.Presence == infra.PresenceLive
 	}
 }
 
@@ -112,7 +112,7 @@
 	})
 }
 
-func (l *Loop) listRead(list []platform.ListedVM, err error) {
+func (l *Loop) listRead(list []infra.ListedVM, err error) {
 	now := time.Now()
 	l.observed.listing = false
 	if err == nil {
@@ -126,12 +126,12 @@
 }
 
 // tellLeaving tells the request path which workers of the zone leave.
-func (l *Loop) tellLeaving(list []platform.ListedVM) {
+func (l *Loop) tellLeaving(list []infra.ListedVM) {
 	if l.cfg.Forward == nil {
 		return
 	}
 	for _, vm := range list {
-		if vm.Kind == platform.VMKindWorker && vm.Zone == l.cfg.Zone && vm.Presence != platform.PresenceLive {
+		if vm.Kind == infra.VMKindWorker && vm.Zone == l.cfg.Zone && vm.Presence != infra.PresenceLive {
 			l.cfg.Forward.Leaving(vm.ID)
 		}
 	}
@@ -148,7 +148,7 @@
 	})
 }
 
-func (l *Loop) usageRead(asked time.Time, usage []platform.Usage, err error) {
+func (l *Loop) usageRead(asked time.Time, usage []infra.Usage, err error) {
 	now := time.Now()
 	l.observed.reading = false
 	if err == nil {
@@ -165,11 +165,11 @@
 
 // observations returns what a planning round looks at.
 func (l *Loop) observations(view *structs.View, wall time.Time) []planner.Observation {
-	byID := make(map[string]platform.ListedVM, len(l.observed.listed))
+	byID := make(map[string]infra.ListedVM, len(l.observed.listed))
 	for _, vm := range l.observed.listed {
 		byID[vm.ID] = vm
 	}
-	busy := make(map[string]platform.Usage, len(l.observed.usage))
+	busy := make(map[string]infra.Usage, len(l.observed.usage))
 	for _, u := range l.observed.usage {
 		busy[u.VM] = u
 	}
--- a/node/control/plan.go
+++ b/node/control/plan.go
@@ -7,8 +7,8 @@
 
 	"wigeonwinch/fleet/planner"
 	"wigeonwinch/fleet/structs"
+	"wigeonwinch/infra"
 	"wigeonwinch/node/events"
-	"wigeonwinch/platform"
 )
 
 // plannerFacts is what the owner goroutine keeps about planning.
@@ -98,8 +98,8 @@
 		l.submit(rec)
 	}
 	for _, action := range plan.Actions {
-		l.acts.add(platform.Action{
-			Kind:     platform.ActionKind(action.Kind),
+		l.acts.add(infra.Action{
+			Kind:     infra.ActionKind(action.Kind),
 			VM:       action.VM,
 			Sequence: action.Sequence,
 			Scope:    action.Scope,
@@ -111,7 +111,7 @@
 
 // mayAct checks again, right before an act, that the lease holds and that the
 // act still belongs to the VM's present step.
-func (l *Loop) mayAct(action platform.Action, now time.Time) bool {
+func (l *Loop) mayAct(action infra.Action, now time.Time) bool {
 	epoch, ok := l.leaseHeld(now)
 	if !ok || epoch != action.Epoch || l.log.lost {
 		return false
--- a/node/control/plan_test.go
+++ b/node/control/plan_test.go
@@ -10,9 +10,9 @@
 	"github.com/stretchr/testify/require"
 
 	"wigeonwinch/fleet/structs"
+	"wigeonwinch/infra"
+	"wigeonwinch/infra/standin"
 	"wigeonwinch/node/events"
-	"wigeonwinch/platform"
-	"wigeonwinch/platform/standin"
 )
 
 // watchPlanners checks every half second that at most one node believes to
@@ -54,7 +54,7 @@
 		vm := holder.View().VMs[0]
 		var epoch structs.Epoch
 		holder.ask(context.Background(), func() { epoch, _ = holder.leaseHeld(time.Now()) })
-		action := platform.Action{Kind: platform.ActionReboot, VM: vm.ID, Sequence: vm.Sequence, Scope: DefaultScope, Epoch: epoch}
+		action := infra.Action{Kind: infra.ActionReboot, VM: vm.ID, Sequence: vm.Sequence, Scope: DefaultScope, Epoch: epoch}
 		allowed := func() bool {
 			var may bool
 			holder.ask(context.Background(), func() { may = holder.mayAct(action, time.Now()) })
@@ -78,9 +78,9 @@
 		holder := c.nodes[c.planners()[0]]
 		vm := holder.View().VMs[0]
 		status := holder.Status()
-		later := platform.Action{Kind: platform.ActionDrain, VM: vm.ID, Scope: DefaultScope, Epoch: status.LeaseEpoch + 1}
+		later := infra.Action{Kind: infra.ActionDrain, VM: vm.ID, Scope: DefaultScope, Epoch: status.LeaseEpoch + 1}
 		require.NoError(t, c.fleet.Act(context.Background(), later))
-		holder.acts.add(platform.Action{Kind: platform.ActionDrain, VM: vm.ID, Sequence: vm.Sequence, Scope: DefaultScope, Epoch: status.LeaseEpoch})
+		holder.acts.add(infra.Action{Kind: infra.ActionDrain, VM: vm.ID, Sequence: vm.Sequence, Scope: DefaultScope, Epoch: status.LeaseEpoch})
 		time.Sleep(2 * time.Second)
 		require.Equal(t, 1, holder.events.count(events.ActFenced))
 		require.False(t, holder.Status().Planning)
@@ -138,12 +138,12 @@
 		defer c.finish()
 		settled(c)
 		for _, p := range places {
-			c.fleet.Add(platform.ListedVM{ID: p.node, Kind: platform.VMKindEntry, Zone: p.zone}, nil)
+			c.fleet.Add(infra.ListedVM{ID: p.node, Kind: infra.VMKindEntry, Zone: p.zone}, nil)
 		}
-		c.fleet.SetPresence("e-02", platform.PresenceTerminated)
+		c.fleet.SetPresence("e-02", infra.PresenceTerminated)
 		time.Sleep(time.Minute)
 		require.Len(t, c.node(1).View().Entry["bhaktapur"].Members, 3, "a node that is heard stays, whatever the list says")
-		c.fleet.SetPresence("e-02", platform.PresenceLive)
+		c.fleet.SetPresence("e-02", infra.PresenceLive)
 		c.kill("e-03")
 		time.Sleep(time.Minute)
 		require.Len(t, c.node(1).View().Entry["bhaktapur"].Members, 2, "a silent node goes, whatever the list says")
--- a/node/control/probe_test.go
+++ b/node/control/probe_test.go
@@ -11,7 +11,7 @@
 	"github.com/stretchr/testify/require"
 
 	"wigeonwinch/fleet/structs"
-	"wigeonwinch/platform/standin"
+	"wigeonwinch/infra/standin"
 )
 
 // downProber is a prober for which some addresses do not answer.
--- a/node/control/random_test.go
+++ b/node/control/random_test.go
@@ -14,8 +14,8 @@
 
 	"wigeonwinch/fleet/state"
 	"wigeonwinch/fleet/structs"
-	"wigeonwinch/platform"
-	"wigeonwinch/platform/standin"
+	"wigeonwinch/infra"
+	"wigeonwinch/infra/standin"
 )
 
 // The length of one randomised run and the number of seeds. More seeds run
@@ -89,7 +89,7 @@
 	}
 	for _, p := range places {
 		r.incarnation[p.node] = 1
-		r.c.fleet.Add(platform.ListedVM{ID: p.node, Kind: platform.VMKindEntry, Zone: p.zone}, nil)
+		r.c.fleet.Add(infra.ListedVM{ID: p.node, Kind: infra.VMKindEntry, Zone: p.zone}, nil)
 	}
 	return r
 }
@@ -160,7 +160,7 @@
 	}
 	r.c.kill(p.node)
 	if r.random.IntN(2) == 0 {
-		r.c.fleet.SetPresence(p.node, platform.PresenceTerminated)
+		r.c.fleet.SetPresence(p.node, infra.PresenceTerminated)
 	}
 }
 
@@ -169,7 +169,7 @@
 		return
 	}
 	r.incarnation[p.node]++
-	r.c.fleet.SetPresence(p.node, platform.PresenceLive)
+	r.c.fleet.SetPresence(p.node, infra.PresenceLive)
 	r.c.start(p, r.incarnation[p.node], nil)
 }
 
--- a/node/control/relay.go
+++ b/node/control/relay.go
@@ -5,8 +5,8 @@
 
 	"github.com/pkg/errors"
 
+	"wigeonwinch/infra"
 	"wigeonwinch/node/peer"
-	"wigeonwinch/platform"
 )
 
 // appendRequest asks a peer to append records for a node that can't reach the
@@ -17,8 +17,8 @@
 
 // appendAnswer says how the append ended; an empty Kind means well.
 type appendAnswer struct {
-	Kind   platform.Kind `cbor:"1,keyasint,omitempty"`
-	Remedy string        `cbor:"2,keyasint,omitempty"`
+	Kind   infra.Kind `cbor:"1,keyasint,omitempty"`
+	Remedy string     `cbor:"2,keyasint,omitempty"`
 }
 
 // appendEntries appends once, with a bound on the time.
@@ -43,7 +43,7 @@
 		return l.appendEntries(ctx, entries)
 	}
 	err := l.appendThrough(ctx, name, entries)
-	if platform.KindOf(err) != platform.KindUnavailable {
+	if infra.KindOf(err) != infra.KindUnavailable {
 		return err
 	}
 	return l.appendEntries(ctx, entries)
@@ -55,15 +55,15 @@
 	defer cancel()
 	body, err := l.cfg.Peers.Call(callCtx, name, methodAppend, encode(appendRequest{Entries: entries}))
 	if err != nil {
-		kind := platform.KindUnknown
+		kind := infra.KindUnknown
 		if peer.KindOf(err) == peer.KindUnreachable || peer.KindOf(err) == peer.KindRefused {
-			kind = platform.KindUnavailable
+			kind = infra.KindUnavailable
 		}
 		return relayError(kind, err)
 	}
 	answer, err := decode[appendAnswer](body)
 	if err != nil {
-		return relayError(platform.KindUnknown, err)
+		return relayError(infra.KindUnknown, err)
 	}
 	if answer.Kind != "" {
 		return relayError(answer.Kind, errors.New(answer.Remedy))
@@ -71,8 +71,8 @@
 	return nil
 }
 
-func relayError(kind platform.Kind, cause error) error {
-	return &platform.Error{
+func relayError(kind infra.Kind, cause error) error {
+	return &infra.Error{
 		Kind: kind, Op: "append through peer", Cause: cause,
 		Remedy: "it is tried again with the same key",
 	}
@@ -102,9 +102,9 @@
 	if err == nil {
 		return encode(appendAnswer{}), nil
 	}
-	answer := appendAnswer{Kind: platform.KindOf(err), Remedy: err.Error()}
+	answer := appendAnswer{Kind: infra.KindOf(err), Remedy: err.Error()}
 	if answer.Kind == "" {
-		answer.Kind = platform.KindUnknown
+		answer.Kind = infra.KindUnknown
 	}
 	return encode(answer), nil
 }
--- a/node/control/share_test.go
+++ b/node/control/share_test.go
@@ -14,9 +14,9 @@
 	"github.com/stretchr/testify/require"
 
 	"wigeonwinch/fleet/structs"
-	"wigeonwinch/platform"
-	"wigeonwinch/platform/client"
-	"wigeonwinch/platform/standin"
+	"wigeonwinch/infra"
+	"wigeonwinch/infra/client"
+	"wigeonwinch/infra/standin"
 )
 
 // share is what one run of the control part of a fleet used.
@@ -108,7 +108,7 @@
 	n := c.node(1)
 	publishFleet(t, n, size.fleet)
 	for _, vm := range n.View().VMs {
-		c.fleet.Add(platform.ListedVM{ID: vm.ID, Kind: platform.VMKindWorker, Zone: vm.Zone, Address: vm.Address, Boot: 1, Image: "image-1"}, fakeMachine{})
+		c.fleet.Add(infra.ListedVM{ID: vm.ID, Kind: infra.VMKindWorker, Zone: vm.Zone, Address: vm.Address, Boot: 1, Image: "image-1"}, fakeMachine{})
 	}
 	publishWave(t, n)
 	time.Sleep(2 * time.Minute)
--- a/node/entry/entry.go
+++ b/node/entry/entry.go
@@ -20,6 +20,7 @@
 	"wigeonwinch/fleet/state"
 	"wigeonwinch/fleet/structs"
 	"wigeonwinch/fleet/wave"
+	"wigeonwinch/infra/client"
 	"wigeonwinch/node/admin"
 	"wigeonwinch/node/control"
 	"wigeonwinch/node/events"
@@ -29,7 +30,6 @@
 	"wigeonwinch/node/settings"
 	"wigeonwinch/node/telemetry"
 	"wigeonwinch/node/timeline"
-	"wigeonwinch/platform/client"
 )
 
 // How many events each part of the time line keeps.
--- a/node/entry/entry_test.go
+++ b/node/entry/entry_test.go
@@ -15,11 +15,11 @@
 
 	"wigeonwinch/fleet/manifest"
 	"wigeonwinch/fleet/structs"
+	"wigeonwinch/infra"
+	"wigeonwinch/infra/standin"
 	"wigeonwinch/node/entry"
 	"wigeonwinch/node/settings"
 	"wigeonwinch/node/telemetry"
-	"wigeonwinch/platform"
-	"wigeonwinch/platform/standin"
 )
 
 // patience bounds every wait; it is no measure of anything.
@@ -60,7 +60,7 @@
 		require.NoError(t, err)
 		t.Cleanup(backend.Close)
 		vm.Address = backend.Address()
-		w.fleet.Add(platform.ListedVM{ID: vm.ID, Kind: platform.VMKindWorker, Zone: vm.Zone, Address: vm.Address}, backend)
+		w.fleet.Add(infra.ListedVM{ID: vm.ID, Kind: infra.VMKindWorker, Zone: vm.Zone, Address: vm.Address}, backend)
 	}
 }
 
--- a/node/membership/membership.go
+++ b/node/membership/membership.go
@@ -18,7 +18,7 @@
 	"time"
 
 	"wigeonwinch/fleet/structs"
-	"wigeonwinch/platform"
+	"wigeonwinch/infra"
 )
 
 // The defaults of Limits.
@@ -84,7 +84,7 @@
 	// Listed is the platform's list of VMs; it lags. ListedAt is when it was
 	// read. A list read before the current epoch was seen says nothing of the
 	// epoch's members.
-	Listed   []platform.ListedVM
+	Listed   []infra.ListedVM
 	ListedAt time.Time
 	// Leaving says that this node stops.
 	Leaving bool
@@ -149,13 +149,13 @@
 type decider struct {
 	in     Input
 	limits Limits
-	listed map[string]platform.Presence
+	listed map[string]infra.Presence
 }
 
-func presences(list []platform.ListedVM) map[string]platform.Presence {
-	byID := make(map[string]platform.Presence)
+func presences(list []infra.ListedVM) map[string]infra.Presence {
+	byID := make(map[string]infra.Presence)
 	for _, vm := range list {
-		if vm.Kind == platform.VMKindEntry {
+		if vm.Kind == infra.VMKindEntry {
 			byID[vm.ID] = vm.Presence
 		}
 	}
@@ -212,7 +212,7 @@
 		if member || p.Leaving || p.Since.IsZero() || d.silence(p.Heard) > d.limits.HeardWithin {
 			continue
 		}
-		if d.listed[p.Node] == platform.PresenceTerminated {
+		if d.listed[p.Node] == infra.PresenceTerminated {
 			continue
 		}
 		if d.in.Leaving || d.in.Now.Sub(p.Since) >= wait {
@@ -248,7 +248,7 @@
 			continue
 		}
 		silent := d.silence(d.lastHeard(m))
-		terminated := d.listed[m.Node] == platform.PresenceTerminated
+		terminated := d.listed[m.Node] == infra.PresenceTerminated
 		if silent > after || terminated && silent > d.limits.RemoveAfter {
 			removed[m.Node] = true
 		}
@@ -282,7 +282,7 @@
 
 func (d *decider) allTerminated() bool {
 	for _, m := range d.in.Current.Members {
-		if d.listed[m.Node] != platform.PresenceTerminated {
+		if d.listed[m.Node] != infra.PresenceTerminated {
 			return false
 		}
 	}
--- a/node/membership/membership_test.go
+++ b/node/membership/membership_test.go
@@ -7,7 +7,7 @@
 	"github.com/stretchr/testify/require"
 
 	"wigeonwinch/fleet/structs"
-	"wigeonwinch/platform"
+	"wigeonwinch/infra"
 )
 
 var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
@@ -22,10 +22,10 @@
 	return structs.EntryEpoch{Zone: "north", Epoch: n, Members: members}
 }
 
-func terminated(nodes ...string) []platform.ListedVM {
-	var list []platform.ListedVM
+func terminated(nodes ...string) []infra.ListedVM {
+	var list []infra.ListedVM
 	for _, node := range nodes {
-		list = append(list, platform.ListedVM{ID: node, Kind: platform.VMKindEntry, Presence: platform.PresenceTerminated})
+		list = append(list, infra.ListedVM{ID: node, Kind: infra.VMKindEntry, Presence: infra.PresenceTerminated})
 	}
 	return list
 }
