Maintain VMs in waves from one fenced holder

Change: fleet/upkeep plans which VMs to empty and take down; the fleet duty's holder cordons workers at the shards' owners, takes empty VMs down and records what has begun.

--- a/jobs/admit/admit.go
+++ b/jobs/admit/admit.go
@@ -16,18 +16,24 @@
 	maxRetryMS = 5_000
 	// packing is the share of a pool's cores that tasks of mixed sizes fill.
 	packing = 0.85
+	// chainShare of the estimated chain must fit: estimates are off by half,
+	// both ways.
+	chainShare = 0.9
 )
 
 // Load is what a pool has to do already.
 type Load struct {
-	// LeftWork is accepted and not done, in milli-CPU milliseconds.
-	LeftWork         int64
-	CapacityMilliCPU int64
+	// WaitingWork is accepted and not placed, in milli-CPU milliseconds.
+	WaitingWork int64
+	// CapacityMilliCPU is the room of all workers, FreeMilliCPU what is left.
+	CapacityMilliCPU, FreeMilliCPU int64
 }
 
 // Ask is the job in question.
 type Ask struct {
 	Work int64
+	// FirstMilliCPU is what its first tasks ask for together.
+	FirstMilliCPU int64
 	// ChainMS is the longest chain of its estimates, SlackMS the time left
 	// until it loses its worth.
 	ChainMS, SlackMS   int64
@@ -42,7 +48,7 @@
 }
 
 // Decide admits lasting and scheduled jobs always, others if the work ahead
-// of them leaves their chain enough time.
+// of them leaves their chain enough time, or if workers would stay idle.
 func Decide(l Load, a Ask) Decision {
 	if a.Lasting || a.Scheduled {
 		return Decision{Accept: true}
@@ -51,8 +57,11 @@
 		return Decision{Reason: "no_worker_in_reach", RetryAfterMS: StoreRetryMS}
 	}
 	rate := float64(l.CapacityMilliCPU) * packing
-	wait := int64(float64(l.LeftWork) / rate)
-	if wait+a.ChainMS <= a.SlackMS {
+	wait := int64(float64(l.WaitingWork) / rate)
+	if wait+int64(chainShare*float64(a.ChainMS)) <= a.SlackMS {
+		return Decision{Accept: true}
+	}
+	if l.WaitingWork == 0 && a.FirstMilliCPU <= l.FreeMilliCPU/2 {
 		return Decision{Accept: true}
 	}
 	over := wait + a.ChainMS - a.SlackMS
--- a/jobs/shard/lasting.go
+++ b/jobs/shard/lasting.go
@@ -3,13 +3,15 @@
 import "fmt"
 
 // Cordon tells the core which of its workers are to be emptied: no new work is
-// placed on them and lasting tasks leave within their budgets. Workers that
-// drain by themselves are emptied as well.
+// placed on them and lasting tasks leave within their budgets. A true value
+// stops other tasks too. Workers that drain by themselves are emptied as well.
 func (c *Core) Cordon(now int64, ids map[string]bool) {
 	c.now = now
 	for id, w := range c.workers {
-		if w.cordoned != ids[id] {
-			w.cordoned = ids[id]
+		evict, cordon := ids[id]
+		w.evicting = evict
+		if w.cordoned != cordon {
+			w.cordoned = cordon
 			c.event(Event{Name: EventWorker, Worker: id, Outcome: "cordon", Detail: fmt.Sprintf("cordoned=%v runs=%d", w.cordoned, len(w.runs))})
 		}
 	}
@@ -32,10 +34,14 @@
 			continue
 		}
 		for _, r := range sortedRuns(w) {
-			if r.phase != running || !r.step().Lasting {
+			if r.phase != running {
 				continue
 			}
-			if w.info.Draining || c.mayStop(r) {
+			lasting := r.step().Lasting
+			if !lasting && !w.evicting {
+				continue
+			}
+			if !lasting || w.info.Draining || c.mayStop(r) {
 				c.stop(r, "evacuate")
 			}
 		}
--- a/jobs/shard/submit.go
+++ b/jobs/shard/submit.go
@@ -75,10 +75,8 @@
 		return Reply{Reason: reason, RetryAfterMS: admit.ImpossibleRetryMS}, true
 	}
 	p := c.pool(q.Service)
-	d := admit.Decide(admit.Load{
-		LeftWork: p.left, CapacityMilliCPU: int64(c.capacity(q.Service).MilliCPU),
-	}, admit.Ask{
-		Work: j.spec.Work(), ChainMS: j.spec.ChainMS(nil), SlackMS: j.deadline - c.now,
+	d := admit.Decide(c.load(p), admit.Ask{
+		Work: j.spec.Work(), FirstMilliCPU: firstStepCPU(&j.spec), ChainMS: j.spec.ChainMS(nil), SlackMS: j.deadline - c.now,
 		Lasting: j.spec.Lasts(), Scheduled: j.spec.Repeat > 0,
 	})
 	if d.Accept {
@@ -88,6 +86,34 @@
 	return Reply{Reason: d.Reason, RetryAfterMS: d.RetryAfterMS}, true
 }
 
+// load is what a pool has to do, for the admission.
+func (c *Core) load(p *pool) admit.Load {
+	l := admit.Load{WaitingWork: p.left}
+	for _, w := range c.workers {
+		if w.info.Service != p.service {
+			continue
+		}
+		l.WaitingWork -= w.placedWork
+		if w.usable(c.now) {
+			l.CapacityMilliCPU += int64(w.info.Capacity.MilliCPU)
+			l.FreeMilliCPU += int64(max(w.info.Capacity.MilliCPU-w.used.MilliCPU, 0))
+		}
+	}
+	l.WaitingWork = max(l.WaitingWork, 0)
+	return l
+}
+
+// firstStepCPU is what the steps that can start at once ask for together.
+func firstStepCPU(j *spec.Job) int64 {
+	sum := int64(0)
+	for i := range j.Steps {
+		if len(j.Steps[i].After) == 0 {
+			sum += int64(j.Steps[i].Count) * int64(j.Steps[i].Room().MilliCPU)
+		}
+	}
+	return sum
+}
+
 // impossible says why no worker that was ever seen could run one of the
 // job's tasks. Without any worker in view nothing is known.
 func (c *Core) impossible(j *job) (string, bool) {
--- a/jobs/shard/worker.go
+++ b/jobs/shard/worker.go
@@ -17,6 +17,8 @@
 	reached bool
 	runs    map[runID]*run
 	used    spec.Resources
+	// placedWork is the estimated work of the runs.
+	placedWork int64
 	// strays are listed runs that are not ours; their room is not known.
 	strays map[RunRef]int64
 	// clock is the worker's clock at the steady time clockAt.
@@ -58,6 +60,7 @@
 func (w *worker) add(r *run) {
 	w.runs[runID{r.key, r.number}] = r
 	w.used = w.used.Add(r.room)
+	w.placedWork += r.step().Work()
 }
 
 func (w *worker) remove(r *run) {
@@ -66,6 +69,7 @@
 	}
 	delete(w.runs, runID{r.key, r.number})
 	w.used = w.used.Sub(r.room)
+	w.placedWork -= r.step().Work()
 }
 
 func (w *worker) hasLabel(label string) bool {
--- a/node/jobhost/fleet.go
+++ b/node/jobhost/fleet.go
@@ -2,23 +2,343 @@
 
 import (
 	"context"
+	"fmt"
+	"sort"
+	"strings"
+	"time"
 
+	"wigeonwinch/fleet/upkeep"
+	"wigeonwinch/jobs/shard"
 	"wigeonwinch/node/deps"
+	"wigeonwinch/node/events"
 )
 
 // fleetPartition is owned by the one node that moves and maintains VMs.
 var fleetPartition = deps.Partition{Topic: deps.TopicFleet}
 
-// fleetDuty is the state of the node that moves and maintains VMs.
+// The fleet duty's times.
+const (
+	// fleetTick is the pause between two plans.
+	fleetTick = 300 * time.Millisecond
+	// cordonLife is how long a cordon holds without being renewed.
+	cordonLife = 3 * time.Second
+	// busyList and idleList are the ages at which the list of VMs is read
+	// again, with and without a wave in progress.
+	busyList = 900 * time.Millisecond
+	idleList = 4 * time.Second
+	// actTimeout bounds a call to the VM service.
+	actTimeout = 1500 * time.Millisecond
+	// actRetry is the pause before a failed act is tried again.
+	actRetry = 700 * time.Millisecond
+)
+
+// fleetDuty is the state of the node that moves and maintains VMs. It belongs
+// to the goroutine of runFleet, except for shard.
 type fleetDuty struct {
-	host  *Host
-	shard *ownedShard
+	host     *Host
+	shard    *ownedShard
+	vms      map[string]deps.VM
+	listedAt int64
+	listLost bool
+	// emptying is since when a VM is to be emptied, by wave.
+	emptying map[int]map[string]int64
+	// down is when a VM was taken down, by wave, and begun is set once the
+	// platform said so.
+	down   map[int]map[string]int64
+	begun  map[int]map[string]bool
+	closed map[int]bool
+	opened map[int]bool
+	// actAt is when the last act on a VM was tried.
+	actAt   map[string]int64
+	reports map[string]workerReport
+	pools   map[string]poolReport
+	moves   *moveDuty
+}
+
+func newFleetDuty(h *Host, s *ownedShard) *fleetDuty {
+	d := &fleetDuty{
+		host: h, shard: s, vms: map[string]deps.VM{}, emptying: map[int]map[string]int64{},
+		down: map[int]map[string]int64{}, begun: map[int]map[string]bool{}, closed: map[int]bool{},
+		opened: map[int]bool{}, actAt: map[string]int64{}, reports: map[string]workerReport{}, pools: map[string]poolReport{},
+	}
+	d.moves = newMoveDuty()
+	for key := range s.kept {
+		d.recall(key)
+	}
+	return d
+}
+
+// recall takes over what an earlier holder recorded: w/WAVE/VM for begun
+// maintenance, w/WAVE for a completed wave.
+func (d *fleetDuty) recall(key string) {
+	parts := strings.Split(key, "/")
+	if len(parts) < 2 || parts[0] != "w" {
+		return
+	}
+	var wave int
+	if _, err := fmt.Sscanf(parts[1], "%d", &wave); err != nil {
+		d.host.record(events.RecordUnreadable, events.Fields{Detail: "fleet " + key, Err: err})
+		return
+	}
+	if len(parts) == 2 {
+		d.closed[wave] = true
+		return
+	}
+	d.setBegun(wave, parts[2])
+}
+
+func (d *fleetDuty) setBegun(wave int, vm string) {
+	if d.begun[wave] == nil {
+		d.begun[wave] = map[string]bool{}
+	}
+	d.begun[wave][vm] = true
+}
+
+// runFleet plans again and again while this node holds the duty.
+func (h *Host) runFleet(ctx context.Context) {
+	for ctx.Err() == nil {
+		sleep(ctx, fleetTick)
+		var d *fleetDuty
+		var waves []*deps.Wave
+		seen := map[int]int64{}
+		if h.ask(ctx, func() {
+			d = h.fleet
+			for n, w := range h.waves {
+				waves = append(waves, w)
+				seen[n] = h.waveSeenAt[n]
+			}
+		}) != nil || d == nil {
+			continue
+		}
+		sort.Slice(waves, func(i, j int) bool { return waves[i].Number < waves[j].Number })
+		d.round(ctx, waves, seen)
+	}
+}
+
+// round makes one plan and carries it out.
+func (d *fleetDuty) round(ctx context.Context, waves []*deps.Wave, seen map[int]int64) {
+	open := 0
+	for _, w := range waves {
+		if !d.closed[w.Number] {
+			open++
+		}
+	}
+	d.refresh(ctx, open > 0)
+	if d.listedAt == 0 {
+		return
+	}
+	now := steadyMS()
+	plan := upkeep.Make(d.view(now, waves, seen))
+	moves := d.moves.plan(d, now, plan)
+	d.noteEmptying(now, waves, plan)
+	d.exchange(ctx, plan, moves)
+	if !d.mayAct(now) {
+		return
+	}
+	for _, w := range waves {
+		d.openWave(ctx, w.Number)
+	}
+	for _, a := range plan.Maintain {
+		d.maintain(ctx, a)
+	}
+	for _, m := range moves.ready {
+		d.move(ctx, m)
+	}
+	for _, n := range plan.Done {
+		d.closeWave(ctx, n)
+	}
+}
+
+// mayAct says whether this node is certainly the only holder.
+func (d *fleetDuty) mayAct(now int64) bool {
+	beat := d.host.heartbeat.Load()
+	return beat != nil && now < beat.sentAt+startRight.Milliseconds() && now-d.shard.takenAt >= d.host.cfg.HolderGapMS && d.shard.ctx.Err() == nil
+}
+
+// refresh reads the list of VMs if it is old.
+func (d *fleetDuty) refresh(ctx context.Context, busy bool) {
+	age := idleList
+	if busy || d.moves.active() {
+		age = busyList
+	}
+	if d.listedAt != 0 && sinceMS(d.listedAt) < age {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, actTimeout)
+	defer cancel()
+	sentAt := steadyMS()
+	list, err := d.host.cfg.VMs.List(ctx)
+	if (err != nil) != d.listLost {
+		d.listLost = err != nil
+		if d.listLost {
+			d.host.record(events.VMActFailed, events.Fields{Detail: "list", Err: err})
+		}
+	}
+	if err != nil {
+		return
+	}
+	d.listedAt = sentAt
+	d.vms = make(map[string]deps.VM, len(list))
+	for _, vm := range list {
+		d.vms[vm.ID] = vm
+		d.forgetDown(vm, sentAt)
+	}
+}
+
+// forgetDown notes VMs that are up again after their maintenance.
+func (d *fleetDuty) forgetDown(vm deps.VM, sentAt int64) {
+	for _, down := range d.down {
+		if at, ok := down[vm.ID]; ok && vm.State == deps.VMUp && sentAt-at > d.host.cfg.UpkeepMS {
+			delete(down, vm.ID)
+		}
+	}
 }
 
-func newFleetDuty(h *Host, s *ownedShard) *fleetDuty { return &fleetDuty{host: h, shard: s} }
+func (d *fleetDuty) spare(pool string) bool {
+	cfg := d.host.config.Load()
+	if cfg == nil {
+		return false
+	}
+	for _, p := range cfg.Pools {
+		if p.Service == pool {
+			return p.Spare
+		}
+	}
+	return false
+}
 
-func (h *Host) runFleet(context.Context) {}
+func (d *fleetDuty) view(now int64, waves []*deps.Wave, seen map[int]int64) upkeep.View {
+	v := upkeep.View{Now: now, VMs: map[string]upkeep.VM{}, DownMS: d.host.cfg.UpkeepMS}
+	for id, vm := range d.vms {
+		r := d.reports[vm.Worker]
+		v.VMs[id] = upkeep.VM{
+			ID: id, Pool: vm.Pool, Up: vm.State == deps.VMUp, Spare: d.spare(vm.Pool),
+			Cleared: r.Empty && now-r.at < cordonLife.Milliseconds()/2, UsedMilliCPU: r.UsedMilliCPU, Lasting: r.Lasting,
+			Reserved: d.moves.reserved(id) || now-d.actAt[id] < actRetry.Milliseconds(),
+		}
+	}
+	for _, w := range waves {
+		if d.closed[w.Number] {
+			continue
+		}
+		down := map[string]bool{}
+		for id := range d.down[w.Number] {
+			down[id] = true
+		}
+		for _, id := range w.VMs {
+			if vm, ok := d.vms[id]; ok && vm.State == deps.VMUpkeep {
+				down[id] = true
+			}
+		}
+		v.Waves = append(v.Waves, upkeep.Wave{
+			Number: w.Number, VMs: w.VMs, Cap: w.Cap, EndsAt: seen[w.Number] + w.Duration.Milliseconds(),
+			Begun: d.begun[w.Number], Down: down, EmptyingSince: d.emptying[w.Number],
+		})
+	}
+	return v
+}
 
-func (h *Host) expireCordons(int64) {}
+func (d *fleetDuty) noteEmptying(now int64, waves []*deps.Wave, plan upkeep.Plan) {
+	for _, w := range waves {
+		m := d.emptying[w.Number]
+		if m == nil {
+			m = map[string]int64{}
+			d.emptying[w.Number] = m
+		}
+		for _, id := range w.VMs {
+			if !plan.Empty[id] {
+				delete(m, id)
+			} else if m[id] == 0 {
+				m[id] = now
+			}
+		}
+	}
+}
 
-func (h *Host) serveCordon(context.Context, string, []byte) ([]byte, error) { return nil, nil }
+// maintain takes one VM down. An unanswered call may have been carried out,
+// so that the VM counts as down; it is called again until it is answered.
+func (d *fleetDuty) maintain(ctx context.Context, a upkeep.Act) {
+	now := steadyMS()
+	if !d.mayAct(now) {
+		return
+	}
+	d.actAt[a.VM] = now
+	if d.down[a.Wave] == nil {
+		d.down[a.Wave] = map[string]int64{}
+	}
+	d.down[a.Wave][a.VM] = now
+	callCtx, cancel := context.WithTimeout(ctx, actTimeout)
+	defer cancel()
+	err := d.host.cfg.VMs.Maintain(callCtx, d.holder(), a.VM, a.Wave)
+	d.note("maintain", a.VM, fmt.Sprintf("wave=%d", a.Wave), err)
+	switch {
+	case err == nil:
+		delete(d.reports, d.vms[a.VM].Worker)
+		d.setBegun(a.Wave, a.VM)
+		d.remember(ctx, fmt.Sprintf("w/%d/%s", a.Wave, a.VM))
+	case kindOf(err) != deps.KindUnknown:
+		delete(d.down[a.Wave], a.VM)
+	}
+}
+
+func (d *fleetDuty) holder() deps.Holder {
+	return deps.Holder{Name: d.host.cfg.Node, Epoch: d.shard.epoch}
+}
+
+func (d *fleetDuty) note(act, vm, detail string, err error) {
+	number := events.VMAct
+	if err != nil {
+		number = events.VMActFailed
+	}
+	d.host.record(number, events.Fields{VM: vm, Detail: act + " " + detail, Err: err, Epoch: d.shard.epoch, AgeMS: sinceMS(d.listedAt).Milliseconds()})
+}
+
+// remember stores a key of the duty.
+func (d *fleetDuty) remember(ctx context.Context, key string) {
+	d.shard.sequence++
+	sequence := d.shard.sequence
+	for ctx.Err() == nil && d.shard.ctx.Err() == nil {
+		err := d.host.appendOnce(d.shard, sequence, []shard.Record{{Key: key, Value: []byte{1}}})
+		if err == nil {
+			return
+		}
+		if k := kindOf(err); k != deps.KindRefused && k != deps.KindUnknown {
+			d.host.post(func() { d.host.drop(d.shard, err.Error()) })
+			return
+		}
+		sleep(ctx, appendRetry)
+	}
+}
+
+// openWave tells the operator that a wave is in progress.
+func (d *fleetDuty) openWave(ctx context.Context, n int) {
+	if d.opened[n] || d.closed[n] {
+		return
+	}
+	if d.writeStatus(ctx, n, false) {
+		d.opened[n] = true
+	}
+}
+
+func (d *fleetDuty) closeWave(ctx context.Context, n int) {
+	if d.closed[n] || !d.writeStatus(ctx, n, true) {
+		return
+	}
+	d.closed[n] = true
+	d.host.record(events.WaveDone, events.Fields{Detail: fmt.Sprintf("wave=%d", n), Epoch: d.shard.epoch})
+	d.remember(ctx, fmt.Sprintf("w/%d", n))
+}
+
+func (d *fleetDuty) writeStatus(ctx context.Context, n int, completed bool) bool {
+	rec, err := d.host.cfg.Codec.WaveStatus(n, completed)
+	if err == nil {
+		callCtx, cancel := context.WithTimeout(ctx, storeTimeout)
+		defer cancel()
+		d.host.stats.storeWrites.Add(1)
+		err = d.host.cfg.Store.Append(callCtx, deps.Append{Partition: deps.Partition{Topic: deps.TopicStatus}, Records: []shard.Record{rec}})
+	}
+	if err != nil {
+		d.note("status", "", fmt.Sprintf("wave=%d completed=%v", n, completed), err)
+	}
+	return err == nil
+}
--- a/node/jobhost/host.go
+++ b/node/jobhost/host.go
@@ -36,8 +36,6 @@
 	startedAt  int64
 	nodesOK    int64
 	stopping   bool
-	cordons    map[string]bool
-	cordonsAt  int64
 	fleet      *fleetDuty
 
 	config     atomic.Pointer[deps.Configuration]
--- a/node/jobhost/owners.go
+++ b/node/jobhost/owners.go
@@ -29,6 +29,8 @@
 	ctx          context.Context
 	cancel       context.CancelFunc
 	takenAt      int64
+	// cordonEpoch and cordonAt are of the last cordons.
+	cordonEpoch, cordonAt int64
 	// kept are the fleet's records.
 	kept map[string][]byte
 }
