Let silent workers' leases lapse, and earlier owners' leases hold

Cause: every unanswered poll extended the lease it might have carried, so a dead worker's tasks never came free (LOST); a worker that was reached once but had no lease of ours counted as lapsed although an earlier owner's lease still held (TWICE). Change: no lease on polls of silent workers; earlier leases bind until their end in any case.

--- a/jobs/shard/worker.go
+++ b/jobs/shard/worker.go
@@ -103,7 +103,7 @@
 
 // lapsed says whether every lease on the worker has certainly ended.
 func (w *worker) lapsed(now int64) bool {
-	if !w.reached && now < w.earlierUntil {
+	if now < w.earlierUntil {
 		return false
 	}
 	if w.leaseUntil == 0 {
@@ -179,6 +179,9 @@
 		p := Poll{Target: c.target(w), AckedUpto: w.acked}
 		if w.reached {
 			p.WaitMS = pollWaitMS
+		}
+		if w.reached && w.failedPolls == 0 {
+			// A silent worker's lease must be able to lapse.
 			p.LeaseUntil = c.lease(w)
 		}
 		if w.reached && w.serving() > 0 && w.fillers() > 0 {
@@ -430,7 +433,7 @@
 		if len(w.runs) == 0 {
 			continue
 		}
-		silent := w.failedPolls > 0 || !w.reached || !w.listed
+		silent := w.failedPolls > 0 || !w.reached
 		if silent && w.lapsed(c.now) {
 			for _, r := range sortedRuns(w) {
 				if r.phase != placed {
