--- a/jobs/place/place.go
+++ b/jobs/place/place.go
@@ -9,9 +9,9 @@
 	// Avoid says that the task's last run failed there, Failing that the
 	// worker's last run of any task failed.
 	Avoid, Failing bool
-	// Spread asks for the emptiest worker: lasting tasks should not share the
-	// fate of one VM.
-	Spread bool
+	// Lasting tasks go where others of their kind are already (HasLasting), so
+	// that the other VMs stay free to move and to be maintained.
+	Lasting, HasLasting bool
 	// Filler says that the task takes only what others leave.
 	Filler bool
 	// Serving and Fillers count the tasks of each kind on the worker.
@@ -39,8 +39,8 @@
 }
 
 // Rate returns the score of a candidate: sound workers near the data first,
-// then those where fewest tasks disturb each other, then the tightest fit, or
-// the loosest for tasks that are to be spread.
+// then those where fewest tasks disturb each other, then the tightest fit.
+// Lasting tasks share the VMs that have some, the emptiest of them first.
 func Rate(c Candidate) Score {
 	s := Score{fit: c.FreeMilliCPU - c.NeedMilliCPU}
 	if !c.NearData {
@@ -57,7 +57,10 @@
 	} else if c.MinTarget > 0 {
 		s.disturbs = c.Fillers * 8
 	}
-	if c.Spread {
+	if c.Lasting && !c.HasLasting {
+		s.disturbs++
+	}
+	if c.Lasting && c.HasLasting {
 		s.fit = -s.fit
 	}
 	return s
--- a/jobs/shard/schedule.go
+++ b/jobs/shard/schedule.go
@@ -261,7 +261,7 @@
 			FreeMilliCPU: free.MilliCPU, NeedMilliCPU: room.MilliCPU,
 			NearData: st.DataRack == "" || st.DataRack == w.info.Rack,
 			Avoid:    tk.avoid == w.info.ID, Failing: w.failStreak > 0,
-			Spread: st.Lasting, Filler: st.Filler,
+			Lasting: st.Lasting, HasLasting: w.lasting() > 0, Filler: st.Filler,
 			Serving: w.serving(), Fillers: w.fillers(), MinTarget: st.TailTargetMS,
 		})
 		if best == nil || score.Better(bestScore) {
@@ -292,6 +292,17 @@
 	return n
 }
 
+// lasting counts the lasting tasks on the worker.
+func (w *worker) lasting() int {
+	n := 0
+	for _, r := range w.runs {
+		if r.step().Lasting {
+			n++
+		}
+	}
+	return n
+}
+
 func (w *worker) fillers() int {
 	n := 0
 	for _, r := range w.runs {
--- a/node/events/jobs.go
+++ b/node/events/jobs.go
@@ -37,6 +37,7 @@
 	RequestPassedOn
 	LogLinesDropped
 	FleetPlan
+	PoolLoad
 )
 
 var jobEvents = []Definition{
@@ -74,5 +75,6 @@
 	{RequestAnswered, "request_answered", SeverityInfo, "A caller's request was answered; the outcome is what it was told.", ""},
 	{RequestPassedOn, "request_passed_on", SeverityInfo, "A request could not be passed on to its shard's owner; the outcome says why.", ""},
 	{LogLinesDropped, "log_lines_dropped", SeverityWarning, "Log lines were left out because the output did not take them.", "Read the log faster."},
+	{PoolLoad, "pool_load", SeverityInfo, "A pool's load as the fleet duty sees it.", ""},
 	{FleetPlan, "fleet_plan", SeverityInfo, "The plan for moves and maintenance changed.", ""},
 }
--- a/node/jobhost/config.go
+++ b/node/jobhost/config.go
@@ -63,8 +63,12 @@
 	// of the workers' entries; a fraction of silentAfter and of the time in
 	// which draining workers must be left alone.
 	readInterval = 500 * time.Millisecond
-	// operatorWait is how long a read of the operator's records waits.
-	operatorWait = 5 * time.Second
+	// operatorWait is how long a read of the operator's records waits, and
+	// operatorMargin how much later an unanswered one is given up: together
+	// well below the two seconds in which a configuration must be in force,
+	// because a connection may have gone silent.
+	operatorWait   = 700 * time.Millisecond
+	operatorMargin = 500 * time.Millisecond
 	// readRetry is the pause after a failed read.
 	readRetry = 250 * time.Millisecond
 	// storeTimeout bounds one store call: 150 usual answers.
--- a/node/jobhost/feeds.go
+++ b/node/jobhost/feeds.go
@@ -15,7 +15,7 @@
 
 // followOperator reads the operator's configuration and waves.
 func (h *Host) followOperator(ctx context.Context) {
-	f := feed{host: h, partition: deps.Partition{Topic: deps.TopicOperator}, wait: operatorWait}
+	f := feed{host: h, partition: deps.Partition{Topic: deps.TopicOperator}, wait: operatorWait, margin: operatorMargin}
 	f.follow(ctx, func(records []shard.Record, _ bool) {
 		h.post(func() {
 			for _, r := range records {
--- a/node/jobhost/fleet.go
+++ b/node/jobhost/fleet.go
@@ -53,6 +53,8 @@
 	reports map[string]workerReport
 	pools   map[string]poolReport
 	moves   *moveDuty
+	// loggedAt is when the pools' loads were last logged.
+	loggedAt int64
 }
 
 func newFleetDuty(h *Host, s *ownedShard) *fleetDuty {
@@ -132,6 +134,7 @@
 	moves := d.moves.plan(d, now, plan)
 	d.noteEmptying(now, waves, plan)
 	d.exchange(ctx, plan, moves)
+	d.logPools(now)
 	if !d.mayAct(now) {
 		return
 	}
@@ -141,14 +144,37 @@
 	for _, a := range plan.Maintain {
 		d.maintain(ctx, a)
 	}
-	for _, m := range moves.ready {
-		d.move(ctx, m)
-	}
+	d.moveAll(ctx, moves.ready)
 	for _, n := range plan.Done {
 		d.closeWave(ctx, n)
 	}
 }
 
+// poolLogInterval is the pause between two log lines of the pools' loads.
+const poolLogInterval = time.Second
+
+// logPools logs the loads that moves and waves are planned on.
+func (d *fleetDuty) logPools(now int64) {
+	if now-d.loggedAt < poolLogInterval.Milliseconds() {
+		return
+	}
+	d.loggedAt = now
+	for _, name := range sortedKeys(d.pools) {
+		p := d.pools[name]
+		d.host.record(events.PoolLoad, events.Fields{Pool: name, AgeMS: now - p.at, Epoch: d.shard.epoch,
+			Detail: fmt.Sprintf("workers=%d capacity=%d used=%d lasting=%d waiting_work=%d arrived_work=%d", p.Workers, p.CapacityMilliCPU, p.UsedMilliCPU, p.LastingMilliCPU, p.WaitingWork, p.ArrivedWork)})
+	}
+}
+
+func sortedKeys[V any](m map[string]V) []string {
+	keys := make([]string, 0, len(m))
+	for k := range m {
+		keys = append(keys, k)
+	}
+	sort.Strings(keys)
+	return keys
+}
+
 // mayAct says whether this node is certainly the only holder.
 func (d *fleetDuty) mayAct(now int64) bool {
 	beat := d.host.heartbeat.Load()
@@ -213,7 +239,7 @@
 		r := d.reports[vm.Worker]
 		v.VMs[id] = upkeep.VM{
 			ID: id, Pool: vm.Pool, Up: vm.State == deps.VMUp, Spare: d.spare(vm.Pool),
-			Cleared: r.Empty && now-r.at < cordonLife.Milliseconds()/2, UsedMilliCPU: r.UsedMilliCPU, Lasting: r.Lasting,
+			Cleared: d.cleared(vm, now), UsedMilliCPU: r.UsedMilliCPU, Lasting: r.Lasting,
 			Reserved: d.moves.reserved(id) || now-d.actAt[id] < actRetry.Milliseconds(),
 		}
 	}
--- a/node/jobhost/members.go
+++ b/node/jobhost/members.go
@@ -195,7 +195,9 @@
 	host      *Host
 	partition deps.Partition
 	wait      time.Duration
-	pause     time.Duration
+	// margin is how much longer than wait a read may take.
+	margin time.Duration
+	pause  time.Duration
 	// active says whether to read now; nil means always.
 	active func() bool
 }
@@ -238,7 +240,7 @@
 }
 
 func (f feed) read(ctx context.Context, next int64) ([]shard.Record, int64, bool, error) {
-	ctx, cancel := context.WithTimeout(ctx, f.wait+storeTimeout)
+	ctx, cancel := context.WithTimeout(ctx, f.wait+max(f.margin, minReadMargin))
 	defer cancel()
 	f.host.stats.storeReads.Add(1)
 	if next < 0 {
@@ -249,6 +251,9 @@
 	return records, after, false, err
 }
 
+// minReadMargin is the least time that a read of the store gets.
+const minReadMargin = 500 * time.Millisecond
+
 func sleep(ctx context.Context, d time.Duration) {
 	select {
 	case <-time.After(d):
