--- a/fleet/turns/turns.go
+++ b/fleet/turns/turns.go
@@ -22,8 +22,9 @@
 	AskedMilliCPU int64
 	// LeastVMs the pool keeps in any case.
 	LeastVMs int
-	// IdleMS is for how long the pool has been without load.
-	IdleMS int64
+	// RecentPeakMilliCPU is the highest load of the last seconds; VMs are
+	// given up to the spare pool only down to it.
+	RecentPeakMilliCPU int64
 	// Known says that the load is recent.
 	Known bool
 }
@@ -53,10 +54,6 @@
 	// backlogMS is the time in which work that waits is to be done: less than
 	// the slack of a usual job.
 	backlogMS = 1_000
-	// parkAfterMS is how long a pool is idle before it gives VMs up to the
-	// spare pool: a move there and back costs as much as about two seconds of
-	// a VM in a pool.
-	parkAfterMS = 1_500
 	// maxMoves bounds the moves begun by one plan.
 	maxMoves = 16
 )
@@ -84,13 +81,15 @@
 	spare string
 	// missing is how many VMs a pool lacks; negative ones are too many.
 	missing map[string]int
+	// keep is how many VMs too many a pool holds on to for a while.
+	keep map[string]int
 	// open are the VMs that can be given away, by pool.
 	open  map[string][]VM
 	moves []Move
 }
 
 func newPlanner(v View) *planner {
-	p := &planner{pools: map[string]*Pool{}, missing: map[string]int{}, open: map[string][]VM{}}
+	p := &planner{pools: map[string]*Pool{}, missing: map[string]int{}, keep: map[string]int{}, open: map[string][]VM{}}
 	size := int64(0)
 	for _, vm := range v.VMs {
 		size = max(size, vm.MilliCPU)
@@ -105,7 +104,8 @@
 		if pool.Spare {
 			p.spare = pool.Name
 		} else if pool.Known {
-			p.missing[pool.Name] = pool.need(size)
+			p.missing[pool.Name] = pool.need(pool.Load(), size)
+			p.keep[pool.Name] = pool.need(max(pool.RecentPeakMilliCPU, pool.Load()), size) - p.missing[pool.Name]
 		}
 	}
 	sort.Strings(p.names)
@@ -118,9 +118,14 @@
 	return p
 }
 
-// need is the number of VMs that a pool's load asks for.
-func (p *Pool) need(size int64) int {
-	load := max(p.BusyMilliCPU+p.WaitingWork/backlogMS, p.AskedMilliCPU)
+// Load is what the pool's tasks and callers ask for besides lasting tasks, in
+// milli-CPU.
+func (p *Pool) Load() int64 {
+	return max(p.BusyMilliCPU+p.WaitingWork/backlogMS, p.AskedMilliCPU)
+}
+
+// need is the number of VMs that a load asks for.
+func (p *Pool) need(load, size int64) int {
 	load = load*headroom/100 + p.LastingMilliCPU
 	return max(int((load+size-1)/size), p.LeastVMs)
 }
@@ -207,10 +212,10 @@
 	}
 	for _, name := range p.names {
 		pool := p.pools[name]
-		if name == p.spare || !pool.Known || pool.IdleMS < parkAfterMS {
+		if name == p.spare || !pool.Known {
 			continue
 		}
-		for p.missing[name] < 0 && len(p.open[name]) > 0 && len(p.moves) < maxMoves {
+		for -p.missing[name] > p.keep[name] && len(p.open[name]) > 0 && len(p.moves) < maxMoves {
 			p.send(name, p.spare)
 		}
 	}
--- a/node/jobhost/fleet.go
+++ b/node/jobhost/fleet.go
@@ -19,7 +19,7 @@
 // The fleet duty's times.
 const (
 	// fleetTick is the pause between two plans.
-	fleetTick = 300 * time.Millisecond
+	fleetTick = 200 * time.Millisecond
 	// cordonLife is how long a cordon holds without being renewed.
 	cordonLife = 3 * time.Second
 	// busyList and idleList are the ages at which the list of VMs is read
--- a/node/jobhost/moves.go
+++ b/node/jobhost/moves.go
@@ -20,9 +20,9 @@
 	askedSpan = 1200 * time.Millisecond
 	// leastVMs stay in every pool, so that the first jobs of its turn start.
 	leastVMs = 3
-	// idleShare: a pool is idle while its load is below this share, in
-	// percent, of its workers' room.
-	idleShare = 25
+	// peakSpan is how long a pool holds on to VMs after its load has fallen: a
+	// move there and back costs as much as about two seconds of a VM in a pool.
+	peakSpan = 2 * time.Second
 )
 
 // movePlan is what the fleet duty does about pools now.
@@ -39,8 +39,8 @@
 type moveDuty struct {
 	going map[string]*goingVM
 	asked map[string][]askedSample
-	// idleSince is since when a pool has been idle.
-	idleSince map[string]int64
+	// loads are the pools' recent loads.
+	loads map[string][]askedSample
 }
 
 type goingVM struct {
@@ -50,10 +50,11 @@
 	calledAt int64
 }
 
+// askedSample is a figure at a moment.
 type askedSample struct{ at, work int64 }
 
 func newMoveDuty() *moveDuty {
-	return &moveDuty{going: map[string]*goingVM{}, asked: map[string][]askedSample{}, idleSince: map[string]int64{}}
+	return &moveDuty{going: map[string]*goingVM{}, asked: map[string][]askedSample{}, loads: map[string][]askedSample{}}
 }
 
 func (m *moveDuty) active() bool { return len(m.going) > 0 }
@@ -108,15 +109,25 @@
 			samples = samples[1:]
 		}
 		m.asked[name] = samples
-		load := p.UsedMilliCPU - p.LastingMilliCPU + m.rate(name)
-		if load*100 > p.CapacityMilliCPU*idleShare || p.WaitingWork > 0 {
-			delete(m.idleSince, name)
-		} else if m.idleSince[name] == 0 {
-			m.idleSince[name] = now
+		pool := m.poolOf(name, p)
+		loads := append(m.loads[name], askedSample{now, pool.Load()})
+		for now-loads[0].at > peakSpan.Milliseconds() {
+			loads = loads[1:]
 		}
+		m.loads[name] = loads
 	}
 }
 
+// poolOf is the planner's view of a pool's load.
+func (m *moveDuty) poolOf(name string, r poolReport) turns.Pool {
+	p := turns.Pool{Name: name, LeastVMs: leastVMs, LastingMilliCPU: r.LastingMilliCPU,
+		BusyMilliCPU: r.UsedMilliCPU - r.LastingMilliCPU, WaitingWork: r.WaitingWork, AskedMilliCPU: m.rate(name)}
+	for _, l := range m.loads[name] {
+		p.RecentPeakMilliCPU = max(p.RecentPeakMilliCPU, l.work)
+	}
+	return p
+}
+
 // rate is the work asked for lately, in milli-CPU.
 func (m *moveDuty) rate(pool string) int64 {
 	s := m.asked[pool]
@@ -151,13 +162,8 @@
 	}
 	for _, p := range cfg.Pools {
 		r, known := d.pools[p.Service]
-		pool := turns.Pool{Name: p.Service, Spare: p.Spare, LeastVMs: leastVMs,
-			LastingMilliCPU: r.LastingMilliCPU, BusyMilliCPU: r.UsedMilliCPU - r.LastingMilliCPU,
-			WaitingWork: r.WaitingWork, AskedMilliCPU: m.rate(p.Service),
-			Known: known && now-r.at < reportLife.Milliseconds()}
-		if since := m.idleSince[p.Service]; since != 0 {
-			pool.IdleMS = now - since
-		}
+		pool := m.poolOf(p.Service, r)
+		pool.Spare, pool.Known = p.Spare, known && now-r.at < reportLife.Milliseconds()
 		v.Pools = append(v.Pools, pool)
 	}
 	for _, id := range sortedKeys(d.vms) {
