--- a/fleet/turns/turns.go
+++ b/fleet/turns/turns.go
@@ -20,7 +20,7 @@
 	BusyMilliCPU, WaitingWork int64
 	// AskedMilliCPU is the rate of the work asked for lately, taken or not.
 	AskedMilliCPU int64
-	// LeastVMs the pool keeps in any case.
+	// LeastVMs the pool has in any case.
 	LeastVMs int
 	// RecentPeakMilliCPU is the highest load of the last seconds; VMs are
 	// given up to the spare pool only down to it.
@@ -33,6 +33,8 @@
 type VM struct {
 	ID, Pool string
 	MilliCPU int64
+	// Serving says that the pool can place work on it.
+	Serving bool
 	// Movable: up, without lasting tasks and not in the middle of another act.
 	Movable bool
 	// Going is the pool it is on its way to; empty if it stays.
@@ -135,7 +137,7 @@
 	if vm.Going != "" {
 		at = vm.Going
 	}
-	if _, known := p.missing[at]; known {
+	if _, known := p.missing[at]; known && (vm.Serving || vm.Going != "") {
 		p.missing[at]--
 	}
 	if vm.Movable && vm.Going == "" {
--- a/jobs/shard/lasting.go
+++ b/jobs/shard/lasting.go
@@ -41,13 +41,19 @@
 			if !lasting && !w.evicting {
 				continue
 			}
-			if !lasting || w.info.Draining || c.mayStop(r) {
+			if !lasting || w.info.Draining || c.mayStop(r) && c.hasOther(r) {
 				c.stop(r, "evacuate")
 			}
 		}
 	}
 }
 
+// hasOther says whether another worker has room for the run's task.
+func (c *Core) hasOther(r *run) bool {
+	o := r.job.occurrences[r.key.Occurrence]
+	return o != nil && c.choose(r.job, o, r.key.Step, r.task(), c.openWorkers(r.job.service), "") != nil
+}
+
 // mayStop says whether the budget of the run's step lets it be away now.
 func (c *Core) mayStop(r *run) bool {
 	o := r.job.occurrences[r.key.Occurrence]
--- a/jobs/shard/report.go
+++ b/jobs/shard/report.go
@@ -7,13 +7,16 @@
 	Empty         bool
 	UsedMilliCPU  int
 	Lasting, Runs int
+	// Open says that it answers and is not draining.
+	Open, Cordoned bool
 }
 
 // WorkerStats returns all workers of the shard, by id.
 func (c *Core) WorkerStats() []WorkerStat {
 	var list []WorkerStat
 	for _, w := range c.sortedWorkers() {
-		s := WorkerStat{ID: w.info.ID, Empty: c.Empty(w.info.ID), UsedMilliCPU: w.used.MilliCPU, Runs: len(w.runs)}
+		s := WorkerStat{ID: w.info.ID, Empty: c.Empty(w.info.ID), UsedMilliCPU: w.used.MilliCPU, Runs: len(w.runs),
+			Open: w.listed && w.reached && !w.info.Draining && w.failedPolls == 0, Cordoned: w.cordoned}
 		for _, r := range w.runs {
 			if r.step().Lasting {
 				s.Lasting++
@@ -38,6 +41,10 @@
 	// taken or not.
 	ArrivedWork int64 `cbor:"6,keyasint,omitempty"`
 	Workers     int   `cbor:"7,keyasint,omitempty"`
+	// LeastWorkers is how many workers the lasting tasks need because of
+	// their bounds a worker, LastingWaiting how many of them have none.
+	LeastWorkers   int `cbor:"8,keyasint,omitempty"`
+	LastingWaiting int `cbor:"9,keyasint,omitempty"`
 }
 
 // PoolStats returns the pools' loads, by service.
@@ -48,6 +55,7 @@
 		l := c.load(p)
 		s := PoolStats{Service: name, WaitingWork: l.WaitingWork, CapacityMilliCPU: l.CapacityMilliCPU,
 			UsedMilliCPU: l.CapacityMilliCPU - l.FreeMilliCPU, ArrivedWork: p.arrivedWork}
+		c.lastingNeeds(name, &s)
 		for _, w := range c.workers {
 			if w.info.Service != name || !w.usable(c.now) {
 				continue
@@ -63,3 +71,25 @@
 	}
 	return list
 }
+
+// lastingNeeds adds what the lasting jobs of a pool need.
+func (c *Core) lastingNeeds(service string, s *PoolStats) {
+	for _, j := range c.jobs {
+		if j.service != service || j.state.Final() || !j.spec.Lasts() {
+			continue
+		}
+		for _, o := range j.occurrences {
+			for i := range o.steps {
+				st := &j.spec.Steps[i]
+				if st.MaxPerWorker > 0 {
+					s.LeastWorkers = max(s.LeastWorkers, (st.Count+st.MaxPerWorker-1)/st.MaxPerWorker)
+				}
+				for t := range o.steps[i].tasks {
+					if o.steps[i].tasks[t].current == nil && o.ready(&j.spec, i) {
+						s.LastingWaiting++
+					}
+				}
+			}
+		}
+	}
+}
--- a/node/jobhost/cordon.go
+++ b/node/jobhost/cordon.go
@@ -33,7 +33,10 @@
 	UsedMilliCPU int    `cbor:"3,keyasint,omitempty"`
 	Lasting      int    `cbor:"4,keyasint,omitempty"`
 	Runs         int    `cbor:"5,keyasint,omitempty"`
-	at           int64
+	// Open says that work can be placed on it, Cordoned that it must not.
+	Open     bool `cbor:"6,keyasint,omitempty"`
+	Cordoned bool `cbor:"7,keyasint,omitempty"`
+	at       int64
 }
 
 type poolReport struct {
@@ -156,7 +159,7 @@
 func reportOf(core *shard.Core) cordonAnswer {
 	var a cordonAnswer
 	for _, w := range core.WorkerStats() {
-		a.Workers = append(a.Workers, workerReport{ID: w.ID, Empty: w.Empty, UsedMilliCPU: w.UsedMilliCPU, Lasting: w.Lasting, Runs: w.Runs})
+		a.Workers = append(a.Workers, workerReport{ID: w.ID, Empty: w.Empty, UsedMilliCPU: w.UsedMilliCPU, Lasting: w.Lasting, Runs: w.Runs, Open: w.Open, Cordoned: w.Cordoned})
 	}
 	for _, p := range core.PoolStats() {
 		a.Pools = append(a.Pools, poolReport{PoolStats: p})
--- a/node/jobhost/moves.go
+++ b/node/jobhost/moves.go
@@ -120,8 +120,11 @@
 
 // poolOf is the planner's view of a pool's load.
 func (m *moveDuty) poolOf(name string, r poolReport) turns.Pool {
-	p := turns.Pool{Name: name, LeastVMs: leastVMs, LastingMilliCPU: r.LastingMilliCPU,
+	p := turns.Pool{Name: name, LeastVMs: max(leastVMs, r.LeastWorkers), LastingMilliCPU: r.LastingMilliCPU,
 		BusyMilliCPU: r.UsedMilliCPU - r.LastingMilliCPU, WaitingWork: r.WaitingWork, AskedMilliCPU: m.rate(name)}
+	if r.LastingWaiting > 0 {
+		p.LeastVMs = max(p.LeastVMs, r.Workers+1)
+	}
 	for _, l := range m.loads[name] {
 		p.RecentPeakMilliCPU = max(p.RecentPeakMilliCPU, l.work)
 	}
@@ -178,6 +181,7 @@
 	if g := m.going[vm.ID]; g != nil {
 		out.Going = g.to
 	}
+	out.Serving = vm.State == deps.VMUp && !up.Empty[vm.ID] && known && !r.Cordoned && r.Open
 	free := d.spare(vm.Pool) || known && r.Lasting == 0 && now-r.at < reportLife.Milliseconds()
 	out.Movable = vm.State == deps.VMUp && free && !up.Empty[vm.ID] && !maintaining(up, vm.ID)
 	return out
