Make owners prove themselves to the store after a gap in their heartbeats

Change: a gap of the start right's length breaks the chain of heartbeats; until a fenced append succeeds after it, nothing is started and no VM is touched. All appends of a shard go through one queue.

--- a/node/jobhost/fleet.go
+++ b/node/jobhost/fleet.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"sort"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"wigeonwinch/fleet/upkeep"
@@ -53,6 +54,8 @@
 	reports map[string]workerReport
 	pools   map[string]poolReport
 	moves   *moveDuty
+	// proven is the shard's provenAt, for this goroutine.
+	proven atomic.Int64
 	// loggedAt is when the pools' loads were last logged.
 	loggedAt int64
 }
@@ -105,6 +108,9 @@
 		seen := map[int]int64{}
 		if h.ask(ctx, func() {
 			d = h.fleet
+			if d != nil {
+				d.proven.Store(d.shard.provenAt)
+			}
 			for n, w := range h.waves {
 				waves = append(waves, w)
 				seen[n] = h.waveSeenAt[n]
@@ -178,7 +184,10 @@
 // mayAct says whether this node is certainly the only holder.
 func (d *fleetDuty) mayAct(now int64) bool {
 	beat := d.host.heartbeat.Load()
-	return beat != nil && now < beat.sentAt+startRight.Milliseconds() && now-d.shard.takenAt >= d.host.cfg.HolderGapMS && d.shard.ctx.Err() == nil
+	if beat == nil || now >= beat.sentAt+startRight.Milliseconds() || d.shard.ctx.Err() != nil {
+		return false
+	}
+	return now-d.shard.takenAt >= d.host.cfg.HolderGapMS && d.proven.Load() >= beat.chainStart
 }
 
 // refresh reads the list of VMs if it is old.
@@ -319,20 +328,19 @@
 	d.host.record(number, events.Fields{VM: vm, Detail: act + " " + detail, Err: err, Epoch: d.shard.epoch, AgeMS: sinceMS(d.listedAt).Milliseconds()})
 }
 
-// remember stores a key of the duty.
+// remember stores a key of the duty. It returns once the store has it, or
+// the duty is lost.
 func (d *fleetDuty) remember(ctx context.Context, key string) {
-	d.shard.sequence++
-	sequence := d.shard.sequence
-	for ctx.Err() == nil && d.shard.ctx.Err() == nil {
-		err := d.host.appendOnce(d.shard, sequence, []shard.Record{{Key: key, Value: []byte{1}}})
-		if err == nil {
-			return
-		}
-		if k := kindOf(err); k != deps.KindRefused && k != deps.KindUnknown {
-			d.host.post(func() { d.host.drop(d.shard, err.Error()) })
-			return
-		}
-		sleep(ctx, appendRetry)
+	stored := make(chan struct{})
+	d.host.post(func() {
+		d.shard.extra = append(d.shard.extra, extraRecords{
+			records: []shard.Record{{Key: key, Value: []byte{1}}}, done: func() { close(stored) },
+		})
+	})
+	select {
+	case <-stored:
+	case <-d.shard.ctx.Done():
+	case <-ctx.Done():
 	}
 }
 
--- a/node/jobhost/host.go
+++ b/node/jobhost/host.go
@@ -190,12 +190,16 @@
 	now, wall := steadyMS(), wallMS()
 	h.lookForVacant(now)
 	h.expireCordons(now)
-	beat := h.heartbeat.Load()
 	for _, s := range h.sortedOwned() {
+		beat, proven := h.right(s)
+		if !proven {
+			h.prove(s)
+		}
 		if s.core == nil {
+			h.store(s)
 			continue
 		}
-		if beat != nil {
+		if proven {
 			s.core.SetRight(beat.sentAt+startRight.Milliseconds(), beat.sentAt+leaseRight.Milliseconds())
 		}
 		s.core.SetStoreDown(s.failingSince != 0 && now-s.failingSince > storeDownAfter.Milliseconds())
--- a/node/jobhost/members.go
+++ b/node/jobhost/members.go
@@ -42,8 +42,19 @@
 	Owned    []ownership `cbor:"7,keyasint,omitempty"`
 }
 
-// confirmed is the last heartbeat that the store has.
-type confirmed struct{ sentAt int64 }
+// confirmed is the last heartbeat that the store has. Since chainStart no
+// other node can have seen this one as silent.
+type confirmed struct{ sentAt, chainStart int64 }
+
+// confirm continues the chain of heartbeats, or starts a new one after a gap
+// in which others may have taken over.
+func (h *Host) confirm(sentAt int64) {
+	c := &confirmed{sentAt: sentAt, chainStart: sentAt}
+	if last := h.heartbeat.Load(); last != nil && steadyMS()-last.sentAt < startRight.Milliseconds() {
+		c.chainStart = last.chainStart
+	}
+	h.heartbeat.Store(c)
+}
 
 // nodeView is what this node knows of another, or of itself.
 type nodeView struct {
@@ -70,7 +81,7 @@
 		if err != nil {
 			pause = appendRetry
 		} else {
-			h.heartbeat.Store(&confirmed{sentAt: sentAt})
+			h.confirm(sentAt)
 		}
 		if (err != nil) != lost {
 			lost = err != nil
--- a/node/jobhost/owners.go
+++ b/node/jobhost/owners.go
@@ -29,6 +29,11 @@
 	ctx          context.Context
 	cancel       context.CancelFunc
 	takenAt      int64
+	// provenAt is when the last append was sent that the store took from this
+	// owner.
+	provenAt int64
+	// extra are records beside those of the core.
+	extra []extraRecords
 	// cordonEpoch and cordonAt are of the last cordons.
 	cordonEpoch, cordonAt int64
 	// kept are the fleet's records.
@@ -232,7 +237,7 @@
 func (h *Host) own(t taken) {
 	now := steadyMS()
 	ctx, cancel := context.WithCancel(context.Background())
-	s := &ownedShard{partition: t.partition, epoch: t.epoch, sequence: 1, ctx: ctx, cancel: cancel, takenAt: now, kept: map[string][]byte{}}
+	s := &ownedShard{partition: t.partition, epoch: t.epoch, sequence: 1, ctx: ctx, cancel: cancel, takenAt: now, provenAt: t.startMS, kept: map[string][]byte{}}
 	h.owned[t.partition] = s
 	if t.partition.Topic == deps.TopicJobs {
 		h.restoreShard(s, t, now)
@@ -259,6 +264,35 @@
 	h.listWorkers(s)
 }
 
+// extraRecords are stored between the core's batches.
+type extraRecords struct {
+	records []shard.Record
+	done    func()
+}
+
+// right returns until when the shard's owner may decide, as of the last
+// heartbeat; ok is false while it has to prove that nobody took over.
+func (h *Host) right(s *ownedShard) (beat confirmed, ok bool) {
+	c := h.heartbeat.Load()
+	if c == nil {
+		return confirmed{}, false
+	}
+	return *c, s.provenAt >= c.chainStart
+}
+
+// prove writes the owner's record again, which a newer owner's epoch refuses.
+func (h *Host) prove(s *ownedShard) {
+	if s.appending || len(s.extra) > 0 {
+		return
+	}
+	value, err := encMode.Marshal(ownership{Topic: int(s.partition.Topic), Index: s.partition.Index, Epoch: s.epoch, Node: h.cfg.Node, Boot: h.boot})
+	if err != nil {
+		h.drop(s, err.Error())
+		return
+	}
+	s.extra = append(s.extra, extraRecords{records: []shard.Record{{Key: ownerKey, Value: value}}, done: func() {}})
+}
+
 // ownershipChanged republishes what this node owns.
 func (h *Host) ownershipChanged() {
 	view := make([]ownership, 0, len(h.owned))
--- a/node/jobhost/shardrun.go
+++ b/node/jobhost/shardrun.go
@@ -39,6 +39,17 @@
 	if s.appending {
 		return
 	}
+	if len(s.extra) > 0 {
+		e := s.extra[0]
+		s.extra = s.extra[1:]
+		s.appending = true
+		s.sequence++
+		go h.append(s, s.sequence, e.records, e.done)
+		return
+	}
+	if s.core == nil {
+		return
+	}
 	batch, ok := s.core.NextBatch()
 	if !ok {
 		return
@@ -59,9 +70,10 @@
 // owner exists. Repeats carry the same sequence number and change nothing.
 func (h *Host) append(s *ownedShard, sequence int64, records []shard.Record, done func()) {
 	for s.ctx.Err() == nil {
+		sentAt := steadyMS()
 		err := h.appendOnce(s, sequence, records)
 		if err == nil {
-			h.post(func() { h.appended(s, done) })
+			h.post(func() { h.appended(s, sentAt, done) })
 			return
 		}
 		switch kindOf(err) {
@@ -85,10 +97,11 @@
 	return err
 }
 
-func (h *Host) appended(s *ownedShard, done func()) {
+func (h *Host) appended(s *ownedShard, sentAt int64, done func()) {
 	if h.owned[s.partition] != s {
 		return
 	}
+	s.provenAt = sentAt
 	if s.failingSince != 0 {
 		h.record(events.StoreBack, events.Fields{Detail: describe(s.partition) + fmt.Sprintf(" after_ms=%d", steadyMS()-s.failingSince)})
 		s.failingSince = 0
