Give every takeover its own epoch and sequence; leave live owners alone

Change: random epochs within the millisecond and random first sequences; after a gap in its own heartbeats a node watches the others for the full time again; a takeover of a live owner ends; VM acts need a fenced append at most 1.2 s old.

--- a/node/jobhost/fleet.go
+++ b/node/jobhost/fleet.go
@@ -109,7 +109,7 @@
 		if h.ask(ctx, func() {
 			d = h.fleet
 			if d != nil {
-				d.proven.Store(d.shard.provenAt)
+				d.proven.Store(max(d.proven.Load(), d.shard.provenAt))
 			}
 			for n, w := range h.waves {
 				waves = append(waves, w)
@@ -141,6 +141,9 @@
 	d.noteEmptying(now, waves, plan)
 	d.exchange(ctx, plan, moves)
 	d.logPools(now)
+	if len(plan.Maintain)+len(moves.ready)+len(plan.Done) > 0 {
+		d.prove(ctx)
+	}
 	if !d.mayAct(now) {
 		return
 	}
@@ -181,13 +184,35 @@
 	return keys
 }
 
+// proofLife is how long after a fenced append acts may begin. Together with
+// actTimeout it is less than the gap that a new holder keeps.
+const proofLife = 1200 * time.Millisecond
+
+// prove has the store confirm that no newer holder exists.
+func (d *fleetDuty) prove(ctx context.Context) {
+	if sinceMS(d.proven.Load()) < proofLife/2 {
+		return
+	}
+	sentAt := steadyMS()
+	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
+	if d.remember(ctx, proofKey) {
+		d.proven.Store(sentAt)
+	}
+}
+
+// proofKey is the record that is rewritten to prove the duty.
+const proofKey = "proof"
+
 // mayAct says whether this node is certainly the only holder.
 func (d *fleetDuty) mayAct(now int64) bool {
 	beat := d.host.heartbeat.Load()
+	now = max(now, steadyMS())
 	if beat == nil || now >= beat.sentAt+startRight.Milliseconds() || d.shard.ctx.Err() != nil {
 		return false
 	}
-	return now-d.shard.takenAt >= d.host.cfg.HolderGapMS && d.proven.Load() >= beat.chainStart
+	gap := d.host.cfg.HolderGapMS + proofLife.Milliseconds()
+	return now-d.shard.takenAt >= gap && sinceMS(d.proven.Load()) < proofLife
 }
 
 // refresh reads the list of VMs if it is old.
@@ -330,7 +355,7 @@
 
 // remember stores a key of the duty. It returns once the store has it, or
 // the duty is lost.
-func (d *fleetDuty) remember(ctx context.Context, key string) {
+func (d *fleetDuty) remember(ctx context.Context, key string) bool {
 	stored := make(chan struct{})
 	d.host.post(func() {
 		d.shard.extra = append(d.shard.extra, extraRecords{
@@ -339,9 +364,11 @@
 	})
 	select {
 	case <-stored:
+		return true
 	case <-d.shard.ctx.Done():
 	case <-ctx.Done():
 	}
+	return false
 }
 
 // openWave tells the operator that a wave is in progress.
--- a/node/jobhost/host.go
+++ b/node/jobhost/host.go
@@ -24,19 +24,20 @@
 
 	// inbox feeds the control goroutine; all fields up to the blank line
 	// belong to it.
-	inbox      chan func()
-	nodes      map[string]*nodeView
-	owned      map[deps.Partition]*ownedShard
-	claiming   map[deps.Partition]bool
-	vacantAt   map[deps.Partition]int64
-	announced  map[deps.Partition]ownership
-	workers    map[string]deps.WorkerChange
-	waves      map[int]*deps.Wave
-	waveSeenAt map[int]int64
-	startedAt  int64
-	nodesOK    int64
-	stopping   bool
-	fleet      *fleetDuty
+	inbox       chan func()
+	nodes       map[string]*nodeView
+	owned       map[deps.Partition]*ownedShard
+	claiming    map[deps.Partition]bool
+	vacantAt    map[deps.Partition]int64
+	announced   map[deps.Partition]ownership
+	announcedAt map[deps.Partition]int64
+	workers     map[string]deps.WorkerChange
+	waves       map[int]*deps.Wave
+	waveSeenAt  map[int]int64
+	startedAt   int64
+	nodesOK     int64
+	stopping    bool
+	fleet       *fleetDuty
 
 	config     atomic.Pointer[deps.Configuration]
 	owners     atomic.Pointer[map[deps.Partition]ownership]
@@ -63,7 +64,7 @@
 		cfg: cfg, boot: time.Now().UnixNano(),
 		inbox: make(chan func(), inboxSize), nodes: map[string]*nodeView{},
 		owned: map[deps.Partition]*ownedShard{}, claiming: map[deps.Partition]bool{},
-		vacantAt: map[deps.Partition]int64{}, announced: map[deps.Partition]ownership{},
+		vacantAt: map[deps.Partition]int64{}, announced: map[deps.Partition]ownership{}, announcedAt: map[deps.Partition]int64{},
 		workers: map[string]deps.WorkerChange{}, waves: map[int]*deps.Wave{}, waveSeenAt: map[int]int64{},
 		startedAt: steadyMS(), wakeBeat: make(chan struct{}, 1),
 		left: make(chan struct{}), closed: make(chan struct{}),
--- a/node/jobhost/messages.go
+++ b/node/jobhost/messages.go
@@ -41,9 +41,8 @@
 		h.record(events.RecordUnwritable, events.Fields{Detail: "announcement", Err: err})
 		return
 	}
-	now := steadyMS()
-	for name, n := range h.nodes {
-		if name == h.cfg.Node || !n.fresh(now) {
+	for name := range h.nodes {
+		if name == h.cfg.Node {
 			continue
 		}
 		go func() {
@@ -70,6 +69,7 @@
 		return
 	}
 	h.announced[p] = o
+	h.announcedAt[p] = steadyMS()
 	if s := h.owned[p]; s != nil && s.epoch < o.Epoch {
 		h.drop(s, "taken over by "+o.Node)
 	}
--- a/node/jobhost/owners.go
+++ b/node/jobhost/owners.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"hash/fnv"
+	"math/rand/v2"
 	"sort"
 
 	"github.com/pkg/errors"
@@ -87,10 +88,21 @@
 	return beat != nil && now-beat.sentAt < recent && now-h.nodesOK < recent && now-h.startedAt > settleIn.Milliseconds()
 }
 
+// present says whether a node is to be taken as alive. After a gap in its own
+// heartbeats this node has to see the others silent for the full time again.
+func (h *Host) present(n *nodeView, now int64) bool {
+	if n.record.Leaving {
+		return false
+	}
+	beat := h.heartbeat.Load()
+	watched := beat != nil && now-beat.chainStart >= (silentAfter+readInterval).Milliseconds()
+	return n.fresh(now) || !watched
+}
+
 // hasOwner says whether a live node claims to own a partition.
 func (h *Host) hasOwner(p deps.Partition, now int64) bool {
 	for _, n := range h.nodes {
-		if !n.fresh(now) || n.record.Node == h.cfg.Node {
+		if !h.present(n, now) || n.record.Node == h.cfg.Node {
 			continue
 		}
 		for _, o := range n.record.Owned {
@@ -98,7 +110,8 @@
 				return true
 			}
 		}
-		if a, ok := h.announced[p]; ok && a.Node == n.record.Node && a.Boot == n.record.Boot {
+		a, ok := h.announced[p]
+		if ok && a.Node == n.record.Node && a.Boot == n.record.Boot && now-h.announcedAt[p] < silentAfter.Milliseconds() {
 			return true
 		}
 	}
@@ -140,7 +153,7 @@
 	dead := map[string]bool{}
 	known := h.announced[p].Epoch
 	for name, n := range h.nodes {
-		if !n.fresh(now) {
+		if !h.present(n, now) {
 			dead[name] = true
 		}
 		for _, o := range n.record.Owned {
@@ -175,12 +188,24 @@
 type taken struct {
 	partition deps.Partition
 	epoch     int64
-	records   []shard.Record
+	// sequence is that of the append that took the partition over.
+	sequence int64
+	records  []shard.Record
 	// stale says that the earlier owner may still extend leases.
 	stale   bool
 	startMS int64
 }
 
+// The store answers an append with the epoch and sequence of an earlier one as
+// a repeat, so that two nodes must never choose the same pair.
+const (
+	// epochsPerMS leaves room for random epochs within one millisecond.
+	epochsPerMS      = 1 << 10
+	maxFirstSequence = 1 << 40
+)
+
+func newEpoch() int64 { return wallMS()*epochsPerMS + rand.Int64N(epochsPerMS) }
+
 // take fences a partition with a higher epoch, provided that it has not
 // changed since it was read.
 func (h *Host) take(ctx context.Context, p deps.Partition, known int64, dead map[string]bool, boots map[string]int64) (taken, error) {
@@ -192,7 +217,7 @@
 	if page.End != page.StartEnd {
 		return taken{}, errors.New("the partition changed while it was read")
 	}
-	t := taken{partition: p, epoch: max(known+1, wallMS()), startMS: began}
+	t := taken{partition: p, epoch: max(known+1, newEpoch()), sequence: rand.Int64N(maxFirstSequence) + 1, startMS: began}
 	var earlier ownership
 	for _, r := range page.Records {
 		if r.Key != ownerKey {
@@ -203,6 +228,10 @@
 			return taken{}, errors.Wrap(err, "the owner's record can't be decoded")
 		}
 	}
+	if earlier.Epoch > known && earlier.Node != h.cfg.Node && !dead[earlier.Node] && boots[earlier.Node] == earlier.Boot {
+		h.post(func() { h.takeAnnouncement(earlier) })
+		return taken{}, errors.Errorf("node %s has just taken it over", earlier.Node)
+	}
 	t.epoch = max(t.epoch, earlier.Epoch+1)
 	t.stale = earlier.Node != "" && dead[earlier.Node] && boots[earlier.Node] == earlier.Boot
 	value, err := encMode.Marshal(ownership{Topic: int(p.Topic), Index: p.Index, Epoch: t.epoch, Node: h.cfg.Node, Boot: h.boot})
@@ -210,7 +239,7 @@
 		return taken{}, err
 	}
 	end := page.End
-	err = h.cfg.Store.Append(ctx, deps.Append{Partition: p, At: &end, Fence: &deps.Fence{Epoch: t.epoch, Sequence: 1},
+	err = h.cfg.Store.Append(ctx, deps.Append{Partition: p, At: &end, Fence: &deps.Fence{Epoch: t.epoch, Sequence: t.sequence},
 		Records: []shard.Record{{Key: ownerKey, Value: value}}})
 	if err != nil && kindOf(err) == deps.KindUnknown {
 		return h.confirmTake(ctx, t, err)
@@ -237,7 +266,7 @@
 func (h *Host) own(t taken) {
 	now := steadyMS()
 	ctx, cancel := context.WithCancel(context.Background())
-	s := &ownedShard{partition: t.partition, epoch: t.epoch, sequence: 1, ctx: ctx, cancel: cancel, takenAt: now, provenAt: t.startMS, kept: map[string][]byte{}}
+	s := &ownedShard{partition: t.partition, epoch: t.epoch, sequence: t.sequence, ctx: ctx, cancel: cancel, takenAt: now, provenAt: t.startMS, kept: map[string][]byte{}}
 	h.owned[t.partition] = s
 	if t.partition.Topic == deps.TopicJobs {
 		h.restoreShard(s, t, now)
