--- a/node/jobhost/fleet.go
+++ b/node/jobhost/fleet.go
@@ -54,6 +54,11 @@
 	reports map[string]workerReport
 	pools   map[string]poolReport
 	moves   *moveDuty
+	// lastAct is when the last act on a VM began.
+	lastAct atomic.Int64
+	// quietMS is for how long no earlier holder had acted when this one began;
+	// 0 means that it is not known.
+	quietMS int64
 	// proven is the shard's provenAt, for this goroutine.
 	proven atomic.Int64
 	// loggedAt is when the pools' loads were last logged.
@@ -212,6 +217,9 @@
 		return false
 	}
 	gap := d.host.cfg.HolderGapMS + proofLife.Milliseconds()
+	if d.quietMS > 0 {
+		gap = d.host.cfg.HolderGapMS - d.quietMS
+	}
 	return now-d.shard.takenAt >= gap && sinceMS(d.proven.Load()) < proofLife
 }
 
@@ -323,6 +331,7 @@
 		return
 	}
 	d.actAt[a.VM] = now
+	d.lastAct.Store(now)
 	if d.down[a.Wave] == nil {
 		d.down[a.Wave] = map[string]int64{}
 	}
--- a/node/jobhost/host.go
+++ b/node/jobhost/host.go
@@ -53,6 +53,8 @@
 	left       chan struct{}
 	closed     chan struct{}
 	stats      hostStats
+	// quietMS is set once, before the last heartbeat.
+	quietMS int64
 }
 
 // New returns a host; nothing runs before Run.
--- a/node/jobhost/leave.go
+++ b/node/jobhost/leave.go
@@ -16,6 +16,9 @@
 	h.leaving.Store(true)
 	h.stopping = true
 	h.finishAppends()
+	if h.fleet != nil {
+		h.quietMS = max(sinceMS(h.fleet.lastAct.Load()).Milliseconds(), 1)
+	}
 	for _, s := range h.sortedOwned() {
 		s.cancel()
 		delete(h.owned, s.partition)
--- a/node/jobhost/members.go
+++ b/node/jobhost/members.go
@@ -40,6 +40,9 @@
 	Sequence int64       `cbor:"5,keyasint"`
 	Leaving  bool        `cbor:"6,keyasint,omitempty"`
 	Owned    []ownership `cbor:"7,keyasint,omitempty"`
+	// QuietMS is, in a leaving node's last heartbeat, for how long it has not
+	// acted on VMs.
+	QuietMS int64 `cbor:"8,keyasint,omitempty"`
 }
 
 // confirmed is the last heartbeat that the store has. Since chainStart no
@@ -106,7 +109,7 @@
 func (h *Host) writeHeartbeat(ctx context.Context, sequence int64) error {
 	rec := heartbeatRecord{
 		Node: h.cfg.Node, Zone: h.cfg.Zone, Address: h.address(), Boot: h.boot,
-		Sequence: sequence, Leaving: h.leaving.Load(), Owned: *h.ownedView.Load(),
+		Sequence: sequence, Leaving: h.leaving.Load(), Owned: *h.ownedView.Load(), QuietMS: h.quietMS,
 	}
 	value, err := encMode.Marshal(rec)
 	if err != nil {
--- a/node/jobhost/moves.go
+++ b/node/jobhost/moves.go
@@ -206,6 +206,7 @@
 	var wait sync.WaitGroup
 	for i, mv := range moves {
 		d.actAt[mv.VM] = now
+		d.lastAct.Store(now)
 		wait.Go(func() {
 			callCtx, cancel := context.WithTimeout(ctx, actTimeout)
 			defer cancel()
--- a/node/jobhost/owners.go
+++ b/node/jobhost/owners.go
@@ -6,6 +6,7 @@
 	"hash/fnv"
 	"math/rand/v2"
 	"sort"
+	"time"
 
 	"github.com/pkg/errors"
 
@@ -118,8 +119,13 @@
 	return false
 }
 
+// restartGap is the difference in start times that tells a node restarted
+// lately from one that started with the system.
+const restartGap = 3 * time.Second
+
 // candidates lists the live nodes in the order in which they should take a
-// partition: the least loaded first.
+// partition. The fleet's goes to the node that started last: in a roll-out it
+// is the one that is not restarted next. Others go to the least loaded.
 func (h *Host) candidates(p deps.Partition, now int64, extra map[string]int) []string {
 	load := map[string]int{h.cfg.Node: len(h.owned) + len(h.claiming) + extra[h.cfg.Node]}
 	for name, n := range h.nodes {
@@ -133,6 +139,9 @@
 	}
 	sort.Slice(names, func(i, j int) bool {
 		a, b := names[i], names[j]
+		if gap := h.bootOf(a) - h.bootOf(b); p == fleetPartition && (gap > restartGap.Nanoseconds() || -gap > restartGap.Nanoseconds()) {
+			return gap > 0
+		}
 		if load[a] != load[b] {
 			return load[a] < load[b]
 		}
@@ -141,6 +150,16 @@
 	return names
 }
 
+func (h *Host) bootOf(node string) int64 {
+	if node == h.cfg.Node {
+		return h.boot
+	}
+	if n := h.nodes[node]; n != nil {
+		return n.record.Boot
+	}
+	return 0
+}
+
 func spread(node string, p deps.Partition) uint32 {
 	f := fnv.New32a()
 	_, _ = fmt.Fprintf(f, "%s/%d/%d", node, p.Topic, p.Index)
@@ -191,6 +210,8 @@
 	// sequence is that of the append that took the partition over.
 	sequence int64
 	records  []shard.Record
+	// earlier is the owner before.
+	earlier ownership
 	// stale says that the earlier owner may still extend leases.
 	stale   bool
 	startMS int64
@@ -233,6 +254,7 @@
 		return taken{}, errors.Errorf("node %s has just taken it over", earlier.Node)
 	}
 	t.epoch = max(t.epoch, earlier.Epoch+1)
+	t.earlier = earlier
 	t.stale = earlier.Node != "" && dead[earlier.Node] && boots[earlier.Node] == earlier.Boot
 	value, err := encMode.Marshal(ownership{Topic: int(p.Topic), Index: p.Index, Epoch: t.epoch, Node: h.cfg.Node, Boot: h.boot})
 	if err != nil {
@@ -275,6 +297,9 @@
 			s.kept[r.Key] = r.Value
 		}
 		h.fleet = newFleetDuty(h, s)
+		if n := h.nodes[t.earlier.Node]; n != nil && n.record.Leaving && n.record.Boot == t.earlier.Boot && n.record.QuietMS > 0 {
+			h.fleet.quietMS = n.record.QuietMS + now - n.changedAt
+		}
 	}
 	h.record(events.ShardTaken, events.Fields{Detail: fmt.Sprintf("%s epoch=%d records=%d stale=%v took_ms=%d", describe(t.partition), t.epoch, len(t.records), t.stale, now-t.startMS)})
 	h.ownershipChanged()
