Count room on its way in the admission, move VMs ahead of growing demand

Cause: a pool's turn was met 2.5 s late; what arrived meanwhile was refused with too_much_ahead. Change: the fleet duty tells shards which room is coming; the work asked for counts double while VMs are on their way; workers' entries are read four times as often then.

--- a/fleet/turns/turns.go
+++ b/fleet/turns/turns.go
@@ -53,6 +53,9 @@
 	// headroom is the room kept above the estimated need, in percent: tasks of
 	// mixed sizes do not fill VMs to the brim.
 	headroom = 120
+	// askedHeadroom, in percent, stands for the growth of the work asked for
+	// while VMs are on their way: a pool's turn begins within seconds.
+	askedHeadroom = 200
 	// backlogMS is the time in which work that waits is to be done: less than
 	// the slack of a usual job.
 	backlogMS = 1_000
@@ -123,7 +126,7 @@
 // Load is what the pool's tasks and callers ask for besides lasting tasks, in
 // milli-CPU.
 func (p *Pool) Load() int64 {
-	return max(p.BusyMilliCPU+p.WaitingWork/backlogMS, p.AskedMilliCPU)
+	return max(p.BusyMilliCPU+p.WaitingWork/backlogMS, p.AskedMilliCPU*askedHeadroom/100)
 }
 
 // need is the number of VMs that a load asks for.
--- a/jobs/admit/admit.go
+++ b/jobs/admit/admit.go
@@ -16,6 +16,8 @@
 	maxRetryMS = 5_000
 	// packing is the share of a pool's cores that tasks of mixed sizes fill.
 	packing = 0.85
+	// comingMS is how long VMs on their way take on average: most of a move.
+	comingMS = 1_500
 	// chainShare of the estimated chain must fit: estimates are off by half,
 	// both ways.
 	chainShare = 0.9
@@ -27,6 +29,19 @@
 	WaitingWork int64
 	// CapacityMilliCPU is the room of all workers, FreeMilliCPU what is left.
 	CapacityMilliCPU, FreeMilliCPU int64
+	// ComingMilliCPU is on its way to the pool.
+	ComingMilliCPU int64
+}
+
+// waitMS is how long the waiting work takes.
+func (l Load) waitMS() int64 {
+	rate := float64(l.CapacityMilliCPU) * packing
+	done := rate * comingMS
+	if l.ComingMilliCPU == 0 || float64(l.WaitingWork) <= done {
+		return int64(float64(l.WaitingWork) / rate)
+	}
+	later := rate + float64(l.ComingMilliCPU)*packing
+	return comingMS + int64((float64(l.WaitingWork)-done)/later)
 }
 
 // Ask is the job in question.
@@ -56,8 +71,7 @@
 	if l.CapacityMilliCPU <= 0 {
 		return Decision{Reason: "no_worker_in_reach", RetryAfterMS: StoreRetryMS}
 	}
-	rate := float64(l.CapacityMilliCPU) * packing
-	wait := int64(float64(l.WaitingWork) / rate)
+	wait := l.waitMS()
 	if wait+int64(chainShare*float64(a.ChainMS)) <= a.SlackMS {
 		return Decision{Accept: true}
 	}
--- a/jobs/shard/core.go
+++ b/jobs/shard/core.go
@@ -121,7 +121,8 @@
 	dirty                    []*job
 	committed                []func()
 	out                      Orders
-	acksBlocked              bool
+	// coming is the room on its way to each service, in milli-CPU.
+	coming map[string]int64
 }
 
 // New returns the core of a shard that has just been taken over.
--- a/jobs/shard/submit.go
+++ b/jobs/shard/submit.go
@@ -100,9 +100,13 @@
 		}
 	}
 	l.WaitingWork = max(l.WaitingWork, 0)
+	l.ComingMilliCPU = c.coming[p.service]
 	return l
 }
 
+// SetComing tells which room is on its way to the services.
+func (c *Core) SetComing(milliCPU map[string]int64) { c.coming = milliCPU }
+
 // firstStepCPU is what the steps that can start at once ask for together.
 func firstStepCPU(j *spec.Job) int64 {
 	sum := int64(0)
--- a/node/jobhost/cordon.go
+++ b/node/jobhost/cordon.go
@@ -19,6 +19,8 @@
 	Epoch     int64 `cbor:"2,keyasint"`
 	// Workers are the ids; a true value says to stop the tasks too.
 	Workers map[string]bool `cbor:"3,keyasint,omitempty"`
+	// Coming is the room on its way to each service.
+	Coming map[string]int64 `cbor:"4,keyasint,omitempty"`
 }
 
 // cordonAnswer is what a shard's owner knows of its workers and pools.
@@ -64,11 +66,12 @@
 	for id := range moves.emptying {
 		add(id, false)
 	}
+	coming := d.coming()
 	var wait sync.WaitGroup
 	var mu sync.Mutex
 	for p, workers := range byPartition {
 		wait.Go(func() {
-			answer, err := d.host.sendCordon(ctx, p, cordonMessage{Partition: p.Index, Epoch: d.shard.epoch, Workers: workers})
+			answer, err := d.host.sendCordon(ctx, p, cordonMessage{Partition: p.Index, Epoch: d.shard.epoch, Workers: workers, Coming: coming[p]})
 			if err != nil {
 				d.host.record(events.RequestPassedOn, events.Fields{Detail: "cordon " + describe(p), Err: err})
 				return
@@ -81,6 +84,23 @@
 	wait.Wait()
 }
 
+// coming is the room of the VMs that are on their way, by shard and service.
+func (d *fleetDuty) coming() map[deps.Partition]map[string]int64 {
+	sum := map[deps.Partition]map[string]int64{}
+	for id, g := range d.moves.going {
+		vm, there := d.vms[id]
+		if !there || d.spare(g.to) {
+			continue
+		}
+		p := d.host.partitionOf(g.to)
+		if sum[p] == nil {
+			sum[p] = map[string]int64{}
+		}
+		sum[p][g.to] += int64(vm.Capacity.MilliCPU)
+	}
+	return sum
+}
+
 func (d *fleetDuty) takeReports(a cordonAnswer) {
 	now := steadyMS()
 	for _, r := range a.Workers {
@@ -148,6 +168,8 @@
 		now := steadyMS()
 		s.cordonEpoch, s.cordonAt = m.Epoch, now
 		s.core.Cordon(now, m.Workers)
+		s.core.SetComing(m.Coming)
+		h.expecting.Store(len(m.Coming) > 0)
 		answer = reportOf(s.core)
 	})
 	if err != nil {
@@ -173,6 +195,8 @@
 		if s.core != nil && s.cordonAt != 0 && now-s.cordonAt > cordonLife.Milliseconds() {
 			s.cordonAt = 0
 			s.core.Cordon(now, nil)
+			s.core.SetComing(nil)
+			h.expecting.Store(false)
 		}
 	}
 }
--- a/node/jobhost/feeds.go
+++ b/node/jobhost/feeds.go
@@ -110,7 +110,7 @@
 
 // followWorkers reads the workers' entries while this node needs them.
 func (h *Host) followWorkers(ctx context.Context) {
-	f := feed{host: h, partition: deps.Partition{Topic: deps.TopicWorkers}, pause: readInterval, active: h.needLists.Load}
+	f := feed{host: h, partition: deps.Partition{Topic: deps.TopicWorkers}, pause: readInterval, active: h.needLists.Load, hurry: h.expecting.Load}
 	f.follow(ctx, func(records []shard.Record, whole bool) {
 		h.post(func() { h.takeWorkers(records, whole) })
 	}, nil)
--- a/node/jobhost/host.go
+++ b/node/jobhost/host.go
@@ -39,15 +39,17 @@
 	stopping    bool
 	fleet       *fleetDuty
 
-	config     atomic.Pointer[deps.Configuration]
-	owners     atomic.Pointer[map[deps.Partition]ownership]
-	heartbeat  atomic.Pointer[confirmed]
-	ownedView  atomic.Pointer[[]ownership]
-	wakeBeat   chan struct{}
-	leaving    atomic.Bool
-	ticket     atomic.Uint64
-	pending    pendingReplies
-	needLists  atomic.Bool
+	config    atomic.Pointer[deps.Configuration]
+	owners    atomic.Pointer[map[deps.Partition]ownership]
+	heartbeat atomic.Pointer[confirmed]
+	ownedView atomic.Pointer[[]ownership]
+	wakeBeat  chan struct{}
+	leaving   atomic.Bool
+	ticket    atomic.Uint64
+	pending   pendingReplies
+	needLists atomic.Bool
+	// expecting says that VMs are on their way to a shard of this node.
+	expecting  atomic.Bool
 	listsKnown atomic.Bool
 	peerServer *http.Server
 	left       chan struct{}
--- a/node/jobhost/members.go
+++ b/node/jobhost/members.go
@@ -212,6 +212,8 @@
 	// margin is how much longer than wait a read may take.
 	margin time.Duration
 	pause  time.Duration
+	// hurry says whether to read more often; nil means never.
+	hurry func() bool
 	// active says whether to read now; nil means always.
 	active func() bool
 }
@@ -248,11 +250,18 @@
 			ok()
 		}
 		if f.wait == 0 || len(records) > 0 {
-			sleep(ctx, f.pause)
+			sleep(ctx, f.pauseNow())
 		}
 	}
 }
 
+func (f feed) pauseNow() time.Duration {
+	if f.hurry != nil && f.hurry() {
+		return f.pause / 4
+	}
+	return f.pause
+}
+
 func (f feed) read(ctx context.Context, next int64) ([]shard.Record, int64, bool, error) {
 	ctx, cancel := context.WithTimeout(ctx, f.wait+max(f.margin, minReadMargin))
 	defer cancel()
--- a/node/jobhost/moves.go
+++ b/node/jobhost/moves.go
@@ -17,7 +17,7 @@
 	// reportLife is how old a pool's report may be to plan on it.
 	reportLife = 2 * time.Second
 	// askedSpan is the time over which the rate of asked work is taken.
-	askedSpan = 1200 * time.Millisecond
+	askedSpan = 800 * time.Millisecond
 	// leastVMs stay in every pool, so that the first jobs of its turn start.
 	leastVMs = 3
 	// peakSpan is how long a pool holds on to VMs after its load has fallen: a
