Count only work that can start as waiting

Cause: the admission counted the work of later steps as if it stood ahead; pools were at 80 % with jobs turned away.

--- a/jobs/shard/submit.go
+++ b/jobs/shard/submit.go
@@ -99,11 +99,46 @@
 			l.FreeMilliCPU += int64(max(w.info.Capacity.MilliCPU-w.used.MilliCPU, 0))
 		}
 	}
-	l.WaitingWork = max(l.WaitingWork, 0)
+	ready := p.readyWork(c.now)
+	later := max(l.WaitingWork-ready, 0)
+	l.WaitingWork = ready + later*laterPercent/100
 	l.ComingMilliCPU = c.coming[p.service]
 	return l
 }
 
+// laterPercent of the work of steps that can't start yet counts as waiting:
+// most of it starts after what is ready now is done.
+const laterPercent = 30
+
+// readyWork is the work of the tasks that could start now.
+func (p *pool) readyWork(now int64) int64 {
+	sum := int64(0)
+	for _, j := range p.queue {
+		if j.state.Final() {
+			continue
+		}
+		for _, o := range j.occurrences {
+			for s := range o.steps {
+				if o.steps[s].open > 0 && o.ready(&j.spec, s) {
+					sum += o.steps[s].idleTasks(now) * j.spec.Steps[s].Work()
+				}
+			}
+		}
+	}
+	return sum
+}
+
+// idleTasks counts the tasks that are neither done nor on a worker.
+func (s *step) idleTasks(now int64) int64 {
+	n := int64(0)
+	for t := range s.tasks {
+		if !s.tasks[t].done && s.tasks[t].current == nil && s.tasks[t].notBefore <= now {
+			n++
+		}
+	}
+	return n
+}
+
 // SetComing tells which room is on its way to the services.
 func (c *Core) SetComing(milliCPU map[string]int64) { c.coming = milliCPU }
 
