--- a/jobs/shard/submit.go
+++ b/jobs/shard/submit.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 
 	"wigeonwinch/jobs/admit"
 	"wigeonwinch/jobs/spec"
@@ -75,7 +76,7 @@
 		return Reply{Reason: reason, RetryAfterMS: admit.ImpossibleRetryMS}, true
 	}
 	p := c.pool(q.Service)
-	d := admit.Decide(c.load(p), admit.Ask{
+	d := admit.Decide(c.loadAhead(p, j.spec.Work()), admit.Ask{
 		Work: j.spec.Work(), FirstMilliCPU: firstStepCPU(&j.spec), ChainMS: j.spec.ChainMS(nil), SlackMS: j.deadline - c.now,
 		Lasting: j.spec.Lasts(), Scheduled: j.spec.Repeat > 0,
 	})
@@ -86,8 +87,11 @@
 	return Reply{Reason: d.Reason, RetryAfterMS: d.RetryAfterMS}, true
 }
 
-// load is what a pool has to do, for the admission.
-func (c *Core) load(p *pool) admit.Load {
+// load is what a pool has to do.
+func (c *Core) load(p *pool) admit.Load { return c.loadAhead(p, math.MaxInt64) }
+
+// loadAhead is what a pool has to do before a job of the given work.
+func (c *Core) loadAhead(p *pool, work int64) admit.Load {
 	l := admit.Load{WaitingWork: p.left}
 	for _, w := range c.workers {
 		if w.info.Service != p.service {
@@ -99,9 +103,9 @@
 			l.FreeMilliCPU += int64(max(w.info.Capacity.MilliCPU-w.used.MilliCPU, 0))
 		}
 	}
-	ready := p.readyWork(c.now)
+	ready, ahead := p.readyWork(c.now, work)
 	later := max(l.WaitingWork-ready, 0)
-	l.WaitingWork = ready + later*laterPercent/100
+	l.WaitingWork = ahead + later*laterPercent/100
 	l.ComingMilliCPU = c.coming[p.service]
 	return l
 }
@@ -110,18 +114,28 @@
 // most of it starts after what is ready now is done.
 const laterPercent = 10
 
-// readyWork is the work of the tasks that could start now.
-func (p *pool) readyWork(now int64) int64 {
-	sum := int64(0)
+// readyWork is the work of the tasks that could start now, and the part of it
+// that stands before a job of the given work.
+func (p *pool) readyWork(now, work int64) (ready, ahead int64) {
 	for _, j := range p.queue {
 		if j.state.Final() {
 			continue
 		}
-		for _, o := range j.occurrences {
-			for s := range o.steps {
-				if o.steps[s].open > 0 && o.ready(&j.spec, s) {
-					sum += o.steps[s].idleTasks(now) * j.spec.Steps[s].Work()
-				}
+		w := j.readyWork(now)
+		ready += w
+		if j.left <= work {
+			ahead += w
+		}
+	}
+	return ready, ahead
+}
+
+func (j *job) readyWork(now int64) int64 {
+	sum := int64(0)
+	for _, o := range j.occurrences {
+		for s := range o.steps {
+			if o.steps[s].open > 0 && o.ready(&j.spec, s) {
+				sum += o.steps[s].idleTasks(now) * j.spec.Steps[s].Work()
 			}
 		}
 	}
