--- a/node/jobhost/members.go
+++ b/node/jobhost/members.go
@@ -43,6 +43,8 @@
 	// QuietMS is, in a leaving node's last heartbeat, for how long it has not
 	// acted on VMs.
 	QuietMS int64 `cbor:"8,keyasint,omitempty"`
+	// UptimeMS is for how long the process has run.
+	UptimeMS int64 `cbor:"9,keyasint,omitempty"`
 }
 
 // confirmed is the last heartbeat that the store has. Since chainStart no
@@ -109,7 +111,7 @@
 func (h *Host) writeHeartbeat(ctx context.Context, sequence int64) error {
 	rec := heartbeatRecord{
 		Node: h.cfg.Node, Zone: h.cfg.Zone, Address: h.address(), Boot: h.boot,
-		Sequence: sequence, Leaving: h.leaving.Load(), Owned: *h.ownedView.Load(), QuietMS: h.quietMS,
+		Sequence: sequence, Leaving: h.leaving.Load(), Owned: *h.ownedView.Load(), QuietMS: h.quietMS, UptimeMS: steadyMS() - h.startedAt,
 	}
 	value, err := encMode.Marshal(rec)
 	if err != nil {
--- a/node/jobhost/owners.go
+++ b/node/jobhost/owners.go
@@ -297,15 +297,29 @@
 			s.kept[r.Key] = r.Value
 		}
 		h.fleet = newFleetDuty(h, s)
-		if n := h.nodes[t.earlier.Node]; n != nil && n.record.Leaving && n.record.Boot == t.earlier.Boot && n.record.QuietMS > 0 {
-			h.fleet.quietMS = n.record.QuietMS + now - n.changedAt
-		}
+		h.fleet.quietMS = h.quietSince(t.earlier, now)
 	}
 	h.record(events.ShardTaken, events.Fields{Detail: fmt.Sprintf("%s epoch=%d records=%d stale=%v took_ms=%d", describe(t.partition), t.epoch, len(t.records), t.stale, now-t.startMS)})
 	h.ownershipChanged()
 	h.announce(t.partition, t.epoch)
 }
 
+// quietSince returns for how long an earlier holder of the fleet duty has
+// certainly not acted: as it said when it left, or since its process was
+// replaced. 0 means that nothing is known.
+func (h *Host) quietSince(earlier ownership, now int64) int64 {
+	n := h.nodes[earlier.Node]
+	switch {
+	case n == nil:
+		return 0
+	case n.record.Boot > earlier.Boot:
+		return n.record.UptimeMS + now - n.changedAt
+	case n.record.Leaving && n.record.QuietMS > 0:
+		return n.record.QuietMS + now - n.changedAt
+	}
+	return 0
+}
+
 func (h *Host) restoreShard(s *ownedShard, t taken, now int64) {
 	s.core = shard.New(h.cfg.shardConfig(t.epoch, t.stale), now, wallMS())
 	for _, r := range t.records {
