--- a/fleet/turns/turns.go
+++ b/fleet/turns/turns.go
@@ -55,7 +55,7 @@
 	headroom = 120
 	// askedHeadroom, in percent, stands for the growth of the work asked for
 	// while VMs are on their way: a pool's turn begins within seconds.
-	askedHeadroom = 300
+	askedHeadroom = 200
 	// backlogMS is the time in which work that waits is to be done: less than
 	// the slack of a usual job.
 	backlogMS = 1_000
