--- a/jobs/shard/core.go
+++ b/jobs/shard/core.go
@@ -104,23 +104,28 @@
 
 // Core is the state of one shard.
 type Core struct {
-	cfg     Config
-	now     int64
-	wallMS  int64
-	queues  map[string]Queue
-	jobs    map[string]*job
-	finals  []*job
-	workers map[string]*worker
-	pools   map[string]*pool
-	arrived map[string]int64
+	cfg    Config
+	now    int64
+	wallMS int64
+	queues map[string]Queue
+	jobs   map[string]*job
+	finals []*job
+	// scheduled are the open jobs that run at given times.
+	scheduled map[string]*job
+	workers   map[string]*worker
+	pools     map[string]*pool
+	arrived   map[string]int64
 	// startsUntil is when the right to start tasks lapses, leasesUntil the
 	// right to extend leases.
 	startsUntil, leasesUntil int64
-	storeDown                bool
-	deposed                  bool
-	dirty                    []*job
-	committed                []func()
-	out                      Orders
+	// earlierUntil is until when leases of earlier owners may last, on every
+	// incarnation of a worker that was born before.
+	earlierUntil int64
+	storeDown    bool
+	deposed      bool
+	dirty        []*job
+	committed    []func()
+	out          Orders
 	// coming is the room on its way to each service, in milli-CPU.
 	coming map[string]int64
 }
@@ -131,8 +136,8 @@
 		cfg.MaxLeaseMS = maxLeaseMS
 	}
 	return &Core{
-		cfg: cfg, now: now, wallMS: wallMS,
-		queues: map[string]Queue{}, jobs: map[string]*job{}, workers: map[string]*worker{},
+		cfg: cfg, now: now, wallMS: wallMS, earlierUntil: now + cfg.EarlierLeaseMS,
+		queues: map[string]Queue{}, jobs: map[string]*job{}, scheduled: map[string]*job{}, workers: map[string]*worker{},
 		pools: map[string]*pool{}, arrived: map[string]int64{},
 	}
 }
--- a/jobs/shard/submit.go
+++ b/jobs/shard/submit.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math"
+	"sort"
 
 	"wigeonwinch/jobs/admit"
 	"wigeonwinch/jobs/spec"
@@ -56,7 +57,9 @@
 	c.touch(j)
 	if j.spec.Repeat == 0 {
 		c.open(j, 0)
+		return
 	}
+	c.scheduled[j.spec.ID] = j
 }
 
 func (c *Core) submitAgain(j *job, ticket uint64) {
@@ -260,8 +263,10 @@
 
 // openOccurrences begins the occurrences that have become due.
 func (c *Core) openOccurrences() {
-	for _, j := range c.jobs {
-		if j.spec.Repeat == 0 || j.state.Final() {
+	for _, id := range sortedIDs(c.scheduled) {
+		j := c.scheduled[id]
+		if j.state.Final() {
+			delete(c.scheduled, id)
 			continue
 		}
 		for j.next < j.rounds() && c.wallMS >= j.dueMS(j.next) {
@@ -273,9 +278,21 @@
 	}
 }
 
+func sortedIDs(jobs map[string]*job) []string {
+	ids := make([]string, 0, len(jobs))
+	for id := range jobs {
+		ids = append(ids, id)
+	}
+	sort.Strings(ids)
+	return ids
+}
+
 // countOpen adds a restored job's open work to its pool and queues it.
 func (c *Core) countOpen(j *job) {
 	c.pool(j.service).left += j.left
+	if j.spec.Repeat > 0 {
+		c.scheduled[j.spec.ID] = j
+	}
 	c.enqueue(j)
 }
 
--- a/jobs/shard/worker.go
+++ b/jobs/shard/worker.go
@@ -51,7 +51,7 @@
 func (c *Core) worker(id string, born int64) *worker {
 	w := c.workers[id]
 	if w == nil {
-		w = &worker{info: Worker{ID: id}, born: born, runs: map[runID]*run{}, strays: map[RunRef]int64{}, earlierUntil: c.now + c.cfg.EarlierLeaseMS}
+		w = &worker{info: Worker{ID: id}, born: born, runs: map[runID]*run{}, strays: map[RunRef]int64{}, earlierUntil: c.earlierUntil}
 		c.workers[id] = w
 	}
 	return w
@@ -160,14 +160,14 @@
 	w.born = born
 	w.seen, w.acked, w.clock, w.clockAt, w.leaseUntil = 0, 0, 0, 0, 0
 	w.reached, w.failStreak, w.failedPolls = false, 0, 0
-	w.earlierUntil = 0
 	w.strays = map[RunRef]int64{}
 	w.pollAt = c.now
 }
 
 // poll orders the next poll of each worker that needs one.
 func (c *Core) poll() {
-	for id, w := range c.workers {
+	for _, w := range c.sortedWorkers() {
+		id := w.info.ID
 		if !w.listed && len(w.runs) == 0 && len(w.strays) == 0 && !w.polling {
 			delete(c.workers, id)
 			continue
