--- /dev/null
+++ b/node/deps/depstest/store.go
@@ -0,0 +1,130 @@
+// Package depstest holds stand-ins for what the job part of a node asks of the
+// outside. They keep everything in memory.
+package depstest
+
+import (
+	"context"
+	"sort"
+	"sync"
+	"time"
+
+	"wigeonwinch/jobs/shard"
+	"wigeonwinch/node/deps"
+)
+
+// remembered is how many of a partition's last appends are recognised when
+// they are repeated.
+const remembered = 5
+
+// Store implements deps.Store.
+type Store struct {
+	mu         sync.Mutex
+	partitions map[deps.Partition]*partition
+	// Fail, if set, decides about each append before it is carried out.
+	Fail func(deps.Append) error
+}
+
+type partition struct {
+	records []shard.Record
+	epoch   int64
+	// recent are the last fenced appends, by epoch and sequence.
+	recent   []deps.Fence
+	sequence int64
+}
+
+// NewStore returns an empty store.
+func NewStore() *Store { return &Store{partitions: map[deps.Partition]*partition{}} }
+
+func (s *Store) partition(p deps.Partition) *partition {
+	if s.partitions[p] == nil {
+		s.partitions[p] = &partition{}
+	}
+	return s.partitions[p]
+}
+
+// Append implements deps.Store.
+func (s *Store) Append(_ context.Context, a deps.Append) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.Fail != nil {
+		if err := s.Fail(a); err != nil {
+			return err
+		}
+	}
+	p := s.partition(a.Partition)
+	if a.Fence != nil {
+		if done, err := p.admit(*a.Fence); done || err != nil {
+			return err
+		}
+	}
+	if a.At != nil && *a.At != int64(len(p.records)) {
+		return &deps.Error{Kind: deps.KindConflict, Call: "append"}
+	}
+	p.records = append(p.records, a.Records...)
+	if a.Fence != nil {
+		p.epoch, p.sequence = a.Fence.Epoch, a.Fence.Sequence
+		p.recent = append(p.recent, *a.Fence)
+		if len(p.recent) > remembered {
+			p.recent = p.recent[1:]
+		}
+	}
+	return nil
+}
+
+// admit says whether a fenced append repeats an earlier one, or may not be
+// carried out.
+func (p *partition) admit(f deps.Fence) (repeated bool, err error) {
+	for _, r := range p.recent {
+		if r == f {
+			return true, nil
+		}
+	}
+	switch {
+	case f.Epoch < p.epoch:
+		return false, &deps.Error{Kind: deps.KindFenced, Call: "append"}
+	case f.Epoch == p.epoch && f.Sequence != p.sequence+1:
+		return false, &deps.Error{Kind: deps.KindSequence, Call: "append"}
+	}
+	return false, nil
+}
+
+// Newest implements deps.Store.
+func (s *Store) Newest(_ context.Context, p deps.Partition) (deps.Page, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	part := s.partition(p)
+	newest := map[string]shard.Record{}
+	for _, r := range part.records {
+		newest[r.Key] = r
+		if len(r.Value) == 0 {
+			delete(newest, r.Key)
+		}
+	}
+	end := int64(len(part.records))
+	page := deps.Page{StartEnd: end, End: end}
+	for _, r := range newest {
+		page.Records = append(page.Records, r)
+	}
+	sort.Slice(page.Records, func(i, j int) bool { return page.Records[i].Key < page.Records[j].Key })
+	return page, nil
+}
+
+// Read implements deps.Store.
+func (s *Store) Read(ctx context.Context, p deps.Partition, from int64, wait time.Duration) ([]shard.Record, int64, error) {
+	deadline := time.Now().Add(wait)
+	for {
+		s.mu.Lock()
+		part := s.partition(p)
+		end := int64(len(part.records))
+		records := append([]shard.Record(nil), part.records[min(from, end):]...)
+		s.mu.Unlock()
+		if len(records) > 0 || !time.Now().Before(deadline) {
+			return records, end, nil
+		}
+		select {
+		case <-time.After(10 * time.Millisecond):
+		case <-ctx.Done():
+			return nil, from, &deps.Error{Kind: deps.KindUnknown, Call: "read", Err: ctx.Err()}
+		}
+	}
+}
--- /dev/null
+++ b/node/deps/depstest/workers.go
@@ -0,0 +1,142 @@
+package depstest
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"time"
+
+	"wigeonwinch/jobs/shard"
+	"wigeonwinch/node/deps"
+)
+
+// Workers implements deps.Workers: every run ends well after a while.
+type Workers struct {
+	// RunTime is how long a run takes.
+	RunTime time.Duration
+
+	mu   sync.Mutex
+	byID map[string]*workerState
+	// Twice lists tasks that ran on two workers at once.
+	Twice []string
+	// Starts counts the starts carried out, by task.
+	Starts map[shard.Key]int
+}
+
+type workerState struct {
+	born    int64
+	epoch   int64
+	running map[shard.RunRef]bool
+	ended   []shard.ListedEnd
+	ends    int
+	settled map[shard.Key]int
+}
+
+// NewWorkers returns workers that answer at once.
+func NewWorkers(runTime time.Duration) *Workers {
+	return &Workers{RunTime: runTime, byID: map[string]*workerState{}, Starts: map[shard.Key]int{}}
+}
+
+func (w *Workers) worker(t shard.Target) *workerState {
+	s := w.byID[t.Worker]
+	if s == nil {
+		s = &workerState{born: t.Born, running: map[shard.RunRef]bool{}, settled: map[shard.Key]int{}}
+		w.byID[t.Worker] = s
+	}
+	return s
+}
+
+// Poll implements deps.Workers.
+func (w *Workers) Poll(ctx context.Context, p shard.Poll) (shard.Lists, error) {
+	deadline := time.Now().Add(time.Duration(p.WaitMS) * time.Millisecond)
+	for {
+		lists, err := w.lists(p)
+		if err != nil || len(lists.Ended) > 0 || !time.Now().Before(deadline) {
+			return lists, err
+		}
+		select {
+		case <-time.After(5 * time.Millisecond):
+		case <-ctx.Done():
+			return lists, &deps.Error{Kind: deps.KindUnknown, Call: "poll", Err: ctx.Err()}
+		}
+	}
+}
+
+func (w *Workers) lists(p shard.Poll) (shard.Lists, error) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	s := w.worker(p.Target)
+	if p.Epoch < s.epoch {
+		return shard.Lists{}, &deps.Error{Kind: deps.KindFenced, Call: "poll"}
+	}
+	s.epoch = p.Epoch
+	for len(s.ended) > 0 && s.ended[0].End <= p.AckedUpto {
+		s.ended = s.ended[1:]
+	}
+	l := shard.Lists{ClockMS: time.Now().UnixMilli() - s.born, Born: s.born, Ended: append([]shard.ListedEnd(nil), s.ended...)}
+	for ref := range s.running {
+		l.Running = append(l.Running, shard.ListedRun{RunRef: ref, Percent: 100})
+	}
+	return l, nil
+}
+
+// Start implements deps.Workers.
+func (w *Workers) Start(_ context.Context, st shard.Start) shard.StartOutcome {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	s := w.worker(st.Target)
+	switch {
+	case st.Epoch < s.epoch:
+		return shard.StartFenced
+	case st.Number <= s.settled[st.Key]:
+		return shard.StartOld
+	}
+	for id, other := range w.byID {
+		for ref := range other.running {
+			if ref.Key == st.Key && (other != s || ref != st.RunRef) {
+				w.Twice = append(w.Twice, fmt.Sprintf("%+v on %s and %s", st.Key, id, st.Worker))
+			}
+		}
+	}
+	w.Starts[st.Key]++
+	s.running[st.RunRef] = true
+	time.AfterFunc(w.RunTime, func() { w.end(s, st.RunRef, shard.EndDone) })
+	return shard.StartTaken
+}
+
+func (w *Workers) end(s *workerState, ref shard.RunRef, kind shard.EndKind) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if !s.running[ref] {
+		return
+	}
+	delete(s.running, ref)
+	s.settled[ref.Key] = ref.Number
+	s.ends++
+	s.ended = append(s.ended, shard.ListedEnd{End: s.ends, RunRef: ref, Kind: kind})
+}
+
+// Stop implements deps.Workers.
+func (w *Workers) Stop(_ context.Context, st shard.Stop) error {
+	w.mu.Lock()
+	s := w.worker(st.Target)
+	s.settled[st.Key] = max(s.settled[st.Key], st.Number)
+	w.mu.Unlock()
+	w.end(s, st.RunRef, shard.EndStopped)
+	return nil
+}
+
+// Pace implements deps.Workers.
+func (w *Workers) Pace(context.Context, shard.Pace) error { return nil }
+
+// VMs implements deps.VMs without any VM.
+type VMs struct{}
+
+// List implements deps.VMs.
+func (VMs) List(context.Context) ([]deps.VM, error) { return nil, nil }
+
+// Move implements deps.VMs.
+func (VMs) Move(context.Context, deps.Holder, string, string) error { return nil }
+
+// Maintain implements deps.VMs.
+func (VMs) Maintain(context.Context, deps.Holder, string, int) error { return nil }
--- /dev/null
+++ b/node/jobhost/host_test.go
@@ -0,0 +1,178 @@
+package jobhost
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"wigeonwinch/jobs/shard"
+	"wigeonwinch/jobs/spec"
+	"wigeonwinch/node/deps"
+	"wigeonwinch/node/deps/depstest"
+)
+
+// jsonCodec reads the operator's and the workers' records as JSON.
+type jsonCodec struct{}
+
+func (jsonCodec) Operator(r shard.Record) (deps.OperatorChange, error) {
+	cfg := &deps.Configuration{}
+	return deps.OperatorChange{Configuration: cfg}, json.Unmarshal(r.Value, cfg)
+}
+
+func (jsonCodec) Worker(r shard.Record) (deps.WorkerChange, error) {
+	change := deps.WorkerChange{ID: r.Key}
+	return change, json.Unmarshal(r.Value, &change.Worker)
+}
+
+func (jsonCodec) WaveStatus(int, bool) (shard.Record, error) { return shard.Record{Key: "w"}, nil }
+
+// site is a store with a configuration and two workers.
+type site struct {
+	store   *depstest.Store
+	workers *depstest.Workers
+}
+
+func newSite(t *testing.T, runTime time.Duration) *site {
+	t.Helper()
+	s := &site{store: depstest.NewStore(), workers: depstest.NewWorkers(runTime)}
+	put := func(topic deps.Topic, key string, value any) {
+		data, err := json.Marshal(value)
+		require.NoError(t, err)
+		require.NoError(t, s.store.Append(context.Background(), deps.Append{Partition: deps.Partition{Topic: topic}, Records: []shard.Record{{Key: key, Value: data}}}))
+	}
+	put(deps.TopicOperator, "config", deps.Configuration{Version: 1,
+		Routes: []deps.Route{{Host: "h", PathPrefix: "/q/", Queue: shard.Queue{Name: "q", Service: "s", MaxAttempts: 3, Stretch: 2, TargetMS: 5_000}}},
+		Pools:  []deps.Pool{{Service: "s"}}})
+	for i := range 2 {
+		id := fmt.Sprintf("w-%d", i)
+		put(deps.TopicWorkers, id, shard.Worker{ID: id, Address: id, Service: "s", Capacity: spec.Resources{MilliCPU: 16_000, MemoryMB: 64_000}, Born: time.Now().UnixMilli()})
+	}
+	return s
+}
+
+func (s *site) config(name, ip string) Config {
+	return Config{
+		Node: name, Zone: "z", IP: ip, PeerPort: 17_660, Partitions: 4, MaxLeaseMS: 6_000, StatusKeepMS: 60_000,
+		HolderGapMS: 3_000, Grace: 3 * time.Second, PeerKey: []byte("a key that all nodes of the test share"),
+		Store: s.store, Workers: s.workers, VMs: depstest.VMs{}, Codec: jsonCodec{},
+	}
+}
+
+// Two nodes that take one partition over in the same moment must not both
+// succeed, although the store answers a repeated append like the first.
+func TestOnlyOneNodeTakesAPartition(t *testing.T) {
+	s := newSite(t, time.Millisecond)
+	for round := range 200 {
+		p := deps.Partition{Topic: deps.TopicJobs, Index: round % 4}
+		hosts := []*Host{New(s.config("a", "127.0.0.1")), New(s.config("b", "127.0.0.2"))}
+		errs := make([]error, len(hosts))
+		results := make([]taken, len(hosts))
+		var wait sync.WaitGroup
+		for i, h := range hosts {
+			wait.Go(func() {
+				results[i], errs[i] = h.take(context.Background(), p, int64(round), map[string]bool{"a": true, "b": true}, nil)
+			})
+		}
+		wait.Wait()
+		if errs[0] == nil && errs[1] == nil {
+			require.NotEqual(t, results[0].epoch, results[1].epoch)
+			older := min(results[0].epoch, results[1].epoch)
+			err := s.store.Append(context.Background(), deps.Append{Partition: p, Records: []shard.Record{{Key: "k", Value: []byte{1}}}, Fence: &deps.Fence{Epoch: older, Sequence: 2}})
+			require.Equal(t, deps.KindFenced, kindOf(err), "the earlier owner must be fenced")
+		}
+	}
+}
+
+func TestEpochsOfOneMillisecondDiffer(t *testing.T) {
+	same := 0
+	for range 1000 {
+		if newEpoch() == newEpoch() {
+			same++
+		}
+	}
+	assert.Less(t, same, 20)
+}
+
+// After a gap in its heartbeats a node has to prove its shards anew.
+func TestAGapInTheHeartbeatsEndsTheRight(t *testing.T) {
+	h := New(newSite(t, time.Millisecond).config("a", "127.0.0.1"))
+	now := steadyMS()
+	s := &ownedShard{provenAt: now - 10_000}
+	h.heartbeat.Store(&confirmed{sentAt: now - 1_000, chainStart: now - 11_000})
+	_, proven := h.right(s)
+	require.True(t, proven)
+
+	h.confirm(now)
+	_, proven = h.right(s)
+	assert.True(t, proven, "an unbroken chain keeps the right")
+
+	h.heartbeat.Store(&confirmed{sentAt: now - startRight.Milliseconds() - 1, chainStart: now - 11_000})
+	h.confirm(now)
+	_, proven = h.right(s)
+	assert.False(t, proven, "a gap ends it")
+	s.provenAt = steadyMS()
+	_, proven = h.right(s)
+	assert.True(t, proven, "a fenced append brings it back")
+}
+
+// After an outage of the store, silent nodes are not taken for dead at once.
+func TestSilenceDuringOnesOwnGapIsNotDeath(t *testing.T) {
+	h := New(newSite(t, time.Millisecond).config("a", "127.0.0.1"))
+	now := steadyMS()
+	other := &nodeView{record: heartbeatRecord{Node: "b", Boot: 1}, changedAt: now - 10_000}
+	h.heartbeat.Store(&confirmed{sentAt: now, chainStart: now - 100})
+	assert.True(t, h.present(other, now))
+	h.heartbeat.Store(&confirmed{sentAt: now, chainStart: now - 10_000})
+	assert.False(t, h.present(other, now))
+	other.record.Leaving = true
+	h.heartbeat.Store(&confirmed{sentAt: now, chainStart: now - 100})
+	assert.False(t, h.present(other, now), "a node that said it leaves is gone")
+}
+
+func testJob(i int) *spec.Job {
+	return &spec.Job{ID: fmt.Sprintf("%016x", i), Queue: "q", Steps: []spec.Step{
+		{Count: 3, Need: spec.Resources{MilliCPU: 500}, EstimateMS: 50},
+		{Count: 2, Need: spec.Resources{MilliCPU: 500}, EstimateMS: 50, After: []int{0}},
+	}}
+}
+
+// Jobs are accepted at any node, survive a stop of the owner, and end.
+func TestJobsSurviveAHandOver(t *testing.T) {
+	if testing.Short() {
+		t.Skip("takes seconds of real time")
+	}
+	s := newSite(t, 300*time.Millisecond)
+	ctx := context.Background()
+	hosts := map[string]*Host{}
+	stops := map[string]context.CancelFunc{}
+	for name, ip := range map[string]string{"a": "127.0.0.1", "b": "127.0.0.2"} {
+		h := New(s.config(name, ip))
+		runCtx, cancel := context.WithCancel(ctx)
+		hosts[name], stops[name] = h, cancel
+		go func() { assert.NoError(t, h.Run(runCtx)) }()
+	}
+	request := func(h *Host, op Operation, i int) Result {
+		return h.Do(ctx, Request{Op: op, Service: "s", Queue: "q", ID: testJob(i).ID, Job: testJob(i)})
+	}
+	require.Eventually(t, func() bool { return request(hosts["a"], OpSubmit, 1).Outcome == Done }, 20*time.Second, 50*time.Millisecond)
+	require.Equal(t, Done, request(hosts["b"], OpSubmit, 1).Outcome, "the same job at another node")
+
+	owner := (*hosts["a"].owners.Load())[hosts["a"].partitionOf("s")].Node
+	other := map[string]string{"a": "b", "b": "a"}[owner]
+	stops[owner]()
+	<-hosts[owner].Left()
+	require.Eventually(t, func() bool { return request(hosts[other], OpShow, 1).State == spec.Completed }, 30*time.Second, 50*time.Millisecond)
+	assert.Equal(t, Done, request(hosts[owner], OpSubmit, 2).Outcome, "a node that leaves passes on")
+	assert.Equal(t, Missing, request(hosts[other], OpShow, 99).Outcome)
+	assert.Empty(t, s.workers.Twice)
+	stops[other]()
+	hosts[owner].Close()
+	<-hosts[other].Left()
+	hosts[other].Close()
+}
