--- a/cmd/wigeonwinchd/main.go
+++ b/cmd/wigeonwinchd/main.go
@@ -59,12 +59,16 @@
 	if err != nil {
 		return err
 	}
+	metrics, err := telemetry.NewMetrics()
+	if err != nil {
+		return err
+	}
 	logger := logrus.New()
 	logger.SetFormatter(&logrus.JSONFormatter{TimestampFormat: time.RFC3339Nano})
 	logger.SetOutput(telemetry.NewAsyncWriter(os.Stdout))
 	rings := telemetry.Rings{Fleet: timeline.NewRing(timelineEntries), Requests: timeline.NewRing(timelineEntries)}
-	recorder := telemetry.NewRecorder(telemetry.Identity{Node: file.Node, Zone: file.Zone}, logger, rings, timeline.NewClock(time.Now), nil)
-	return platform.Serve(ctx, file, os.Getenv("WIGEONWINCH_PEER_KEY"), recorder)
+	recorder := telemetry.NewRecorder(telemetry.Identity{Node: file.Node, Zone: file.Zone}, logger, rings, timeline.NewClock(time.Now), metrics)
+	return platform.Serve(ctx, file, os.Getenv("WIGEONWINCH_PEER_KEY"), recorder, metrics)
 }
 
 // timelineEntries bounds each part of the time line in memory.
--- a/node/telemetry/metrics.go
+++ b/node/telemetry/metrics.go
@@ -68,10 +68,13 @@
 // Reading is one value of an observed metric.
 type Reading struct {
 	// Labels are attribute keys and values.
-	Labels []attribute.KeyValue
+	Labels Labels
 	Value  float64
 }
 
+// Labels are the attributes of a reading.
+type Labels []attribute.KeyValue
+
 // Label returns one attribute of a reading.
 func Label(key, value string) attribute.KeyValue { return attribute.String(key, value) }
 
--- a/node/telemetry/page.go
+++ b/node/telemetry/page.go
@@ -12,8 +12,16 @@
 	b.WriteString("`GET /metrics` on the administration address, OpenTelemetry metrics in the usual scrape format.\n")
 	b.WriteString("Counters end in `_total` there, and units are appended to the names.\n\n")
 	b.WriteString("| name | kind | unit | labels | meaning | tell an operator when |\n| --- | --- | --- | --- | --- | --- |\n")
-	for _, in := range Instruments() {
-		fmt.Fprintf(&b, "| `%s` | %s | %s | %s | %s | %s |\n", in.Name, in.Kind, in.Unit, in.Labels, in.Meaning, in.Alarm)
-	}
+	writeRows(&b, Instruments())
+	b.WriteString("\n## On the users' platform\n\n")
+	b.WriteString("Served on the second of the internal ports, at `/metrics`; `wigeonwinch_events` counts decisions by name.\n\n")
+	b.WriteString("| name | kind | unit | labels | meaning | tell an operator when |\n| --- | --- | --- | --- | --- | --- |\n")
+	writeRows(&b, JobInstruments())
 	return b.String()
 }
+
+func writeRows(b *strings.Builder, list []Instrument) {
+	for _, in := range list {
+		fmt.Fprintf(b, "| `%s` | %s | %s | %s | %s | %s |\n", in.Name, in.Kind, in.Unit, in.Labels, in.Meaning, in.Alarm)
+	}
+}
