--- a/cmd/wigeonwinchd/main.go
+++ b/cmd/wigeonwinchd/main.go
@@ -55,6 +55,7 @@
 
 // runOnPlatform serves with the settings file that the platform provides.
 func runOnPlatform(ctx context.Context) error {
+	hangUp := platform.CatchHangUp()
 	file, err := platform.LoadFile()
 	if err != nil {
 		return err
@@ -68,7 +69,7 @@
 	logger.SetOutput(telemetry.NewAsyncWriter(os.Stdout))
 	rings := telemetry.Rings{Fleet: timeline.NewRing(timelineEntries), Requests: timeline.NewRing(timelineEntries)}
 	recorder := telemetry.NewRecorder(telemetry.Identity{Node: file.Node, Zone: file.Zone}, logger, rings, timeline.NewClock(time.Now), metrics)
-	return platform.Serve(ctx, file, os.Getenv("WIGEONWINCH_PEER_KEY"), recorder, metrics)
+	return platform.Serve(ctx, platform.Node{File: file, PeerKey: os.Getenv("WIGEONWINCH_PEER_KEY"), Events: recorder, Metrics: metrics, HangUp: hangUp})
 }
 
 // timelineEntries bounds each part of the time line in memory.
--- a/node/events/jobs.go
+++ b/node/events/jobs.go
@@ -38,6 +38,7 @@
 	LogLinesDropped
 	FleetPlan
 	PoolLoad
+	SettingsReloaded
 )
 
 var jobEvents = []Definition{
@@ -75,6 +76,7 @@
 	{RequestAnswered, "request_answered", SeverityInfo, "A caller's request was answered; the outcome is what it was told.", ""},
 	{RequestPassedOn, "request_passed_on", SeverityInfo, "A request could not be passed on to its shard's owner; the outcome says why.", ""},
 	{LogLinesDropped, "log_lines_dropped", SeverityWarning, "Log lines were left out because the output did not take them.", "Read the log faster."},
+	{SettingsReloaded, "settings_reloaded", SeverityInfo, "The settings file was read again; the outcome says whether it changed.", "changed: restart the node when it suits."},
 	{PoolLoad, "pool_load", SeverityInfo, "A pool's load as the fleet duty sees it.", ""},
 	{FleetPlan, "fleet_plan", SeverityInfo, "The plan for moves and maintenance changed.", ""},
 }
