--- a/jobs/shard/core.go
+++ b/jobs/shard/core.go
@@ -48,8 +48,10 @@
 	pollWaitMS = 1_500
 	// pollRetryMS is the pause after a failed poll.
 	pollRetryMS = 300
-	// maxBatchRecords bounds one append.
+	// maxBatchRecords bounds one append: well below the store's bytes a call.
 	maxBatchRecords = 400
+	// maxDrops forgotten jobs are dropped without another record to go with.
+	maxDrops = 50
 )
 
 // Config is fixed for the life of a core.
@@ -110,6 +112,8 @@
 	queues map[string]Queue
 	jobs   map[string]*job
 	finals []*job
+	// drops are forgotten jobs whose records are still kept.
+	drops []string
 	// scheduled are the open jobs that run at given times.
 	scheduled map[string]*job
 	workers   map[string]*worker
@@ -189,8 +193,6 @@
 	// queue holds jobs with ready tasks, lasting those of them that last.
 	queue   []*job
 	lasting []*job
-	// late holds jobs that can't be within their deadline any more.
-	late []*job
 	// left is the estimated work of all accepted tasks that are not done.
 	left int64
 	// blockedSince is since when a lasting task has found no room.
@@ -228,12 +230,19 @@
 // NextBatch returns the records that wait to be stored. The caller appends
 // them before it asks again.
 func (c *Core) NextBatch() (Batch, bool) {
-	if len(c.dirty) == 0 && len(c.committed) == 0 {
+	if len(c.dirty) == 0 && len(c.committed) == 0 && len(c.drops) < maxDrops {
 		return Batch{}, false
 	}
-	b := Batch{follow: c.committed}
-	c.committed = nil
-	for _, j := range c.dirty {
+	var b Batch
+	jobs := c.dirty
+	if len(jobs) > maxBatchRecords {
+		// What waits for these records waits for the rest of them too.
+		jobs = jobs[:maxBatchRecords]
+	} else {
+		b.follow = c.committed
+		c.committed = nil
+	}
+	for _, j := range jobs {
 		j.dirty = false
 		rec, err := c.record(j)
 		if err != nil {
@@ -245,13 +254,14 @@
 		j2 := j
 		b.follow = append(b.follow, func() { c.show(j2, state) })
 	}
-	c.dirty = c.dirty[:0]
+	c.dirty = append([]*job(nil), c.dirty[len(jobs):]...)
+	for _, id := range c.drops {
+		b.Records = append(b.Records, Record{Key: jobKey(id)})
+	}
+	c.drops = nil
 	return b, true
 }
 
-// Drops returns the records that drop the keys of forgotten jobs.
-func (c *Core) dropRecord(id string) Record { return Record{Key: jobKey(id)} }
-
 // Committed carries out what waited for the batch's records.
 func (c *Core) Committed(now int64, b Batch) {
 	c.now = now
@@ -280,6 +290,7 @@
 	keep := c.cfg.StatusKeepMS + finalKeepMS
 	for len(c.finals) > 0 && c.now-c.finals[0].finalAt > keep {
 		delete(c.jobs, c.finals[0].spec.ID)
+		c.drops = append(c.drops, c.finals[0].spec.ID)
 		c.finals = c.finals[1:]
 	}
 	if len(c.arrived) > 4096 {
--- a/jobs/shard/job.go
+++ b/jobs/shard/job.go
@@ -111,8 +111,6 @@
 	share int
 	// tailMS is the worker's last figure of a serving task's tail.
 	tailMS int
-	// overSince is when the tail went over its target; 0 means it is not.
-	overSince int64
 	// unproven says that the start got no answer or was restored from the
 	// store, so that the run may not exist.
 	unproven bool
--- a/jobs/shard/submit.go
+++ b/jobs/shard/submit.go
@@ -193,17 +193,6 @@
 	return "", false
 }
 
-// capacity is the room of the workers of a service that take starts.
-func (c *Core) capacity(service string) spec.Resources {
-	var sum spec.Resources
-	for _, w := range c.workers {
-		if w.info.Service == service && w.usable(c.now) {
-			sum = sum.Add(w.info.Capacity)
-		}
-	}
-	return sum
-}
-
 // Cancel stops a job for good. The reply comes once the store has it.
 func (c *Core) Cancel(now int64, ticket uint64, id string) {
 	c.now = now
--- a/node/jobhost/host_test.go
+++ b/node/jobhost/host_test.go
@@ -92,7 +92,8 @@
 func TestEpochsOfOneMillisecondDiffer(t *testing.T) {
 	same := 0
 	for range 1000 {
-		if newEpoch() == newEpoch() {
+		first, second := newEpoch(), newEpoch()
+		if first == second {
 			same++
 		}
 	}
