--- a/node/jobhost/config.go
+++ b/node/jobhost/config.go
@@ -50,25 +50,27 @@
 // The host's times.
 const (
 	// heartbeatInterval and silentAfter make an owner's failure known in about
-	// two and a half seconds, a fifth of the recovery bound.
-	heartbeatInterval = 600 * time.Millisecond
-	silentAfter       = 2200 * time.Millisecond
+	// two seconds, a sixth of the recovery bound.
+	heartbeatInterval = 400 * time.Millisecond
+	silentAfter       = 1600 * time.Millisecond
 	// startRight is how long a confirmed heartbeat lets its sender start
 	// tasks. It is shorter than silentAfter, so that no successor has begun.
-	startRight = 2000 * time.Millisecond
+	startRight = 1450 * time.Millisecond
 	// leaseRight is how long it lets its sender extend leases: past the usual
 	// outages of the store, during which nobody can take over.
 	leaseRight = 5500 * time.Millisecond
 	// readInterval is the pause between two reads of the nodes' heartbeats and
 	// of the workers' entries; a fraction of silentAfter and of the time in
 	// which draining workers must be left alone.
-	readInterval = 500 * time.Millisecond
+	readInterval = 350 * time.Millisecond
 	// operatorWait is how long a read of the operator's records waits, and
 	// operatorMargin how much later an unanswered one is given up: together
 	// well below the two seconds in which a configuration must be in force,
 	// because a connection may have gone silent.
 	operatorWait   = 700 * time.Millisecond
 	operatorMargin = 500 * time.Millisecond
+	// heartbeatTimeout bounds one heartbeat: two of them fit the start right.
+	heartbeatTimeout = 550 * time.Millisecond
 	// readRetry is the pause after a failed read.
 	readRetry = 250 * time.Millisecond
 	// storeTimeout bounds one store call: 150 usual answers.
--- a/node/jobhost/members.go
+++ b/node/jobhost/members.go
@@ -117,7 +117,7 @@
 	if err != nil {
 		return err
 	}
-	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+	ctx, cancel := context.WithTimeout(ctx, heartbeatTimeout)
 	defer cancel()
 	h.stats.storeWrites.Add(1)
 	return h.cfg.Store.Append(ctx, deps.Append{Partition: nodesPartition, Records: []shard.Record{{Key: h.cfg.Node, Value: value}}})
