--- a/jobs/shard/core.go
+++ b/jobs/shard/core.go
@@ -14,7 +14,6 @@
 import (
 	"sort"
 
-	"wigeonwinch/jobs/runtime"
 	"wigeonwinch/jobs/spec"
 )
 
@@ -131,8 +130,6 @@
 	dirty        []*job
 	committed    []func()
 	out          Orders
-	// runTimes are learned by queue.
-	runTimes map[string]*runtime.Estimator
 	// coming is the room on its way to each service, in milli-CPU.
 	coming map[string]int64
 }
@@ -145,7 +142,7 @@
 	return &Core{
 		cfg: cfg, now: now, wallMS: wallMS, earlierUntil: now + cfg.EarlierLeaseMS,
 		queues: map[string]Queue{}, jobs: map[string]*job{}, scheduled: map[string]*job{}, workers: map[string]*worker{},
-		pools: map[string]*pool{}, runTimes: map[string]*runtime.Estimator{}, arrived: map[string]int64{},
+		pools: map[string]*pool{}, arrived: map[string]int64{},
 	}
 }
 
--- a/jobs/shard/job.go
+++ b/jobs/shard/job.go
@@ -111,8 +111,6 @@
 	share int
 	// tailMS is the worker's last figure of a serving task's tail.
 	tailMS int
-	// resumed says that it began from a checkpoint.
-	resumed bool
 	// unproven says that the start got no answer or was restored from the
 	// store, so that the run may not exist.
 	unproven bool
--- a/jobs/shard/runs.go
+++ b/jobs/shard/runs.go
@@ -181,10 +181,10 @@
 		tk.current.on.remove(tk.current)
 		tk.current = nil
 	}
-	c.judgeEnd(w, j, tk, r, e)
+	c.judgeEnd(w, j, tk, e)
 }
 
-func (c *Core) judgeEnd(w *worker, j *job, tk *task, r *run, e ListedEnd) {
+func (c *Core) judgeEnd(w *worker, j *job, tk *task, e ListedEnd) {
 	st := &j.spec.Steps[e.Key.Step]
 	switch e.Kind {
 	case EndDone:
@@ -193,9 +193,6 @@
 			c.enqueue(j)
 			return
 		}
-		if r != nil {
-			c.learn(r)
-		}
 		c.done(j, tk, e)
 	case EndFailed:
 		c.failed(w, j, tk, e)
--- a/jobs/shard/schedule.go
+++ b/jobs/shard/schedule.go
@@ -354,7 +354,6 @@
 		return
 	}
 	r.phase, r.since, r.startedAt = ordered, c.now, c.now
-	r.resumed = tk.saved != ""
 	c.out.Starts = append(c.out.Starts, Start{
 		Target: c.target(r.on), RunRef: RunRef{r.key, r.number}, Payload: r.job.spec.Payload,
 		LeaseUntil: c.lease(r.on), Checkpoint: tk.saved,
--- a/jobs/shard/submit.go
+++ b/jobs/shard/submit.go
@@ -6,7 +6,6 @@
 	"sort"
 
 	"wigeonwinch/jobs/admit"
-	"wigeonwinch/jobs/runtime"
 	"wigeonwinch/jobs/spec"
 )
 
@@ -29,7 +28,6 @@
 		c.arrived[s.ID] = now
 		c.pool(q.Service).arrivedWork += s.Work()
 	}
-	c.expect(&s)
 	j := c.newJob(s, q, first)
 	if refusal, refused := c.refuse(j, q); refused {
 		c.event(Event{Name: EventRefused, Job: s.ID, Outcome: refusal.Reason, AgeMS: now - first,
@@ -41,27 +39,6 @@
 	c.accept(j, ticket)
 }
 
-// expect replaces the submitter's estimates by what was learned of the queue.
-func (c *Core) expect(s *spec.Job) {
-	e := c.runTimes[s.Queue]
-	s.Steps = append([]spec.Step(nil), s.Steps...)
-	for i := range s.Steps {
-		s.Steps[i].ExpectedMS = e.Expect(s.Steps[i].EstimateMS)
-	}
-}
-
-// learn notes the run time of a task that ended well.
-func (c *Core) learn(r *run) {
-	if r.startedAt == 0 || r.step().Lasting || r.resumed {
-		return
-	}
-	queue := r.job.spec.Queue
-	if c.runTimes[queue] == nil {
-		c.runTimes[queue] = &runtime.Estimator{}
-	}
-	c.runTimes[queue].Observe(r.step().EstimateMS, c.now-r.startedAt)
-}
-
 func (c *Core) newJob(s spec.Job, q Queue, first int64) *job {
 	chain := s.ChainMS(nil)
 	return &job{
--- a/jobs/spec/spec.go
+++ b/jobs/spec/spec.go
@@ -80,8 +80,6 @@
 	Filler bool `cbor:"15,keyasint,omitempty" json:"filler,omitempty"`
 	// MayMiss is how many lasting tasks may be away at once by our own acts.
 	MayMiss int `cbor:"16,keyasint,omitempty" json:"may_miss,omitempty"`
-	// ExpectedMS is the run time that is reckoned with; 0 means the estimate.
-	ExpectedMS int64 `cbor:"18,keyasint,omitempty" json:"-"`
 	// HasMayMiss says that the step has an availability budget at all.
 	HasMayMiss bool `cbor:"17,keyasint,omitempty" json:"has_may_miss,omitempty"`
 }
@@ -187,7 +185,7 @@
 		}
 		ends[i] = begin
 		if pending == nil || pending(i) {
-			ends[i] += j.Steps[i].RunMS()
+			ends[i] += j.Steps[i].EstimateMS
 		}
 		longest = max(longest, ends[i])
 	}
@@ -209,15 +207,7 @@
 	if s.Lasting || s.Filler {
 		return 0
 	}
-	return int64(s.Need.MilliCPU) * s.RunMS()
-}
-
-// RunMS is the run time of one task that is reckoned with.
-func (s *Step) RunMS() int64 {
-	if s.ExpectedMS > 0 {
-		return s.ExpectedMS
-	}
-	return s.EstimateMS
+	return int64(s.Need.MilliCPU) * s.EstimateMS
 }
 
 // State is what callers see of a job.
