--- a/node/jobhost/config.go
+++ b/node/jobhost/config.go
@@ -82,7 +82,7 @@
 	storeDownAfter = 250 * time.Millisecond
 	// settleIn is how long a node looks around after its start before it takes
 	// over shards; all nodes start within a third of it.
-	settleIn = 900 * time.Millisecond
+	settleIn = 600 * time.Millisecond
 	// rankStep spaces the nodes' attempts to take over a shard.
 	rankStep = 250 * time.Millisecond
 	// tick is the control loop's timer.
