Number a node's processes above all earlier ones

Cause: processes were numbered by the time of day; after a clock set back a restarted node's heartbeats would have been passed over as old. Change: the number is above the last one in the store. Measured: TestALaterProcessHasAHigherBootAfterAClockStep; it did not compile before, the number did not exist.

--- a/node/jobhost/config.go
+++ b/node/jobhost/config.go
@@ -37,6 +37,9 @@
 	Grace time.Duration
 	// PeerKey is shared by all nodes.
 	PeerKey []byte
+	// Boot grows with each process of the node, see NextBoot; 0 takes the time
+	// of day.
+	Boot int64
 
 	Store   deps.Store
 	Workers deps.Workers
--- a/node/jobhost/host.go
+++ b/node/jobhost/host.go
@@ -64,8 +64,11 @@
 	if cfg.Events == nil {
 		cfg.Events = events.Discard{}
 	}
+	if cfg.Boot == 0 {
+		cfg.Boot = time.Now().UnixNano()
+	}
 	h := &Host{
-		cfg: cfg, boot: time.Now().UnixNano(),
+		cfg: cfg, boot: cfg.Boot,
 		inbox: make(chan func(), inboxSize), nodes: map[string]*nodeView{},
 		owned: map[deps.Partition]*ownedShard{}, claiming: map[deps.Partition]bool{},
 		vacantAt: map[deps.Partition]int64{}, announced: map[deps.Partition]ownership{}, announcedAt: map[deps.Partition]int64{},
--- a/node/jobhost/host_test.go
+++ b/node/jobhost/host_test.go
@@ -177,3 +177,16 @@
 	<-hosts[other].Left()
 	hosts[other].Close()
 }
+
+// A process that starts after its VM's clock was set back must still be newer
+// than the one before it.
+func TestALaterProcessHasAHigherBootAfterAClockStep(t *testing.T) {
+	s := newSite(t, time.Millisecond)
+	ahead := time.Now().Add(time.Hour).UnixNano()
+	value, err := encMode.Marshal(heartbeatRecord{Node: "a", Boot: ahead, Sequence: 9})
+	require.NoError(t, err)
+	require.NoError(t, s.store.Append(context.Background(), deps.Append{Partition: nodesPartition, Records: []shard.Record{{Key: "a", Value: value}}}))
+	assert.Greater(t, NextBoot(context.Background(), s.store, "a"), ahead)
+	assert.Positive(t, NextBoot(context.Background(), s.store, "b"))
+	s.store.Fail = nil
+}
--- a/node/jobhost/members.go
+++ b/node/jobhost/members.go
@@ -123,6 +123,25 @@
 	return h.cfg.Store.Append(ctx, deps.Append{Partition: nodesPartition, Records: []shard.Record{{Key: h.cfg.Node, Value: value}}})
 }
 
+// NextBoot returns a number above those of all earlier processes of a node.
+// The time of day alone may have been set back; the store has the last one.
+func NextBoot(ctx context.Context, store deps.Store, node string) int64 {
+	boot := time.Now().UnixNano()
+	ctx, cancel := context.WithTimeout(ctx, heartbeatTimeout)
+	defer cancel()
+	page, err := store.Newest(ctx, nodesPartition)
+	if err != nil {
+		return boot
+	}
+	for _, r := range page.Records {
+		var rec heartbeatRecord
+		if r.Key == node && decMode.Unmarshal(r.Value, &rec) == nil {
+			boot = max(boot, rec.Boot+1)
+		}
+	}
+	return boot
+}
+
 // beatSoon writes the next heartbeat at once.
 func (h *Host) beatSoon() {
 	select {
