--- a/jobs/shard/core.go
+++ b/jobs/shard/core.go
@@ -65,16 +65,6 @@
 	EarlierLeaseMS int64
 	// StatusKeepMS is how long final jobs can be asked for.
 	StatusKeepMS int64
-	// RemoteFactor is how much longer tasks take away from their data.
-	RemoteFactor float64
-	// PaceDelayMS is how long a pace takes to show.
-	PaceDelayMS int64
-	// HarmMS is how long a serving task may be over its target.
-	HarmMS int64
-	// NoticeMS is how long a lasting task may be down before it counts.
-	NoticeMS int64
-	// MoveMS and UpkeepMS are how long a VM is away for each act.
-	MoveMS, UpkeepMS int64
 }
 
 // Queue is one queue of the configuration in force.
@@ -197,9 +187,7 @@
 	left int64
 	// blockedSince is since when a lasting task has found no room.
 	blockedSince int64
-	// pressure counts refusals since the last report.
-	refused int
-	// arrived is the estimated work that was asked for since the last report.
+	// arrivedWork is the estimated work that was asked for since the takeover.
 	arrivedWork int64
 }
 
--- a/jobs/shard/job.go
+++ b/jobs/shard/job.go
@@ -31,9 +31,9 @@
 	begun        bool
 	next         int
 	occurrences  map[int]*occurrence
-	waiters      []uint64
-	cancelers    []uint64
-	dirty        bool
+	// waiters and cancelers are the tickets of callers who wait for the store.
+	waiters, cancelers []uint64
+	dirty              bool
 	// queued says that the job is in its pool's list of jobs with ready tasks.
 	queued bool
 	// finalAt is the steady time at which the state became final.
@@ -71,8 +71,6 @@
 	current *run
 	// avoid is the worker on which the last run failed.
 	avoid string
-	// notBefore is the steady time before which the task isn't started again.
-	notBefore int64
 }
 
 // phase is how far a run is known to have got.
--- a/jobs/shard/schedule.go
+++ b/jobs/shard/schedule.go
@@ -171,10 +171,6 @@
 		if tk.done || tk.current != nil {
 			continue
 		}
-		if tk.notBefore > c.now {
-			missed++
-			continue
-		}
 		w := c.choose(j, o, s, tk, workers, "")
 		if w == nil {
 			missed++
@@ -375,6 +371,10 @@
 	default:
 		return true
 	}
-	c.event(Event{Name: EventSettled, Job: r.key.Job, Run: RunRef{r.key, r.number}, Worker: r.on.info.ID, Outcome: reason})
+	name := EventSettled
+	if reason == "over_capacity" {
+		name = EventInvariant
+	}
+	c.event(Event{Name: name, Job: r.key.Job, Run: RunRef{r.key, r.number}, Worker: r.on.info.ID, Outcome: reason})
 	return false
 }
--- a/jobs/shard/submit.go
+++ b/jobs/shard/submit.go
@@ -86,7 +86,6 @@
 	if d.Accept {
 		return Reply{}, false
 	}
-	p.refused++
 	return Reply{Reason: d.Reason, RetryAfterMS: d.RetryAfterMS}, true
 }
 
@@ -106,7 +105,7 @@
 			l.FreeMilliCPU += int64(max(w.info.Capacity.MilliCPU-w.used.MilliCPU, 0))
 		}
 	}
-	ready, ahead := p.readyWork(c.now, work)
+	ready, ahead := p.readyWork(work)
 	later := max(l.WaitingWork-ready, 0)
 	l.WaitingWork = ahead + later*laterPercent/100
 	l.ComingMilliCPU = c.coming[p.service]
@@ -119,12 +118,12 @@
 
 // readyWork is the work of the tasks that could start now, and the part of it
 // that stands before a job of the given work.
-func (p *pool) readyWork(now, work int64) (ready, ahead int64) {
+func (p *pool) readyWork(work int64) (ready, ahead int64) {
 	for _, j := range p.queue {
 		if j.state.Final() {
 			continue
 		}
-		w := j.readyWork(now)
+		w := j.readyWork()
 		ready += w
 		if j.left <= work {
 			ahead += w
@@ -133,12 +132,12 @@
 	return ready, ahead
 }
 
-func (j *job) readyWork(now int64) int64 {
+func (j *job) readyWork() int64 {
 	sum := int64(0)
 	for _, o := range j.occurrences {
 		for s := range o.steps {
 			if o.steps[s].open > 0 && o.ready(&j.spec, s) {
-				sum += o.steps[s].idleTasks(now) * j.spec.Steps[s].Work()
+				sum += o.steps[s].idleTasks() * j.spec.Steps[s].Work()
 			}
 		}
 	}
@@ -146,10 +145,10 @@
 }
 
 // idleTasks counts the tasks that are neither done nor on a worker.
-func (s *step) idleTasks(now int64) int64 {
+func (s *step) idleTasks() int64 {
 	n := int64(0)
 	for t := range s.tasks {
-		if !s.tasks[t].done && s.tasks[t].current == nil && s.tasks[t].notBefore <= now {
+		if !s.tasks[t].done && s.tasks[t].current == nil {
 			n++
 		}
 	}
--- a/node/jobhost/config.go
+++ b/node/jobhost/config.go
@@ -25,12 +25,8 @@
 	// MaxLeaseMS is the longest lease that workers grant.
 	MaxLeaseMS   int64
 	StatusKeepMS int64
-	RemoteFactor float64
-	PaceDelayMS  int64
-	HarmMS       int64
-	NoticeMS     int64
-	MoveMS       int64
-	UpkeepMS     int64
+	// UpkeepMS is how long a VM is away for its maintenance.
+	UpkeepMS int64
 	// HolderGapMS is the least time between two holders' acts on one VM.
 	HolderGapMS int64
 	// Grace is how long a stop may take.
@@ -125,7 +121,6 @@
 func (c Config) shardConfig(epoch int64, stale bool) shard.Config {
 	return shard.Config{
 		Epoch: epoch, MaxLeaseMS: c.MaxLeaseMS, EarlierLeaseMS: c.earlierLease(stale),
-		StatusKeepMS: c.StatusKeepMS, RemoteFactor: c.RemoteFactor, PaceDelayMS: c.PaceDelayMS,
-		HarmMS: c.HarmMS, NoticeMS: c.NoticeMS, MoveMS: c.MoveMS, UpkeepMS: c.UpkeepMS,
+		StatusKeepMS: c.StatusKeepMS,
 	}
 }
