Act on VMs only on a report of the same round

Cause: a VM counted as empty on a report up to 1.5 s old. When its shard's owner left in between, the next one, which knew of no cordon, could place work on it, and a move or a maintenance would have cut it. Ruled out: keeping cordons in the store; the exchange just before the act asks the present owner anyway. Change: after the exchange each act needs a report from it.

--- a/node/jobhost/fleet.go
+++ b/node/jobhost/fleet.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"sort"
 	"strings"
 	"sync/atomic"
@@ -156,9 +157,11 @@
 		d.openWave(ctx, w.Number)
 	}
 	for _, a := range plan.Maintain {
-		d.maintain(ctx, a)
+		if d.clearedSince(a.VM, now) {
+			d.maintain(ctx, a)
+		}
 	}
-	d.moveAll(ctx, moves.ready)
+	d.moveAll(ctx, slices.DeleteFunc(moves.ready, func(m vmMove) bool { return !d.clearedSince(m.VM, now) }))
 	for _, n := range plan.Done {
 		d.closeWave(ctx, n)
 	}
@@ -209,6 +212,21 @@
 // proofKey is the record that is rewritten to prove the duty.
 const proofKey = "proof"
 
+// clearedSince says whether a VM runs nothing as of a report that came after
+// the given time, from whoever owns its shard now. VMs in the spare pool run
+// nothing at all.
+func (d *fleetDuty) clearedSince(vm string, since int64) bool {
+	v, there := d.vms[vm]
+	if !there {
+		return false
+	}
+	if d.spare(v.Pool) {
+		return true
+	}
+	r, known := d.reports[v.Worker]
+	return known && r.Empty && r.at >= since
+}
+
 // mayAct says whether this node is certainly the only holder.
 func (d *fleetDuty) mayAct(now int64) bool {
 	beat := d.host.heartbeat.Load()
--- a/node/jobhost/host_test.go
+++ b/node/jobhost/host_test.go
@@ -190,3 +190,19 @@
 	assert.Positive(t, NextBoot(context.Background(), s.store, "b"))
 	s.store.Fail = nil
 }
+
+// A worker that was empty when an owner that has since left reported it may
+// have work from the next owner: acts need a report of their own round.
+func TestActsNeedAReportOfTheirRound(t *testing.T) {
+	h := New(newSite(t, time.Millisecond).config("a", "127.0.0.1"))
+	d := newFleetDuty(h, &ownedShard{})
+	now := steadyMS()
+	d.vms["vm"] = deps.VM{ID: "vm", Pool: "s", Worker: "w"}
+	d.reports["w"] = workerReport{ID: "w", Empty: true, at: now - 200}
+	assert.True(t, d.cleared(d.vms["vm"], now), "good enough to plan on")
+	assert.False(t, d.clearedSince("vm", now), "too old to act on")
+	d.reports["w"] = workerReport{ID: "w", Empty: true, at: now + 5}
+	assert.True(t, d.clearedSince("vm", now))
+	d.reports["w"] = workerReport{ID: "w", at: now + 5}
+	assert.False(t, d.clearedSince("vm", now), "the next owner has no cordon yet")
+}
