--- a/node/jobhost/host_test.go
+++ b/node/jobhost/host_test.go
@@ -145,9 +145,6 @@
 
 // Jobs are accepted at any node, survive a stop of the owner, and end.
 func TestJobsSurviveAHandOver(t *testing.T) {
-	if testing.Short() {
-		t.Skip("takes seconds of real time")
-	}
 	s := newSite(t, 300*time.Millisecond)
 	ctx := context.Background()
 	hosts := map[string]*Host{}
