--- a/cmd/internal/demo/demo.go
+++ b/cmd/internal/demo/demo.go
@@ -13,6 +13,8 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"wigeonwinch/node/pause"
 )
 
 // Options tunes a demo.
@@ -89,7 +91,7 @@
 	started := time.Now()
 	for _, step := range steps {
 		due := time.Duration(step.at * float64(opts.For))
-		if !sleep(ctx, due-time.Since(started)) {
+		if !pause.For(ctx, due-time.Since(started)) {
 			return
 		}
 		fmt.Fprintf(opts.Progress, "%5.1fs %s\n", time.Since(started).Seconds(), step.name)
@@ -98,13 +100,3 @@
 		}
 	}
 }
-
-// sleep waits and returns false when the context has ended first.
-func sleep(ctx context.Context, d time.Duration) bool {
-	select {
-	case <-time.After(d):
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/cmd/internal/demo/load.go
+++ b/cmd/internal/demo/load.go
@@ -12,6 +12,7 @@
 	"github.com/pkg/errors"
 
 	"wigeonwinch/fleet/structs"
+	"wigeonwinch/node/pause"
 )
 
 // The shape of the load.
@@ -82,7 +83,7 @@
 
 // progress prints a line now and then.
 func (l *load) progress(ctx context.Context, out io.Writer) {
-	for sleep(ctx, progressEvery) {
+	for pause.For(ctx, progressEvery) {
 		sent, ended := l.tally.progress()
 		fmt.Fprintf(out, "%5.1fs %d requests sent, %d ended\n", time.Since(l.began).Seconds(), sent, ended)
 	}
@@ -129,7 +130,7 @@
 	meanRun := shortRun + time.Duration(longShare*float64(longRun))
 	perSecond := meanUse * float64(slots) / meanRun.Seconds()
 	credit := 0.0
-	for sleep(ctx, tick) {
+	for pause.For(ctx, tick) {
 		credit += perSecond * l.factor(pool) * tick.Seconds()
 		for credit >= 1 {
 			credit--
--- a/cmd/internal/demo/record.go
+++ b/cmd/internal/demo/record.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"wigeonwinch/fleet/structs"
+	"wigeonwinch/node/pause"
 	"wigeonwinch/node/timeline"
 )
 
@@ -90,7 +91,7 @@
 }
 
 func (s *sampler) run(ctx context.Context) {
-	for sleep(ctx, sampleEvery) {
+	for pause.For(ctx, sampleEvery) {
 		s.take()
 	}
 }
--- a/cmd/internal/demo/site.go
+++ b/cmd/internal/demo/site.go
@@ -19,6 +19,7 @@
 	"wigeonwinch/infra/standin"
 	"wigeonwinch/node/admin"
 	"wigeonwinch/node/entry"
+	"wigeonwinch/node/pause"
 	"wigeonwinch/node/settings"
 )
 
@@ -208,7 +209,7 @@
 			if ready, _ := n.node.Ready(); ready {
 				break
 			}
-			if !sleep(ctx, 50*time.Millisecond) {
+			if !pause.For(ctx, 50*time.Millisecond) {
 				_, reason := n.node.Ready()
 				return errors.Errorf("node %s is not ready after %s: %s", n.node.Name(), settleTime, reason)
 			}
@@ -231,7 +232,7 @@
 		if err == nil {
 			last = errors.Errorf("publish %s: %s %s", answer.Outcome, answer.Reason, answer.Detail)
 		}
-		sleep(ctx, 100*time.Millisecond)
+		pause.For(ctx, 100*time.Millisecond)
 	}
 	return errors.Wrap(last, "the manifest was not accepted in time")
 }
@@ -258,7 +259,7 @@
 			if view != nil && uint64(view.Generation) >= generation {
 				break
 			}
-			if !sleep(ctx, time.Millisecond) {
+			if !pause.For(ctx, time.Millisecond) {
 				return errors.Errorf("generation %d is not in force on node %s", generation, n.node.Name())
 			}
 		}
@@ -306,7 +307,7 @@
 		if ready, _ := fresh.node.Ready(); ready {
 			break
 		}
-		if !sleep(ctx, 50*time.Millisecond) {
+		if !pause.For(ctx, 50*time.Millisecond) {
 			return errors.New("the new node did not become ready")
 		}
 	}
--- a/node/control/config.go
+++ b/node/control/config.go
@@ -7,6 +7,7 @@
 	"wigeonwinch/fleet/planner"
 	"wigeonwinch/fleet/structs"
 	"wigeonwinch/infra"
+	"wigeonwinch/node/defaults"
 	"wigeonwinch/node/events"
 	"wigeonwinch/node/membership"
 	"wigeonwinch/node/peer"
@@ -136,34 +137,28 @@
 )
 
 func (i Intervals) withDefaults() Intervals {
-	setDuration(&i.Tick, DefaultTick)
-	setDuration(&i.ReadWait, DefaultReadWait)
-	setDuration(&i.ReadGrace, DefaultReadGrace)
-	setDuration(&i.AppendTimeout, DefaultAppendTimeout)
-	setDuration(&i.Exchange, DefaultExchange)
-	setDuration(&i.BehindPatience, DefaultBehindPatience)
-	setDuration(&i.CallTimeout, DefaultCallTimeout)
-	setDuration(&i.Fence, DefaultFence)
-	setDuration(&i.LeaseTTL, DefaultLeaseTTL)
-	setDuration(&i.Plan, DefaultPlan)
-	setDuration(&i.List, DefaultList)
-	setDuration(&i.Usage, DefaultUsage)
-	setDuration(&i.Probe, DefaultProbe)
-	setRate(&i.ListBytesPerSecond, DefaultListBytesPerSecond)
-	setRate(&i.UsageBytesPerSecond, DefaultUsageBytesPerSecond)
-	setDuration(&i.Zones, DefaultZones)
-	setDuration(&i.MinBackoff, DefaultMinBackoff)
-	setDuration(&i.MaxBackoff, DefaultMaxBackoff)
-	setDuration(&i.Snapshot, DefaultSnapshot)
+	defaults.Set(&i.Tick, DefaultTick)
+	defaults.Set(&i.ReadWait, DefaultReadWait)
+	defaults.Set(&i.ReadGrace, DefaultReadGrace)
+	defaults.Set(&i.AppendTimeout, DefaultAppendTimeout)
+	defaults.Set(&i.Exchange, DefaultExchange)
+	defaults.Set(&i.BehindPatience, DefaultBehindPatience)
+	defaults.Set(&i.CallTimeout, DefaultCallTimeout)
+	defaults.Set(&i.Fence, DefaultFence)
+	defaults.Set(&i.LeaseTTL, DefaultLeaseTTL)
+	defaults.Set(&i.Plan, DefaultPlan)
+	defaults.Set(&i.List, DefaultList)
+	defaults.Set(&i.Usage, DefaultUsage)
+	defaults.Set(&i.Probe, DefaultProbe)
+	defaults.Set(&i.ListBytesPerSecond, DefaultListBytesPerSecond)
+	defaults.Set(&i.UsageBytesPerSecond, DefaultUsageBytesPerSecond)
+	defaults.Set(&i.Zones, DefaultZones)
+	defaults.Set(&i.MinBackoff, DefaultMinBackoff)
+	defaults.Set(&i.MaxBackoff, DefaultMaxBackoff)
+	defaults.Set(&i.Snapshot, DefaultSnapshot)
 	return i
 }
 
-func setDuration(value *time.Duration, fallback time.Duration) {
-	if *value <= 0 {
-		*value = fallback
-	}
-}
-
 func (c Config) withDefaults() Config {
 	c.Intervals = c.Intervals.withDefaults()
 	if c.Scope == "" {
@@ -181,9 +176,3 @@
 func (c Config) self() structs.EntryMember {
 	return structs.EntryMember{Node: c.Node, Incarnation: c.Incarnation, PeerAddress: c.PeerAddress}
 }
-
-func setRate(rate *int, fallback int) {
-	if *rate <= 0 {
-		*rate = fallback
-	}
-}
--- a/node/control/follow.go
+++ b/node/control/follow.go
@@ -10,6 +10,7 @@
 	"wigeonwinch/fleet/structs"
 	"wigeonwinch/infra"
 	"wigeonwinch/node/events"
+	"wigeonwinch/node/pause"
 )
 
 // maxReadEntries bounds the records of one read.
@@ -95,7 +96,7 @@
 	f.max = max(1, f.max/2)
 	f.wait = 0
 	f.loop.post(ctx, func() { f.loop.readFailed(err) })
-	sleep(ctx, f.backoff.next())
+	pause.For(ctx, f.backoff.next())
 }
 
 // batchRead folds what the log returned.
@@ -179,12 +180,3 @@
 	b.pause = min(b.max, max(b.min, 2*b.pause))
 	return b.pause/2 + time.Duration(b.random.Int64N(int64(b.pause/2)+1))
 }
-
-func sleep(ctx context.Context, pause time.Duration) {
-	timer := time.NewTimer(pause)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
--- a/node/entry/stop.go
+++ b/node/entry/stop.go
@@ -7,6 +7,7 @@
 	"github.com/pkg/errors"
 
 	"wigeonwinch/node/events"
+	"wigeonwinch/node/pause"
 )
 
 const (
@@ -29,7 +30,7 @@
 	defer cancel()
 	n.recorder.Record(events.NodeStopping, events.Fields{})
 	n.stopping.Store(true)
-	pause(ctx, time.Duration(limits.NoticeSeconds)*time.Second)
+	pause.For(ctx, time.Duration(limits.NoticeSeconds)*time.Second)
 	err := n.ports.shutdownCallers(ctx)
 	if stopErr := n.forward.Stop(ctx); err == nil {
 		err = stopErr
@@ -49,11 +50,11 @@
 	ctx, cancel := context.WithTimeout(context.Background(), leaveTime)
 	defer cancel()
 	for n.isMember() {
-		if !pause(ctx, stopCheck) {
+		if !pause.For(ctx, stopCheck) {
 			return
 		}
 	}
-	pause(ctx, handoverTime)
+	pause.For(ctx, handoverTime)
 }
 
 func (n *Node) isMember() bool {
@@ -68,13 +69,3 @@
 	}
 	return false
 }
-
-// pause waits and returns false when the context ended first.
-func pause(ctx context.Context, d time.Duration) bool {
-	select {
-	case <-time.After(d):
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/node/forward/claimed.go
+++ b/node/forward/claimed.go
@@ -8,6 +8,7 @@
 
 	"wigeonwinch/dispatch"
 	"wigeonwinch/dispatch/claims"
+	"wigeonwinch/node/pause"
 )
 
 // claim is a request's claim at its home.
@@ -173,7 +174,7 @@
 // earlier copy is not known to its holder, so that the id may be free.
 func (s *Server) awaitFirst(ctx context.Context, r *request, first holder) (e *ending, again bool) {
 	failures := 0
-	for pause := minClaimPause; ; pause = min(2*pause, maxClaimPause) {
+	for delay := minClaimPause; ; delay = min(2*delay, maxClaimPause) {
 		look, found, err := s.lookAt(ctx, r.claim.key, first)
 		switch {
 		case err != nil:
@@ -186,7 +187,7 @@
 				return e, false
 			}
 		}
-		if failures >= maxLookFailures || !sleep(ctx, pause) {
+		if failures >= maxLookFailures || !pause.For(ctx, delay) {
 			e := duplicateUnknown()
 			e.detail = "an earlier copy of this request may be in progress; send again later with the same id"
 			return &e, false
@@ -222,15 +223,3 @@
 	}
 	return a
 }
-
-// sleep waits; it reports false when ctx ended first.
-func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/node/forward/execute.go
+++ b/node/forward/execute.go
@@ -10,6 +10,7 @@
 	"wigeonwinch/dispatch"
 	"wigeonwinch/dispatch/retry"
 	"wigeonwinch/dispatch/scheduler"
+	"wigeonwinch/node/pause"
 )
 
 // execute runs a request in this zone, or passes it on to another. While it
@@ -48,7 +49,7 @@
 	}
 	e, again := s.attempt(wait, run, p, r)
 	for n := 1; again && n < s.cfg.Limits.Attempts && p.mayRetry(); n++ {
-		if !sleep(wait, retry.Delay(n, rand.Uint64())) {
+		if !pause.For(wait, retry.Delay(n, rand.Uint64())) {
 			return e
 		}
 		s.counts.retried.Add(1)
--- a/node/forward/limits.go
+++ b/node/forward/limits.go
@@ -1,6 +1,10 @@
 package forward
 
-import "time"
+import (
+	"time"
+
+	"wigeonwinch/node/defaults"
+)
 
 // Limits bounds what callers, peers and workers may use. Zero fields get the
 // values of Defaults.
@@ -120,46 +124,40 @@
 }
 
 func (l *Limits) sizesFrom(d Limits) {
-	orDefault(&l.HeaderBytes, d.HeaderBytes)
-	orDefault(&l.BodyBytes, d.BodyBytes)
-	orDefault(&l.BodyBytesTotal, d.BodyBytesTotal)
-	orDefault(&l.AnswerBytes, d.AnswerBytes)
-	orDefault(&l.AnswerHeldBytes, d.AnswerHeldBytes)
-	orDefault(&l.AnswersHeldBytes, d.AnswersHeldBytes)
-	orDefault(&l.AnswerHeld, d.AnswerHeld)
-	orDefault(&l.RequestIDBytes, d.RequestIDBytes)
-	orDefault(&l.TeamBytes, d.TeamBytes)
-	orDefault(&l.InProgress, d.InProgress)
-	orDefault(&l.QueuePerPool, d.QueuePerPool)
-	orDefault(&l.Attempts, d.Attempts)
-	orDefault(&l.RelayAttempts, d.RelayAttempts)
+	defaults.Set(&l.HeaderBytes, d.HeaderBytes)
+	defaults.Set(&l.BodyBytes, d.BodyBytes)
+	defaults.Set(&l.BodyBytesTotal, d.BodyBytesTotal)
+	defaults.Set(&l.AnswerBytes, d.AnswerBytes)
+	defaults.Set(&l.AnswerHeldBytes, d.AnswerHeldBytes)
+	defaults.Set(&l.AnswersHeldBytes, d.AnswersHeldBytes)
+	defaults.Set(&l.AnswerHeld, d.AnswerHeld)
+	defaults.Set(&l.RequestIDBytes, d.RequestIDBytes)
+	defaults.Set(&l.TeamBytes, d.TeamBytes)
+	defaults.Set(&l.InProgress, d.InProgress)
+	defaults.Set(&l.QueuePerPool, d.QueuePerPool)
+	defaults.Set(&l.Attempts, d.Attempts)
+	defaults.Set(&l.RelayAttempts, d.RelayAttempts)
 }
 
 func (l *Limits) timesFrom(d Limits) {
-	orDefault(&l.HeaderTimeout, d.HeaderTimeout)
-	orDefault(&l.IdleTimeout, d.IdleTimeout)
-	orDefault(&l.ProgressTimeout, d.ProgressTimeout)
-	orDefault(&l.ConnectTimeout, d.ConnectTimeout)
-	orDefault(&l.KeepTimeout, d.KeepTimeout)
-	orDefault(&l.ProvedTimeout, d.ProvedTimeout)
-	orDefault(&l.SuspectTime, d.SuspectTime)
-	orDefault(&l.DefaultDeadline, d.DefaultDeadline)
-	orDefault(&l.OverrunTime, d.OverrunTime)
-	orDefault(&l.LeavingTime, d.LeavingTime)
-	orDefault(&l.CloseTime, d.CloseTime)
+	defaults.Set(&l.HeaderTimeout, d.HeaderTimeout)
+	defaults.Set(&l.IdleTimeout, d.IdleTimeout)
+	defaults.Set(&l.ProgressTimeout, d.ProgressTimeout)
+	defaults.Set(&l.ConnectTimeout, d.ConnectTimeout)
+	defaults.Set(&l.KeepTimeout, d.KeepTimeout)
+	defaults.Set(&l.ProvedTimeout, d.ProvedTimeout)
+	defaults.Set(&l.SuspectTime, d.SuspectTime)
+	defaults.Set(&l.DefaultDeadline, d.DefaultDeadline)
+	defaults.Set(&l.OverrunTime, d.OverrunTime)
+	defaults.Set(&l.LeavingTime, d.LeavingTime)
+	defaults.Set(&l.CloseTime, d.CloseTime)
 }
 
 func (l *Limits) claimsFrom(d Limits) {
-	orDefault(&l.ClaimHorizon, d.ClaimHorizon)
-	orDefault(&l.ClaimSkew, d.ClaimSkew)
-	orDefault(&l.ClaimFence, d.ClaimFence)
-	orDefault(&l.ClaimTimeout, d.ClaimTimeout)
-	orDefault(&l.Claims, d.Claims)
-	orDefault(&l.Works, d.Works)
-}
-
-func orDefault[T int | int64 | time.Duration](value *T, fallback T) {
-	if *value <= 0 {
-		*value = fallback
-	}
+	defaults.Set(&l.ClaimHorizon, d.ClaimHorizon)
+	defaults.Set(&l.ClaimSkew, d.ClaimSkew)
+	defaults.Set(&l.ClaimFence, d.ClaimFence)
+	defaults.Set(&l.ClaimTimeout, d.ClaimTimeout)
+	defaults.Set(&l.Claims, d.Claims)
+	defaults.Set(&l.Works, d.Works)
 }
--- a/node/forward/peers.go
+++ b/node/forward/peers.go
@@ -8,6 +8,7 @@
 
 	"wigeonwinch/dispatch/claims"
 	"wigeonwinch/node/events"
+	"wigeonwinch/node/pause"
 )
 
 // handlePeers takes the messages of other entry nodes.
@@ -81,7 +82,7 @@
 	ctx, cancel := context.WithTimeout(ctx, s.cfg.Limits.ClaimTimeout)
 	defer cancel()
 	reached = true
-	for pause := minClaimPause; ; pause = min(2*pause, maxClaimPause) {
+	for delay := minClaimPause; ; delay = min(2*delay, maxClaimPause) {
 		var err error
 		sent := s.cfg.Clock()
 		reply, err = s.claimOnce(ctx, r)
@@ -89,7 +90,7 @@
 			reached = false
 			reply = claims.ClaimReply{Verdict: claims.NotHome}
 		}
-		if !tryAgain(reply.Verdict) || !sleep(ctx, pause) {
+		if !tryAgain(reply.Verdict) || !pause.For(ctx, delay) {
 			return reply, reached
 		}
 	}
--- a/node/forward/server.go
+++ b/node/forward/server.go
@@ -14,6 +14,7 @@
 	"wigeonwinch/dispatch/slots"
 	"wigeonwinch/fleet/structs"
 	"wigeonwinch/node/events"
+	"wigeonwinch/node/pause"
 )
 
 // RelayPath is where RelayHandler is mounted on the peer port.
@@ -163,7 +164,7 @@
 			return nil
 		case <-ticker.C:
 		case <-s.changed:
-			sleep(ctx, lendingInterval)
+			pause.For(ctx, lendingInterval)
 		}
 	}
 }
--- a/node/forward/simfleet_test.go
+++ b/node/forward/simfleet_test.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"wigeonwinch/fleet/structs"
+	"wigeonwinch/node/pause"
 )
 
 // simNode is one run of an entry node.
@@ -176,7 +177,7 @@
 // stall waits while a node is paused.
 func (f *simFleet) stall(ctx context.Context, node string) {
 	if left := time.Until(f.pausedUntil(node)); left > 0 {
-		sleep(ctx, left)
+		pause.For(ctx, left)
 	}
 }
 
--- a/node/jobhost/fleet.go
+++ b/node/jobhost/fleet.go
@@ -13,6 +13,7 @@
 	"wigeonwinch/jobs/shard"
 	"wigeonwinch/node/deps"
 	"wigeonwinch/node/events"
+	"wigeonwinch/node/pause"
 )
 
 // fleetPartition is owned by the one node that moves and maintains VMs.
@@ -108,7 +109,7 @@
 // runFleet plans again and again while this node holds the duty.
 func (h *Host) runFleet(ctx context.Context) {
 	for ctx.Err() == nil {
-		sleep(ctx, fleetTick)
+		pause.For(ctx, fleetTick)
 		var d *fleetDuty
 		var waves []*deps.Wave
 		seen := map[int]int64{}
--- a/node/jobhost/members.go
+++ b/node/jobhost/members.go
@@ -10,6 +10,7 @@
 	"wigeonwinch/jobs/shard"
 	"wigeonwinch/node/deps"
 	"wigeonwinch/node/events"
+	"wigeonwinch/node/pause"
 	"wigeonwinch/node/peer"
 )
 
@@ -247,7 +248,7 @@
 	for ctx.Err() == nil {
 		if f.active != nil && !f.active() {
 			next = -1
-			sleep(ctx, f.pause)
+			pause.For(ctx, f.pause)
 			continue
 		}
 		records, after, whole, err := f.read(ctx, next)
@@ -260,7 +261,7 @@
 				next = -1
 				continue
 			}
-			sleep(ctx, readRetry)
+			pause.For(ctx, readRetry)
 			continue
 		}
 		next = after
@@ -271,7 +272,7 @@
 			ok()
 		}
 		if f.wait == 0 || len(records) > 0 {
-			sleep(ctx, f.pauseNow())
+			pause.For(ctx, f.pauseNow())
 		}
 	}
 }
@@ -298,13 +299,6 @@
 // minReadMargin is the least time that a read of the store gets.
 const minReadMargin = 500 * time.Millisecond
 
-func sleep(ctx context.Context, d time.Duration) {
-	select {
-	case <-time.After(d):
-	case <-ctx.Done():
-	}
-}
-
 func kindOf(err error) deps.ErrorKind {
 	if e, ok := err.(*deps.Error); ok {
 		return e.Kind
--- a/node/jobhost/requests.go
+++ b/node/jobhost/requests.go
@@ -9,6 +9,7 @@
 	"wigeonwinch/jobs/spec"
 	"wigeonwinch/node/deps"
 	"wigeonwinch/node/events"
+	"wigeonwinch/node/pause"
 	"wigeonwinch/node/peer"
 )
 
@@ -92,7 +93,7 @@
 		if ctx.Err() != nil || time.Now().After(giveUp) {
 			return Result{Outcome: Unavailable, RetryAfterMS: unavailableRetryMS, Reason: reason}
 		}
-		sleep(ctx, ownerRetry)
+		pause.For(ctx, ownerRetry)
 	}
 }
 
--- a/node/jobhost/shardrun.go
+++ b/node/jobhost/shardrun.go
@@ -8,6 +8,7 @@
 	"wigeonwinch/jobs/shard"
 	"wigeonwinch/node/deps"
 	"wigeonwinch/node/events"
+	"wigeonwinch/node/pause"
 )
 
 // carryOut starts the calls that a shard's orders ask for.
@@ -79,7 +80,7 @@
 		switch kindOf(err) {
 		case deps.KindRefused, deps.KindUnknown:
 			h.post(func() { h.appendFailing(s, err) })
-			sleep(s.ctx, appendRetry)
+			pause.For(s.ctx, appendRetry)
 		default:
 			h.post(func() { h.drop(s, err.Error()) })
 			return
--- a/node/peer/config.go
+++ b/node/peer/config.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"wigeonwinch/fleet/structs"
+	"wigeonwinch/node/defaults"
 	"wigeonwinch/node/events"
 	"wigeonwinch/node/timeline"
 )
@@ -97,34 +98,22 @@
 )
 
 func (l Limits) withDefaults() Limits {
-	setDuration(&l.PingInterval, DefaultPingInterval)
-	setDuration(&l.PingTimeout, DefaultPingTimeout)
-	setDuration(&l.SilenceBound, DefaultSilenceBound)
-	setDuration(&l.HandshakeTimeout, DefaultHandshakeTimeout)
-	setDuration(&l.WriteTimeout, DefaultWriteTimeout)
-	setDuration(&l.HandlerTimeout, DefaultHandlerTimeout)
-	setDuration(&l.IdleTimeout, DefaultIdleTimeout)
-	setDuration(&l.MinBackoff, DefaultMinBackoff)
-	setDuration(&l.MaxBackoff, DefaultMaxBackoff)
-	setCount(&l.MaxCalls, DefaultMaxCalls)
-	setCount(&l.MaxCasts, DefaultMaxCasts)
-	setCount(&l.MaxHandlers, DefaultMaxHandlers)
-	setCount(&l.MaxHandshakes, DefaultMaxHandshakes)
+	defaults.Set(&l.PingInterval, DefaultPingInterval)
+	defaults.Set(&l.PingTimeout, DefaultPingTimeout)
+	defaults.Set(&l.SilenceBound, DefaultSilenceBound)
+	defaults.Set(&l.HandshakeTimeout, DefaultHandshakeTimeout)
+	defaults.Set(&l.WriteTimeout, DefaultWriteTimeout)
+	defaults.Set(&l.HandlerTimeout, DefaultHandlerTimeout)
+	defaults.Set(&l.IdleTimeout, DefaultIdleTimeout)
+	defaults.Set(&l.MinBackoff, DefaultMinBackoff)
+	defaults.Set(&l.MaxBackoff, DefaultMaxBackoff)
+	defaults.Set(&l.MaxCalls, DefaultMaxCalls)
+	defaults.Set(&l.MaxCasts, DefaultMaxCasts)
+	defaults.Set(&l.MaxHandlers, DefaultMaxHandlers)
+	defaults.Set(&l.MaxHandshakes, DefaultMaxHandshakes)
 	return l
 }
 
-func setDuration(value *time.Duration, fallback time.Duration) {
-	if *value <= 0 {
-		*value = fallback
-	}
-}
-
-func setCount(value *int, fallback int) {
-	if *value <= 0 {
-		*value = fallback
-	}
-}
-
 func (c Config) withDefaults() Config {
 	c.Limits = c.Limits.withDefaults()
 	if c.Events == nil {
