Read the change again: one mechanism where two did the same

Also: callers who waited for the store at a shard that changed hands were held to their time-out; they are told at once to ask again. A kind of VM that was parked at the moment made its jobs hopeless, with a Retry-After that was not true; the kinds that were seen are remembered.

--- a/fleet/turns/turns.go
+++ b/fleet/turns/turns.go
@@ -41,8 +41,6 @@
 	Going string
 	// UsedMilliCPU is what runs on it.
 	UsedMilliCPU int64
-	// Cleared says that it certainly runs nothing.
-	Cleared bool
 }
 
 // Move sends one VM to a pool.
--- a/fleet/turns/turns_test.go
+++ b/fleet/turns/turns_test.go
@@ -13,7 +13,7 @@
 	var vms []VM
 	for _, pool := range []string{"a", "b", "spare"} {
 		for i := range pools[pool] {
-			vms = append(vms, VM{ID: fmt.Sprintf("%s-%02d", pool, i), Pool: pool, MilliCPU: size, Serving: pool != "spare", Movable: true, Cleared: true})
+			vms = append(vms, VM{ID: fmt.Sprintf("%s-%02d", pool, i), Pool: pool, MilliCPU: size, Serving: pool != "spare", Movable: true})
 		}
 	}
 	return vms
--- a/jobs/shard/core.go
+++ b/jobs/shard/core.go
@@ -12,7 +12,9 @@
 package shard
 
 import (
-	"sort"
+	"cmp"
+	"maps"
+	"slices"
 
 	"wigeonwinch/jobs/spec"
 )
@@ -107,8 +109,11 @@
 	// scheduled are the open jobs that run at given times.
 	scheduled map[string]*job
 	workers   map[string]*worker
-	pools     map[string]*pool
-	arrived   map[string]int64
+	// kinds are the sorts of workers that were seen, for the question whether
+	// a task can ever be held.
+	kinds   map[string]Worker
+	pools   map[string]*pool
+	arrived map[string]int64
 	// startsUntil is when the right to start tasks lapses, leasesUntil the
 	// right to extend leases.
 	startsUntil, leasesUntil int64
@@ -132,7 +137,7 @@
 	return &Core{
 		cfg: cfg, now: now, wallMS: wallMS, earlierUntil: now + cfg.EarlierLeaseMS,
 		queues: map[string]Queue{}, jobs: map[string]*job{}, scheduled: map[string]*job{}, workers: map[string]*worker{},
-		pools: map[string]*pool{}, arrived: map[string]int64{},
+		kinds: map[string]Worker{}, pools: map[string]*pool{}, arrived: map[string]int64{},
 	}
 }
 
@@ -239,8 +244,7 @@
 		}
 		b.Records = append(b.Records, rec)
 		state := j.state
-		j2 := j
-		b.follow = append(b.follow, func() { c.show(j2, state) })
+		b.follow = append(b.follow, func() { c.show(j, state) })
 	}
 	c.dirty = append([]*job(nil), c.dirty[len(jobs):]...)
 	for _, id := range c.drops {
@@ -250,6 +254,20 @@
 	return b, true
 }
 
+// Abandon answers the callers who wait for the store, because this owner will
+// not learn whether the store has what they asked for.
+func (c *Core) Abandon() []Reply {
+	var replies []Reply
+	for _, id := range sortedKeys(c.jobs) {
+		j := c.jobs[id]
+		for _, t := range append(j.waiters, j.cancelers...) {
+			replies = append(replies, Reply{Ticket: t, Outcome: Unavailable, Reason: "owner_changed"})
+		}
+		j.waiters, j.cancelers = nil, nil
+	}
+	return replies
+}
+
 // Committed carries out what waited for the batch's records.
 func (c *Core) Committed(now int64, b Batch) {
 	c.now = now
@@ -290,20 +308,14 @@
 	}
 }
 
-func sortedOccurrences(j *job) []int {
-	numbers := make([]int, 0, len(j.occurrences))
-	for n := range j.occurrences {
-		numbers = append(numbers, n)
-	}
-	sort.Ints(numbers)
-	return numbers
-}
+// sortedKeys gives maps a fixed order, so that the same events always lead to
+// the same decisions.
+func sortedKeys[K cmp.Ordered, V any](m map[K]V) []K { return slices.Sorted(maps.Keys(m)) }
 
 func (c *Core) sortedWorkers() []*worker {
 	list := make([]*worker, 0, len(c.workers))
-	for _, w := range c.workers {
-		list = append(list, w)
+	for _, id := range sortedKeys(c.workers) {
+		list = append(list, c.workers[id])
 	}
-	sort.Slice(list, func(i, j int) bool { return list[i].info.ID < list[j].info.ID })
 	return list
 }
--- a/jobs/shard/orders.go
+++ b/jobs/shard/orders.go
@@ -69,7 +69,7 @@
 	// Refused means that the job never runs unless it is submitted again.
 	Refused Outcome = "refused"
 	Unknown Outcome = "unknown"
-	// Unavailable means that nothing is known to have been done.
+	// Unavailable means that it is not known whether it was done.
 	Unavailable Outcome = "unavailable"
 )
 
--- a/jobs/shard/record.go
+++ b/jobs/shard/record.go
@@ -69,7 +69,7 @@
 	if j.state.Final() {
 		r.Job = spec.Job{ID: j.spec.ID, Queue: j.spec.Queue}
 	}
-	for _, number := range sortedOccurrences(j) {
+	for _, number := range sortedKeys(j.occurrences) {
 		r.Open = append(r.Open, recordOccurrence(j.occurrences[number]))
 	}
 	value, err := encMode.Marshal(r)
--- a/jobs/shard/report.go
+++ b/jobs/shard/report.go
@@ -2,27 +2,22 @@
 
 // WorkerStat is what a shard knows of one of its workers.
 type WorkerStat struct {
-	ID string
+	ID string `cbor:"1,keyasint"`
 	// Empty says that it is cordoned and certainly runs nothing.
-	Empty         bool
-	UsedMilliCPU  int
-	Lasting, Runs int
-	// Open says that it answers and is not draining.
-	Open, Cordoned bool
+	Empty        bool `cbor:"2,keyasint,omitempty"`
+	UsedMilliCPU int  `cbor:"3,keyasint,omitempty"`
+	// Lasting counts the lasting tasks on it.
+	Lasting int `cbor:"4,keyasint,omitempty"`
+	// Open says that work can be placed on it.
+	Open bool `cbor:"5,keyasint,omitempty"`
 }
 
 // WorkerStats returns all workers of the shard, by id.
 func (c *Core) WorkerStats() []WorkerStat {
 	var list []WorkerStat
 	for _, w := range c.sortedWorkers() {
-		s := WorkerStat{ID: w.info.ID, Empty: c.Empty(w.info.ID), UsedMilliCPU: w.used.MilliCPU, Runs: len(w.runs),
-			Open: w.listed && w.reached && !w.info.Draining && w.failedPolls == 0, Cordoned: w.cordoned}
-		for _, r := range w.runs {
-			if r.step().Lasting {
-				s.Lasting++
-			}
-		}
-		list = append(list, s)
+		list = append(list, WorkerStat{ID: w.info.ID, Empty: c.Empty(w.info.ID), UsedMilliCPU: w.used.MilliCPU,
+			Lasting: w.lasting, Open: w.usable() && w.failedPolls == 0})
 	}
 	return list
 }
@@ -50,14 +45,14 @@
 // PoolStats returns the pools' loads, by service.
 func (c *Core) PoolStats() []PoolStats {
 	var list []PoolStats
-	for _, name := range c.sortedPools() {
+	for _, name := range sortedKeys(c.pools) {
 		p := c.pools[name]
 		l := c.load(p)
 		s := PoolStats{Service: name, WaitingWork: l.WaitingWork, CapacityMilliCPU: l.CapacityMilliCPU,
 			UsedMilliCPU: l.CapacityMilliCPU - l.FreeMilliCPU, ArrivedWork: p.arrivedWork}
 		c.lastingNeeds(name, &s)
 		for _, w := range c.workers {
-			if w.info.Service != name || !w.usable(c.now) {
+			if w.info.Service != name || !w.usable() {
 				continue
 			}
 			s.Workers++
--- a/jobs/shard/runs.go
+++ b/jobs/shard/runs.go
@@ -117,16 +117,15 @@
 		return
 	}
 	if r.step().Gang {
-		c.breakGang(r)
+		c.breakGang(r.job.stepOf(r.key), r.number)
 	}
 	c.enqueue(r.job)
 }
 
-// breakGang stops the other members of a gang that has lost one.
-func (c *Core) breakGang(lost *run) {
-	st := &lost.job.occurrences[lost.key.Occurrence].steps[lost.key.Step]
-	for i := range st.tasks {
-		if r := st.tasks[i].current; r != nil && r.number == lost.number {
+// breakGang stops what is left of a gang's run that has lost a member.
+func (c *Core) breakGang(so *step, number int) {
+	for i := range so.tasks {
+		if r := so.tasks[i].current; r != nil && r.number == number {
 			c.stop(r, "gang_broken")
 		}
 	}
@@ -198,7 +197,7 @@
 		c.failed(w, j, tk, e)
 	default:
 		if st.Gang && tk.current == nil {
-			c.gangLost(j, e)
+			c.breakGang(j.stepOf(e.Key), e.Number)
 		}
 		c.enqueue(j)
 	}
@@ -261,13 +260,13 @@
 	}
 	fails := 0
 	if st.Gang {
-		so := &j.occurrences[e.Key.Occurrence].steps[e.Key.Step]
+		so := j.stepOf(e.Key)
 		if so.gangRun == e.Number {
 			so.fails++
 			so.gangRun = 0
 		}
 		fails = so.fails
-		c.gangLost(j, e)
+		c.breakGang(so, e.Number)
 	} else {
 		tk.fails++
 		fails = tk.fails
@@ -279,15 +278,6 @@
 	c.enqueue(j)
 }
 
-func (c *Core) gangLost(j *job, e ListedEnd) {
-	so := &j.occurrences[e.Key.Occurrence].steps[e.Key.Step]
-	for i := range so.tasks {
-		if r := so.tasks[i].current; r != nil && r.number == e.Number {
-			c.stop(r, "gang_broken")
-		}
-	}
-}
-
 // A worker that fails this many runs in a row gets no starts for a while;
 // after that a single failure pauses it again.
 const (
@@ -295,6 +285,9 @@
 	sickPauseMS     = 3_000
 )
 
+// stepOf returns the step of a key that names one of the job's tasks.
+func (j *job) stepOf(k Key) *step { return &j.occurrences[k.Occurrence].steps[k.Step] }
+
 // task returns the task a key names, or nil.
 func (j *job) task(k Key) *task {
 	o := j.occurrences[k.Occurrence]
--- a/jobs/shard/schedule.go
+++ b/jobs/shard/schedule.go
@@ -39,20 +39,11 @@
 	if c.now >= c.startsUntil || c.deposed || c.storeDown {
 		return
 	}
-	for _, name := range c.sortedPools() {
+	for _, name := range sortedKeys(c.pools) {
 		c.schedulePool(c.pools[name])
 	}
 }
 
-func (c *Core) sortedPools() []string {
-	names := make([]string, 0, len(c.pools))
-	for name := range c.pools {
-		names = append(names, name)
-	}
-	sort.Strings(names)
-	return names
-}
-
 func (c *Core) schedulePool(p *pool) {
 	workers := c.openWorkers(p.service)
 	if len(workers) == 0 {
@@ -148,7 +139,7 @@
 // found no room.
 func (c *Core) placeJob(j *job, workers []*worker) int {
 	missed := 0
-	for _, number := range sortedOccurrences(j) {
+	for _, number := range sortedKeys(j.occurrences) {
 		o := j.occurrences[number]
 		for s := range o.steps {
 			if o.steps[s].open == 0 || !o.ready(&j.spec, s) {
@@ -179,7 +170,7 @@
 			}
 			continue
 		}
-		c.placeOn(j, o, s, t, tk.run+1, w)
+		c.commitPlacement(c.reserve(j, o, s, t, tk.run+1, w))
 	}
 	return missed
 }
@@ -208,16 +199,11 @@
 	if !j.spec.Steps[s].OneRack {
 		return []string{""}
 	}
-	seen := map[string]bool{}
-	var racks []string
+	racks := map[string]bool{}
 	for _, w := range workers {
-		if !seen[w.info.Rack] {
-			seen[w.info.Rack] = true
-			racks = append(racks, w.info.Rack)
-		}
+		racks[w.info.Rack] = true
 	}
-	sort.Strings(racks)
-	return append(racks, "")
+	return append(sortedKeys(racks), "")
 }
 
 func (c *Core) tryGang(j *job, o *occurrence, s, number int, rack string, workers []*worker) bool {
@@ -246,7 +232,7 @@
 	var best *worker
 	var bestScore place.Score
 	for _, w := range workers {
-		if rack != "" && w.info.Rack != rack || !w.hasLabel(st.Label) {
+		if rack != "" && w.info.Rack != rack || !w.info.hasLabel(st.Label) {
 			continue
 		}
 		free := w.info.Capacity.Sub(w.used)
@@ -257,8 +243,8 @@
 			FreeMilliCPU: free.MilliCPU, NeedMilliCPU: room.MilliCPU,
 			NearData: st.DataRack == "" || st.DataRack == w.info.Rack,
 			Avoid:    tk.avoid == w.info.ID, Failing: w.failStreak > 0,
-			Lasting: st.Lasting, HasLasting: w.lasting() > 0, Filler: st.Filler,
-			Serving: w.serving(), Fillers: w.fillers(), MinTarget: st.TailTargetMS,
+			Lasting: st.Lasting, HasLasting: w.lasting > 0, Filler: st.Filler,
+			Serving: w.serving, Fillers: w.fillers, MinTarget: st.TailTargetMS,
 		})
 		if best == nil || score.Better(bestScore) {
 			best, bestScore = w, score
@@ -277,42 +263,6 @@
 	return n
 }
 
-// serving counts the tasks on the worker that serve users of their own.
-func (w *worker) serving() int {
-	n := 0
-	for _, r := range w.runs {
-		if r.step().TailTargetMS > 0 {
-			n++
-		}
-	}
-	return n
-}
-
-// lasting counts the lasting tasks on the worker.
-func (w *worker) lasting() int {
-	n := 0
-	for _, r := range w.runs {
-		if r.step().Lasting {
-			n++
-		}
-	}
-	return n
-}
-
-func (w *worker) fillers() int {
-	n := 0
-	for _, r := range w.runs {
-		if r.step().Filler {
-			n++
-		}
-	}
-	return n
-}
-
-func (c *Core) placeOn(j *job, o *occurrence, s, t, number int, w *worker) {
-	c.commitPlacement(c.reserve(j, o, s, t, number, w))
-}
-
 // reserve takes the room of a task on a worker.
 func (c *Core) reserve(j *job, o *occurrence, s, t, number int, w *worker) *run {
 	r := &run{
--- a/jobs/shard/shard_test.go
+++ b/jobs/shard/shard_test.go
@@ -314,3 +314,46 @@
 	assert.Equal(t, 50, nextShare(50, 90), "near the target nothing changes")
 	assert.Equal(t, 70, nextShare(50, 40))
 }
+
+func TestAnOwnerThatEndsAnswersItsCallers(t *testing.T) {
+	b := newBench(t, 1)
+	b.core.Submit(b.now, 7, jobOf(1, small(1)))
+	b.core.Submit(b.now, 8, jobOf(1, small(1)))
+	b.core.Cancel(b.now, 9, jobOf(1).ID)
+	replies := b.core.Abandon()
+	require.Len(t, replies, 3)
+	for _, r := range replies {
+		assert.Equal(t, Unavailable, r.Outcome)
+	}
+	assert.Empty(t, b.core.Abandon(), "each is answered once")
+}
+
+// A job that needs a kind of VM which is parked at the moment is not hopeless.
+func TestKindsOfParkedVMsAreRemembered(t *testing.T) {
+	b := newBench(t, 1)
+	large := workersOf(1)[0]
+	large.ID, large.Labels, large.Capacity = "large", []string{"gpu"}, spec.Resources{MilliCPU: 64_000, MemoryMB: 64_000}
+	b.core.SetWorkers(b.now, append(workersOf(1), large))
+	b.core.SetWorkers(b.now, workersOf(1))
+	b.step(1)
+	need := spec.Step{Count: 1, Need: spec.Resources{MilliCPU: 32_000}, Label: "gpu", Lasting: true}
+	assert.Equal(t, Accepted, b.submit(jobOf(1, need)).Replies[0].Outcome)
+	need.Label = "unheard_of"
+	o := b.submit(jobOf(2, need))
+	assert.Equal(t, Refused, o.Replies[0].Outcome)
+	assert.Equal(t, "no_worker_can_hold_it", o.Replies[0].Reason)
+}
+
+// What the worker counts by kind must follow its runs.
+func TestCountsFollowTheRuns(t *testing.T) {
+	b := newBench(t, 1)
+	o := b.submit(jobOf(1, lasting(1, 0)))
+	w := b.core.workers["w0"]
+	assert.Equal(t, 1, w.lasting)
+	b.take(o.Starts)
+	b.core.Cancel(b.now, 2, jobOf(1).ID)
+	b.core.Polled(b.now, b.now, o.Starts[0].Target, Lists{ClockMS: 300, Born: 1, Ended: []ListedEnd{{End: 1, RunRef: o.Starts[0].RunRef, Kind: EndStopped}}})
+	assert.Zero(t, w.lasting)
+	assert.Zero(t, w.placedWork)
+	assert.Equal(t, spec.Resources{}, w.used)
+}
--- a/jobs/shard/submit.go
+++ b/jobs/shard/submit.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"math"
-	"sort"
 
 	"wigeonwinch/jobs/admit"
 	"wigeonwinch/jobs/spec"
@@ -100,7 +99,7 @@
 			continue
 		}
 		l.WaitingWork -= w.placedWork
-		if w.usable(c.now) {
+		if w.usable() {
 			l.CapacityMilliCPU += int64(w.info.Capacity.MilliCPU)
 			l.FreeMilliCPU += int64(max(w.info.Capacity.MilliCPU-w.used.MilliCPU, 0))
 		}
@@ -169,20 +168,22 @@
 	return sum
 }
 
+// noteKind remembers a sort of worker. The workers of today may not show it:
+// VMs leave the pool between its turns and come back.
+func (c *Core) noteKind(w Worker) {
+	c.kinds[fmt.Sprintf("%s %q %+v", w.Service, w.Labels, w.Capacity)] = w
+}
+
 // impossible says why no worker that was ever seen could run one of the
-// job's tasks. Without any worker in view nothing is known.
+// job's tasks. Without any worker seen nothing is known.
 func (c *Core) impossible(j *job) (string, bool) {
 	for i := range j.spec.Steps {
 		st := &j.spec.Steps[i]
 		seen, fits := false, false
-		for _, w := range c.workers {
-			if w.info.Service != j.service {
-				continue
-			}
-			seen = true
-			if w.hasLabel(st.Label) && st.Room().Fits(w.info.Capacity) {
-				fits = true
-				break
+		for _, k := range c.kinds {
+			if k.Service == j.service {
+				seen = true
+				fits = fits || k.hasLabel(st.Label) && st.Room().Fits(k.Capacity)
 			}
 		}
 		if seen && !fits {
@@ -251,7 +252,7 @@
 
 // openOccurrences begins the occurrences that have become due.
 func (c *Core) openOccurrences() {
-	for _, id := range sortedIDs(c.scheduled) {
+	for _, id := range sortedKeys(c.scheduled) {
 		j := c.scheduled[id]
 		if j.state.Final() {
 			delete(c.scheduled, id)
@@ -266,15 +267,6 @@
 	}
 }
 
-func sortedIDs(jobs map[string]*job) []string {
-	ids := make([]string, 0, len(jobs))
-	for id := range jobs {
-		ids = append(ids, id)
-	}
-	sort.Strings(ids)
-	return ids
-}
-
 // countOpen adds a restored job's open work to its pool and queues it.
 func (c *Core) countOpen(j *job) {
 	c.pool(j.service).left += j.left
--- a/jobs/shard/worker.go
+++ b/jobs/shard/worker.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 
 	"wigeonwinch/jobs/spec"
 )
@@ -19,6 +20,8 @@
 	used    spec.Resources
 	// placedWork is the estimated work of the runs.
 	placedWork int64
+	// lasting, serving and fillers count the runs of each kind.
+	lasting, serving, fillers int
 	// strays are listed runs that are not ours; their room is not known.
 	strays map[RunRef]int64
 	// clock is the worker's clock at the steady time clockAt.
@@ -60,7 +63,7 @@
 func (w *worker) add(r *run) {
 	w.runs[runID{r.key, r.number}] = r
 	w.used = w.used.Add(r.room)
-	w.placedWork += r.step().Work()
+	w.tally(r.step(), 1)
 }
 
 func (w *worker) remove(r *run) {
@@ -69,29 +72,39 @@
 	}
 	delete(w.runs, runID{r.key, r.number})
 	w.used = w.used.Sub(r.room)
-	w.placedWork -= r.step().Work()
+	w.tally(r.step(), -1)
 }
 
-func (w *worker) hasLabel(label string) bool {
-	if label == "" {
-		return true
+// tally counts a run of a step in (1) or out (-1).
+func (w *worker) tally(st *spec.Step, n int) {
+	w.placedWork += int64(n) * st.Work()
+	if st.Lasting {
+		w.lasting += n
 	}
-	for _, l := range w.info.Labels {
-		if l == label {
-			return true
-		}
+	if st.TailTargetMS > 0 {
+		w.serving += n
+	}
+	if st.Filler {
+		w.fillers += n
 	}
-	return false
 }
 
-// usable says whether the worker counts as room of its pool.
-func (w *worker) usable(now int64) bool {
-	return w.listed && w.reached && !w.info.Draining && !w.cordoned && w.failedPolls < 2
+// hasLabel says whether the worker may run tasks that need a label; the empty
+// label is none.
+func (w *Worker) hasLabel(label string) bool {
+	return label == "" || slices.Contains(w.Labels, label)
 }
 
+// staying says whether the worker is there and not about to leave.
+func (w *worker) staying() bool { return w.listed && w.reached && !w.info.Draining }
+
+// usable says whether the worker counts as room of its pool. One poll may get
+// lost.
+func (w *worker) usable() bool { return w.staying() && !w.cordoned && w.failedPolls < 2 }
+
 // open says whether starts may be sent to the worker now.
 func (w *worker) open(now int64) bool {
-	return w.usable(now) && w.failedPolls == 0 && now >= w.pausedUntil && len(w.strays) == 0
+	return w.usable() && w.failedPolls == 0 && now >= w.pausedUntil && len(w.strays) == 0
 }
 
 func (c *Core) target(w *worker) Target {
@@ -140,6 +153,7 @@
 		}
 		w.info = info
 		w.listed = true
+		c.noteKind(info)
 	}
 	for id, w := range c.workers {
 		if !present[id] && w.listed {
@@ -184,7 +198,7 @@
 			// A silent worker's lease must be able to lapse.
 			p.LeaseUntil = c.lease(w)
 		}
-		if w.reached && w.serving() > 0 && w.fillers() > 0 {
+		if w.reached && w.serving > 0 && w.fillers > 0 {
 			p.WaitMS = sharedPollWaitMS
 		}
 		if c.urgent(w) {
--- a/node/deps/deps.go
+++ b/node/deps/deps.go
@@ -173,8 +173,6 @@
 	Service string
 	// Spare VMs are off and cost nothing.
 	Spare bool
-	// ChecksRoom says that the pool's workers refuse what does not fit.
-	ChecksRoom bool
 }
 
 // Configuration is the operator's newest configuration in full.
--- a/node/jobhost/cordon.go
+++ b/node/jobhost/cordon.go
@@ -25,20 +25,13 @@
 
 // cordonAnswer is what a shard's owner knows of its workers and pools.
 type cordonAnswer struct {
-	Workers []workerReport `cbor:"1,keyasint,omitempty"`
-	Pools   []poolReport   `cbor:"2,keyasint,omitempty"`
+	Workers []shard.WorkerStat `cbor:"1,keyasint,omitempty"`
+	Pools   []shard.PoolStats  `cbor:"2,keyasint,omitempty"`
 }
 
 type workerReport struct {
-	ID           string `cbor:"1,keyasint"`
-	Empty        bool   `cbor:"2,keyasint,omitempty"`
-	UsedMilliCPU int    `cbor:"3,keyasint,omitempty"`
-	Lasting      int    `cbor:"4,keyasint,omitempty"`
-	Runs         int    `cbor:"5,keyasint,omitempty"`
-	// Open says that work can be placed on it, Cordoned that it must not.
-	Open     bool `cbor:"6,keyasint,omitempty"`
-	Cordoned bool `cbor:"7,keyasint,omitempty"`
-	at       int64
+	shard.WorkerStat
+	at int64
 }
 
 type poolReport struct {
@@ -103,13 +96,11 @@
 
 func (d *fleetDuty) takeReports(a cordonAnswer) {
 	now := steadyMS()
-	for _, r := range a.Workers {
-		r.at = now
-		d.reports[r.ID] = r
+	for _, w := range a.Workers {
+		d.reports[w.ID] = workerReport{w, now}
 	}
 	for _, p := range a.Pools {
-		p.at = now
-		d.pools[p.Service] = p
+		d.pools[p.Service] = poolReport{p, now}
 	}
 }
 
@@ -170,7 +161,7 @@
 		s.core.Cordon(now, m.Workers)
 		s.core.SetComing(m.Coming)
 		h.expecting.Store(len(m.Coming) > 0)
-		answer = reportOf(s.core)
+		answer = cordonAnswer{Workers: s.core.WorkerStats(), Pools: s.core.PoolStats()}
 	})
 	if err != nil {
 		return answer, err
@@ -178,17 +169,6 @@
 	return answer, failure
 }
 
-func reportOf(core *shard.Core) cordonAnswer {
-	var a cordonAnswer
-	for _, w := range core.WorkerStats() {
-		a.Workers = append(a.Workers, workerReport{ID: w.ID, Empty: w.Empty, UsedMilliCPU: w.UsedMilliCPU, Lasting: w.Lasting, Runs: w.Runs, Open: w.Open, Cordoned: w.Cordoned})
-	}
-	for _, p := range core.PoolStats() {
-		a.Pools = append(a.Pools, poolReport{PoolStats: p})
-	}
-	return a
-}
-
 // expireCordons lifts cordons that no fleet duty renews.
 func (h *Host) expireCordons(now int64) {
 	for _, s := range h.owned {
--- a/node/jobhost/fleet.go
+++ b/node/jobhost/fleet.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"slices"
 	"sort"
 	"strings"
@@ -177,22 +178,13 @@
 		return
 	}
 	d.loggedAt = now
-	for _, name := range sortedKeys(d.pools) {
+	for _, name := range slices.Sorted(maps.Keys(d.pools)) {
 		p := d.pools[name]
 		d.host.record(events.PoolLoad, events.Fields{Pool: name, AgeMS: now - p.at, Epoch: d.shard.epoch,
 			Detail: fmt.Sprintf("workers=%d capacity=%d used=%d lasting=%d waiting_work=%d arrived_work=%d", p.Workers, p.CapacityMilliCPU, p.UsedMilliCPU, p.LastingMilliCPU, p.WaitingWork, p.ArrivedWork)})
 	}
 }
 
-func sortedKeys[V any](m map[string]V) []string {
-	keys := make([]string, 0, len(m))
-	for k := range m {
-		keys = append(keys, k)
-	}
-	sort.Strings(keys)
-	return keys
-}
-
 // proofLife is how long after a fenced append acts may begin. Together with
 // actTimeout it is less than the gap that a new holder keeps.
 const proofLife = 1200 * time.Millisecond
@@ -202,17 +194,19 @@
 	if sinceMS(d.proven.Load()) < proofLife/2 {
 		return
 	}
+	rec, err := d.host.ownerRecord(d.shard.partition, d.shard.epoch)
+	if err != nil {
+		d.note("prove", "", "", err)
+		return
+	}
 	sentAt := steadyMS()
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
-	if d.remember(ctx, proofKey) {
+	if d.store(ctx, rec) {
 		d.proven.Store(sentAt)
 	}
 }
 
-// proofKey is the record that is rewritten to prove the duty.
-const proofKey = "proof"
-
 // clearedSince says whether a VM runs nothing as of a report that came after
 // the given time, from whoever owns its shard now. VMs in the spare pool run
 // nothing at all.
@@ -381,14 +375,17 @@
 	d.host.record(number, events.Fields{VM: vm, Detail: act + " " + detail, Err: err, Epoch: d.shard.epoch, AgeMS: sinceMS(d.listedAt).Milliseconds()})
 }
 
-// remember stores a key of the duty. It returns once the store has it, or
-// the duty is lost.
-func (d *fleetDuty) remember(ctx context.Context, key string) bool {
+// remember stores a key of the duty.
+func (d *fleetDuty) remember(ctx context.Context, key string) {
+	d.store(ctx, shard.Record{Key: key, Value: []byte{1}})
+}
+
+// store returns true once the store has the record, false when the duty is
+// lost or the context ends first.
+func (d *fleetDuty) store(ctx context.Context, rec shard.Record) bool {
 	stored := make(chan struct{})
 	d.host.post(func() {
-		d.shard.extra = append(d.shard.extra, extraRecords{
-			records: []shard.Record{{Key: key, Value: []byte{1}}}, done: func() { close(stored) },
-		})
+		d.shard.extra = append(d.shard.extra, extraRecord{rec, func() { close(stored) }})
 	})
 	select {
 	case <-stored:
--- a/node/jobhost/host_test.go
+++ b/node/jobhost/host_test.go
@@ -195,11 +195,11 @@
 	d := newFleetDuty(h, &ownedShard{})
 	now := steadyMS()
 	d.vms["vm"] = deps.VM{ID: "vm", Pool: "s", Worker: "w"}
-	d.reports["w"] = workerReport{ID: "w", Empty: true, at: now - 200}
+	d.reports["w"] = workerReport{shard.WorkerStat{ID: "w", Empty: true}, now - 200}
 	assert.True(t, d.cleared(d.vms["vm"], now), "good enough to plan on")
 	assert.False(t, d.clearedSince("vm", now), "too old to act on")
-	d.reports["w"] = workerReport{ID: "w", Empty: true, at: now + 5}
+	d.reports["w"] = workerReport{shard.WorkerStat{ID: "w", Empty: true}, now + 5}
 	assert.True(t, d.clearedSince("vm", now))
-	d.reports["w"] = workerReport{ID: "w", at: now + 5}
+	d.reports["w"] = workerReport{shard.WorkerStat{ID: "w"}, now + 5}
 	assert.False(t, d.clearedSince("vm", now), "the next owner has no cordon yet")
 }
--- a/node/jobhost/leave.go
+++ b/node/jobhost/leave.go
@@ -20,8 +20,7 @@
 		h.quietMS = max(sinceMS(h.fleet.lastAct.Load()).Milliseconds(), 1)
 	}
 	for _, s := range h.sortedOwned() {
-		s.cancel()
-		delete(h.owned, s.partition)
+		h.abandon(s)
 		h.record(events.ShardReleased, events.Fields{Detail: describe(s.partition), Epoch: s.epoch, Shard: s.partition.Index})
 	}
 	h.ownedView.Store(&[]ownership{})
--- a/node/jobhost/members.go
+++ b/node/jobhost/members.go
@@ -196,7 +196,6 @@
 	owners := map[deps.Partition]ownership{}
 	for _, n := range h.nodes {
 		for _, o := range n.record.Owned {
-			o.Node, o.Boot = n.record.Node, n.record.Boot
 			if o.Epoch > owners[o.partition()].Epoch && n.fresh(now) {
 				owners[o.partition()] = o
 			}
@@ -209,7 +208,7 @@
 	}
 	for p, s := range h.owned {
 		if s.core != nil && s.epoch >= owners[p].Epoch {
-			owners[p] = ownership{Topic: int(p.Topic), Index: p.Index, Epoch: s.epoch, Node: h.cfg.Node, Boot: h.boot}
+			owners[p] = h.ownership(p, s.epoch)
 		}
 	}
 	h.owners.Store(&owners)
--- a/node/jobhost/messages.go
+++ b/node/jobhost/messages.go
@@ -36,7 +36,7 @@
 
 // announce tells the other nodes of a takeover.
 func (h *Host) announce(p deps.Partition, epoch int64) {
-	body, err := encMode.Marshal(ownership{Topic: int(p.Topic), Index: p.Index, Epoch: epoch, Node: h.cfg.Node, Boot: h.boot})
+	body, err := encMode.Marshal(h.ownership(p, epoch))
 	if err != nil {
 		h.record(events.RecordUnwritable, events.Fields{Detail: "announcement", Err: err})
 		return
--- a/node/jobhost/moves.go
+++ b/node/jobhost/moves.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -73,7 +75,7 @@
 		m.going[mv.VM] = &goingVM{to: mv.To, since: now}
 	}
 	p := movePlan{emptying: map[string]bool{}}
-	for _, id := range sortedKeys(m.going) {
+	for _, id := range slices.Sorted(maps.Keys(m.going)) {
 		g := m.going[id]
 		if g.calledAt != 0 {
 			continue
@@ -169,7 +171,7 @@
 		pool.Spare, pool.Known = p.Spare, known && now-r.at < reportLife.Milliseconds()
 		v.Pools = append(v.Pools, pool)
 	}
-	for _, id := range sortedKeys(d.vms) {
+	for _, id := range slices.Sorted(maps.Keys(d.vms)) {
 		v.VMs = append(v.VMs, m.viewVM(d, now, d.vms[id], up))
 	}
 	return v
@@ -181,7 +183,7 @@
 	if g := m.going[vm.ID]; g != nil {
 		out.Going = g.to
 	}
-	out.Serving = vm.State == deps.VMUp && !up.Empty[vm.ID] && known && !r.Cordoned && r.Open
+	out.Serving = vm.State == deps.VMUp && !up.Empty[vm.ID] && known && r.Open
 	free := d.spare(vm.Pool) || known && r.Lasting == 0 && now-r.at < reportLife.Milliseconds()
 	out.Movable = vm.State == deps.VMUp && free && !up.Empty[vm.ID] && !maintaining(up, vm.ID)
 	return out
--- a/node/jobhost/owners.go
+++ b/node/jobhost/owners.go
@@ -35,7 +35,7 @@
 	// owner.
 	provenAt int64
 	// extra are records beside those of the core.
-	extra []extraRecords
+	extra []extraRecord
 	// cordonEpoch and cordonAt are of the last cordons.
 	cordonEpoch, cordonAt int64
 	// kept are the fleet's records.
@@ -256,13 +256,13 @@
 	t.epoch = max(t.epoch, earlier.Epoch+1)
 	t.earlier = earlier
 	t.stale = earlier.Node != "" && dead[earlier.Node] && boots[earlier.Node] == earlier.Boot
-	value, err := encMode.Marshal(ownership{Topic: int(p.Topic), Index: p.Index, Epoch: t.epoch, Node: h.cfg.Node, Boot: h.boot})
+	rec, err := h.ownerRecord(p, t.epoch)
 	if err != nil {
 		return taken{}, err
 	}
 	end := page.End
 	err = h.cfg.Store.Append(ctx, deps.Append{Partition: p, At: &end, Fence: &deps.Fence{Epoch: t.epoch, Sequence: t.sequence},
-		Records: []shard.Record{{Key: ownerKey, Value: value}}})
+		Records: []shard.Record{rec}})
 	if err != nil && kindOf(err) == deps.KindUnknown {
 		return h.confirmTake(ctx, t, err)
 	}
@@ -332,10 +332,22 @@
 	h.listWorkers(s)
 }
 
-// extraRecords are stored between the core's batches.
-type extraRecords struct {
-	records []shard.Record
-	done    func()
+// extraRecord is stored between the core's batches.
+type extraRecord struct {
+	record shard.Record
+	done   func()
+}
+
+// ownership is this node's claim to a partition.
+func (h *Host) ownership(p deps.Partition, epoch int64) ownership {
+	return ownership{Topic: int(p.Topic), Index: p.Index, Epoch: epoch, Node: h.cfg.Node, Boot: h.boot}
+}
+
+// ownerRecord names this node as a partition's owner. Appending it anew proves
+// that no newer owner has fenced this one.
+func (h *Host) ownerRecord(p deps.Partition, epoch int64) (shard.Record, error) {
+	value, err := encMode.Marshal(h.ownership(p, epoch))
+	return shard.Record{Key: ownerKey, Value: value}, err
 }
 
 // right returns until when the shard's owner may decide, as of the last
@@ -353,19 +365,19 @@
 	if s.appending || len(s.extra) > 0 {
 		return
 	}
-	value, err := encMode.Marshal(ownership{Topic: int(s.partition.Topic), Index: s.partition.Index, Epoch: s.epoch, Node: h.cfg.Node, Boot: h.boot})
+	rec, err := h.ownerRecord(s.partition, s.epoch)
 	if err != nil {
 		h.drop(s, err.Error())
 		return
 	}
-	s.extra = append(s.extra, extraRecords{records: []shard.Record{{Key: ownerKey, Value: value}}, done: func() {}})
+	s.extra = append(s.extra, extraRecord{rec, func() {}})
 }
 
 // ownershipChanged republishes what this node owns.
 func (h *Host) ownershipChanged() {
 	view := make([]ownership, 0, len(h.owned))
 	for _, s := range h.sortedOwned() {
-		view = append(view, ownership{Topic: int(s.partition.Topic), Index: s.partition.Index, Epoch: s.epoch})
+		view = append(view, h.ownership(s.partition, s.epoch))
 	}
 	h.ownedView.Store(&view)
 	h.publishOwners(steadyMS())
@@ -377,8 +389,7 @@
 	if h.owned[s.partition] != s {
 		return
 	}
-	delete(h.owned, s.partition)
-	s.cancel()
+	h.abandon(s)
 	if h.fleet != nil && h.fleet.shard == s {
 		h.fleet = nil
 	}
@@ -387,4 +398,26 @@
 	h.ownershipChanged()
 }
 
-func (h *Host) ownsJobs() bool { return len(h.owned) > 0 }
+// abandon ends a shard's calls and tells its callers at once that they have
+// to ask the next owner.
+func (h *Host) abandon(s *ownedShard) {
+	delete(h.owned, s.partition)
+	s.cancel()
+	if s.core == nil {
+		return
+	}
+	for _, r := range s.core.Abandon() {
+		h.pending.deliver(r)
+	}
+}
+
+// ownsJobs says whether this node owns a shard with jobs, and so needs the
+// workers' entries.
+func (h *Host) ownsJobs() bool {
+	for _, s := range h.owned {
+		if s.core != nil {
+			return true
+		}
+	}
+	return false
+}
--- a/node/jobhost/shardrun.go
+++ b/node/jobhost/shardrun.go
@@ -45,7 +45,7 @@
 		s.extra = s.extra[1:]
 		s.appending = true
 		s.sequence++
-		go h.append(s, s.sequence, e.records, e.done)
+		go h.append(s, s.sequence, []shard.Record{e.record}, e.done)
 		return
 	}
 	if s.core == nil {
