Take latencies by the library's histograms, one logger for all processes

Found: hand-made buckets served as counters where OpenTelemetry has histograms; the JSON logger set up twice.

--- a/cmd/wigeonwinchd/main.go
+++ b/cmd/wigeonwinchd/main.go
@@ -10,7 +10,6 @@
 	"syscall"
 	"time"
 
-	"github.com/sirupsen/logrus"
 	"github.com/urfave/cli/v3"
 
 	"wigeonwinch/node/entry"
@@ -64,9 +63,7 @@
 	if err != nil {
 		return err
 	}
-	logger := logrus.New()
-	logger.SetFormatter(&logrus.JSONFormatter{TimestampFormat: time.RFC3339Nano})
-	logger.SetOutput(telemetry.NewAsyncWriter(os.Stdout))
+	logger := telemetry.NewLogger(telemetry.NewAsyncWriter(os.Stdout))
 	rings := telemetry.Rings{Fleet: timeline.NewRing(timelineEntries), Requests: timeline.NewRing(timelineEntries)}
 	recorder := telemetry.NewRecorder(telemetry.Identity{Node: file.Node, Zone: file.Zone}, logger, rings, timeline.NewClock(time.Now), metrics)
 	return platform.Serve(ctx, platform.Node{File: file, PeerKey: os.Getenv("WIGEONWINCH_PEER_KEY"), Events: recorder, Metrics: metrics, HangUp: hangUp})
--- a/node/entry/entry.go
+++ b/node/entry/entry.go
@@ -103,9 +103,7 @@
 }
 
 func newLogger(cfg Config) *logrus.Logger {
-	logger := logrus.New()
-	logger.SetFormatter(&logrus.JSONFormatter{TimestampFormat: time.RFC3339Nano})
-	logger.SetOutput(os.Stderr)
+	logger := telemetry.NewLogger(os.Stderr)
 	if cfg.LogOutput != nil {
 		logger.SetOutput(cfg.LogOutput)
 	}
--- a/node/jobhost/host_test.go
+++ b/node/jobhost/host_test.go
@@ -203,3 +203,36 @@
 	d.reports["w"] = workerReport{shard.WorkerStat{ID: "w"}, now + 5}
 	assert.False(t, d.clearedSince("vm", now), "the next owner has no cordon yet")
 }
+
+// silentStore never answers a read and notes how long it may take.
+type silentStore struct {
+	*depstest.Store
+	within chan time.Duration
+}
+
+func (s silentStore) Read(ctx context.Context, _ deps.Partition, from int64, _ time.Duration) ([]shard.Record, int64, error) {
+	deadline, _ := ctx.Deadline()
+	s.within <- time.Until(deadline)
+	return nil, from, &deps.Error{Kind: deps.KindUnknown, Call: "read"}
+}
+
+// A connection may go silent for good. The read of the configuration must be
+// given up early enough that the next one is in time for the two seconds in
+// which a configuration has to be in force.
+func TestASilentReadOfTheConfigurationIsGivenUpInTime(t *testing.T) {
+	s := newSite(t, time.Millisecond)
+	store := silentStore{s.store, make(chan time.Duration, 1)}
+	cfg := s.config("a", "127.0.0.1")
+	cfg.Store = store
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	h := New(cfg)
+	go h.followOperator(ctx)
+	go func() {
+		for f := range h.inbox {
+			f()
+		}
+	}()
+	const inForceWithin = 2 * time.Second
+	assert.Less(t, <-store.within+readRetry, inForceWithin-400*time.Millisecond)
+}
--- a/node/jobhost/shardrun.go
+++ b/node/jobhost/shardrun.go
@@ -94,7 +94,7 @@
 	h.stats.storeWrites.Add(1)
 	began := time.Now()
 	err := h.cfg.Store.Append(ctx, deps.Append{Partition: s.partition, Records: records, Fence: &deps.Fence{Epoch: s.epoch, Sequence: sequence}})
-	h.stats.appendTime.observe(time.Since(began))
+	h.stats.appendTime.Observe(time.Since(began))
 	return err
 }
 
--- a/node/jobhost/stats.go
+++ b/node/jobhost/stats.go
@@ -4,38 +4,19 @@
 	"sync"
 	"sync/atomic"
 	"time"
-)
-
-// latencyBoundsMS are the upper bounds of the latency histograms' buckets.
-var latencyBoundsMS = []int64{2, 5, 10, 20, 50, 100, 200, 500, 1000, 2000, 5000}
 
-// histogram counts durations in fixed buckets.
-type histogram struct {
-	buckets [12]atomic.Int64
-	sumMS   atomic.Int64
-}
-
-func (g *histogram) observe(d time.Duration) {
-	ms := d.Milliseconds()
-	g.sumMS.Add(ms)
-	for i, bound := range latencyBoundsMS {
-		if ms <= bound {
-			g.buckets[i].Add(1)
-			return
-		}
-	}
-	g.buckets[len(latencyBoundsMS)].Add(1)
-}
+	"wigeonwinch/node/telemetry"
+)
 
-// hostStats are the host's counters.
+// hostStats are the host's counters and histograms.
 type hostStats struct {
 	storeWrites, storeReads atomic.Int64
 	polls, starts           atomic.Int64
-	appendTime              histogram
+	// appendTime and requestTime are nil without metrics.
+	appendTime, requestTime *telemetry.Histogram
 
 	mu       sync.Mutex
 	requests map[requestLabel]int64
-	latency  map[Operation]*histogram
 }
 
 type requestLabel struct {
@@ -44,15 +25,23 @@
 }
 
 func (s *hostStats) count(op Operation, outcome Outcome, took time.Duration) {
+	s.requestTime.Observe(took, telemetry.Label("operation", opNames[op]))
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.requests == nil {
 		s.requests = map[requestLabel]int64{}
-		s.latency = map[Operation]*histogram{}
 	}
 	s.requests[requestLabel{op, outcome}]++
-	if s.latency[op] == nil {
-		s.latency[op] = &histogram{}
+}
+
+// Measure registers the host's metrics.
+func (h *Host) Measure(m *telemetry.Metrics) error {
+	var err error
+	if h.stats.appendTime, err = m.Histogram(telemetry.StoreLatency); err != nil {
+		return err
+	}
+	if h.stats.requestTime, err = m.Histogram(telemetry.JobLatency); err != nil {
+		return err
 	}
-	s.latency[op].observe(took)
+	return m.Observe(telemetry.JobInstruments(), h.readings)
 }
--- a/node/telemetry/jobinstruments.go
+++ b/node/telemetry/jobinstruments.go
@@ -3,9 +3,9 @@
 // The names of the metrics of the job part.
 const (
 	MetricJobRequests   = "wigeonwinch_job_requests"
-	MetricJobLatency    = "wigeonwinch_job_request_latency_bucket_ms"
+	MetricJobLatency    = "wigeonwinch_job_request_latency"
 	MetricStoreCalls    = "wigeonwinch_store_calls"
-	MetricAppendLatency = "wigeonwinch_store_append_latency_bucket_ms"
+	MetricAppendLatency = "wigeonwinch_store_append_latency"
 	MetricPolls         = "wigeonwinch_worker_polls"
 	MetricStarts        = "wigeonwinch_run_starts"
 	MetricShardsOwned   = "wigeonwinch_shards_owned"
@@ -17,9 +17,7 @@
 func JobInstruments() []Instrument {
 	return []Instrument{
 		{MetricJobRequests, "", "counter", "operation, outcome", "Callers' requests for jobs by what they were told.", "unknown is more than 1 % over 5 minutes"},
-		{MetricJobLatency, "", "counter", "operation, le", "Callers' requests by the time they took, in buckets of milliseconds.", ""},
 		{MetricStoreCalls, "", "counter", "kind", "Calls to the store: writes and reads.", "near the store's limits"},
-		{MetricAppendLatency, "", "counter", "le", "Appends of shards' records by the time they took, in buckets of milliseconds.", "more than 5 % above 100 ms"},
 		{MetricPolls, "", "counter", "", "Polls of workers.", ""},
 		{MetricStarts, "", "counter", "", "Starts ordered.", ""},
 		{MetricShardsOwned, "", "gauge", "", "Shards that this node owns.", "the sum over all nodes is not the number of pools and one for a minute"},
@@ -27,3 +25,10 @@
 		{MetricHeartbeatAge, "ms", "gauge", "", "Time since the store last took a heartbeat of this node.", "above 2,000: the node may start nothing"},
 	}
 }
+
+// JobLatency is how long callers' requests take, StoreLatency how long
+// appends of shards' records take.
+var (
+	JobLatency   = Instrument{MetricJobLatency, "ms", "histogram", "operation", "Time until callers' requests are answered.", ""}
+	StoreLatency = Instrument{MetricAppendLatency, "ms", "histogram", "", "Time until the store has taken a shard's records.", "more than 5 % above 100 ms"}
+)
--- a/node/telemetry/metrics.go
+++ b/node/telemetry/metrics.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"time"
 
 	"github.com/pkg/errors"
 	"github.com/prometheus/client_golang/prometheus"
@@ -81,6 +82,30 @@
 // Readings are the values of observed metrics by the name of the metric.
 type Readings map[string][]Reading
 
+// Histogram takes durations; a nil one takes nothing.
+type Histogram struct{ instrument metric.Float64Histogram }
+
+// Observe adds one duration, in milliseconds.
+func (h *Histogram) Observe(d time.Duration, labels ...attribute.KeyValue) {
+	if h != nil {
+		h.instrument.Record(context.Background(), float64(d.Microseconds())/1000, metric.WithAttributes(labels...))
+	}
+}
+
+// latencyBoundsMS are the upper bounds of the histograms' buckets: from an
+// answer within a zone to the longest time that a caller waits.
+var latencyBoundsMS = []float64{2, 5, 10, 20, 50, 100, 200, 500, 1000, 2000, 5000}
+
+// Histogram returns the histogram of an instrument; metrics may be nil.
+func (m *Metrics) Histogram(in Instrument) (*Histogram, error) {
+	if m == nil {
+		return nil, nil
+	}
+	h, err := m.meter.Float64Histogram(in.Name, metric.WithDescription(in.Meaning), metric.WithUnit(in.Unit),
+		metric.WithExplicitBucketBoundaries(latencyBoundsMS...))
+	return &Histogram{h}, errors.Wrapf(err, "register metric %s", in.Name)
+}
+
 // Observe registers metrics that are read together when they are scraped.
 // Their kinds are counter or gauge.
 func (m *Metrics) Observe(instruments []Instrument, read func() Readings) error {
--- a/node/telemetry/page.go
+++ b/node/telemetry/page.go
@@ -16,7 +16,7 @@
 	b.WriteString("\n## On the users' platform\n\n")
 	b.WriteString("Served on the second of the internal ports, at `/metrics`; `wigeonwinch_events` counts decisions by name.\n\n")
 	b.WriteString("| name | kind | unit | labels | meaning | tell an operator when |\n| --- | --- | --- | --- | --- | --- |\n")
-	writeRows(&b, JobInstruments())
+	writeRows(&b, append(JobInstruments(), JobLatency, StoreLatency))
 	return b.String()
 }
 
--- a/node/telemetry/recorder.go
+++ b/node/telemetry/recorder.go
@@ -7,7 +7,9 @@
 package telemetry
 
 import (
+	"io"
 	"sync/atomic"
+	"time"
 
 	"github.com/sirupsen/logrus"
 
@@ -15,6 +17,14 @@
 	"wigeonwinch/node/timeline"
 )
 
+// NewLogger returns the logger of JSON lines that all processes use.
+func NewLogger(out io.Writer) *logrus.Logger {
+	logger := logrus.New()
+	logger.SetFormatter(&logrus.JSONFormatter{TimestampFormat: time.RFC3339Nano})
+	logger.SetOutput(out)
+	return logger
+}
+
 // Identity names the process that records.
 type Identity struct {
 	Node string
