--- a/jobs/shard/core.go
+++ b/jobs/shard/core.go
@@ -109,6 +109,8 @@
 	// scheduled are the open jobs that run at given times.
 	scheduled map[string]*job
 	workers   map[string]*worker
+	// ranked lists workers by their ids; nil after one was added or dropped.
+	ranked []*worker
 	// kinds are the sorts of workers that were seen, for the question whether
 	// a task can ever be held.
 	kinds   map[string]Worker
@@ -312,10 +314,13 @@
 // the same decisions.
 func sortedKeys[K cmp.Ordered, V any](m map[K]V) []K { return slices.Sorted(maps.Keys(m)) }
 
+// sortedWorkers lists the workers by their ids. The list is not to be changed.
 func (c *Core) sortedWorkers() []*worker {
-	list := make([]*worker, 0, len(c.workers))
-	for _, id := range sortedKeys(c.workers) {
-		list = append(list, c.workers[id])
+	if c.ranked == nil {
+		c.ranked = make([]*worker, 0, len(c.workers))
+		for _, id := range sortedKeys(c.workers) {
+			c.ranked = append(c.ranked, c.workers[id])
+		}
 	}
-	return list
+	return c.ranked
 }
--- a/jobs/shard/lasting.go
+++ b/jobs/shard/lasting.go
@@ -33,6 +33,9 @@
 		if !w.cordoned && !w.info.Draining || !w.reached || w.failedPolls > 0 {
 			continue
 		}
+		if w.lasting == 0 && !w.evicting {
+			continue
+		}
 		for _, r := range sortedRuns(w) {
 			if r.phase != running {
 				continue
--- a/jobs/shard/pace.go
+++ b/jobs/shard/pace.go
@@ -21,7 +21,7 @@
 // targets, and speeds them up again once those are well below.
 func (c *Core) pace() {
 	for _, w := range c.sortedWorkers() {
-		if !w.reached || w.failedPolls > 0 || c.now-w.pacedAt < paceGapMS || w.listedAt <= w.pacedAt {
+		if w.serving == 0 || w.fillers == 0 || !w.reached || w.failedPolls > 0 || c.now-w.pacedAt < paceGapMS || w.listedAt <= w.pacedAt {
 			continue
 		}
 		c.paceWorker(w)
--- a/jobs/shard/runs.go
+++ b/jobs/shard/runs.go
@@ -89,6 +89,7 @@
 		return
 	}
 	r.phase = stopping
+	r.on.stops++
 	r.since = c.now
 	c.sendStop(r)
 }
--- a/jobs/shard/worker.go
+++ b/jobs/shard/worker.go
@@ -22,6 +22,8 @@
 	placedWork int64
 	// lasting, serving and fillers count the runs of each kind.
 	lasting, serving, fillers int
+	// stops counts the runs that are being stopped.
+	stops int
 	// strays are listed runs that are not ours; their room is not known.
 	strays map[RunRef]int64
 	// clock is the worker's clock at the steady time clockAt.
@@ -56,6 +58,7 @@
 	if w == nil {
 		w = &worker{info: Worker{ID: id}, born: born, runs: map[runID]*run{}, strays: map[RunRef]int64{}, earlierUntil: c.earlierUntil}
 		c.workers[id] = w
+		c.ranked = nil
 	}
 	return w
 }
@@ -71,6 +74,9 @@
 		return
 	}
 	delete(w.runs, runID{r.key, r.number})
+	if r.phase == stopping {
+		w.stops--
+	}
 	w.used = w.used.Sub(r.room)
 	w.tally(r.step(), -1)
 }
@@ -184,6 +190,7 @@
 		id := w.info.ID
 		if !w.listed && len(w.runs) == 0 && len(w.strays) == 0 && !w.polling {
 			delete(c.workers, id)
+			c.ranked = nil
 			continue
 		}
 		if w.polling || c.now < w.pollAt || w.seen > w.acked || w.info.Address == "" {
@@ -456,7 +463,10 @@
 			}
 			continue
 		}
-		for _, r := range w.runs {
+		if w.stops == 0 {
+			continue
+		}
+		for _, r := range sortedRuns(w) {
 			if r.phase == stopping && r.stopAnswered == 0 && c.now-r.stopSent >= stopRetryMS {
 				c.sendStop(r)
 			}
--- a/node/jobhost/config.go
+++ b/node/jobhost/config.go
@@ -18,6 +18,9 @@
 // Config is what a host is made from.
 type Config struct {
 	Node, Zone, IP string
+	// Cores is what this VM can compute, in cores; 0 if it isn't known. Shards
+	// go to the VMs that have the most of it for each.
+	Cores float64
 	// PeerPort takes the other nodes' connections.
 	PeerPort int
 	// Partitions is the number of partitions of the store's topics.
@@ -82,6 +85,9 @@
 	// settleIn is how long a node looks around after its start before it takes
 	// over shards; all nodes start within a third of it.
 	settleIn = 600 * time.Millisecond
+	// usualCores stands for the cores of a VM that does not say them: those of
+	// the smallest VMs that nodes are meant for.
+	usualCores = 0.2
 	// rankStep spaces the nodes' attempts to take over a shard.
 	rankStep = 250 * time.Millisecond
 	// tick is the control loop's timer.
--- a/node/jobhost/members.go
+++ b/node/jobhost/members.go
@@ -46,6 +46,8 @@
 	QuietMS int64 `cbor:"8,keyasint,omitempty"`
 	// UptimeMS is for how long the process has run.
 	UptimeMS int64 `cbor:"9,keyasint,omitempty"`
+	// Cores is what the node's VM can compute, in cores.
+	Cores float64 `cbor:"10,keyasint,omitempty"`
 }
 
 // confirmed is the last heartbeat that the store has. Since chainStart no
@@ -113,6 +115,7 @@
 	rec := heartbeatRecord{
 		Node: h.cfg.Node, Zone: h.cfg.Zone, Address: h.address(), Boot: h.boot,
 		Sequence: sequence, Leaving: h.leaving.Load(), Owned: *h.ownedView.Load(), QuietMS: h.quietMS, UptimeMS: steadyMS() - h.startedAt,
+		Cores: h.cfg.Cores,
 	}
 	value, err := encMode.Marshal(rec)
 	if err != nil {
--- a/node/jobhost/owners.go
+++ b/node/jobhost/owners.go
@@ -125,12 +125,13 @@
 
 // candidates lists the live nodes in the order in which they should take a
 // partition. The fleet's goes to the node that started last: in a roll-out it
-// is the one that is not restarted next. Others go to the least loaded.
+// is the one that is not restarted next. Others go where a shard has the most
+// cores.
 func (h *Host) candidates(p deps.Partition, now int64, extra map[string]int) []string {
-	load := map[string]int{h.cfg.Node: len(h.owned) + len(h.claiming) + extra[h.cfg.Node]}
+	load := map[string]float64{h.cfg.Node: shardsPerCore(len(h.owned)+len(h.claiming)+extra[h.cfg.Node], h.cfg.Cores)}
 	for name, n := range h.nodes {
 		if name != h.cfg.Node && n.fresh(now) {
-			load[name] = len(n.record.Owned) + extra[name]
+			load[name] = shardsPerCore(len(n.record.Owned)+extra[name], n.record.Cores)
 		}
 	}
 	names := make([]string, 0, len(load))
@@ -150,6 +151,14 @@
 	return names
 }
 
+// shardsPerCore is what a node's VM would carry with one shard more.
+func shardsPerCore(shards int, cores float64) float64 {
+	if cores <= 0 {
+		cores = usualCores
+	}
+	return float64(shards+1) / cores
+}
+
 func (h *Host) bootOf(node string) int64 {
 	if node == h.cfg.Node {
 		return h.boot
