Only owners write heartbeats often in a large fleet

Ruled out: the limit of 1,200 writes a second over all (75 were made); the shards' own partitions (one writer each). Weighed: more partitions for all heartbeats (readers follow each: seven times the reads), liveness by the mesh alone (a right must end when the store is lost), owners' heartbeats in their shards' partitions (readers would read all job records).

Change: nodes without a shard write each 4 s into a partition of their own; the four next in line of a late owner write often there (alert), and may call it dead once they have read without a gap for 1.95 s and their own heartbeats have been taken for 0.8 s. Up to eight nodes nothing changes. Owners are looked at each 50 ms, not at each event.

Tests: TestOwnersKeepTheirRightsWhileTheStoreIsSlow plays the partition in virtual time and fails with all nodes writing often.

--- a/node/jobhost/host.go
+++ b/node/jobhost/host.go
@@ -36,8 +36,12 @@
 	waveSeenAt  map[int]int64
 	startedAt   int64
 	nodesOK     int64
-	stopping    bool
-	fleet       *fleetDuty
+	// lookedAt is when the owners were last looked at.
+	lookedAt int64
+	// readsSince is since when the nodes' heartbeats are read without a gap.
+	readsSince int64
+	stopping   bool
+	fleet      *fleetDuty
 
 	config    atomic.Pointer[deps.Configuration]
 	owners    atomic.Pointer[map[deps.Partition]ownership]
@@ -45,6 +49,10 @@
 	ownedView atomic.Pointer[[]ownership]
 	wakeBeat  chan struct{}
 	leaving   atomic.Bool
+	// beatPace is how heartbeats are written; crowded says that the fleet is large
+	// enough for some to write rarely.
+	beatPace  atomic.Int32
+	crowded   atomic.Bool
 	ticket    atomic.Uint64
 	pending   pendingReplies
 	needLists atomic.Bool
@@ -115,6 +123,7 @@
 	go func() { _ = h.mesh.Run(inner) }()
 	go h.beat(inner)
 	go h.followNodes(inner)
+	go h.followIdle(inner)
 	go h.followOperator(inner)
 	go h.followWorkers(inner)
 	go h.runFleet(inner)
@@ -196,7 +205,11 @@
 // advance lets every owned shard do what is due.
 func (h *Host) advance() {
 	now, wall := steadyMS(), wallMS()
-	h.lookForVacant(now)
+	if now-h.lookedAt >= tick.Milliseconds() {
+		h.lookedAt = now
+		h.paceHeartbeats(now)
+		h.lookForVacant(now)
+	}
 	h.expireCordons(now)
 	for _, s := range h.sortedOwned() {
 		beat, proven := h.right(s)
--- a/node/jobhost/leave.go
+++ b/node/jobhost/leave.go
@@ -27,7 +27,7 @@
 	h.publishOwners(steadyMS())
 	ctx, cancel := context.WithTimeout(context.Background(), storeTimeout)
 	defer cancel()
-	if err := h.writeHeartbeat(ctx, time.Now().UnixNano()); err != nil {
+	if err := h.writeHeartbeat(ctx, nodesPartition, time.Now().UnixNano(), false); err != nil {
 		h.record(events.StoreLost, events.Fields{Detail: "last heartbeat", Err: err})
 	}
 	h.mesh.Leave()
--- a/node/jobhost/members.go
+++ b/node/jobhost/members.go
@@ -48,20 +48,8 @@
 	UptimeMS int64 `cbor:"9,keyasint,omitempty"`
 	// Cores is what the node's VM can compute, in cores.
 	Cores float64 `cbor:"10,keyasint,omitempty"`
-}
-
-// confirmed is the last heartbeat that the store has. Since chainStart no
-// other node can have seen this one as silent.
-type confirmed struct{ sentAt, chainStart int64 }
-
-// confirm continues the chain of heartbeats, or starts a new one after a gap
-// in which others may have taken over.
-func (h *Host) confirm(sentAt int64) {
-	c := &confirmed{sentAt: sentAt, chainStart: sentAt}
-	if last := h.heartbeat.Load(); last != nil && steadyMS()-last.sentAt < startRight.Milliseconds() {
-		c.chainStart = last.chainStart
-	}
-	h.heartbeat.Store(c)
+	// Idle says that the next heartbeat comes after idleInterval only.
+	Idle bool `cbor:"11,keyasint,omitempty"`
 }
 
 // nodeView is what this node knows of another, or of itself.
@@ -72,94 +60,35 @@
 }
 
 func (n *nodeView) fresh(now int64) bool {
-	return !n.record.Leaving && now-n.changedAt <= silentAfter.Milliseconds()
-}
-
-var nodesPartition = deps.Partition{Topic: deps.TopicNodes}
-
-// beat writes this node's heartbeats.
-func (h *Host) beat(ctx context.Context) {
-	sequence := int64(0)
-	lost := false
-	for ctx.Err() == nil && !h.leaving.Load() {
-		sequence++
-		sentAt := steadyMS()
-		err := h.writeHeartbeat(ctx, sequence)
-		pause := heartbeatInterval
-		if err != nil {
-			pause = appendRetry
-		} else {
-			h.confirm(sentAt)
-		}
-		if (err != nil) != lost {
-			lost = err != nil
-			h.noteStore(lost, "heartbeat", err)
-		}
-		select {
-		case <-time.After(pause):
-		case <-h.wakeBeat:
-		case <-ctx.Done():
-		}
+	bound := silentAfter
+	if n.record.Idle {
+		bound = idleSilentAfter
 	}
+	return !n.record.Leaving && now-n.changedAt <= bound.Milliseconds()
 }
 
-func (h *Host) noteStore(lost bool, call string, err error) {
-	if lost {
-		h.record(events.StoreLost, events.Fields{Detail: call, Err: err})
-		return
-	}
-	h.record(events.StoreBack, events.Fields{Detail: call})
+// followNodes reads the heartbeats that come often, followIdle the others.
+func (h *Host) followNodes(ctx context.Context) {
+	f := feed{host: h, partition: nodesPartition, pause: readInterval}
+	f.follow(ctx, h.postHeartbeats, func() { h.post(h.nodesWereRead) })
 }
 
-func (h *Host) writeHeartbeat(ctx context.Context, sequence int64) error {
-	rec := heartbeatRecord{
-		Node: h.cfg.Node, Zone: h.cfg.Zone, Address: h.address(), Boot: h.boot,
-		Sequence: sequence, Leaving: h.leaving.Load(), Owned: *h.ownedView.Load(), QuietMS: h.quietMS, UptimeMS: steadyMS() - h.startedAt,
-		Cores: h.cfg.Cores,
-	}
-	value, err := encMode.Marshal(rec)
-	if err != nil {
-		return err
-	}
-	ctx, cancel := context.WithTimeout(ctx, heartbeatTimeout)
-	defer cancel()
-	h.stats.storeWrites.Add(1)
-	return h.cfg.Store.Append(ctx, deps.Append{Partition: nodesPartition, Records: []shard.Record{{Key: h.cfg.Node, Value: value}}})
+func (h *Host) followIdle(ctx context.Context) {
+	f := feed{host: h, partition: idlePartition, pause: idleReadInterval, active: h.crowded.Load}
+	f.follow(ctx, h.postHeartbeats, nil)
 }
 
-// NextBoot returns a number above those of all earlier processes of a node.
-// The time of day alone may have been set back; the store has the last one.
-func NextBoot(ctx context.Context, store deps.Store, node string) int64 {
-	boot := time.Now().UnixNano()
-	ctx, cancel := context.WithTimeout(ctx, heartbeatTimeout)
-	defer cancel()
-	page, err := store.Newest(ctx, nodesPartition)
-	if err != nil {
-		return boot
-	}
-	for _, r := range page.Records {
-		var rec heartbeatRecord
-		if r.Key == node && decMode.Unmarshal(r.Value, &rec) == nil {
-			boot = max(boot, rec.Boot+1)
-		}
-	}
-	return boot
+func (h *Host) postHeartbeats(records []shard.Record, _ bool) {
+	h.post(func() { h.takeHeartbeats(records) })
 }
 
-// beatSoon writes the next heartbeat at once.
-func (h *Host) beatSoon() {
-	select {
-	case h.wakeBeat <- struct{}{}:
-	default:
+// nodesWereRead notes a read of the heartbeats that come often.
+func (h *Host) nodesWereRead() {
+	now := steadyMS()
+	if now-h.nodesOK > startRight.Milliseconds() {
+		h.readsSince = now
 	}
-}
-
-// followNodes reads the nodes' heartbeats.
-func (h *Host) followNodes(ctx context.Context) {
-	f := feed{host: h, partition: nodesPartition, pause: readInterval}
-	f.follow(ctx, func(records []shard.Record, _ bool) {
-		h.post(func() { h.takeHeartbeats(records) })
-	}, func() { h.post(func() { h.nodesOK = steadyMS() }) })
+	h.nodesOK = now
 }
 
 func (h *Host) takeHeartbeats(records []shard.Record) {
--- a/node/jobhost/owners.go
+++ b/node/jobhost/owners.go
@@ -95,9 +95,20 @@
 	if n.record.Leaving {
 		return false
 	}
+	return n.fresh(now) || !h.watched(now)
+}
+
+// watched says whether the others' silence is their own: the store took this
+// node's heartbeats for as long, or, in a fleet where it writes rarely, let it
+// read for as long and has lately taken them.
+func (h *Host) watched(now int64) bool {
 	beat := h.heartbeat.Load()
-	watched := beat != nil && now-beat.chainStart >= (silentAfter+readInterval).Milliseconds()
-	return n.fresh(now) || !watched
+	if beat == nil {
+		return false
+	}
+	full := (silentAfter + readInterval).Milliseconds()
+	chain := now - beat.chainStart
+	return chain >= full || h.crowded.Load() && now-h.readsSince >= full && chain >= alertWatch.Milliseconds()
 }
 
 // hasOwner says whether a live node claims to own a partition.
