Count heartbeats whose answers come late

Cause: while the store is slow an owner's heartbeat takes 0.4 to 0.7 s; one that was given up after 0.55 s was lost although the store took it. Change: the next one goes out after 0.55 s, the answer of the one before still counts.

--- a/node/jobhost/beats.go
+++ b/node/jobhost/beats.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"wigeonwinch/jobs/shard"
 	"wigeonwinch/node/deps"
 	"wigeonwinch/node/events"
@@ -132,32 +134,36 @@
 // in which others may have taken over.
 func (h *Host) confirm(sentAt int64) {
 	c := &confirmed{sentAt: sentAt, chainStart: sentAt}
-	if last := h.heartbeat.Load(); last != nil && steadyMS()-last.sentAt < startRight.Milliseconds() {
+	last := h.heartbeat.Load()
+	if last != nil && last.sentAt >= sentAt {
+		return
+	}
+	if last != nil && steadyMS()-last.sentAt < startRight.Milliseconds() {
 		c.chainStart = last.chainStart
 	}
-	h.heartbeat.Store(c)
+	if !h.heartbeat.CompareAndSwap(last, c) {
+		h.confirm(sentAt)
+	}
 }
 
-// beat writes this node's heartbeats. The first one of a slower pace still goes
-// where all look for owners, so that they learn of it.
+// beat writes this node's heartbeats until the context ends. The first one of a
+// slower pace still goes where all look for owners, so that they learn of it.
 func (h *Host) beat(ctx context.Context) {
 	sequence := int64(0)
 	lost := false
 	last := paceOwner
 	for ctx.Err() == nil && !h.leaving.Load() {
 		sequence++
-		sentAt := steadyMS()
 		now := pace(h.beatPace.Load())
 		partition, pause, retry := now.plan()
 		if last == paceOwner {
 			partition = nodesPartition
 		}
-		err := h.writeHeartbeat(ctx, partition, sequence, now != paceOwner)
+		err := h.beatOnce(ctx, partition, sequence, now != paceOwner)
 		if err != nil {
 			pause = retry
 		} else {
 			last = now
-			h.confirm(sentAt)
 		}
 		if (err != nil) != lost {
 			lost = err != nil
@@ -171,6 +177,26 @@
 	}
 }
 
+// beatOnce writes one heartbeat. One that has no answer yet when the next is
+// due does not hold it up, and counts once its answer comes.
+func (h *Host) beatOnce(ctx context.Context, partition deps.Partition, sequence int64, idle bool) error {
+	answered := make(chan error, 1)
+	go func() {
+		sentAt := steadyMS()
+		err := h.writeHeartbeat(ctx, partition, sequence, idle)
+		if err == nil {
+			h.confirm(sentAt)
+		}
+		answered <- err
+	}()
+	select {
+	case err := <-answered:
+		return err
+	case <-time.After(heartbeatDue):
+		return errors.Errorf("no answer within %s", heartbeatDue)
+	}
+}
+
 func (h *Host) noteStore(lost bool, call string, err error) {
 	if lost {
 		h.record(events.StoreLost, events.Fields{Detail: call, Err: err})
--- a/node/jobhost/beats_test.go
+++ b/node/jobhost/beats_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"container/heap"
+	"context"
 	"testing"
 	"time"
 
@@ -9,6 +10,7 @@
 	"github.com/stretchr/testify/require"
 
 	"wigeonwinch/node/deps"
+	"wigeonwinch/node/deps/depstest"
 )
 
 // slowPartitions plays the partitions of a store that answers 60 times slower
@@ -38,9 +40,8 @@
 
 // sender is one node that writes heartbeats.
 type sender struct {
-	pace      pace
-	next      time.Duration
-	confirmed time.Duration
+	pace pace
+	next time.Duration
 }
 
 type senders []*sender
@@ -55,31 +56,42 @@
 	return last
 }
 
-// oldestRight plays 20 s and returns the longest time that an owner's last
-// taken heartbeat was old when the next one was taken.
+// answer is a heartbeat that the store has taken.
+type answer struct{ sentAt, at time.Duration }
+
+// oldestRight plays 20 s and returns how old an owner's last taken heartbeat
+// was at most when the answer to the next one came.
 func oldestRight(list senders) time.Duration {
 	partitions := slowPartitions{}
 	heap.Init(&list)
-	oldest := time.Duration(0)
-	for list[0].next < 20*time.Second {
+	const end = 20 * time.Second
+	answers := map[*sender][]answer{}
+	for _, n := range list {
+		if n.pace == paceOwner {
+			answers[n] = []answer{{n.next, n.next}}
+		}
+	}
+	for list[0].next < end {
 		n := list[0]
 		partition, pause, retry := n.pace.plan()
 		sentAt := n.next
 		answered, taken := partitions.append(sentAt, partition)
-		if taken {
-			if n.pace == paceOwner {
-				oldest = max(oldest, answered-n.confirmed)
-			}
-			n.confirmed = sentAt
-		} else {
-			if n.pace == paceOwner {
-				oldest = max(oldest, answered-n.confirmed)
-			}
-			pause = retry
+		if taken && n.pace == paceOwner {
+			answers[n] = append(answers[n], answer{sentAt, answered})
+		}
+		if !taken || answered-sentAt > heartbeatDue {
+			answered, pause = min(answered, sentAt+heartbeatDue), retry
 		}
 		n.next = answered + pause
 		heap.Fix(&list, 0)
 	}
+	oldest := time.Duration(0)
+	for _, of := range answers {
+		for i := 1; i < len(of); i++ {
+			oldest = max(oldest, of[i].at-of[i-1].sentAt)
+		}
+		oldest = max(oldest, end-of[len(of)-1].sentAt)
+	}
 	return oldest
 }
 
@@ -88,7 +100,7 @@
 	var list senders
 	for i := range nodes {
 		at := time.Duration(i) * 37 * time.Millisecond
-		s := &sender{pace: others, next: at, confirmed: at}
+		s := &sender{pace: others, next: at}
 		if i < 5 {
 			s.pace = paceOwner
 		}
@@ -167,3 +179,44 @@
 	h.heartbeat.Store(&confirmed{sentAt: now - 100, chainStart: now - alertWatch.Milliseconds()})
 	assert.True(t, h.present(dead, now), "where all write often a chain is due")
 }
+
+// An answer that comes after the next heartbeat was due still counts; one that
+// comes out of order takes nothing back.
+func TestALateAnswerStillConfirms(t *testing.T) {
+	h := New(newSite(t, time.Millisecond).config("self", "127.0.0.1"))
+	now := steadyMS()
+	h.confirm(now - 700)
+	h.confirm(now - 900)
+	assert.Equal(t, now-700, h.heartbeat.Load().sentAt)
+	h.confirm(now - 100)
+	assert.Equal(t, confirmed{now - 100, now - 700}, *h.heartbeat.Load())
+}
+
+// lateStore answers appends after a while.
+type lateStore struct {
+	*depstest.Store
+	after time.Duration
+}
+
+func (s lateStore) Append(ctx context.Context, a deps.Append) error {
+	select {
+	case <-time.After(s.after):
+		return s.Store.Append(ctx, a)
+	case <-ctx.Done():
+		return &deps.Error{Kind: deps.KindUnknown, Call: "append", Err: ctx.Err()}
+	}
+}
+
+func TestHeartbeatsGoOnWhileOneHasNoAnswer(t *testing.T) {
+	s := newSite(t, time.Millisecond)
+	cfg := s.config("self", "127.0.0.1")
+	cfg.Store = lateStore{s.store, heartbeatDue + 150*time.Millisecond}
+	h := New(cfg)
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	go h.beat(ctx)
+	require.Eventually(t, func() bool {
+		c := h.heartbeat.Load()
+		return c != nil && c.sentAt-c.chainStart > startRight.Milliseconds()
+	}, 4*time.Second, 10*time.Millisecond, "an unbroken chain although each answer is late")
+}
--- a/node/jobhost/config.go
+++ b/node/jobhost/config.go
@@ -71,8 +71,12 @@
 	// because a connection may have gone silent.
 	operatorWait   = 700 * time.Millisecond
 	operatorMargin = 500 * time.Millisecond
-	// heartbeatTimeout bounds one heartbeat: two of them fit the start right.
-	heartbeatTimeout = 550 * time.Millisecond
+	// heartbeatDue is when a heartbeat without an answer is followed by the
+	// next: two of them fit the start right.
+	heartbeatDue = 550 * time.Millisecond
+	// heartbeatTimeout bounds one heartbeat: a later answer brings no right
+	// that is worth having.
+	heartbeatTimeout = 1200 * time.Millisecond
 	// readRetry is the pause after a failed read.
 	readRetry = 250 * time.Millisecond
 	// storeTimeout bounds one store call: 150 usual answers.
--- a/node/jobhost/members.go
+++ b/node/jobhost/members.go
@@ -216,7 +216,11 @@
 }
 
 func (f feed) read(ctx context.Context, next int64) ([]shard.Record, int64, bool, error) {
-	ctx, cancel := context.WithTimeout(ctx, f.wait+max(f.margin, minReadMargin))
+	bound := f.wait + max(f.margin, minReadMargin)
+	if next < 0 {
+		bound = storeTimeout
+	}
+	ctx, cancel := context.WithTimeout(ctx, bound)
 	defer cancel()
 	f.host.stats.storeReads.Add(1)
 	if next < 0 {
