Let maintenance not hold up moves

Cause: each VM taken down waited for a fenced record of its own, one append after the other.

Change: the VMs of a round are taken down at once like the moves; records of the duty are stored without waiting, all that wait in one append. Moves come before the notes for the operator.

--- a/node/jobhost/fleet.go
+++ b/node/jobhost/fleet.go
@@ -7,6 +7,7 @@
 	"slices"
 	"sort"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -155,15 +156,11 @@
 	if !d.mayAct(now) {
 		return
 	}
+	d.maintainAll(ctx, slices.DeleteFunc(plan.Maintain, func(a upkeep.Act) bool { return !d.clearedSince(a.VM, now) }))
+	d.moveAll(ctx, slices.DeleteFunc(moves.ready, func(m vmMove) bool { return !d.clearedSince(m.VM, now) }))
 	for _, w := range waves {
 		d.openWave(ctx, w.Number)
 	}
-	for _, a := range plan.Maintain {
-		if d.clearedSince(a.VM, now) {
-			d.maintain(ctx, a)
-		}
-	}
-	d.moveAll(ctx, slices.DeleteFunc(moves.ready, func(m vmMove) bool { return !d.clearedSince(m.VM, now) }))
 	for _, n := range plan.Done {
 		d.closeWave(ctx, n)
 	}
@@ -336,33 +333,57 @@
 	}
 }
 
-// maintain takes one VM down. An unanswered call may have been carried out,
-// so that the VM counts as down; it is called again until it is answered.
-func (d *fleetDuty) maintain(ctx context.Context, a upkeep.Act) {
+// maintainAll takes VMs down, several at a time. An unanswered call may have
+// been carried out, so that the VM counts as down; it is called again until it
+// is answered.
+func (d *fleetDuty) maintainAll(ctx context.Context, acts []upkeep.Act) {
 	now := steadyMS()
-	if !d.mayAct(now) {
+	if len(acts) == 0 || !d.mayAct(now) {
 		return
 	}
-	d.actAt[a.VM] = now
-	d.lastAct.Store(now)
-	if d.down[a.Wave] == nil {
-		d.down[a.Wave] = map[string]int64{}
+	for _, a := range acts {
+		if d.down[a.Wave] == nil {
+			d.down[a.Wave] = map[string]int64{}
+		}
+		d.down[a.Wave][a.VM] = now
+		d.actAt[a.VM] = now
 	}
-	d.down[a.Wave][a.VM] = now
-	callCtx, cancel := context.WithTimeout(ctx, actTimeout)
-	defer cancel()
-	err := d.host.cfg.VMs.Maintain(callCtx, d.holder(), a.VM, a.Wave)
+	errs := d.callAll(ctx, now, len(acts), func(ctx context.Context, i int) error {
+		return d.host.cfg.VMs.Maintain(ctx, d.holder(), acts[i].VM, acts[i].Wave)
+	})
+	for i, a := range acts {
+		d.maintained(a, errs[i])
+	}
+}
+
+func (d *fleetDuty) maintained(a upkeep.Act, err error) {
 	d.note("maintain", a.VM, fmt.Sprintf("wave=%d", a.Wave), err)
 	switch {
 	case err == nil:
 		delete(d.reports, d.vms[a.VM].Worker)
 		d.setBegun(a.Wave, a.VM)
-		d.remember(ctx, fmt.Sprintf("w/%d/%s", a.Wave, a.VM))
+		d.remember(fmt.Sprintf("w/%d/%s", a.Wave, a.VM))
 	case kindOf(err) != deps.KindUnknown:
 		delete(d.down[a.Wave], a.VM)
 	}
 }
 
+// callAll makes several calls to the VM service at once.
+func (d *fleetDuty) callAll(ctx context.Context, now int64, n int, call func(ctx context.Context, i int) error) []error {
+	d.lastAct.Store(now)
+	errs := make([]error, n)
+	var wait sync.WaitGroup
+	for i := range n {
+		wait.Go(func() {
+			callCtx, cancel := context.WithTimeout(ctx, actTimeout)
+			defer cancel()
+			errs[i] = call(callCtx, i)
+		})
+	}
+	wait.Wait()
+	return errs
+}
+
 func (d *fleetDuty) holder() deps.Holder {
 	return deps.Holder{Name: d.host.cfg.Node, Epoch: d.shard.epoch}
 }
@@ -375,9 +396,12 @@
 	d.host.record(number, events.Fields{VM: vm, Detail: act + " " + detail, Err: err, Epoch: d.shard.epoch, AgeMS: sinceMS(d.listedAt).Milliseconds()})
 }
 
-// remember stores a key of the duty.
-func (d *fleetDuty) remember(ctx context.Context, key string) {
-	d.store(ctx, shard.Record{Key: key, Value: []byte{1}})
+// remember has a key of the duty stored, without waiting: the store may be slow,
+// and further acts must not wait for it.
+func (d *fleetDuty) remember(key string) {
+	d.host.post(func() {
+		d.shard.extra = append(d.shard.extra, extraRecord{shard.Record{Key: key, Value: []byte{1}}, func() {}})
+	})
 }
 
 // store returns true once the store has the record, false when the duty is
@@ -412,7 +436,7 @@
 	}
 	d.closed[n] = true
 	d.host.record(events.WaveDone, events.Fields{Detail: fmt.Sprintf("wave=%d", n), Epoch: d.shard.epoch})
-	d.remember(ctx, fmt.Sprintf("w/%d", n))
+	d.remember(fmt.Sprintf("w/%d", n))
 }
 
 func (d *fleetDuty) writeStatus(ctx context.Context, n int, completed bool) bool {
--- a/node/jobhost/moves.go
+++ b/node/jobhost/moves.go
@@ -4,7 +4,6 @@
 	"context"
 	"maps"
 	"slices"
-	"sync"
 	"time"
 
 	"wigeonwinch/fleet/turns"
@@ -201,21 +200,15 @@
 // moveAll has the platform move empty VMs, several at a time.
 func (d *fleetDuty) moveAll(ctx context.Context, moves []vmMove) {
 	now := steadyMS()
-	if !d.mayAct(now) {
+	if len(moves) == 0 || !d.mayAct(now) {
 		return
 	}
-	errs := make([]error, len(moves))
-	var wait sync.WaitGroup
-	for i, mv := range moves {
+	for _, mv := range moves {
 		d.actAt[mv.VM] = now
-		d.lastAct.Store(now)
-		wait.Go(func() {
-			callCtx, cancel := context.WithTimeout(ctx, actTimeout)
-			defer cancel()
-			errs[i] = d.host.cfg.VMs.Move(callCtx, d.holder(), mv.VM, mv.Pool)
-		})
-	}
-	wait.Wait()
+	}
+	errs := d.callAll(ctx, now, len(moves), func(ctx context.Context, i int) error {
+		return d.host.cfg.VMs.Move(ctx, d.holder(), moves[i].VM, moves[i].Pool)
+	})
 	for i, mv := range moves {
 		d.moved(now, mv, errs[i])
 	}
--- a/node/jobhost/shardrun.go
+++ b/node/jobhost/shardrun.go
@@ -41,11 +41,15 @@
 		return
 	}
 	if len(s.extra) > 0 {
-		e := s.extra[0]
-		s.extra = s.extra[1:]
+		extra := s.extra
+		s.extra = nil
 		s.appending = true
 		s.sequence++
-		go h.append(s, s.sequence, []shard.Record{e.record}, e.done)
+		go h.append(s, s.sequence, recordsOf(extra), func() {
+			for _, e := range extra {
+				e.done()
+			}
+		})
 		return
 	}
 	if s.core == nil {
@@ -67,6 +71,14 @@
 	})
 }
 
+func recordsOf(extra []extraRecord) []shard.Record {
+	records := make([]shard.Record, len(extra))
+	for i, e := range extra {
+		records[i] = e.record
+	}
+	return records
+}
+
 // append stores records, again and again until the store has them or a newer
 // owner exists. Repeats carry the same sequence number and change nothing.
 func (h *Host) append(s *ownedShard, sequence int64, records []shard.Record, done func()) {
