Plan as many moves as the platform takes

Cause: a plan began at most 16 moves, 64 a second; the VM service of the grown sites takes 215. A pool asked for 180 VMs had 74 a second and a half after its turn began. The bound is the platform's rate now (16 on the small sites as before). Test: TestAPlanMovesAsManyVMsAsThePlatformTakes (fails before).

--- a/fleet/turns/turns.go
+++ b/fleet/turns/turns.go
@@ -57,14 +57,14 @@
 	// backlogMS is the time in which work that waits is to be done: less than
 	// the slack of a usual job.
 	backlogMS = 1_000
-	// maxMoves bounds the moves begun by one plan.
-	maxMoves = 16
 )
 
 // View is the input of a plan.
 type View struct {
 	Pools []Pool
 	VMs   []VM
+	// MostMoves bounds the moves begun by one plan.
+	MostMoves int
 }
 
 // Plan returns the moves to begin now.
@@ -89,10 +89,11 @@
 	// open are the VMs that can be given away, by pool.
 	open  map[string][]VM
 	moves []Move
+	most  int
 }
 
 func newPlanner(v View) *planner {
-	p := &planner{pools: map[string]*Pool{}, missing: map[string]int{}, keep: map[string]int{}, open: map[string][]VM{}}
+	p := &planner{most: v.MostMoves, pools: map[string]*Pool{}, missing: map[string]int{}, keep: map[string]int{}, open: map[string][]VM{}}
 	size := int64(0)
 	for _, vm := range v.VMs {
 		size = max(size, vm.MilliCPU)
@@ -159,7 +160,7 @@
 // fillDeficits gives the pools that lack most VMs those of the spare pool,
 // then those that other pools have too many of.
 func (p *planner) fillDeficits() {
-	for len(p.moves) < maxMoves {
+	for len(p.moves) < p.most {
 		to := p.neediest()
 		if to == "" {
 			return
@@ -218,7 +219,7 @@
 		if name == p.spare || !pool.Known {
 			continue
 		}
-		for -p.missing[name] > p.keep[name] && len(p.open[name]) > 0 && len(p.moves) < maxMoves {
+		for -p.missing[name] > p.keep[name] && len(p.open[name]) > 0 && len(p.moves) < p.most {
 			p.send(name, p.spare)
 		}
 	}
--- a/fleet/turns/turns_test.go
+++ b/fleet/turns/turns_test.go
@@ -39,8 +39,9 @@
 	a := pool("a", 47_000)
 	a.AskedMilliCPU = 170_000
 	moves := Plan(View{
-		Pools: []Pool{a, pool("b", 0), {Name: "spare", Spare: true}},
-		VMs:   fleetOf(map[string]int{"a": 3, "b": 11, "spare": 8}),
+		MostMoves: 16,
+		Pools:     []Pool{a, pool("b", 0), {Name: "spare", Spare: true}},
+		VMs:       fleetOf(map[string]int{"a": 3, "b": 11, "spare": 8}),
 	})
 	assert.GreaterOrEqual(t, count(moves, "a"), 12)
 	fromSpare := 0
@@ -54,8 +55,9 @@
 
 func TestIdlePoolsParkDownToTheirLeast(t *testing.T) {
 	moves := Plan(View{
-		Pools: []Pool{pool("a", 0), pool("b", 0), {Name: "spare", Spare: true}},
-		VMs:   fleetOf(map[string]int{"a": 8, "b": 3}),
+		MostMoves: 16,
+		Pools:     []Pool{pool("a", 0), pool("b", 0), {Name: "spare", Spare: true}},
+		VMs:       fleetOf(map[string]int{"a": 8, "b": 3}),
 	})
 	assert.Equal(t, 5, count(moves, "spare"))
 	assert.Len(t, moves, 5)
@@ -64,14 +66,14 @@
 func TestARecentPeakHoldsVMsBack(t *testing.T) {
 	a := pool("a", 0)
 	a.RecentPeakMilliCPU = 8 * size
-	moves := Plan(View{Pools: []Pool{a, {Name: "spare", Spare: true}}, VMs: fleetOf(map[string]int{"a": 8})})
+	moves := Plan(View{MostMoves: 16, Pools: []Pool{a, {Name: "spare", Spare: true}}, VMs: fleetOf(map[string]int{"a": 8})})
 	assert.Empty(t, moves)
 }
 
 func TestVMsThatCannotServeDoNotCount(t *testing.T) {
 	vms := fleetOf(map[string]int{"a": 3, "spare": 4})
 	vms[0].Serving, vms[0].Movable = false, false
-	moves := Plan(View{Pools: []Pool{pool("a", 0), {Name: "spare", Spare: true}}, VMs: vms})
+	moves := Plan(View{MostMoves: 16, Pools: []Pool{pool("a", 0), {Name: "spare", Spare: true}}, VMs: vms})
 	assert.Equal(t, 1, count(moves, "a"), "a VM in maintenance is replaced")
 }
 
@@ -80,11 +82,22 @@
 	for i := range vms {
 		vms[i].Movable = false
 	}
-	assert.Empty(t, Plan(View{Pools: []Pool{pool("a", 0), {Name: "spare", Spare: true}}, VMs: vms}))
+	assert.Empty(t, Plan(View{MostMoves: 16, Pools: []Pool{pool("a", 0), {Name: "spare", Spare: true}}, VMs: vms}))
 }
 
 func TestNothingIsPlannedOnUnknownLoads(t *testing.T) {
 	unknown := pool("a", 0)
 	unknown.Known = false
-	assert.Empty(t, Plan(View{Pools: []Pool{unknown, {Name: "spare", Spare: true}}, VMs: fleetOf(map[string]int{"a": 8})}))
+	assert.Empty(t, Plan(View{MostMoves: 16, Pools: []Pool{unknown, {Name: "spare", Spare: true}}, VMs: fleetOf(map[string]int{"a": 8})}))
+}
+
+// A pool of a fleet of 349 VMs was asked for 100 of them within two seconds and
+// got 16 a plan, whatever the platform takes.
+func TestAPlanMovesAsManyVMsAsThePlatformTakes(t *testing.T) {
+	a := pool("a", 0)
+	a.AskedMilliCPU = 100 * size
+	view := View{MostMoves: 53, Pools: []Pool{a, {Name: "spare", Spare: true}}, VMs: fleetOf(map[string]int{"a": 3, "spare": 150})}
+	assert.Equal(t, 53, count(Plan(view), "a"))
+	view.MostMoves = 1_000
+	assert.Equal(t, 150, count(Plan(view), "a"), "all spare ones")
 }
--- a/node/jobhost/config.go
+++ b/node/jobhost/config.go
@@ -30,6 +30,9 @@
 	StatusKeepMS int64
 	// UpkeepMS is how long a VM is away for its maintenance.
 	UpkeepMS int64
+	// ActsPerSecond is how many acts on VMs the platform takes a second; 0 if it
+	// isn't known.
+	ActsPerSecond float64
 	// HolderGapMS is the least time between two holders' acts on one VM.
 	HolderGapMS int64
 	// Grace is how long a stop may take.
--- a/node/jobhost/moves.go
+++ b/node/jobhost/moves.go
@@ -19,6 +19,11 @@
 	reportLife = 2 * time.Second
 	// askedSpan is the time over which the rate of asked work is taken.
 	askedSpan = 800 * time.Millisecond
+	// planPeriod is the usual time from one plan's acts to the next one's.
+	planPeriod = 250 * time.Millisecond
+	// usualActsPerSecond stands for an unknown rate of the platform's: that of
+	// fleets of 50 VMs.
+	usualActsPerSecond = 64
 	// leastVMs stay in every pool, so that the first jobs of its turn start.
 	leastVMs = 3
 	// peakSpan is how long a pool holds on to VMs after its load has fallen: a
@@ -159,7 +164,7 @@
 }
 
 func (m *moveDuty) view(d *fleetDuty, now int64, up upkeep.Plan) turns.View {
-	var v turns.View
+	v := turns.View{MostMoves: mostMoves(d.host.cfg.ActsPerSecond)}
 	cfg := d.host.config.Load()
 	if cfg == nil {
 		return v
@@ -176,6 +181,15 @@
 	return v
 }
 
+// mostMoves is how many moves one plan may begin: plans come each fleetTick,
+// and a little later for their calls.
+func mostMoves(actsPerSecond float64) int {
+	if actsPerSecond <= 0 {
+		actsPerSecond = usualActsPerSecond
+	}
+	return max(int(actsPerSecond*planPeriod.Seconds()), 1)
+}
+
 func (m *moveDuty) viewVM(d *fleetDuty, now int64, vm deps.VM, up upkeep.Plan) turns.VM {
 	r, known := d.reports[vm.Worker]
 	out := turns.VM{ID: vm.ID, Pool: vm.Pool, MilliCPU: int64(vm.Capacity.MilliCPU), UsedMilliCPU: int64(r.UsedMilliCPU)}
