Ask for permits where a queue's placements need them

Cause: starts of queues with advice carried no ticket, so that workers refused them; jobs of such a queue never ran. Change: a step without permits has the core ask the advising service for the emptiest workers that have room, one question at a time, as many workers as fit a quarter of a second; starts carry the tickets, expired or refused ones are asked again, workers that may not run a step are remembered. Queues without advice do not wait behind it. Tests: jobs/shard/advice_test.go (fail before: starts without tickets), TestAdviceIsTranslated.

--- a/jobs/shard/core.go
+++ b/jobs/shard/core.go
@@ -80,6 +80,8 @@
 	// in full.
 	Stretch  float64
 	TargetMS int64
+	// Advice is set if a service must permit each placement.
+	Advice *Advice
 }
 
 // Worker is what the platform's list says of a worker.
@@ -127,6 +129,12 @@
 	dirty        []*job
 	committed    []func()
 	out          Orders
+	// wanted are the workers for which the step wantedKey lacks permits,
+	// advising says that a question is under way, adviceAt when the next may go.
+	wanted    []*worker
+	wantedKey Key
+	advising  bool
+	adviceAt  int64
 	// coming is the room on its way to each service, in milli-CPU.
 	coming map[string]int64
 }
@@ -180,6 +188,7 @@
 	c.evacuate()
 	c.pace()
 	c.schedule()
+	c.askAdvice()
 	c.poll()
 	c.forget()
 }
--- a/jobs/shard/job.go
+++ b/jobs/shard/job.go
@@ -56,6 +56,8 @@
 	// gangRun is the run number of the gang that is placed; 0 means none.
 	gangRun int
 	fails   int
+	// permits are the answers of the service that permits placements, by worker.
+	permits map[string]permit
 }
 
 // task is the state of one task.
@@ -109,6 +111,8 @@
 	share int
 	// tailMS is the worker's last figure of a serving task's tail.
 	tailMS int
+	// ticket is the permit of the placement, where the queue needs one.
+	ticket string
 	// unproven says that the start got no answer or was restored from the
 	// store, so that the run may not exist.
 	unproven bool
--- a/jobs/shard/orders.go
+++ b/jobs/shard/orders.go
@@ -6,6 +6,7 @@
 	Starts  []Start
 	Stops   []Stop
 	Paces   []Pace
+	Advises []Advise
 	Replies []Reply
 	Events  []Event
 }
@@ -112,6 +113,7 @@
 	EventDeposed      EventName = "owner_deposed"
 	EventRecordFailed EventName = "record_failed"
 	EventPaced        EventName = "run_paced"
+	EventAdvice       EventName = "advice"
 	EventInvariant    EventName = "invariant_broken"
 )
 
--- a/jobs/shard/runs.go
+++ b/jobs/shard/runs.go
@@ -52,6 +52,11 @@
 		}
 	case StartFenced:
 		c.depose(w.info.ID)
+	case StartNoTicket:
+		if so := r.job.stepAt(r.key); so != nil {
+			delete(so.permits, w.info.ID)
+		}
+		c.settle(r, string(out))
 	default:
 		w.pausedUntil = now + workerPauseMS
 		c.settle(r, string(out))
--- a/jobs/shard/schedule.go
+++ b/jobs/shard/schedule.go
@@ -126,8 +126,12 @@
 			misfits = 0
 			continue
 		}
-		misfits += missed
 		left = append(left, j)
+		if c.queues[j.spec.Queue].Advice != nil {
+			// It may lack permits rather than room.
+			continue
+		}
+		misfits += missed
 		if blocked != nil {
 			*blocked = true
 		}
@@ -239,6 +243,9 @@
 		if !room.Fits(free) || st.MaxPerWorker > 0 && w.ofStep(j, o.number, s) >= st.MaxPerWorker {
 			continue
 		}
+		if _, ok := c.permitFor(j, o, s, w); !ok {
+			continue
+		}
 		score := place.Rate(place.Candidate{
 			FreeMilliCPU: free.MilliCPU, NeedMilliCPU: room.MilliCPU,
 			NearData: st.DataRack == "" || st.DataRack == w.info.Rack,
@@ -265,9 +272,10 @@
 
 // reserve takes the room of a task on a worker.
 func (c *Core) reserve(j *job, o *occurrence, s, t, number int, w *worker) *run {
+	ticket, _ := c.permitFor(j, o, s, w)
 	r := &run{
 		job: j, key: Key{j.spec.ID, o.number, s, t}, number: number, on: w,
-		phase: placed, room: j.spec.Steps[s].Room(), since: c.now, share: 100,
+		phase: placed, room: j.spec.Steps[s].Room(), since: c.now, share: 100, ticket: ticket,
 	}
 	o.steps[s].tasks[t].current = r
 	w.add(r)
@@ -302,7 +310,7 @@
 	r.phase, r.since, r.startedAt = ordered, c.now, c.now
 	c.out.Starts = append(c.out.Starts, Start{
 		Target: c.target(r.on), RunRef: RunRef{r.key, r.number}, Payload: r.job.spec.Payload,
-		LeaseUntil: c.lease(r.on), Checkpoint: tk.saved,
+		LeaseUntil: c.lease(r.on), Checkpoint: tk.saved, Ticket: r.ticket,
 	})
 }
 
--- a/node/deps/deps.go
+++ b/node/deps/deps.go
@@ -124,6 +124,12 @@
 	Pace(ctx context.Context, p shard.Pace) error
 }
 
+// Advisor is the service that permits the placements of some queues.
+type Advisor interface {
+	// Advise returns the permits for a step on these workers.
+	Advise(ctx context.Context, step shard.Key, workers []string) (shard.Advised, error)
+}
+
 // VMState is what the platform says of a VM.
 type VMState string
 
--- a/node/events/jobs.go
+++ b/node/events/jobs.go
@@ -37,6 +37,8 @@
 	RequestPassedOn
 	LogLinesDropped
 	FleetPlan
+	AdviceGiven
+	AdviceFailed
 	PoolLoad
 	SettingsReloaded
 )
@@ -79,4 +81,6 @@
 	{SettingsReloaded, "settings_reloaded", SeverityInfo, "The settings file was read again; the outcome says whether it changed.", "changed: restart the node when it suits."},
 	{PoolLoad, "pool_load", SeverityInfo, "A pool's load as the fleet duty sees it.", ""},
 	{FleetPlan, "fleet_plan", SeverityInfo, "The plan for moves and maintenance changed.", ""},
+	{AdviceGiven, "advice", SeverityInfo, "The service that permits placements was asked, or answered; the outcome says which.", ""},
+	{AdviceFailed, "advice_failed", SeverityWarning, "The service that permits placements gave no answer; it is asked again.", "Look at the service; queues that need its permits wait."},
 }
--- a/node/jobhost/config.go
+++ b/node/jobhost/config.go
@@ -46,6 +46,8 @@
 	Store   deps.Store
 	Workers deps.Workers
 	VMs     deps.VMs
+	// Advisor permits placements; nil if there is no such service.
+	Advisor deps.Advisor
 	Codec   deps.Codec
 	Events  events.Recorder
 	// Peers is made by the host unless it is given.
@@ -103,6 +105,9 @@
 	pollMargin = 800 * time.Millisecond
 	// orderTimeout bounds one order to a worker.
 	orderTimeout = 700 * time.Millisecond
+	// adviceTimeout bounds one question for permits, which waits behind others
+	// of this node.
+	adviceTimeout = 2500 * time.Millisecond
 	// requestTimeout bounds a caller's request inside the system; callers wait
 	// for three seconds.
 	requestTimeout = 2500 * time.Millisecond
--- a/node/jobhost/shardrun.go
+++ b/node/jobhost/shardrun.go
@@ -5,12 +5,16 @@
 	"fmt"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"wigeonwinch/jobs/shard"
 	"wigeonwinch/node/deps"
 	"wigeonwinch/node/events"
 	"wigeonwinch/node/pause"
 )
 
+var errNoAdvisor = errors.New("the settings name no service that permits placements")
+
 // carryOut starts the calls that a shard's orders ask for.
 func (h *Host) carryOut(s *ownedShard) {
 	h.store(s)
@@ -27,6 +31,9 @@
 	for _, p := range o.Paces {
 		go h.pace(s, p)
 	}
+	for _, a := range o.Advises {
+		go h.advise(s, a)
+	}
 	for _, r := range o.Replies {
 		h.pending.deliver(r)
 	}
@@ -185,6 +192,22 @@
 	h.post(func() { s.core.Paced(steadyMS(), p, err == nil) })
 }
 
+// advise asks on which workers a step may run.
+func (h *Host) advise(s *ownedShard, a shard.Advise) {
+	ctx, cancel := context.WithTimeout(s.ctx, adviceTimeout)
+	defer cancel()
+	sentAt := steadyMS()
+	var out shard.Advised
+	err := errNoAdvisor
+	if h.cfg.Advisor != nil {
+		out, err = h.cfg.Advisor.Advise(ctx, a.Key, a.Workers)
+	}
+	if err != nil {
+		h.record(events.AdviceFailed, events.Fields{Request: a.Key.Job, Err: err, AgeMS: steadyMS() - sentAt, Shard: s.partition.Index, Epoch: s.epoch})
+	}
+	h.post(func() { s.core.Advised(steadyMS(), sentAt, a, out, err == nil) })
+}
+
 // logDecision logs one decision of a shard.
 func (h *Host) logDecision(s *ownedShard, e shard.Event) {
 	number, ok := decisionEvents[e.Name]
@@ -209,5 +232,5 @@
 	shard.EventStray: events.RunStray, shard.EventWorker: events.WorkerChanged,
 	shard.EventPollFailed: events.WorkerPollFailed, shard.EventDeposed: events.OwnerDeposed,
 	shard.EventRecordFailed: events.RecordUnwritable, shard.EventPaced: events.RunPaced,
-	shard.EventInvariant: events.JobInvariantBroken,
+	shard.EventInvariant: events.JobInvariantBroken, shard.EventAdvice: events.AdviceGiven,
 }
