--- a/cmd/internal/apiclient/client.go
+++ b/cmd/internal/apiclient/client.go
@@ -75,6 +75,12 @@
 	return err
 }
 
+// Change sends a request that changes something.
+func (c *Client) Change(ctx context.Context, method, path string, body []byte, answer any) error {
+	_, err := c.call(ctx, method, path, body, answer)
+	return err
+}
+
 // Publish sends a manifest. The outcome is valid for every answer of a node,
 // also when it was refused.
 func (c *Client) Publish(ctx context.Context, manifest []byte) (admin.Published, error) {
--- a/cmd/internal/cli/docs.go
+++ b/cmd/internal/cli/docs.go
@@ -8,13 +8,14 @@
 
 	"wigeonwinch/node/admin"
 	"wigeonwinch/node/events"
+	"wigeonwinch/node/jobapi"
 	"wigeonwinch/node/settings"
 	"wigeonwinch/node/telemetry"
 )
 
 // pages are the docs pages that are written from the code.
 var pages = map[string]func() string{
-	"api":      admin.Page,
+	"api":      func() string { return admin.Page() + jobapi.Page() },
 	"events":   events.Page,
 	"metrics":  telemetry.Page,
 	"settings": settings.Page,
--- /dev/null
+++ b/cmd/internal/cli/jobs.go
@@ -0,0 +1,171 @@
+package cli
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"net/url"
+	"os"
+	"strconv"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/urfave/cli/v3"
+
+	"wigeonwinch/cmd/internal/apiclient"
+	"wigeonwinch/node/jobapi"
+)
+
+// jobsAddressNote is part of the help of all commands about jobs.
+const jobsAddressNote = "\n\nGive the metrics address of nodes on the platform with --nodes, and the token of their\n" +
+	"WIGEONWINCH_OPERATOR_TOKEN with --token-file or WIGEONWINCH_TOKEN."
+
+func queuesCommand() *cli.Command {
+	return &cli.Command{
+		Name: "queues", Usage: "show the queues with their waiting jobs",
+		Description: "Example:\n  wigeonwinch --nodes 10.0.0.5:7061 queues" + jobsAddressNote,
+		Action: func(ctx context.Context, cmd *cli.Command) error {
+			var queues []jobapi.Queue
+			if err := first(ctx, cmd, "/v1/queues", &queues); err != nil {
+				return err
+			}
+			return show(cmd, queues, func() table {
+				t := table{header: []string{"queue", "service", "priority", "attempts", "waiting"}}
+				for _, q := range queues {
+					waiting := "not known"
+					if q.Waiting != nil {
+						waiting = strconv.Itoa(*q.Waiting)
+					}
+					t.add(q.Name, q.Service, q.Priority, q.MaxAttempts, waiting)
+				}
+				return t
+			})
+		},
+	}
+}
+
+func jobsCommand() *cli.Command {
+	queue := &cli.StringFlag{Name: "queue", Usage: "the job's queue", Required: true}
+	return &cli.Command{
+		Name: "jobs", Usage: "submit, show, list and cancel jobs",
+		Commands: []*cli.Command{
+			{
+				Name: "submit", Usage: "submit a job from a JSON file, - for standard input", ArgsUsage: "FILE", Flags: []cli.Flag{queue},
+				Description: "Example:\n  wigeonwinch --nodes 10.0.0.5:7061 jobs submit --queue lint job.json" + jobsAddressNote,
+				Action: func(ctx context.Context, cmd *cli.Command) error {
+					body, err := readJob(cmd.Args().First())
+					if err != nil {
+						return err
+					}
+					return change(ctx, cmd, http.MethodPost, jobsPath(cmd, ""), body)
+				},
+			},
+			{
+				Name: "show", Usage: "show a job and its tasks", ArgsUsage: "ID", Flags: []cli.Flag{queue},
+				Description: "Example:\n  wigeonwinch --nodes 10.0.0.5:7061 jobs show --queue lint 5c0e7a21d94b36f8" + jobsAddressNote,
+				Action:      showJob,
+			},
+			{
+				Name: "cancel", Usage: "cancel a job", ArgsUsage: "ID", Flags: []cli.Flag{queue},
+				Description: "Example:\n  wigeonwinch --nodes 10.0.0.5:7061 jobs cancel --queue lint 5c0e7a21d94b36f8" + jobsAddressNote,
+				Action: func(ctx context.Context, cmd *cli.Command) error {
+					if cmd.Args().First() == "" {
+						return fail(ExitUsage, "no job is named: write its id")
+					}
+					return change(ctx, cmd, http.MethodDelete, jobsPath(cmd, cmd.Args().First()), nil)
+				},
+			},
+			{
+				Name: "list", Usage: "list a queue's jobs, the newest first",
+				Flags:       []cli.Flag{queue, &cli.IntFlag{Name: "limit", Usage: "at most so many", Value: 100}},
+				Description: "Example:\n  wigeonwinch --nodes 10.0.0.5:7061 jobs list --queue lint" + jobsAddressNote,
+				Action:      listJobs,
+			},
+		},
+	}
+}
+
+func jobsPath(cmd *cli.Command, id string) string {
+	path := "/v1/queues/" + url.PathEscape(cmd.String("queue")) + "/jobs"
+	if id != "" {
+		path += "/" + url.PathEscape(id)
+	}
+	return path
+}
+
+func readJob(path string) ([]byte, error) {
+	if path == "" {
+		return nil, fail(ExitUsage, "no job is given: name a JSON file, or - for standard input")
+	}
+	if path == "-" {
+		return io.ReadAll(os.Stdin)
+	}
+	body, err := os.ReadFile(path)
+	if err != nil {
+		return nil, fail(ExitUsage, "name a file that can be read: %v", err)
+	}
+	return body, nil
+}
+
+// change sends a submission or a cancel to the first node that can be reached.
+// Both are safe to send again, so that the next one is asked after a node that
+// did not answer.
+func change(ctx context.Context, cmd *cli.Command, method, path string, body []byte) error {
+	list, err := clients(cmd)
+	if err != nil {
+		return err
+	}
+	var last error
+	for _, c := range list {
+		var out jobapi.Answered
+		last = c.Change(ctx, method, path, body, &out)
+		var api *apiclient.Error
+		if errors.As(last, &api) && api.Kind == apiclient.KindUnreachable {
+			continue
+		}
+		if last != nil && api != nil && api.Problem.Status == http.StatusGatewayTimeout {
+			return &exitError{ExitNotKnown, last}
+		}
+		if last != nil {
+			return last
+		}
+		return show(cmd, out, func() table {
+			t := table{header: []string{"job", "outcome"}}
+			t.add(out.ID, out.Outcome)
+			return t
+		})
+	}
+	return last
+}
+
+func showJob(ctx context.Context, cmd *cli.Command) error {
+	if cmd.Args().First() == "" {
+		return fail(ExitUsage, "no job is named: write its id")
+	}
+	var job jobapi.Shown
+	if err := first(ctx, cmd, jobsPath(cmd, cmd.Args().First()), &job); err != nil {
+		return err
+	}
+	return show(cmd, job, func() table {
+		t := table{header: []string{"task", "run", "state", "worker", "failures", "for"}}
+		for _, r := range job.Runs {
+			t.add(strconv.Itoa(r.Occurrence)+"."+strconv.Itoa(r.Step)+"."+strconv.Itoa(r.Index), r.Run, r.State, r.Worker, r.Fails, time.Duration(r.SinceMS)*time.Millisecond)
+		}
+		t.add("job", "", job.State, "", "", "")
+		return t
+	})
+}
+
+func listJobs(ctx context.Context, cmd *cli.Command) error {
+	var out jobapi.Listed
+	if err := first(ctx, cmd, jobsPath(cmd, "")+"?limit="+strconv.Itoa(int(cmd.Int("limit"))), &out); err != nil {
+		return err
+	}
+	return show(cmd, out.Jobs, func() table {
+		t := table{header: []string{"job", "state", "priority", "tasks", "done", "running", "slack"}}
+		for _, j := range out.Jobs {
+			t.add(j.ID, j.State, j.Priority, j.Tasks, j.Done, j.Running, time.Duration(j.SlackMS)*time.Millisecond)
+		}
+		return t
+	})
+}
--- a/cmd/wigeonwinchd/main.go
+++ b/cmd/wigeonwinchd/main.go
@@ -13,6 +13,7 @@
 	"github.com/urfave/cli/v3"
 
 	"wigeonwinch/node/entry"
+	"wigeonwinch/node/jobapi"
 	"wigeonwinch/node/settings"
 	"wigeonwinch/node/telemetry"
 	"wigeonwinch/node/timeline"
@@ -66,7 +67,11 @@
 	logger := telemetry.NewLogger(telemetry.NewAsyncWriter(os.Stdout))
 	rings := telemetry.Rings{Fleet: timeline.NewRing(timelineEntries), Requests: timeline.NewRing(timelineEntries)}
 	recorder := telemetry.NewRecorder(telemetry.Identity{Node: file.Node, Zone: file.Zone}, logger, rings, timeline.NewClock(time.Now), metrics)
-	return platform.Serve(ctx, platform.Node{File: file, PeerKey: os.Getenv("WIGEONWINCH_PEER_KEY"), Events: recorder, Metrics: metrics, HangUp: hangUp})
+	var tokens []string
+	if token := os.Getenv(jobapi.TokenVariable); token != "" {
+		tokens = append(tokens, token)
+	}
+	return platform.Serve(ctx, platform.Node{File: file, OperatorTokens: tokens, Timeline: rings, PeerKey: os.Getenv("WIGEONWINCH_PEER_KEY"), Events: recorder, Metrics: metrics, HangUp: hangUp})
 }
 
 // timelineEntries bounds each part of the time line in memory.
--- /dev/null
+++ b/jobs/shard/summary.go
@@ -0,0 +1,103 @@
+package shard
+
+import (
+	"cmp"
+	"slices"
+
+	"wigeonwinch/jobs/spec"
+)
+
+// JobSummary is what operators see of one job.
+type JobSummary struct {
+	ID       string     `cbor:"1,keyasint" json:"id"`
+	Queue    string     `cbor:"2,keyasint" json:"queue"`
+	State    spec.State `cbor:"3,keyasint" json:"state"`
+	Priority int        `cbor:"4,keyasint,omitempty" json:"priority"`
+	// AcceptedMS is the Unix time of the acceptance.
+	AcceptedMS int64 `cbor:"5,keyasint,omitempty" json:"accepted_ms"`
+	// Tasks and Done count the tasks of the open occurrences, Running those
+	// that may be on a worker.
+	Tasks   int `cbor:"6,keyasint,omitempty" json:"tasks"`
+	Done    int `cbor:"7,keyasint,omitempty" json:"done"`
+	Running int `cbor:"8,keyasint,omitempty" json:"running"`
+	// SlackMS is the time left until the job no longer counts in full.
+	SlackMS int64 `cbor:"9,keyasint,omitempty" json:"slack_ms"`
+}
+
+// RunSummary is what operators see of one task's current or last run.
+type RunSummary struct {
+	Occurrence int `cbor:"1,keyasint,omitempty" json:"occurrence"`
+	Step       int `cbor:"2,keyasint,omitempty" json:"step"`
+	Index      int `cbor:"3,keyasint,omitempty" json:"index"`
+	// Run numbers the task's runs; 0 means that none was ordered.
+	Run   int    `cbor:"4,keyasint,omitempty" json:"run"`
+	Fails int    `cbor:"5,keyasint,omitempty" json:"fails"`
+	State string `cbor:"6,keyasint,omitempty" json:"state"`
+	// Worker is where it may run.
+	Worker string `cbor:"7,keyasint,omitempty" json:"worker,omitempty"`
+	// SinceMS is for how long it is in its state.
+	SinceMS int64 `cbor:"8,keyasint,omitempty" json:"since_ms"`
+}
+
+// phaseNames are the states of runs that may be on a worker.
+var phaseNames = map[phase]string{placed: "placed", ordered: "ordered", running: "running", stopping: "stopping"}
+
+// Jobs lists the stored jobs of a queue, the newest first; at most so many.
+func (c *Core) Jobs(queue string, most int) []JobSummary {
+	var list []*job
+	for _, id := range sortedKeys(c.jobs) {
+		if j := c.jobs[id]; j.stored && j.spec.Queue == queue {
+			list = append(list, j)
+		}
+	}
+	slices.SortStableFunc(list, func(a, b *job) int { return cmp.Compare(b.acceptedMS, a.acceptedMS) })
+	out := make([]JobSummary, 0, min(len(list), most))
+	for _, j := range list[:min(len(list), most)] {
+		out = append(out, c.summary(j))
+	}
+	return out
+}
+
+// Job returns a stored job and its tasks.
+func (c *Core) Job(id string) (JobSummary, []RunSummary, bool) {
+	j, ok := c.jobs[id]
+	if !ok || !j.stored {
+		return JobSummary{}, nil, false
+	}
+	var runs []RunSummary
+	for _, number := range sortedKeys(j.occurrences) {
+		for s := range j.occurrences[number].steps {
+			for t := range j.occurrences[number].steps[s].tasks {
+				runs = append(runs, c.runSummary(Key{id, number, s, t}, &j.occurrences[number].steps[s].tasks[t]))
+			}
+		}
+	}
+	return c.summary(j), runs, true
+}
+
+func (c *Core) summary(j *job) JobSummary {
+	out := JobSummary{ID: j.spec.ID, Queue: j.spec.Queue, State: j.shown, Priority: j.priority, AcceptedMS: j.acceptedMS}
+	if j.state.Final() {
+		return out
+	}
+	out.SlackMS = j.deadline - c.now - j.chainLeftMS()
+	for _, o := range j.occurrences {
+		for s := range o.steps {
+			out.Tasks += len(o.steps[s].tasks)
+			out.Done += len(o.steps[s].tasks) - o.steps[s].open
+		}
+	}
+	j.eachRun(func(*run) { out.Running++ })
+	return out
+}
+
+func (c *Core) runSummary(k Key, tk *task) RunSummary {
+	out := RunSummary{Occurrence: k.Occurrence, Step: k.Step, Index: k.Index, Run: tk.run, Fails: tk.fails, State: "waiting"}
+	switch {
+	case tk.done:
+		out.State = "done"
+	case tk.current != nil:
+		out.State, out.Worker, out.SinceMS = phaseNames[tk.current.phase], tk.current.on.info.ID, c.now-tk.current.since
+	}
+	return out
+}
--- a/node/admin/admin.go
+++ b/node/admin/admin.go
@@ -120,7 +120,7 @@
 		mux.HandleFunc(route.Method+" "+route.Path, a.guard(route))
 	}
 	mux.HandleFunc("/", func(w http.ResponseWriter, r *http.Request) {
-		writeProblem(w, http.StatusNotFound, Problem{
+		WriteProblem(w, http.StatusNotFound, Problem{
 			Title:  "no such route",
 			Detail: r.Method + " " + r.URL.Path + " does not exist; the routes are listed in docs/API.md",
 		})
@@ -133,7 +133,7 @@
 	return func(w http.ResponseWriter, r *http.Request) {
 		if !a.allowed(route.Role, r) {
 			w.Header().Set("WWW-Authenticate", "Bearer")
-			writeProblem(w, http.StatusUnauthorized, Problem{
+			WriteProblem(w, http.StatusUnauthorized, Problem{
 				Title:  "a token is missing or not accepted",
 				Detail: "send Authorization: Bearer TOKEN with a token of the role " + string(route.Role),
 			})
@@ -152,14 +152,14 @@
 	if !ok {
 		return false
 	}
-	if matches(a.cfg.PublishTokens, token) {
+	if Matches(a.cfg.PublishTokens, token) {
 		return true
 	}
-	return role == RoleRead && matches(a.cfg.ReadTokens, token)
+	return role == RoleRead && Matches(a.cfg.ReadTokens, token)
 }
 
-// matches compares in constant time, so that timing tells nothing of a token.
-func matches(tokens []string, token string) bool {
+// Matches compares in constant time, so that timing tells nothing of a token.
+func Matches(tokens []string, token string) bool {
 	found := 0
 	for _, t := range tokens {
 		found |= subtle.ConstantTimeCompare([]byte(t), []byte(token))
--- a/node/admin/problem.go
+++ b/node/admin/problem.go
@@ -19,14 +19,16 @@
 	Errors []manifest.Problem `json:"errors,omitempty"`
 }
 
-func writeProblem(w http.ResponseWriter, status int, p Problem) {
+// WriteProblem answers with a problem detail.
+func WriteProblem(w http.ResponseWriter, status int, p Problem) {
 	p.Status = status
 	w.Header().Set("Content-Type", "application/problem+json")
 	w.WriteHeader(status)
 	_ = json.NewEncoder(w).Encode(p)
 }
 
-func writeJSON(w http.ResponseWriter, status int, body any) {
+// WriteJSON answers with a JSON body.
+func WriteJSON(w http.ResponseWriter, status int, body any) {
 	w.Header().Set("Content-Type", "application/json")
 	w.WriteHeader(status)
 	encoder := json.NewEncoder(w)
--- a/node/admin/publish.go
+++ b/node/admin/publish.go
@@ -51,7 +51,7 @@
 func (a *API) readManifest(w http.ResponseWriter, r *http.Request) ([]byte, *structs.Manifest, []manifest.Problem, bool) {
 	data, err := io.ReadAll(r.Body)
 	if err != nil {
-		writeProblem(w, http.StatusRequestEntityTooLarge, Problem{
+		WriteProblem(w, http.StatusRequestEntityTooLarge, Problem{
 			Title:  "the body could not be read",
 			Detail: fmt.Sprintf("send at most %d bytes in one piece: %v", maxBodyBytes, err),
 		})
@@ -67,10 +67,10 @@
 		return
 	}
 	if len(problems) > 0 {
-		writeProblem(w, http.StatusUnprocessableEntity, Problem{Title: "the manifest has faults", Errors: problems})
+		WriteProblem(w, http.StatusUnprocessableEntity, Problem{Title: "the manifest has faults", Errors: problems})
 		return
 	}
-	writeJSON(w, http.StatusOK, map[string]string{"status": "valid"})
+	WriteJSON(w, http.StatusOK, map[string]string{"status": "valid"})
 }
 
 func (a *API) publishManifest(w http.ResponseWriter, r *http.Request) {
@@ -80,7 +80,7 @@
 	}
 	key := PublishKey(data, a.cfg.Control.Lookup)
 	if len(problems) > 0 {
-		writeJSON(w, http.StatusUnprocessableEntity, Published{
+		WriteJSON(w, http.StatusUnprocessableEntity, Published{
 			Outcome: OutcomeRefused, Key: key, Reason: structs.VoidInvalid,
 			Detail: "mend every fault listed and publish again", Errors: problems,
 		})
@@ -114,11 +114,11 @@
 func (a *API) publish(w http.ResponseWriter, r *http.Request, key string, m *structs.Manifest, view *structs.View) {
 	changes := manifest.Diff(view, m)
 	if len(changes) == 0 {
-		writeJSON(w, http.StatusOK, Published{Outcome: OutcomeUnchanged, Key: key, Offset: view.PublishedAt, Generation: view.Generation})
+		WriteJSON(w, http.StatusOK, Published{Outcome: OutcomeUnchanged, Key: key, Offset: view.PublishedAt, Generation: view.Generation})
 		return
 	}
 	if structs.Generation(m.BaseGeneration) != view.Generation {
-		writeJSON(w, http.StatusConflict, Published{
+		WriteJSON(w, http.StatusConflict, Published{
 			Outcome: OutcomeRefused, Key: key, Generation: view.Generation, Reason: structs.VoidStale,
 			Detail: fmt.Sprintf("the manifest is based on generation %d, in force is %d: fetch GET /v1/manifest, generate anew and publish again", m.BaseGeneration, view.Generation),
 		})
@@ -135,7 +135,7 @@
 	}
 	verdict, err := a.cfg.Control.Append(r.Context(), rec)
 	if err != nil {
-		writeJSON(w, http.StatusGatewayTimeout, Published{
+		WriteJSON(w, http.StatusGatewayTimeout, Published{
 			Outcome: OutcomeNotKnown, Key: key,
 			Detail: "send the same manifest again or ask GET /v1/publishes/" + key + ": " + err.Error(),
 		})
@@ -154,18 +154,18 @@
 	for _, refusal := range refusals {
 		answer.Refusals = append(answer.Refusals, Refusal{Reason: refusal.Void, Detail: refusal.Detail})
 	}
-	writeJSON(w, http.StatusConflict, answer)
+	WriteJSON(w, http.StatusConflict, answer)
 }
 
 // answerVerdict turns the fold's verdict into the answer.
 func (a *API) answerVerdict(w http.ResponseWriter, key string, changes int, verdict structs.Verdict, view *structs.View) {
 	if verdict.Void == structs.VoidNone {
-		writeJSON(w, http.StatusOK, Published{
+		WriteJSON(w, http.StatusOK, Published{
 			Outcome: OutcomeAccepted, Key: key, Offset: verdict.Offset, Generation: view.Generation, Changes: changes,
 		})
 		return
 	}
-	writeJSON(w, http.StatusConflict, Published{
+	WriteJSON(w, http.StatusConflict, Published{
 		Outcome: OutcomeRefused, Key: key, Offset: verdict.Offset, Generation: view.Generation,
 		Reason: verdict.Void, Detail: verdict.Detail,
 	})
@@ -175,7 +175,7 @@
 	key := r.PathValue("key")
 	verdict, known := a.cfg.Control.Lookup(key)
 	if !known {
-		writeJSON(w, http.StatusNotFound, Published{
+		WriteJSON(w, http.StatusNotFound, Published{
 			Outcome: OutcomeNotKnown, Key: key,
 			Detail: "this node has not seen the key in the log; compare GET /v1/manifest, or send the same manifest again",
 		})
--- a/node/admin/read.go
+++ b/node/admin/read.go
@@ -16,7 +16,7 @@
 const defaultTimelineLimit = 1000
 
 func (a *API) health(w http.ResponseWriter, _ *http.Request) {
-	writeJSON(w, http.StatusOK, map[string]string{"status": "alive"})
+	WriteJSON(w, http.StatusOK, map[string]string{"status": "alive"})
 }
 
 // Readiness is the answer of /v1/ready.
@@ -31,7 +31,7 @@
 	if !ready {
 		status = http.StatusServiceUnavailable
 	}
-	writeJSON(w, status, Readiness{Ready: ready, Reason: reason})
+	WriteJSON(w, status, Readiness{Ready: ready, Reason: reason})
 }
 
 func (a *API) metrics(w http.ResponseWriter, r *http.Request) {
@@ -39,11 +39,11 @@
 }
 
 func (a *API) status(w http.ResponseWriter, _ *http.Request) {
-	writeJSON(w, http.StatusOK, a.cfg.Status())
+	WriteJSON(w, http.StatusOK, a.cfg.Status())
 }
 
 func (a *API) requests(w http.ResponseWriter, _ *http.Request) {
-	writeJSON(w, http.StatusOK, a.cfg.Requests())
+	WriteJSON(w, http.StatusOK, a.cfg.Requests())
 }
 
 // view returns the current view, or answers that there is none yet.
@@ -51,7 +51,7 @@
 	view := a.cfg.Control.View()
 	if view == nil {
 		_, reason := a.cfg.Control.Ready()
-		writeProblem(w, http.StatusServiceUnavailable, Problem{
+		WriteProblem(w, http.StatusServiceUnavailable, Problem{
 			Title:  "the node has no control state yet",
 			Detail: "wait until /v1/ready answers 200, or ask another node: " + reason,
 		})
@@ -77,7 +77,7 @@
 	if view == nil {
 		return
 	}
-	writeJSON(w, http.StatusOK, StateCounts{
+	WriteJSON(w, http.StatusOK, StateCounts{
 		Node: a.cfg.Node, Zone: a.cfg.Zone,
 		Offset: view.Offset, Generation: view.Generation,
 		Zones: len(view.Zones), Teams: len(view.Teams), Pools: len(view.Pools), Services: len(view.Services),
@@ -113,7 +113,7 @@
 		list = append(list, PoolStatus{Name: pool.Name, Spare: pool.Spare, Image: pool.Image, VMs: byState(view.VMs, pool.Name)})
 	}
 	sort.Slice(list, func(i, j int) bool { return list[i].Name < list[j].Name })
-	writeJSON(w, http.StatusOK, list)
+	WriteJSON(w, http.StatusOK, list)
 }
 
 // ServiceStatus is one service as /v1/services shows it.
@@ -137,7 +137,7 @@
 		list = append(list, ServiceStatus{Service: service, Available: count, Headroom: count - service.Budget.MinAvailable})
 	}
 	sort.Slice(list, func(i, j int) bool { return list[i].Name < list[j].Name })
-	writeJSON(w, http.StatusOK, list)
+	WriteJSON(w, http.StatusOK, list)
 }
 
 // VMLine is one VM as /v1/vms shows it.
@@ -169,7 +169,7 @@
 			list = append(list, line)
 		}
 	}
-	writeJSON(w, http.StatusOK, list)
+	WriteJSON(w, http.StatusOK, list)
 }
 
 func selects(wanted, have string) bool { return wanted == "" || wanted == have }
@@ -206,7 +206,7 @@
 		report.Waves = append(report.Waves, waveLine(view, wave))
 	}
 	sort.Slice(report.Waves, func(i, j int) bool { return report.Waves[i].Name < report.Waves[j].Name })
-	writeJSON(w, http.StatusOK, report)
+	WriteJSON(w, http.StatusOK, report)
 }
 
 func waveLine(view *structs.View, wave structs.WaveStatus) WaveLine {
@@ -251,7 +251,7 @@
 		list = append(list, team)
 	}
 	sort.Slice(list, func(i, j int) bool { return list[i].Name < list[j].Name })
-	writeJSON(w, http.StatusOK, list)
+	WriteJSON(w, http.StatusOK, list)
 }
 
 // Membership is one zone as /v1/members shows it.
@@ -271,16 +271,21 @@
 		list = append(list, Membership{Zone: entry.Zone, Epoch: entry.Epoch, Members: entry.Members})
 	}
 	sort.Slice(list, func(i, j int) bool { return list[i].Zone < list[j].Zone })
-	writeJSON(w, http.StatusOK, list)
+	WriteJSON(w, http.StatusOK, list)
 }
 
 func (a *API) timeline(w http.ResponseWriter, r *http.Request) {
+	ServeTimeline(w, r, a.cfg.Timeline)
+}
+
+// ServeTimeline answers a call for the time line with its query's filter.
+func ServeTimeline(w http.ResponseWriter, r *http.Request, entries Timeline) {
 	query := r.URL.Query()
 	filter := timeline.Filter{Request: query.Get("request"), VM: query.Get("vm"), Limit: defaultTimelineLimit}
 	if text := query.Get("since"); text != "" {
 		since, err := time.Parse(time.RFC3339Nano, text)
 		if err != nil {
-			writeProblem(w, http.StatusBadRequest, Problem{Title: "since is not a time", Detail: "write it as 2026-12-04T10:00:00Z"})
+			WriteProblem(w, http.StatusBadRequest, Problem{Title: "since is not a time", Detail: "write it as 2026-12-04T10:00:00Z"})
 			return
 		}
 		filter.Since = since.UnixNano()
@@ -288,12 +293,12 @@
 	if text := query.Get("limit"); text != "" {
 		limit, err := strconv.Atoi(text)
 		if err != nil || limit < 1 {
-			writeProblem(w, http.StatusBadRequest, Problem{Title: "limit is not a number", Detail: "write a positive whole number"})
+			WriteProblem(w, http.StatusBadRequest, Problem{Title: "limit is not a number", Detail: "write a positive whole number"})
 			return
 		}
 		filter.Limit = limit
 	}
-	writeJSON(w, http.StatusOK, a.cfg.Timeline.Select(filter))
+	WriteJSON(w, http.StatusOK, entries.Select(filter))
 }
 
 func (a *API) manifest(w http.ResponseWriter, _ *http.Request) {
@@ -301,5 +306,5 @@
 	if view == nil {
 		return
 	}
-	writeJSON(w, http.StatusOK, manifest.FromView(view))
+	WriteJSON(w, http.StatusOK, manifest.FromView(view))
 }
--- /dev/null
+++ b/node/jobapi/jobapi.go
@@ -0,0 +1,266 @@
+// Package jobapi is the product's own HTTP interface for jobs, for operators
+// and their tools. Any node answers for all shards.
+//
+//	mux.Handle("/v1/", jobapi.New(host, rings, tokens).Handler())
+package jobapi
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+
+	"wigeonwinch/jobs/shard"
+	"wigeonwinch/jobs/spec"
+	"wigeonwinch/node/admin"
+	"wigeonwinch/node/jobhost"
+)
+
+// Jobs is what the interface asks of the node.
+type Jobs interface {
+	// Queues are those of the configuration in force.
+	Queues() []shard.Queue
+	Do(ctx context.Context, r jobhost.Request) jobhost.Result
+}
+
+// The interface's bounds.
+const (
+	// maxBodyBytes bounds a submission, as at the callers' port.
+	maxBodyBytes = 1 << 20
+	// usualList and longestList bound the jobs in one answer; a longer one
+	// would not fit a message between nodes.
+	usualList, longestList = 100, 1000
+)
+
+// API serves the interface.
+type API struct {
+	jobs   Jobs
+	line   admin.Timeline
+	tokens []string
+}
+
+// New returns an interface for callers with one of the tokens; without tokens
+// it refuses all.
+func New(jobs Jobs, line admin.Timeline, tokens []string) *API {
+	return &API{jobs, line, tokens}
+}
+
+// route is one entry of the interface and of its docs page.
+type route struct {
+	method, path, meaning, query string
+	serve                        func(*API, http.ResponseWriter, *http.Request)
+}
+
+func routes() []route {
+	return []route{
+		{"GET", "/v1/queues", "The queues in force, with their waiting jobs.", "", (*API).queues},
+		{"GET", "/v1/queues/{queue}/jobs", "A queue's jobs, the newest first.", "`limit` (default 100, at most 1000)", (*API).list},
+		{"POST", "/v1/queues/{queue}/jobs", "Submits a job. Safe to send again: the same id is the same job.", "", (*API).submit},
+		{"GET", "/v1/queues/{queue}/jobs/{id}", "A job with its tasks: state, worker, runs and failures of each.", "", (*API).show},
+		{"DELETE", "/v1/queues/{queue}/jobs/{id}", "Cancels a job.", "", (*API).cancel},
+		{"GET", "/v1/timeline", "Events of this node, oldest first; all nodes' make one line.", "`since` (RFC 3339), `request`, `vm`, `limit` (default 1000)", (*API).timeline},
+	}
+}
+
+// Page returns the part of docs/API.md about jobs, written from the routes.
+func Page() string {
+	page := `
+# Jobs
+
+HTTP with JSON bodies on the metrics address of a node on the platform. Send ` + "`Authorization: Bearer TOKEN`" + `
+with the token in the node's environment variable ` + "`" + TokenVariable + "`" + `; without one all calls are refused.
+Errors are problem details (RFC 9457). A job is what ` + "`wigeonwinch jobs submit`" + ` takes:
+` + "`" + `{"id":"5c0e7a21d94b36f8","payload":"...","steps":[{"count":4,"need":{"milli_cpu":500,"memory_mb":256},"estimate_ms":800}]}` + "`" + `;
+` + "`after`" + ` lists earlier steps, ` + "`gang`" + `, ` + "`one_rack`" + `, ` + "`label`" + `, ` + "`data_rack`" + `, ` + "`max_per_worker`" + `, ` + "`checkpoints`" + `, ` + "`lasting`" + ` and others are as in jobs/spec.
+
+| method | path | meaning | query |
+| --- | --- | --- | --- |
+`
+	for _, r := range routes() {
+		page += fmt.Sprintf("| %s | `%s` | %s | %s |\n", r.method, r.path, r.meaning, r.query)
+	}
+	return page + `
+| status | meaning |
+| --- | --- |
+| 200 | Done, and stored. |
+| 400 | The job has the fault that ` + "`detail`" + ` names; nothing is left behind. |
+| 404 | No such queue or job. |
+| 429 | Not accepted, and does not run: come back after ` + "`Retry-After`" + ` seconds. |
+| 503 | Nothing was done; try again. |
+| 504 | It may have been done: ask again with the same id. |
+`
+}
+
+// TokenVariable names the environment variable with the operators' token.
+const TokenVariable = "WIGEONWINCH_OPERATOR_TOKEN"
+
+// Handler serves the interface.
+func (a *API) Handler() http.Handler {
+	mux := http.NewServeMux()
+	for _, r := range routes() {
+		mux.HandleFunc(r.method+" "+r.path, a.guard(r))
+	}
+	return mux
+}
+
+func (a *API) guard(r route) http.HandlerFunc {
+	return func(w http.ResponseWriter, req *http.Request) {
+		token, ok := strings.CutPrefix(req.Header.Get("Authorization"), "Bearer ")
+		if !ok || !admin.Matches(a.tokens, token) {
+			w.Header().Set("WWW-Authenticate", "Bearer")
+			problem(w, http.StatusUnauthorized, "a token is missing or not accepted", "send Authorization: Bearer TOKEN with the token in the node's "+TokenVariable)
+			return
+		}
+		r.serve(a, w, req)
+	}
+}
+
+func problem(w http.ResponseWriter, status int, title, detail string) {
+	admin.WriteProblem(w, status, admin.Problem{Title: title, Detail: detail})
+}
+
+// Queue is one queue as operators see it.
+type Queue struct {
+	Name        string `json:"name"`
+	Service     string `json:"service"`
+	Priority    int    `json:"priority"`
+	MaxAttempts int    `json:"max_attempts"`
+	// Waiting counts the accepted jobs of which no task has started; nil if
+	// the queue's shard did not answer.
+	Waiting *int `json:"waiting"`
+}
+
+func (a *API) queues(w http.ResponseWriter, r *http.Request) {
+	list := []Queue{}
+	for _, q := range a.jobs.Queues() {
+		out := Queue{Name: q.Name, Service: q.Service, Priority: q.Priority, MaxAttempts: q.MaxAttempts}
+		res := a.jobs.Do(r.Context(), jobhost.Request{Op: jobhost.OpWaiting, Service: q.Service, Queue: q.Name})
+		if res.Outcome == jobhost.Done {
+			out.Waiting = &res.Waiting
+		}
+		list = append(list, out)
+	}
+	admin.WriteJSON(w, http.StatusOK, list)
+}
+
+// request returns the call's request with its queue, or answers that there is
+// no such queue.
+func (a *API) request(w http.ResponseWriter, r *http.Request, op jobhost.Operation) (jobhost.Request, bool) {
+	name := r.PathValue("queue")
+	for _, q := range a.jobs.Queues() {
+		if q.Name == name {
+			return jobhost.Request{Op: op, Service: q.Service, Queue: name, ID: r.PathValue("id")}, true
+		}
+	}
+	problem(w, http.StatusNotFound, "no such queue", "GET /v1/queues lists the queues in force")
+	return jobhost.Request{}, false
+}
+
+// answer writes what became of a request; done is its body if it was done.
+func answer(w http.ResponseWriter, res jobhost.Result, done any) {
+	switch res.Outcome {
+	case jobhost.Done:
+		admin.WriteJSON(w, http.StatusOK, done)
+	case jobhost.Missing:
+		problem(w, http.StatusNotFound, "no such job", "jobs are kept for a while after their end; compare the queue and the id")
+	case jobhost.Refused:
+		w.Header().Set("Retry-After", strconv.FormatInt((res.RetryAfterMS+999)/1000, 10))
+		problem(w, http.StatusTooManyRequests, "not accepted: "+res.Reason, "the job does not run; come back after the time in Retry-After")
+	case jobhost.Unavailable:
+		w.Header().Set("Retry-After", strconv.FormatInt((res.RetryAfterMS+999)/1000, 10))
+		problem(w, http.StatusServiceUnavailable, "nothing was done: "+res.Reason, "try again after the time in Retry-After")
+	default:
+		problem(w, http.StatusGatewayTimeout, "the outcome is not known: "+res.Reason, "send the same request again; the same id is the same job")
+	}
+}
+
+// Listed is the answer to a list.
+type Listed struct {
+	Jobs []shard.JobSummary `json:"jobs"`
+}
+
+func (a *API) list(w http.ResponseWriter, r *http.Request) {
+	req, ok := a.request(w, r, jobhost.OpList)
+	if !ok {
+		return
+	}
+	req.Most = usualList
+	if text := r.URL.Query().Get("limit"); text != "" {
+		n, err := strconv.Atoi(text)
+		if err != nil || n < 1 || n > longestList {
+			problem(w, http.StatusBadRequest, "limit is not a number in range", fmt.Sprintf("write 1 to %d", longestList))
+			return
+		}
+		req.Most = n
+	}
+	res := a.jobs.Do(r.Context(), req)
+	answer(w, res, Listed{append([]shard.JobSummary{}, res.Jobs...)})
+}
+
+// Shown is the answer about one job.
+type Shown struct {
+	shard.JobSummary
+	Runs []shard.RunSummary `json:"runs"`
+}
+
+func (a *API) show(w http.ResponseWriter, r *http.Request) {
+	req, ok := a.request(w, r, jobhost.OpTasks)
+	if !ok {
+		return
+	}
+	res := a.jobs.Do(r.Context(), req)
+	out := Shown{Runs: append([]shard.RunSummary{}, res.Runs...)}
+	if len(res.Jobs) > 0 {
+		out.JobSummary = res.Jobs[0]
+	}
+	answer(w, res, out)
+}
+
+func (a *API) timeline(w http.ResponseWriter, r *http.Request) {
+	admin.ServeTimeline(w, r, a.line)
+}
+
+// Answered is the answer to a submission or a cancel.
+type Answered struct {
+	ID      string `json:"id"`
+	Outcome string `json:"outcome"`
+}
+
+func (a *API) cancel(w http.ResponseWriter, r *http.Request) {
+	if req, ok := a.request(w, r, jobhost.OpCancel); ok {
+		answer(w, a.jobs.Do(r.Context(), req), Answered{req.ID, "cancelled"})
+	}
+}
+
+func (a *API) submit(w http.ResponseWriter, r *http.Request) {
+	req, ok := a.request(w, r, jobhost.OpSubmit)
+	if !ok {
+		return
+	}
+	job, err := decode(http.MaxBytesReader(w, r.Body, maxBodyBytes))
+	if err == nil {
+		job.Queue = req.Queue
+		err = job.Check()
+	}
+	if err != nil {
+		problem(w, http.StatusBadRequest, "the job has a fault", err.Error())
+		return
+	}
+	req.ID, req.Job = job.ID, job
+	answer(w, a.jobs.Do(r.Context(), req), Answered{job.ID, "accepted"})
+}
+
+// decode reads one job and refuses fields that it doesn't know, because a
+// misspelt one would be left out silently.
+func decode(body io.Reader) (*spec.Job, error) {
+	decoder := json.NewDecoder(body)
+	decoder.DisallowUnknownFields()
+	job := &spec.Job{}
+	if err := decoder.Decode(job); err != nil {
+		return nil, err
+	}
+	return job, nil
+}
--- a/node/jobhost/feeds.go
+++ b/node/jobhost/feeds.go
@@ -69,6 +69,20 @@
 	return deps.Route{}, RouteUnknown
 }
 
+// Queues returns the queues of the configuration in force.
+func (h *Host) Queues() []shard.Queue {
+	cfg := h.config.Load()
+	if cfg == nil {
+		return nil
+	}
+	queues := make([]shard.Queue, 0, len(cfg.Routes))
+	for _, r := range cfg.Routes {
+		queues = append(queues, r.Queue)
+	}
+	sort.Slice(queues, func(i, j int) bool { return queues[i].Name < queues[j].Name })
+	return queues
+}
+
 // RouteResult says whether a request has a queue.
 type RouteResult int
 
--- a/node/jobhost/requests.go
+++ b/node/jobhost/requests.go
@@ -22,6 +22,9 @@
 	OpCancel
 	OpShow
 	OpWaiting
+	// OpList lists a queue's jobs, OpTasks a job's tasks.
+	OpList
+	OpTasks
 )
 
 // Request is one caller's request for a queue's jobs.
@@ -31,8 +34,13 @@
 	Queue   string    `cbor:"3,keyasint"`
 	ID      string    `cbor:"4,keyasint,omitempty"`
 	Job     *spec.Job `cbor:"5,keyasint,omitempty"`
+	// Most bounds a list.
+	Most int `cbor:"6,keyasint,omitempty"`
 }
 
+// reads says whether the operation changes nothing.
+func (o Operation) reads() bool { return o != OpSubmit && o != OpCancel }
+
 // Outcome is what a caller is told.
 type Outcome string
 
@@ -59,6 +67,9 @@
 	State        spec.State `cbor:"3,keyasint,omitempty"`
 	Waiting      int        `cbor:"4,keyasint,omitempty"`
 	Reason       string     `cbor:"5,keyasint,omitempty"`
+	// Jobs answers OpList and, with one entry, OpTasks; Runs are its tasks.
+	Jobs []shard.JobSummary `cbor:"6,keyasint,omitempty"`
+	Runs []shard.RunSummary `cbor:"7,keyasint,omitempty"`
 }
 
 // unavailableRetryMS is about the time that a takeover needs.
@@ -71,13 +82,13 @@
 	began := time.Now()
 	res := h.find(ctx, r)
 	h.stats.count(r.Op, res.Outcome, time.Since(began))
-	if r.Op != OpWaiting && (r.Op != OpShow || res.Outcome != Done) {
+	if !r.Op.reads() || r.Op == OpShow && res.Outcome != Done {
 		h.record(events.RequestAnswered, events.Fields{Request: r.ID, Outcome: string(res.Outcome), Detail: opNames[r.Op] + " " + res.Reason, AgeMS: time.Since(began).Milliseconds()})
 	}
 	return res
 }
 
-var opNames = map[Operation]string{OpSubmit: "submit", OpCancel: "cancel", OpShow: "show", OpWaiting: "waiting"}
+var opNames = map[Operation]string{OpSubmit: "submit", OpCancel: "cancel", OpShow: "show", OpWaiting: "waiting", OpList: "list", OpTasks: "tasks"}
 
 // find asks the owner, and waits a little for one if there is none.
 func (h *Host) find(ctx context.Context, r Request) Result {
@@ -119,7 +130,7 @@
 	answer, err := h.mesh.Call(ctx, node, methodRequest, body)
 	if err != nil {
 		h.record(events.RequestPassedOn, events.Fields{Request: r.ID, Peer: node, Err: err})
-		if peer.KindOf(err) == peer.KindUnreachable || r.Op == OpShow || r.Op == OpWaiting {
+		if peer.KindOf(err) == peer.KindUnreachable || r.Op.reads() {
 			return Result{Outcome: notOwner, Reason: "owner_unreachable"}
 		}
 		return Result{Outcome: Unknown, Reason: "owner_silent"}
@@ -133,7 +144,7 @@
 
 // doLocal carries out a request on a shard of this node.
 func (h *Host) doLocal(ctx context.Context, part deps.Partition, r Request) Result {
-	if r.Op == OpShow || r.Op == OpWaiting {
+	if r.Op.reads() {
 		return h.readLocal(ctx, part, r)
 	}
 	ticket := h.ticket.Add(1)
@@ -169,16 +180,7 @@
 		if s == nil || s.core == nil {
 			return
 		}
-		if r.Op == OpWaiting {
-			res = Result{Outcome: Done, Waiting: s.core.Waiting(r.Queue)}
-			return
-		}
-		view := s.core.Show(r.ID)
-		if !view.Known {
-			res = Result{Outcome: Missing}
-			return
-		}
-		res = Result{Outcome: Done, State: view.State}
+		res = read(s.core, r)
 	})
 	if err != nil {
 		return Result{Outcome: Unknown, Reason: err.Error()}
@@ -186,6 +188,27 @@
 	return res
 }
 
+// read answers a request that changes nothing.
+func read(core *shard.Core, r Request) Result {
+	switch r.Op {
+	case OpWaiting:
+		return Result{Outcome: Done, Waiting: core.Waiting(r.Queue)}
+	case OpList:
+		return Result{Outcome: Done, Jobs: core.Jobs(r.Queue, r.Most), Waiting: core.Waiting(r.Queue)}
+	case OpTasks:
+		j, runs, ok := core.Job(r.ID)
+		if !ok {
+			return Result{Outcome: Missing}
+		}
+		return Result{Outcome: Done, State: j.State, Jobs: []shard.JobSummary{j}, Runs: runs}
+	}
+	view := core.Show(r.ID)
+	if !view.Known {
+		return Result{Outcome: Missing}
+	}
+	return Result{Outcome: Done, State: view.State}
+}
+
 // reply is a shard's answer to one ticket.
 type reply struct {
 	shard.Reply
