--- a/cmd/internal/cli/docs.go
+++ b/cmd/internal/cli/docs.go
@@ -11,26 +11,28 @@
 	"wigeonwinch/node/jobapi"
 	"wigeonwinch/node/settings"
 	"wigeonwinch/node/telemetry"
+	"wigeonwinch/platform"
 )
 
 // pages are the docs pages that are written from the code.
 var pages = map[string]func() string{
-	"api":      func() string { return admin.Page() + jobapi.Page() },
-	"events":   events.Page,
-	"metrics":  telemetry.Page,
-	"settings": settings.Page,
+	"api":               func() string { return admin.Page() + jobapi.Page() },
+	"events":            events.Page,
+	"metrics":           telemetry.Page,
+	"settings":          settings.Page,
+	"settings-platform": platform.SettingsPage,
 }
 
 func docsCommand() *cli.Command {
 	return &cli.Command{
 		Name:        "docs",
-		Usage:       "print a docs page that is written from the code: api, events, metrics or settings",
+		Usage:       "print a docs page that is written from the code: api, events, metrics, settings or settings-platform",
 		ArgsUsage:   "PAGE",
 		Description: "Example:\n  wigeonwinch docs events > docs/EVENTS.md",
 		Action: func(_ context.Context, cmd *cli.Command) error {
 			page, ok := pages[cmd.Args().First()]
 			if !ok {
-				return fail(ExitUsage, "page %q does not exist: write api, events, metrics or settings", cmd.Args().First())
+				return fail(ExitUsage, "page %q does not exist: write api, events, metrics, settings or settings-platform", cmd.Args().First())
 			}
 			_, err := fmt.Fprint(cmd.Root().Writer, page())
 			return err
--- a/cmd/internal/cli/jobs_test.go
+++ b/cmd/internal/cli/jobs_test.go
@@ -72,3 +72,12 @@
 	t.Setenv("WIGEONWINCH_TOKEN", "other")
 	require.Equal(t, ExitFailed, jobs("queues").code)
 }
+
+func TestPlatformSettingsAreChecked(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "boot.json")
+	require.NoError(t, os.WriteFile(path, []byte(`{"node":"n"}`), 0o600))
+	out := run(t, "settings", "check", "--platform", path)
+	require.Equal(t, ExitUsage, out.code)
+	require.Contains(t, out.errOut, "zone:")
+	require.Equal(t, ExitUsage, run(t, "settings", "check", "--platform").code)
+}
--- a/cmd/internal/cli/settings.go
+++ b/cmd/internal/cli/settings.go
@@ -7,6 +7,7 @@
 	"github.com/urfave/cli/v3"
 
 	"wigeonwinch/node/settings"
+	"wigeonwinch/platform"
 )
 
 func settingsCommand() *cli.Command {
@@ -16,7 +17,12 @@
 		Commands: []*cli.Command{
 			{
 				Name: "check", Usage: "check a settings file", ArgsUsage: "FILE",
+				Flags:       []cli.Flag{&cli.BoolFlag{Name: "platform", Usage: "the file that the users' platform writes"}},
+				Description: "Examples:\n  wigeonwinch settings check node.json\n  wigeonwinch settings check --platform /etc/wigeonwinch/boot.json",
 				Action: func(_ context.Context, cmd *cli.Command) error {
+					if cmd.Bool("platform") {
+						return checkPlatformSettings(cmd)
+					}
 					if _, err := loadSettings(cmd); err != nil {
 						return err
 					}
@@ -43,6 +49,17 @@
 	}
 }
 
+func checkPlatformSettings(cmd *cli.Command) error {
+	if cmd.Args().Len() != 1 {
+		return fail(ExitUsage, "name one settings file")
+	}
+	if _, err := platform.ReadFile(cmd.Args().First()); err != nil {
+		return fail(ExitUsage, "%v", err)
+	}
+	_, err := fmt.Fprintln(cmd.Root().Writer, "the settings are valid")
+	return err
+}
+
 func loadSettings(cmd *cli.Command) (*settings.Settings, error) {
 	if cmd.Args().Len() != 1 {
 		return nil, fail(ExitUsage, "name one settings file")
