Find the jobs of a queue that moved to another service

Change: reads and cancels that find nothing look in the other services' shards; a submission first asks the services that the queue was on before, as far as this node has seen the change, and is put off while one does not answer. Test: TestJobsOfAQueueThatMovesAreStillFound (fails before). Left: a node that restarts in between.

--- a/node/jobhost/feeds.go
+++ b/node/jobhost/feeds.go
@@ -4,6 +4,8 @@
 	"context"
 	"fmt"
 	"hash/fnv"
+	"maps"
+	"slices"
 	"sort"
 	"strings"
 	"time"
@@ -47,6 +49,7 @@
 	if old != nil && cfg.Version <= old.Version {
 		return
 	}
+	h.noteFormer(old, cfg)
 	sort.SliceStable(cfg.Routes, func(i, j int) bool { return len(cfg.Routes[i].PathPrefix) > len(cfg.Routes[j].PathPrefix) })
 	h.config.Store(cfg)
 	h.record(events.JobConfigInForce, events.Fields{Detail: fmt.Sprintf("version=%d routes=%d pools=%d", cfg.Version, len(cfg.Routes), len(cfg.Pools))})
@@ -55,6 +58,28 @@
 	}
 }
 
+// noteFormer remembers the services that queues move away from.
+func (h *Host) noteFormer(old, cfg *deps.Configuration) {
+	if old == nil {
+		return
+	}
+	was := map[string]string{}
+	for _, r := range old.Routes {
+		was[r.Queue.Name] = r.Queue.Service
+	}
+	former := map[string][]string{}
+	if known := h.former.Load(); known != nil {
+		former = maps.Clone(*known)
+	}
+	for _, r := range cfg.Routes {
+		service, known := was[r.Queue.Name]
+		if known && h.partitionOf(service) != h.partitionOf(r.Queue.Service) && !slices.Contains(former[r.Queue.Name], service) {
+			former[r.Queue.Name] = append(slices.Clone(former[r.Queue.Name]), service)
+		}
+	}
+	h.former.Store(&former)
+}
+
 // Route finds the queue of a request.
 func (h *Host) Route(host, path string) (deps.Route, RouteResult) {
 	cfg := h.config.Load()
--- a/node/jobhost/host.go
+++ b/node/jobhost/host.go
@@ -43,8 +43,10 @@
 	stopping   bool
 	fleet      *fleetDuty
 
-	config    atomic.Pointer[deps.Configuration]
-	owners    atomic.Pointer[map[deps.Partition]ownership]
+	config atomic.Pointer[deps.Configuration]
+	owners atomic.Pointer[map[deps.Partition]ownership]
+	// former are the services that queues were on before.
+	former    atomic.Pointer[map[string][]string]
 	heartbeat atomic.Pointer[confirmed]
 	ownedView atomic.Pointer[[]ownership]
 	wakeBeat  chan struct{}
--- a/node/jobhost/host_test.go
+++ b/node/jobhost/host_test.go
@@ -236,3 +236,36 @@
 	const inForceWithin = 2 * time.Second
 	assert.Less(t, <-store.within+readRetry, inForceWithin-400*time.Millisecond)
 }
+
+// A queue may move to another service. Its jobs of before are still known,
+// can be cancelled, and are not accepted a second time.
+func TestJobsOfAQueueThatMovesAreStillFound(t *testing.T) {
+	s := newSite(t, time.Second)
+	cfg := s.config("a", "127.0.0.1")
+	cfg.Partitions = 64
+	h := New(cfg)
+	require.NotEqual(t, h.partitionOf("s"), h.partitionOf("other"))
+	ctx, cancel := context.WithCancel(context.Background())
+	go func() { assert.NoError(t, h.Run(ctx)) }()
+	defer func() { cancel(); <-h.Left(); h.Close() }()
+	ask := func(op Operation, service string) Result {
+		return h.Do(ctx, Request{Op: op, Service: service, Queue: "q", ID: testJob(1).ID, Job: testJob(1)})
+	}
+	require.Eventually(t, func() bool { return ask(OpSubmit, "s").Outcome == Done }, 20*time.Second, 50*time.Millisecond)
+
+	data, err := json.Marshal(deps.Configuration{Version: 2,
+		Routes: []deps.Route{{Host: "h", PathPrefix: "/q/", Queue: shard.Queue{Name: "q", Service: "other", MaxAttempts: 3, Stretch: 2, TargetMS: 5_000}}},
+		Pools:  []deps.Pool{{Service: "s"}, {Service: "other"}}})
+	require.NoError(t, err)
+	require.NoError(t, s.store.Append(ctx, deps.Append{Partition: deps.Partition{Topic: deps.TopicOperator}, Records: []shard.Record{{Key: "config", Value: data}}}))
+	require.Eventually(t, func() bool { return h.config.Load().Version == 2 }, 5*time.Second, 10*time.Millisecond)
+
+	require.Eventually(t, func() bool { return ask(OpShow, "other").Outcome == Done }, 10*time.Second, 50*time.Millisecond)
+	again := ask(OpSubmit, "other")
+	assert.Equal(t, Done, again.Outcome)
+	assert.Equal(t, "accepted_before_the_queue_moved", again.Reason)
+	assert.Equal(t, Done, ask(OpCancel, "other").Outcome)
+	assert.Equal(t, spec.Cancelled, ask(OpShow, "other").State)
+	missing := h.Do(ctx, Request{Op: OpShow, Service: "other", Queue: "q", ID: testJob(2).ID})
+	assert.Equal(t, Missing, missing.Outcome)
+}
--- a/node/jobhost/requests.go
+++ b/node/jobhost/requests.go
@@ -80,7 +80,7 @@
 	ctx, cancel := context.WithTimeout(ctx, requestTimeout)
 	defer cancel()
 	began := time.Now()
-	res := h.find(ctx, r)
+	res := h.findAnywhere(ctx, r)
 	h.stats.count(r.Op, res.Outcome, time.Since(began))
 	if !r.Op.reads() || r.Op == OpShow && res.Outcome != Done {
 		h.record(events.RequestAnswered, events.Fields{Request: r.ID, Outcome: string(res.Outcome), Detail: opNames[r.Op] + " " + res.Reason, AgeMS: time.Since(began).Milliseconds()})
@@ -90,6 +90,59 @@
 
 var opNames = map[Operation]string{OpSubmit: "submit", OpCancel: "cancel", OpShow: "show", OpWaiting: "waiting", OpList: "list", OpTasks: "tasks"}
 
+// findAnywhere asks the shard of the queue's service. A job that was accepted
+// before its queue moved to another service is still with the earlier one.
+func (h *Host) findAnywhere(ctx context.Context, r Request) Result {
+	if r.Op == OpSubmit {
+		for _, service := range h.formerServices(r.Queue) {
+			earlier := h.find(ctx, Request{Op: OpShow, Service: service, Queue: r.Queue, ID: r.ID})
+			if earlier.Outcome == Done {
+				return Result{Outcome: Done, Reason: "accepted_before_the_queue_moved"}
+			}
+			if earlier.Outcome != Missing {
+				return Result{Outcome: Unavailable, RetryAfterMS: unavailableRetryMS, Reason: "earlier_service_" + earlier.Reason}
+			}
+		}
+	}
+	res := h.find(ctx, r)
+	if res.Outcome != Missing || r.Op == OpSubmit {
+		return res
+	}
+	for _, service := range h.otherServices(r.Service) {
+		r.Service = service
+		if other := h.find(ctx, r); other.Outcome != Missing {
+			return other
+		}
+	}
+	return res
+}
+
+// formerServices are those that a queue was on before, as far as this node
+// has seen it.
+func (h *Host) formerServices(queue string) []string {
+	if former := h.former.Load(); former != nil {
+		return (*former)[queue]
+	}
+	return nil
+}
+
+// otherServices are those of other shards than a service's own.
+func (h *Host) otherServices(service string) []string {
+	cfg := h.config.Load()
+	if cfg == nil {
+		return nil
+	}
+	seen := map[deps.Partition]bool{h.partitionOf(service): true}
+	var list []string
+	for _, p := range cfg.Pools {
+		if part := h.partitionOf(p.Service); !p.Spare && !seen[part] {
+			seen[part] = true
+			list = append(list, p.Service)
+		}
+	}
+	return list
+}
+
 // find asks the owner, and waits a little for one if there is none.
 func (h *Host) find(ctx context.Context, r Request) Result {
 	part := h.partitionOf(r.Service)
