--- a/node/telemetry/asyncwriter.go
+++ b/node/telemetry/asyncwriter.go
@@ -44,8 +44,15 @@
 func (w *AsyncWriter) run() {
 	noted := int64(0)
 	last := time.Time{}
-	for line := range w.lines {
-		batch, count := w.gather(line)
+	var rest []byte
+	for {
+		line := rest
+		if line == nil {
+			line = <-w.lines
+		}
+		var batch []byte
+		var count int64
+		batch, count, rest = w.gather(line)
 		if _, err := w.out.Write(batch); err != nil {
 			w.dropped.Add(count)
 			continue
@@ -57,23 +64,27 @@
 	}
 }
 
-// batchBytes bounds the lines that are written by one call: what a pipe holds.
-const batchBytes = 64 << 10
+// batchBytes bounds the lines that are written by one call: what a pipe takes
+// as a whole, so that lines of several processes are never mixed.
+const batchBytes = 4096
 
-// gather adds the lines that wait already, and returns how many there are.
-func (w *AsyncWriter) gather(first []byte) ([]byte, int64) {
-	batch, count := first, int64(1)
-	for len(batch) < batchBytes {
+// gather adds the lines that wait already, and returns how many there are. A
+// line that would not fit is returned as rest.
+func (w *AsyncWriter) gather(first []byte) (batch []byte, count int64, rest []byte) {
+	batch, count = first, 1
+	for {
 		select {
 		case line, open := <-w.lines:
-			if !open {
-				return batch, count
+			switch {
+			case !open:
+				return batch, count, nil
+			case len(batch)+len(line) > batchBytes:
+				return batch, count, line
 			}
 			batch = append(batch, line...)
 			count++
 		default:
-			return batch, count
+			return batch, count, nil
 		}
 	}
-	return batch, count
 }
--- a/node/telemetry/telemetry_test.go
+++ b/node/telemetry/telemetry_test.go
@@ -3,8 +3,11 @@
 import (
 	"bytes"
 	"encoding/json"
+	"fmt"
 	"io"
 	"net/http/httptest"
+	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -104,3 +107,44 @@
 		return err == nil && bytes.Contains(buffer[:n], []byte("log_lines_dropped"))
 	}, 10*time.Second, time.Microsecond)
 }
+
+// writes keeps what each call to Write brought.
+type writes struct {
+	mu    sync.Mutex
+	calls [][]byte
+}
+
+func (w *writes) Write(p []byte) (int, error) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.calls = append(w.calls, bytes.Clone(p))
+	time.Sleep(time.Millisecond)
+	return len(p), nil
+}
+
+// A pipe takes 4,096 bytes as a whole; longer writes of several processes were
+// mixed within their lines.
+func TestLinesAreWrittenWhole(t *testing.T) {
+	out := &writes{}
+	w := NewAsyncWriter(out)
+	const lines = 500
+	for i := range lines {
+		_, err := fmt.Fprintf(w, "{\"n\":%d,\"pad\":%q}\n", i, strings.Repeat("x", i))
+		require.NoError(t, err)
+	}
+	total := func() int {
+		out.mu.Lock()
+		defer out.mu.Unlock()
+		n := 0
+		for _, c := range out.calls {
+			n += bytes.Count(c, []byte("\n"))
+		}
+		return n
+	}
+	require.Eventually(t, func() bool { return total() == lines }, 10*time.Second, time.Millisecond)
+	for _, c := range out.calls {
+		assert.LessOrEqual(t, len(c), batchBytes)
+		assert.Equal(t, byte('\n'), c[len(c)-1])
+	}
+	assert.Less(t, len(out.calls), lines/2, "several lines a call")
+}
