--- a/fleet/turns/turns.go
+++ b/fleet/turns/turns.go
@@ -78,19 +78,6 @@
 	return p.moves
 }
 
-// Lacking returns how many VMs all pools lack beside those on their way.
-func Lacking(v View) int {
-	p := newPlanner(v)
-	if p == nil {
-		return 0
-	}
-	n := 0
-	for _, missing := range p.missing {
-		n += max(missing, 0)
-	}
-	return n
-}
-
 type planner struct {
 	pools map[string]*Pool
 	names []string
--- a/fleet/upkeep/upkeep.go
+++ b/fleet/upkeep/upkeep.go
@@ -50,9 +50,6 @@
 	Waves []Wave
 	// DownMS is how long a VM is away.
 	DownMS int64
-	// Lacking is how many VMs the pools lack now. While there is time, a wave
-	// leaves them the spare ones and empties none.
-	Lacking int
 }
 
 // Act is one VM to take down.
@@ -77,9 +74,6 @@
 	evictAfterMS = 4_000
 	// emptyingMS is what emptying and noticing take besides the maintenance.
 	emptyingMS = 2_500
-	// reservePercent of the time that the rest of a wave needs is kept for it:
-	// before, pools that lack VMs come first.
-	reservePercent = 150
 )
 
 // Make returns the plan for a view.
@@ -106,8 +100,6 @@
 	sortForEmptying(open, w)
 	free := max(w.Cap, 1) - len(w.Down)
 	width := v.width(w, len(open))
-	spare := v.spareLeft(p)
-	pressed := w.EndsAt-v.Now < v.needed(w, len(open))*reservePercent/100
 	for _, vm := range open {
 		if width <= 0 {
 			return
@@ -115,13 +107,7 @@
 		if !vm.Up || vm.Reserved || p.Empty[vm.ID] {
 			continue
 		}
-		if !pressed && v.Lacking > 0 && v.leave(vm, w, spare) {
-			continue
-		}
 		width--
-		if vm.Spare {
-			spare--
-		}
 		if vm.Spare || vm.Cleared {
 			if free > 0 {
 				free--
@@ -138,44 +124,18 @@
 	}
 }
 
-// leave says whether a VM is to be left alone because pools lack VMs: spare
-// ones that they will take, and others whose emptying has not begun.
-func (v View) leave(vm VM, w *Wave, spare int) bool {
-	if vm.Spare {
-		return spare <= v.Lacking
-	}
-	_, begun := w.EmptyingSince[vm.ID]
-	return !begun
-}
-
-// spareLeft counts the spare VMs that can be given to pools.
-func (v View) spareLeft(p *Plan) int {
-	n := 0
-	for id, vm := range v.VMs {
-		if vm.Spare && vm.Up && !vm.Reserved && !p.Empty[id] {
-			n++
-		}
-	}
-	return n - len(p.Maintain)
-}
-
 // width is how many VMs to empty or take down at once: as many as may be
 // down, and more of them when the time gets short.
 func (v View) width(w *Wave, open int) int {
 	cap := max(w.Cap, 1)
-	if w.EndsAt-v.Now < v.needed(w, open) {
+	rounds := int64((open + cap - 1) / cap)
+	needed := rounds*(v.DownMS+emptyingMS/2) + emptyingMS
+	if w.EndsAt-v.Now < needed {
 		return 2 * cap
 	}
 	return cap
 }
 
-// needed is how long so many VMs take, in milliseconds.
-func (v View) needed(w *Wave, open int) int64 {
-	cap := max(w.Cap, 1)
-	rounds := int64((open + cap - 1) / cap)
-	return rounds*(v.DownMS+emptyingMS/2) + emptyingMS
-}
-
 // sortForEmptying puts VMs first whose emptying has begun, then spare ones,
 // then those with the least on them.
 func sortForEmptying(vms []VM, w *Wave) {
--- a/fleet/upkeep/upkeep_test.go
+++ b/fleet/upkeep/upkeep_test.go
@@ -64,21 +64,3 @@
 	assert.False(t, Make(View{Now: evictAfterMS, VMs: vms, Waves: []Wave{wave}}).Evict["vm-00"])
 	assert.True(t, Make(View{Now: evictAfterMS + 1, VMs: vms, Waves: []Wave{wave}}).Evict["vm-00"])
 }
-
-// A wave of 192 VMs took 72 spare ones down in the moment in which a pool's
-// turn began and lacked a hundred.
-func TestPoolsThatLackVMsComeFirstWhileThereIsTime(t *testing.T) {
-	vms, ids := vmsOf(10, func(i int, vm *VM) { vm.Spare = i < 6 })
-	wave := Wave{Number: 1, VMs: ids, Cap: 4, EndsAt: 100_000, EmptyingSince: map[string]int64{"vm-09": 0}}
-	view := View{VMs: vms, Waves: []Wave{wave}, DownMS: 2_000, Lacking: 4}
-	p := Make(view)
-	assert.Len(t, p.Maintain, 2, "two spare ones beyond those that are lacking")
-	assert.Equal(t, map[string]bool{"vm-09": true}, p.Empty, "what has begun is finished")
-
-	view.Lacking = 20
-	assert.Empty(t, Make(view).Maintain)
-
-	view.Waves[0].EndsAt = 10_000
-	p = Make(view)
-	assert.Len(t, p.Maintain, 4, "with little time left the wave comes first")
-}
--- a/node/jobhost/fleet.go
+++ b/node/jobhost/fleet.go
@@ -319,7 +319,7 @@
 }
 
 func (d *fleetDuty) view(now int64, waves []*deps.Wave, seen map[int]int64) upkeep.View {
-	v := upkeep.View{Now: now, VMs: map[string]upkeep.VM{}, DownMS: d.host.cfg.UpkeepMS, Lacking: d.moves.lacking}
+	v := upkeep.View{Now: now, VMs: map[string]upkeep.VM{}, DownMS: d.host.cfg.UpkeepMS}
 	for id, vm := range d.vms {
 		r := d.reports[vm.Worker]
 		v.VMs[id] = upkeep.VM{
--- a/node/jobhost/moves.go
+++ b/node/jobhost/moves.go
@@ -47,8 +47,6 @@
 	asked map[string][]askedSample
 	// loads are the pools' recent loads.
 	loads map[string][]askedSample
-	// lacking is how many VMs the pools lacked at the last plan.
-	lacking int
 }
 
 type goingVM struct {
@@ -77,9 +75,7 @@
 func (m *moveDuty) plan(d *fleetDuty, now int64, up upkeep.Plan) movePlan {
 	m.observe(d, now)
 	m.review(d, now)
-	view := m.view(d, now, up)
-	m.lacking = turns.Lacking(view)
-	for _, mv := range turns.Plan(view) {
+	for _, mv := range turns.Plan(m.view(d, now, up)) {
 		m.going[mv.VM] = &goingVM{to: mv.To, since: now}
 	}
 	p := movePlan{emptying: map[string]bool{}}
