--- a/cmd/internal/cli/cli.go
+++ b/cmd/internal/cli/cli.go
@@ -91,7 +91,7 @@
 		},
 		Commands: []*cli.Command{
 			statusCommand(), poolsCommand(), servicesCommand(), vmsCommand(), wavesCommand(), teamsCommand(),
-			timelineCommand(), manifestCommand(), settingsCommand(), demoCommand(), reportCommand(), standinCommand(), explainCommand(), jobsCommand(), queuesCommand(), docsCommand(), versionCommand(),
+			timelineCommand(), manifestCommand(), settingsCommand(), demoCommand(), reportCommand(), standinCommand(), explainCommand(), jobsCommand(), queuesCommand(), labCommand(), docsCommand(), versionCommand(),
 		},
 	}
 }
--- a/cmd/internal/cli/jobs_test.go
+++ b/cmd/internal/cli/jobs_test.go
@@ -81,3 +81,10 @@
 	require.Contains(t, out.errOut, "zone:")
 	require.Equal(t, ExitUsage, run(t, "settings", "check", "--platform").code)
 }
+
+func TestLabComparesPolicies(t *testing.T) {
+	out := run(t, "lab", "compare", "--workers", "5", "--seconds", "5")
+	require.Equal(t, ExitOK, out.code, out.errOut)
+	require.Contains(t, out.out, "first-come")
+	require.Equal(t, ExitUsage, run(t, "lab", "compare", "--workers", "0").code)
+}
--- a/jobs/model/owner.go
+++ b/jobs/model/owner.go
@@ -33,14 +33,14 @@
 	w.epoch++
 	o := &owner{world: w, epoch: w.epoch, waiting: map[uint64]func(shard.Reply){}, startsUntil: math.MaxInt64, leasesUntil: math.MaxInt64}
 	o.core = shard.New(shard.Config{
-		Epoch: w.epoch, MaxLeaseMS: maxHoldMS, EarlierLeaseMS: leaseRightMS + maxHoldMS + 500, StatusKeepMS: 1_000_000,
+		Epoch: w.epoch, MaxLeaseMS: maxHoldMS, EarlierLeaseMS: leaseRightMS + maxHoldMS + 500, StatusKeepMS: 1_000_000, Policy: w.opts.Policy,
 	}, w.now, wallStart+w.now)
 	for _, key := range slices.Sorted(maps.Keys(w.store)) {
 		if err := o.core.Restore(shard.Record{Key: key, Value: w.store[key]}); err != nil {
 			w.violate("restore: %v", err)
 		}
 	}
-	o.core.SetQueues([]shard.Queue{{Name: queueName, Service: serviceName, MaxAttempts: w.opts.MaxAttempts, Stretch: 1.6, TargetMS: 600}})
+	o.core.SetQueues([]shard.Queue{{Name: Queue, Service: serviceName, MaxAttempts: w.opts.MaxAttempts, Stretch: Stretch, TargetMS: TargetMS}})
 	w.owner = o
 	o.list()
 	o.pump()
--- a/jobs/model/random_test.go
+++ b/jobs/model/random_test.go
@@ -18,7 +18,7 @@
 var failedSeeds = []uint64{196, 268, 384}
 
 func randomJob(r *rand.Rand, i int) spec.Job {
-	j := spec.Job{ID: fmt.Sprintf("%016x", i+1), Queue: queueName}
+	j := spec.Job{ID: fmt.Sprintf("%016x", i+1), Queue: Queue}
 	for s := range 1 + r.IntN(3) {
 		st := spec.Step{Count: 1 + r.IntN(8), EstimateMS: 100 + r.Int64N(2_000),
 			Need: spec.Resources{MilliCPU: 300 + r.IntN(3_000), MemoryMB: 500 + r.IntN(8_000)}}
--- a/jobs/model/worker.go
+++ b/jobs/model/worker.go
@@ -256,13 +256,22 @@
 	return shard.StartTaken
 }
 
-// work ends the run after its real time, which is off from the estimate.
-func (k *worker) work(r *modelRun, st *spec.Step) {
-	w := k.world
+// took is how long a run takes.
+func (w *World) took(r *modelRun, st *spec.Step) int64 {
+	if w.opts.RunTime != nil {
+		return w.opts.RunTime(r.ref.Key, st)
+	}
 	took := int64(float64(st.EstimateMS) * (0.5 + w.rng.Float64()))
 	if w.rng.Float64() < stragglerShare {
 		took *= stragglerTimes
 	}
+	return took
+}
+
+// work ends the run after its real time, which is off from the estimate.
+func (k *worker) work(r *modelRun, st *spec.Step) {
+	w := k.world
+	took := w.took(r, st)
 	kind := shard.EndDone
 	if w.rng.Float64() < w.opts.FailShare {
 		kind = shard.EndFailed
--- a/jobs/model/world.go
+++ b/jobs/model/world.go
@@ -36,6 +36,9 @@
 	// Faults end after FaultsUntil.
 	FaultsUntil int64
 	MaxAttempts int
+	Policy      shard.Policy
+	// RunTime is how long a task takes; nil draws it anew for each run.
+	RunTime func(k shard.Key, st *spec.Step) int64
 }
 
 // The times of the model.
@@ -47,7 +50,6 @@
 	restartMS      = 2_000
 	maxHoldMS      = 6_000
 	leaseRightMS   = 3_300
-	queueName      = "q"
 	serviceName    = "s"
 	wallStart      = int64(1_700_000_000_000)
 	stopGraceMS    = 200
@@ -238,6 +240,17 @@
 	SubmittedMS, DoneAt int64
 }
 
+// At does something at a time.
+func (w *World) At(at int64, do func()) { w.after(at-w.now, do) }
+
+// The model's queue, whose objective is Stretch times a job's chain and
+// TargetMS more.
+const (
+	Queue    = "q"
+	Stretch  = 1.6
+	TargetMS = 600
+)
+
 // Results lists all jobs by id. DoneAt is 0 for jobs that are not completed.
 func (w *World) Results() []Result {
 	var list []Result
--- a/jobs/shard/core.go
+++ b/jobs/shard/core.go
@@ -67,8 +67,31 @@
 	EarlierLeaseMS int64
 	// StatusKeepMS is how long final jobs can be asked for.
 	StatusKeepMS int64
+	// Policy is what the lab compares; the zero value is the product's.
+	Policy Policy
 }
 
+// Policy says in which order jobs get room, and whether any is turned away.
+type Policy struct {
+	Order Order
+	// TakeAll accepts all jobs that can ever be held.
+	TakeAll bool
+}
+
+// Order ranks jobs of one priority.
+type Order int
+
+// The orders.
+const (
+	// OrderLeastLeft puts those with the least work left first that can still
+	// be in time, then the others by arrival.
+	OrderLeastLeft Order = iota
+	// OrderArrival is first come, first served.
+	OrderArrival
+	// OrderShortest puts those with the shortest chain first.
+	OrderShortest
+)
+
 // Queue is one queue of the configuration in force.
 type Queue struct {
 	Name    string
--- a/jobs/shard/schedule.go
+++ b/jobs/shard/schedule.go
@@ -82,12 +82,7 @@
 	}
 	ranks := make(map[*job]rank, len(jobs))
 	for _, j := range jobs {
-		chain := j.chainLeftMS()
-		late := c.now+int64(lateShare*float64(chain)) > j.deadline
-		key := j.left
-		if late {
-			key = j.firstSeen
-		}
+		late, key := c.rank(j)
 		ranks[j] = rank{late, key}
 	}
 	sort.SliceStable(jobs, func(a, b int) bool {
@@ -106,6 +101,22 @@
 	})
 }
 
+// rank returns a job's place among those of its priority: those in time come
+// first, then the lower key.
+func (c *Core) rank(j *job) (late bool, key int64) {
+	switch c.cfg.Policy.Order {
+	case OrderArrival:
+		return false, j.firstSeen
+	case OrderShortest:
+		return false, j.spec.ChainMS(nil)
+	}
+	chain := j.chainLeftMS()
+	if c.now+int64(lateShare*float64(chain)) > j.deadline {
+		return true, j.firstSeen
+	}
+	return false, j.left
+}
+
 // pass tries to place the jobs' tasks in order and returns the jobs that
 // still have tasks to start.
 func (c *Core) pass(jobs []*job, workers []*worker, blocked *bool) []*job {
--- a/jobs/shard/submit.go
+++ b/jobs/shard/submit.go
@@ -77,6 +77,9 @@
 	if reason, ok := c.impossible(j); ok {
 		return Reply{Reason: reason, RetryAfterMS: admit.ImpossibleRetryMS}, true
 	}
+	if c.cfg.Policy.TakeAll {
+		return Reply{}, false
+	}
 	p := c.pool(q.Service)
 	d := admit.Decide(c.loadAhead(p, j.spec.Work()), admit.Ask{
 		Work: j.spec.Work(), FirstMilliCPU: firstStepCPU(&j.spec), ChainMS: j.spec.ChainMS(nil), SlackMS: j.deadline - c.now,
