Count workers as room until they were asked after a takeover

Change: for half a second after a takeover listed workers that have not failed a poll count as room. Test: TestJobsAreNotRefusedBeforeTheFirstPollsComeBack (fails before).

--- a/jobs/shard/core.go
+++ b/jobs/shard/core.go
@@ -126,9 +126,11 @@
 	cfg    Config
 	now    int64
 	wallMS int64
-	queues map[string]Queue
-	jobs   map[string]*job
-	finals []*job
+	// takenAt is when the shard was taken over.
+	takenAt int64
+	queues  map[string]Queue
+	jobs    map[string]*job
+	finals  []*job
 	// drops are forgotten jobs whose records are still kept.
 	drops []string
 	// scheduled are the open jobs that run at given times.
@@ -168,7 +170,7 @@
 		cfg.MaxLeaseMS = maxLeaseMS
 	}
 	return &Core{
-		cfg: cfg, now: now, wallMS: wallMS, earlierUntil: now + cfg.EarlierLeaseMS,
+		cfg: cfg, now: now, takenAt: now, wallMS: wallMS, earlierUntil: now + cfg.EarlierLeaseMS,
 		queues: map[string]Queue{}, jobs: map[string]*job{}, scheduled: map[string]*job{}, workers: map[string]*worker{},
 		kinds: map[string]Worker{}, pools: map[string]*pool{}, arrived: map[string]int64{},
 	}
--- a/jobs/shard/shard_test.go
+++ b/jobs/shard/shard_test.go
@@ -357,3 +357,20 @@
 	assert.Zero(t, w.placedWork)
 	assert.Equal(t, spec.Resources{}, w.used)
 }
+
+// After all nodes had lost power, 45 jobs were refused for want of a worker in
+// reach in the tenth of a second before the first polls came back.
+func TestJobsAreNotRefusedBeforeTheFirstPollsComeBack(t *testing.T) {
+	c := New(Config{Epoch: 5, MaxLeaseMS: 6_000}, 1_000, 1_000)
+	c.SetRight(forever, forever)
+	c.SetQueues([]Queue{{Name: "q", Service: "s", MaxAttempts: 3, Stretch: 1.6, TargetMS: 600}})
+	c.SetWorkers(1_000, workersOf(4))
+	c.Advance(1_010, 1_010)
+	c.Submit(1_010, 1, jobOf(1, small(2)))
+	assert.Empty(t, c.Take().Replies, "it waits for its record")
+
+	c.Submit(1_000+lookAroundMS, 2, jobOf(2, small(2)))
+	replies := c.Take().Replies
+	require.Len(t, replies, 1)
+	assert.Equal(t, Refused, replies[0].Outcome, "by then they should have answered")
+}
--- a/jobs/shard/submit.go
+++ b/jobs/shard/submit.go
@@ -102,7 +102,7 @@
 			continue
 		}
 		l.WaitingWork -= w.placedWork
-		if w.usable() {
+		if w.usable() || c.lookingAround(w) {
 			l.CapacityMilliCPU += int64(w.info.Capacity.MilliCPU)
 			l.FreeMilliCPU += int64(max(w.info.Capacity.MilliCPU-w.used.MilliCPU, 0))
 		}
@@ -114,6 +114,16 @@
 	return l
 }
 
+// lookAroundMS is how long after a takeover workers count as room before they
+// were reached: the first polls' round trips, several times.
+const lookAroundMS = 500
+
+// lookingAround says whether a worker was not asked long enough yet to be
+// called out of reach: the shard has just been taken over.
+func (c *Core) lookingAround(w *worker) bool {
+	return c.now-c.takenAt < lookAroundMS && w.listed && !w.info.Draining && !w.cordoned && !w.reached && w.failedPolls == 0
+}
+
 // laterPercent of the work of steps that can't start yet counts as waiting:
 // most of it starts after what is ready now is done.
 const laterPercent = 10
