Read the change again: the job host

Mended, behaviour the same: - requests are found by shard, not by service: the walk over other services repeated the one over needed shards, and the owner worked the shard out again from the name; - the fleet duty kept its own copy of when its shard was last proven; it reads the shard's; - one deps.KindOf, which also sees wrapped errors, where two type assertions stood; - one loop for whether a node owns a partition, where two stood; mayAct took a time that it replaced. Tests adapt to the fields; no expectation changed.

--- a/node/deps/deps.go
+++ b/node/deps/deps.go
@@ -8,6 +8,8 @@
 	"context"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"wigeonwinch/jobs/shard"
 	"wigeonwinch/jobs/spec"
 )
@@ -106,6 +108,16 @@
 // Unwrap returns the cause.
 func (e *Error) Unwrap() error { return e.Err }
 
+// KindOf returns what a failed call means; an error of another type says
+// nothing of whether it was done.
+func KindOf(err error) ErrorKind {
+	var e *Error
+	if errors.As(err, &e) {
+		return e.Kind
+	}
+	return KindUnknown
+}
+
 // Store is a log with keyed partitions that lasts.
 type Store interface {
 	// Append returns once the records are stored.
--- a/node/jobhost/acts.go
+++ b/node/jobhost/acts.go
@@ -27,12 +27,12 @@
 	for _, m := range moves {
 		vms = append(vms, m.VM)
 	}
-	sentAt := steadyMS()
-	if d.announced.covers(vms) && sentAt-d.proven.Load() < proofLife.Milliseconds()/2 {
-		d.announced.note(vms, sentAt)
+	now := steadyMS()
+	if d.announced.covers(vms...) && sinceMS(d.shard.provenAt.Load()) < proofLife/2 {
+		d.announced.note(vms, now)
 		return
 	}
-	rec, err := d.announced.record(vms, sentAt, d.host.cfg.HolderGapMS)
+	rec, err := d.announced.record(vms, now, d.host.cfg.HolderGapMS)
 	if err != nil {
 		d.note("prove", "", "", err)
 		return
@@ -40,19 +40,15 @@
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
 	if d.store(ctx, rec) {
-		d.announced.stored(vms, sentAt)
-		d.proven.Store(sentAt)
+		d.announced.stored()
 	}
 }
 
 // mayAct says whether this node is certainly the only holder.
-func (d *fleetDuty) mayAct(now int64) bool {
+func (d *fleetDuty) mayAct() bool {
 	beat := d.host.heartbeat.Load()
-	now = max(now, steadyMS())
-	if beat == nil || now >= beat.sentAt+startRight.Milliseconds() || d.shard.ctx.Err() != nil {
-		return false
-	}
-	return sinceMS(d.proven.Load()) < proofLife
+	return beat != nil && sinceMS(beat.sentAt) < startRight && d.shard.ctx.Err() == nil &&
+		sinceMS(d.shard.provenAt.Load()) < proofLife
 }
 
 // held says whether an earlier holder may have acted on a VM so lately that
@@ -75,8 +71,8 @@
 // is answered.
 func (d *fleetDuty) maintainAll(ctx context.Context, acts []upkeep.Act) {
 	now := steadyMS()
-	acts = slices.DeleteFunc(acts, func(a upkeep.Act) bool { return !d.announced.covers([]string{a.VM}) })
-	if len(acts) == 0 || !d.mayAct(now) {
+	acts = slices.DeleteFunc(acts, func(a upkeep.Act) bool { return !d.announced.covers(a.VM) })
+	if len(acts) == 0 || !d.mayAct() {
 		return
 	}
 	for _, a := range acts {
@@ -101,7 +97,7 @@
 		delete(d.reports, d.vms[a.VM].Worker)
 		d.setBegun(a.Wave, a.VM)
 		d.remember(fmt.Sprintf("w/%d/%s", a.Wave, a.VM))
-	case kindOf(err) != deps.KindUnknown:
+	case deps.KindOf(err) != deps.KindUnknown:
 		delete(d.down[a.Wave], a.VM)
 	}
 }
--- a/node/jobhost/announced.go
+++ b/node/jobhost/announced.go
@@ -58,7 +58,7 @@
 func (a *announcedActs) inherited(vm string) bool { return a.all || a.from[vm] }
 
 // covers says whether the stored record names all these VMs.
-func (a *announcedActs) covers(vms []string) bool {
+func (a *announcedActs) covers(vms ...string) bool {
 	return !slices.ContainsFunc(vms, func(vm string) bool { return !a.in[vm] })
 }
 
@@ -79,9 +79,8 @@
 	return shard.Record{Key: actsKey, Value: value}, err
 }
 
-// stored notes that the store has the record of now.
-func (a *announcedActs) stored(vms []string, now int64) {
-	a.note(vms, now)
+// stored notes that the store has the last record.
+func (a *announcedActs) stored() {
 	a.in = make(map[string]bool, len(a.at))
 	for vm := range a.at {
 		a.in[vm] = true
--- a/node/jobhost/beats.go
+++ b/node/jobhost/beats.go
@@ -114,13 +114,8 @@
 // ownerSeen says whether a partition's owner has been heard of within a time.
 func (h *Host) ownerSeen(p deps.Partition, now int64, within time.Duration) bool {
 	for _, n := range h.nodes {
-		if n.record.Leaving || now-n.changedAt > within.Milliseconds() {
-			continue
-		}
-		for _, o := range n.record.Owned {
-			if o.partition() == p {
-				return true
-			}
+		if !n.record.Leaving && now-n.changedAt <= within.Milliseconds() && n.owns(p) {
+			return true
 		}
 	}
 	return false
--- a/node/jobhost/feeds.go
+++ b/node/jobhost/feeds.go
@@ -58,23 +58,24 @@
 	}
 }
 
-// noteFormer remembers the services that queues move away from.
+// noteFormer remembers the shards that queues move away from.
 func (h *Host) noteFormer(old, cfg *deps.Configuration) {
 	if old == nil {
 		return
 	}
-	was := map[string]string{}
+	was := map[string]deps.Partition{}
 	for _, r := range old.Routes {
-		was[r.Queue.Name] = r.Queue.Service
+		was[r.Queue.Name] = h.partitionOf(r.Queue.Service)
 	}
-	former := map[string][]string{}
+	former := map[string][]deps.Partition{}
 	if known := h.former.Load(); known != nil {
 		former = maps.Clone(*known)
 	}
 	for _, r := range cfg.Routes {
-		service, known := was[r.Queue.Name]
-		if known && h.partitionOf(service) != h.partitionOf(r.Queue.Service) && !slices.Contains(former[r.Queue.Name], service) {
-			former[r.Queue.Name] = append(slices.Clone(former[r.Queue.Name]), service)
+		name := r.Queue.Name
+		part, known := was[name]
+		if known && part != h.partitionOf(r.Queue.Service) && !slices.Contains(former[name], part) {
+			former[name] = append(slices.Clone(former[name]), part)
 		}
 	}
 	h.former.Store(&former)
--- a/node/jobhost/fleet.go
+++ b/node/jobhost/fleet.go
@@ -36,7 +36,8 @@
 )
 
 // fleetDuty is the state of the node that moves and maintains VMs. It belongs
-// to the goroutine of runFleet, except for shard.
+// to the goroutine of runFleet, except for the shard, of which only provenAt may
+// be read there.
 type fleetDuty struct {
 	host     *Host
 	shard    *ownedShard
@@ -62,8 +63,6 @@
 	// 0 means that it is not known.
 	quietMS   int64
 	announced announcedActs
-	// proven is the shard's provenAt, for this goroutine.
-	proven atomic.Int64
 	// loggedAt is when the pools' loads were last logged.
 	loggedAt int64
 }
@@ -121,9 +120,6 @@
 		seen := map[int]int64{}
 		if h.ask(ctx, func() {
 			d = h.fleet
-			if d != nil {
-				d.proven.Store(max(d.proven.Load(), d.shard.provenAt))
-			}
 			for n, w := range h.waves {
 				waves = append(waves, w)
 				seen[n] = h.waveSeenAt[n]
@@ -163,7 +159,7 @@
 	if len(maintain)+len(ready)+len(plan.Done) > 0 {
 		d.prove(ctx, maintain, ready)
 	}
-	if !d.mayAct(now) {
+	if !d.mayAct() {
 		return
 	}
 	d.maintainAll(ctx, maintain)
--- a/node/jobhost/fleet_test.go
+++ b/node/jobhost/fleet_test.go
@@ -49,11 +49,11 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	now := steadyMS()
-	owned := &ownedShard{partition: fleetPartition, epoch: 7, sequence: 1, ctx: ctx, cancel: cancel, takenAt: now - 60_000, provenAt: now, kept: map[string][]byte{}}
+	owned := &ownedShard{partition: fleetPartition, epoch: 7, sequence: 1, ctx: ctx, cancel: cancel, takenAt: now - 60_000, kept: map[string][]byte{}}
+	owned.provenAt.Store(now)
 	h.owned[fleetPartition] = owned
 	d := newFleetDuty(h, owned)
 	h.fleet = d
-	d.proven.Store(now)
 	h.heartbeat.Store(&confirmed{sentAt: now, chainStart: now - 60_000})
 	go h.loop(ctx)
 
@@ -88,12 +88,13 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	t.Cleanup(cancel)
 	now := steadyMS()
-	owned := &ownedShard{partition: fleetPartition, epoch: 7, sequence: 1, ctx: ctx, cancel: cancel, takenAt: now, provenAt: now, kept: map[string][]byte{}, inherited: true}
+	owned := &ownedShard{partition: fleetPartition, epoch: 7, sequence: 1, ctx: ctx, cancel: cancel, takenAt: now, kept: map[string][]byte{}, inherited: true}
 	if recorded {
 		value, err := encMode.Marshal(announced)
 		require.NoError(t, err)
 		owned.kept[actsKey] = value
 	}
+	owned.provenAt.Store(now)
 	h.owned[fleetPartition] = owned
 	d := newFleetDuty(h, owned)
 	h.fleet = d
@@ -143,7 +144,7 @@
 	a := inheritActs([]string{"old"}, 0)
 	_, err := a.record([]string{"new"}, 20_000, 3_000)
 	require.NoError(t, err)
-	a.stored([]string{"new"}, 20_000)
-	assert.False(t, a.covers([]string{"old"}))
-	assert.True(t, a.covers([]string{"new"}))
+	a.stored()
+	assert.False(t, a.covers("old"))
+	assert.True(t, a.covers("new"))
 }
--- a/node/jobhost/host.go
+++ b/node/jobhost/host.go
@@ -45,8 +45,8 @@
 
 	config atomic.Pointer[deps.Configuration]
 	owners atomic.Pointer[map[deps.Partition]ownership]
-	// former are the services that queues were on before.
-	former    atomic.Pointer[map[string][]string]
+	// former are the shards of the services that queues were on before.
+	former    atomic.Pointer[map[string][]deps.Partition]
 	heartbeat atomic.Pointer[confirmed]
 	ownedView atomic.Pointer[[]ownership]
 	wakeBeat  chan struct{}
--- a/node/jobhost/host_test.go
+++ b/node/jobhost/host_test.go
@@ -84,7 +84,7 @@
 			require.NotEqual(t, results[0].epoch, results[1].epoch)
 			older := min(results[0].epoch, results[1].epoch)
 			err := s.store.Append(context.Background(), deps.Append{Partition: p, Records: []shard.Record{{Key: "k", Value: []byte{1}}}, Fence: &deps.Fence{Epoch: older, Sequence: 2}})
-			require.Equal(t, deps.KindFenced, kindOf(err), "the earlier owner must be fenced")
+			require.Equal(t, deps.KindFenced, deps.KindOf(err), "the earlier owner must be fenced")
 		}
 	}
 }
@@ -104,7 +104,8 @@
 func TestAGapInTheHeartbeatsEndsTheRight(t *testing.T) {
 	h := New(newSite(t, time.Millisecond).config("a", "127.0.0.1"))
 	now := steadyMS()
-	s := &ownedShard{provenAt: now - 10_000}
+	s := &ownedShard{}
+	s.provenAt.Store(now - 10_000)
 	h.heartbeat.Store(&confirmed{sentAt: now - 1_000, chainStart: now - 11_000})
 	_, proven := h.right(s)
 	require.True(t, proven)
@@ -117,7 +118,7 @@
 	h.confirm(now)
 	_, proven = h.right(s)
 	assert.False(t, proven, "a gap ends it")
-	s.provenAt = steadyMS()
+	s.provenAt.Store(steadyMS())
 	_, proven = h.right(s)
 	assert.True(t, proven, "a fenced append brings it back")
 }
--- a/node/jobhost/members.go
+++ b/node/jobhost/members.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sort"
 	"time"
 
@@ -59,6 +60,11 @@
 	changedAt int64
 }
 
+// owns says whether the node's last heartbeat claims a partition.
+func (n *nodeView) owns(p deps.Partition) bool {
+	return slices.ContainsFunc(n.record.Owned, func(o ownership) bool { return o.partition() == p })
+}
+
 func (n *nodeView) fresh(now int64) bool {
 	bound := silentAfter
 	if n.record.Idle {
@@ -188,7 +194,7 @@
 			f.host.noteStore(lost, "read", err)
 		}
 		if err != nil {
-			if kindOf(err) == deps.KindTrimmed {
+			if deps.KindOf(err) == deps.KindTrimmed {
 				next = -1
 				continue
 			}
@@ -233,10 +239,3 @@
 
 // minReadMargin is the least time that a read of the store gets.
 const minReadMargin = 500 * time.Millisecond
-
-func kindOf(err error) deps.ErrorKind {
-	if e, ok := err.(*deps.Error); ok {
-		return e.Kind
-	}
-	return deps.KindUnknown
-}
--- a/node/jobhost/messages.go
+++ b/node/jobhost/messages.go
@@ -27,11 +27,11 @@
 }
 
 func (h *Host) serveRequest(ctx context.Context, _ string, body []byte) ([]byte, error) {
-	var r Request
-	if err := decMode.Unmarshal(body, &r); err != nil {
+	var p passedOn
+	if err := decMode.Unmarshal(body, &p); err != nil {
 		return nil, errors.Wrap(err, "a passed on request can't be decoded")
 	}
-	return encMode.Marshal(h.doLocal(ctx, h.partitionOf(r.Service), r))
+	return encMode.Marshal(h.doLocal(ctx, deps.Partition{Topic: deps.TopicJobs, Index: p.Partition}, p.Request))
 }
 
 // announce tells the other nodes of a takeover.
--- a/node/jobhost/moves.go
+++ b/node/jobhost/moves.go
@@ -214,8 +214,8 @@
 // moveAll has the platform move empty VMs, several at a time.
 func (d *fleetDuty) moveAll(ctx context.Context, moves []vmMove) {
 	now := steadyMS()
-	moves = slices.DeleteFunc(moves, func(m vmMove) bool { return !d.announced.covers([]string{m.VM}) })
-	if len(moves) == 0 || !d.mayAct(now) {
+	moves = slices.DeleteFunc(moves, func(m vmMove) bool { return !d.announced.covers(m.VM) })
+	if len(moves) == 0 || !d.mayAct() {
 		return
 	}
 	for _, mv := range moves {
@@ -237,7 +237,7 @@
 	case err == nil:
 		g.calledAt = now
 		delete(d.reports, d.vms[mv.VM].Worker)
-	case kindOf(err) == deps.KindConflict || kindOf(err) == deps.KindInvalid:
+	case deps.KindOf(err) == deps.KindConflict || deps.KindOf(err) == deps.KindInvalid:
 		delete(d.moves.going, mv.VM)
 	}
 }
--- a/node/jobhost/owners.go
+++ b/node/jobhost/owners.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"hash/fnv"
 	"sort"
+	"sync/atomic"
 	"time"
 
 	"wigeonwinch/jobs/shard"
@@ -30,7 +31,7 @@
 	takenAt      int64
 	// provenAt is when the last append was sent that the store took from this
 	// owner.
-	provenAt int64
+	provenAt atomic.Int64
 	// extra are records beside those of the core.
 	extra []extraRecord
 	// cordonEpoch and cordonAt are of the last cordons.
@@ -116,13 +117,8 @@
 		if !h.present(n, now) || n.record.Node == h.cfg.Node {
 			continue
 		}
-		for _, o := range n.record.Owned {
-			if o.partition() == p {
-				return true
-			}
-		}
 		a, ok := h.announced[p]
-		if ok && a.Node == n.record.Node && a.Boot == n.record.Boot && now-h.announcedAt[p] < silentAfter.Milliseconds() {
+		if n.owns(p) || ok && a.Node == n.record.Node && a.Boot == n.record.Boot && now-h.announcedAt[p] < silentAfter.Milliseconds() {
 			return true
 		}
 	}
@@ -212,7 +208,7 @@
 	if c == nil {
 		return confirmed{}, false
 	}
-	return *c, s.provenAt >= c.chainStart
+	return *c, s.provenAt.Load() >= c.chainStart
 }
 
 // prove writes the owner's record again, which a newer owner's epoch refuses.
--- a/node/jobhost/requests.go
+++ b/node/jobhost/requests.go
@@ -91,11 +91,12 @@
 var opNames = map[Operation]string{OpSubmit: "submit", OpCancel: "cancel", OpShow: "show", OpWaiting: "waiting", OpList: "list", OpTasks: "tasks"}
 
 // findAnywhere asks the shard of the queue's service. A job that was accepted
-// before its queue moved to another service is still with the earlier one.
+// before its queue moved to another service is still in the earlier shard.
 func (h *Host) findAnywhere(ctx context.Context, r Request) Result {
+	part := h.partitionOf(r.Service)
 	if r.Op == OpSubmit {
-		for _, service := range h.formerServices(r.Queue) {
-			earlier := h.find(ctx, Request{Op: OpShow, Service: service, Queue: r.Queue, ID: r.ID})
+		for _, former := range h.formerShards(r.Queue) {
+			earlier := h.find(ctx, former, Request{Op: OpShow, Queue: r.Queue, ID: r.ID})
 			if earlier.Outcome == Done {
 				return Result{Outcome: Done, Reason: "accepted_before_the_queue_moved"}
 			}
@@ -104,48 +105,32 @@
 			}
 		}
 	}
-	res := h.find(ctx, r)
+	res := h.find(ctx, part, r)
 	if res.Outcome != Missing || r.Op == OpSubmit {
 		return res
 	}
-	for _, service := range h.otherServices(r.Service) {
-		r.Service = service
-		if other := h.find(ctx, r); other.Outcome != Missing {
-			return other
+	for _, other := range h.needed() {
+		if other == part || other.Topic != deps.TopicJobs {
+			continue
+		}
+		if res := h.find(ctx, other, r); res.Outcome != Missing {
+			return res
 		}
 	}
 	return res
 }
 
-// formerServices are those that a queue was on before, as far as this node
-// has seen it.
-func (h *Host) formerServices(queue string) []string {
+// formerShards are those of the services that a queue was on before, as far as
+// this node has seen it.
+func (h *Host) formerShards(queue string) []deps.Partition {
 	if former := h.former.Load(); former != nil {
 		return (*former)[queue]
 	}
 	return nil
 }
 
-// otherServices are those of other shards than a service's own.
-func (h *Host) otherServices(service string) []string {
-	cfg := h.config.Load()
-	if cfg == nil {
-		return nil
-	}
-	seen := map[deps.Partition]bool{h.partitionOf(service): true}
-	var list []string
-	for _, p := range cfg.Pools {
-		if part := h.partitionOf(p.Service); !p.Spare && !seen[part] {
-			seen[part] = true
-			list = append(list, p.Service)
-		}
-	}
-	return list
-}
-
 // find asks the owner, and waits a little for one if there is none.
-func (h *Host) find(ctx context.Context, r Request) Result {
-	part := h.partitionOf(r.Service)
+func (h *Host) find(ctx context.Context, part deps.Partition, r Request) Result {
 	giveUp := time.Now().Add(ownerWait)
 	reason := "no_owner"
 	for {
@@ -169,14 +154,20 @@
 	if owner.Node == h.cfg.Node {
 		return h.doLocal(ctx, part, r)
 	}
-	return h.passOn(ctx, owner.Node, r)
+	return h.passOn(ctx, owner.Node, part, r)
+}
+
+// passedOn is a request on its way to the owner of a shard.
+type passedOn struct {
+	Partition int     `cbor:"1,keyasint"`
+	Request   Request `cbor:"2,keyasint"`
 }
 
 // passOn sends a request to the shard's owner.
-func (h *Host) passOn(ctx context.Context, node string, r Request) Result {
+func (h *Host) passOn(ctx context.Context, node string, part deps.Partition, r Request) Result {
 	ctx, cancel := context.WithTimeout(ctx, passOnTimeout)
 	defer cancel()
-	body, err := encMode.Marshal(r)
+	body, err := encMode.Marshal(passedOn{part.Index, r})
 	if err != nil {
 		return Result{Outcome: Unavailable, Reason: err.Error()}
 	}
--- a/node/jobhost/shardrun.go
+++ b/node/jobhost/shardrun.go
@@ -96,7 +96,7 @@
 			h.post(func() { h.appended(s, sentAt, done) })
 			return
 		}
-		switch kindOf(err) {
+		switch deps.KindOf(err) {
 		case deps.KindRefused, deps.KindUnknown:
 			h.post(func() { h.appendFailing(s, err) })
 			pause.For(s.ctx, appendRetry)
@@ -121,7 +121,7 @@
 	if h.owned[s.partition] != s {
 		return
 	}
-	s.provenAt = sentAt
+	s.provenAt.Store(sentAt)
 	if s.failingSince != 0 {
 		h.record(events.StoreBack, events.Fields{Detail: describe(s.partition) + fmt.Sprintf(" after_ms=%d", steadyMS()-s.failingSince)})
 		s.failingSince = 0
@@ -157,7 +157,7 @@
 }
 
 func pollError(err error) shard.PollError {
-	switch kindOf(err) {
+	switch deps.KindOf(err) {
 	case deps.KindFenced:
 		return shard.PollFenced
 	case deps.KindReplaced:
@@ -181,7 +181,7 @@
 	defer cancel()
 	err := h.cfg.Workers.Stop(ctx, st)
 	h.post(func() {
-		s.core.Stopped(steadyMS(), st, err == nil, err != nil && kindOf(err) == deps.KindFenced)
+		s.core.Stopped(steadyMS(), st, err == nil, err != nil && deps.KindOf(err) == deps.KindFenced)
 	})
 }
 
--- a/node/jobhost/takeover.go
+++ b/node/jobhost/takeover.go
@@ -107,7 +107,7 @@
 	end := page.End
 	err = h.cfg.Store.Append(ctx, deps.Append{Partition: p, At: &end, Fence: &deps.Fence{Epoch: t.epoch, Sequence: t.sequence},
 		Records: []shard.Record{rec}})
-	if err != nil && kindOf(err) == deps.KindUnknown {
+	if err != nil && deps.KindOf(err) == deps.KindUnknown {
 		return h.confirmTake(ctx, t, err)
 	}
 	return t, err
@@ -132,7 +132,8 @@
 func (h *Host) own(t taken) {
 	now := steadyMS()
 	ctx, cancel := context.WithCancel(context.Background())
-	s := &ownedShard{partition: t.partition, epoch: t.epoch, sequence: t.sequence, ctx: ctx, cancel: cancel, takenAt: now, provenAt: t.startMS, kept: map[string][]byte{}}
+	s := &ownedShard{partition: t.partition, epoch: t.epoch, sequence: t.sequence, ctx: ctx, cancel: cancel, takenAt: now, kept: map[string][]byte{}}
+	s.provenAt.Store(t.startMS)
 	h.owned[t.partition] = s
 	if t.partition.Topic == deps.TopicJobs {
 		h.restoreShard(s, t, now)
