Read the change again: what the project already had

- the rounding of Retry-After stood three times: node/retryafter;
- the platform's settings check made its own list of faults: it returns the problems that the product's settings check returns, and one piece of code prints them, in the daemon and in the command line each;
- the command line read a job's file with a copy of readArgument, and walked the nodes with a copy of first's loop;

--- a/cmd/internal/cli/cli.go
+++ b/cmd/internal/cli/cli.go
@@ -149,18 +149,20 @@
 
 // first reads a route from the first node that answers.
 func first(ctx context.Context, cmd *cli.Command, path string, answer any) error {
+	return firstOf(cmd, func(c *apiclient.Client) error { return c.Get(ctx, path, answer) })
+}
+
+// firstOf calls the nodes in turn until one does what it is asked or refuses.
+func firstOf(cmd *cli.Command, call func(c *apiclient.Client) error) error {
 	list, err := clients(cmd)
 	if err != nil {
 		return err
 	}
 	var last error
 	for _, c := range list {
-		last = c.Get(ctx, path, answer)
-		if last == nil {
-			return nil
-		}
+		last = call(c)
 		var api *apiclient.Error
-		if errors.As(last, &api) && api.Kind == apiclient.KindRefused {
+		if last == nil || errors.As(last, &api) && api.Kind == apiclient.KindRefused {
 			return last
 		}
 	}
--- a/cmd/internal/cli/jobs.go
+++ b/cmd/internal/cli/jobs.go
@@ -2,10 +2,8 @@
 
 import (
 	"context"
-	"io"
 	"net/http"
 	"net/url"
-	"os"
 	"strconv"
 	"time"
 
@@ -53,7 +51,7 @@
 				Name: "submit", Usage: "submit a job from a JSON file, - for standard input", ArgsUsage: "FILE", Flags: []cli.Flag{queue},
 				Description: "Example:\n  wigeonwinch --nodes 10.0.0.5:7061 jobs submit --queue lint job.json" + jobsAddressNote,
 				Action: func(ctx context.Context, cmd *cli.Command) error {
-					body, err := readJob(cmd.Args().First())
+					body, err := readArgument(cmd)
 					if err != nil {
 						return err
 					}
@@ -93,49 +91,23 @@
 	return path
 }
 
-func readJob(path string) ([]byte, error) {
-	if path == "" {
-		return nil, fail(ExitUsage, "no job is given: name a JSON file, or - for standard input")
-	}
-	if path == "-" {
-		return io.ReadAll(os.Stdin)
-	}
-	body, err := os.ReadFile(path)
-	if err != nil {
-		return nil, fail(ExitUsage, "name a file that can be read: %v", err)
-	}
-	return body, nil
-}
-
-// change sends a submission or a cancel to the first node that can be reached.
-// Both are safe to send again, so that the next one is asked after a node that
-// did not answer.
+// change sends a submission or a cancel to the first node that answers. Both are
+// safe to send again.
 func change(ctx context.Context, cmd *cli.Command, method, path string, body []byte) error {
-	list, err := clients(cmd)
+	var out jobapi.Answered
+	err := firstOf(cmd, func(c *apiclient.Client) error { return c.Change(ctx, method, path, body, &out) })
+	var api *apiclient.Error
+	if errors.As(err, &api) && api.Problem.Status == http.StatusGatewayTimeout {
+		return &exitError{ExitNotKnown, err}
+	}
 	if err != nil {
 		return err
 	}
-	var last error
-	for _, c := range list {
-		var out jobapi.Answered
-		last = c.Change(ctx, method, path, body, &out)
-		var api *apiclient.Error
-		if errors.As(last, &api) && api.Kind == apiclient.KindUnreachable {
-			continue
-		}
-		if last != nil && api != nil && api.Problem.Status == http.StatusGatewayTimeout {
-			return &exitError{ExitNotKnown, last}
-		}
-		if last != nil {
-			return last
-		}
-		return show(cmd, out, func() table {
-			t := table{header: []string{"job", "outcome"}}
-			t.add(out.ID, out.Outcome)
-			return t
-		})
-	}
-	return last
+	return show(cmd, out, func() table {
+		t := table{header: []string{"job", "outcome"}}
+		t.add(out.ID, out.Outcome)
+		return t
+	})
 }
 
 func showJob(ctx context.Context, cmd *cli.Command) error {
--- a/cmd/internal/cli/settings.go
+++ b/cmd/internal/cli/settings.go
@@ -6,6 +6,7 @@
 
 	"github.com/urfave/cli/v3"
 
+	"wigeonwinch/fleet/strictjson"
 	"wigeonwinch/node/settings"
 	"wigeonwinch/platform"
 )
@@ -20,20 +21,23 @@
 				Flags:       []cli.Flag{&cli.BoolFlag{Name: "platform", Usage: "the file that the users' platform writes"}},
 				Description: "Examples:\n  wigeonwinch settings check node.json\n  wigeonwinch settings check --platform /etc/wigeonwinch/boot.json",
 				Action: func(_ context.Context, cmd *cli.Command) error {
+					var err error
 					if cmd.Bool("platform") {
-						return checkPlatformSettings(cmd)
+						_, err = loadSettings(cmd, platform.ReadFile)
+					} else {
+						_, err = loadSettings(cmd, settings.Load)
 					}
-					if _, err := loadSettings(cmd); err != nil {
+					if err != nil {
 						return err
 					}
-					_, err := fmt.Fprintln(cmd.Root().Writer, "the settings are valid")
+					_, err = fmt.Fprintln(cmd.Root().Writer, "the settings are valid")
 					return err
 				},
 			},
 			{
 				Name: "show", Usage: "print settings with their defaults; secrets are hidden", ArgsUsage: "FILE",
 				Action: func(_ context.Context, cmd *cli.Command) error {
-					s, err := loadSettings(cmd)
+					s, err := loadSettings(cmd, settings.Load)
 					if err != nil {
 						return err
 					}
@@ -49,22 +53,12 @@
 	}
 }
 
-func checkPlatformSettings(cmd *cli.Command) error {
-	if cmd.Args().Len() != 1 {
-		return fail(ExitUsage, "name one settings file")
-	}
-	if _, err := platform.ReadFile(cmd.Args().First()); err != nil {
-		return fail(ExitUsage, "%v", err)
-	}
-	_, err := fmt.Fprintln(cmd.Root().Writer, "the settings are valid")
-	return err
-}
-
-func loadSettings(cmd *cli.Command) (*settings.Settings, error) {
+// loadSettings reads the file that the only argument names and lists its faults.
+func loadSettings[T any](cmd *cli.Command, load func(path string) (*T, []strictjson.Problem)) (*T, error) {
 	if cmd.Args().Len() != 1 {
 		return nil, fail(ExitUsage, "name one settings file")
 	}
-	s, problems := settings.Load(cmd.Args().First())
+	s, problems := load(cmd.Args().First())
 	if len(problems) > 0 {
 		printProblems(cmd.Root().ErrWriter, problems)
 		return nil, fail(ExitUsage, "the settings have %d faults, listed above", len(problems))
--- a/cmd/wigeonwinchd/main.go
+++ b/cmd/wigeonwinchd/main.go
@@ -12,6 +12,7 @@
 
 	"github.com/urfave/cli/v3"
 
+	"wigeonwinch/fleet/strictjson"
 	"wigeonwinch/node/entry"
 	"wigeonwinch/node/jobapi"
 	"wigeonwinch/node/settings"
@@ -56,10 +57,8 @@
 // runOnPlatform serves with the settings file that the platform provides.
 func runOnPlatform(ctx context.Context) error {
 	hangUp := platform.CatchHangUp()
-	file, err := platform.LoadFile()
-	if err != nil {
-		return err
-	}
+	file, problems := platform.LoadFile()
+	endOnFaults(problems)
 	metrics, err := telemetry.NewMetrics()
 	if err != nil {
 		return err
@@ -79,16 +78,23 @@
 
 func run(ctx context.Context, path string) error {
 	s, problems := settings.Load(path)
-	if len(problems) > 0 {
-		for _, p := range problems {
-			fmt.Fprintln(os.Stderr, "  "+p.Error())
-		}
-		fmt.Fprintf(os.Stderr, "wigeonwinchd: the settings have %d faults, listed above\n", len(problems))
-		os.Exit(exitSettings)
-	}
+	endOnFaults(problems)
 	node, err := entry.New(entry.Config{Settings: s})
 	if err != nil {
 		return err
 	}
 	return node.Run(ctx)
 }
+
+// endOnFaults lists what is wrong with the settings and ends the process, if
+// anything is.
+func endOnFaults(problems []strictjson.Problem) {
+	if len(problems) == 0 {
+		return
+	}
+	for _, p := range problems {
+		fmt.Fprintln(os.Stderr, "  "+p.Error())
+	}
+	fmt.Fprintf(os.Stderr, "wigeonwinchd: the settings have %d faults, listed above\n", len(problems))
+	os.Exit(exitSettings)
+}
--- a/jobs/spec/spec.go
+++ b/jobs/spec/spec.go
@@ -10,6 +10,8 @@
 
 // Limits of one job. They bound the memory that a single submission can take.
 const (
+	// MaxBodyBytes bounds a submission's body at every port.
+	MaxBodyBytes = 1 << 20
 	// MaxPayloadBytes is the longest payload a worker accepts.
 	MaxPayloadBytes = 4000
 	// MaxSteps and MaxTasksPerStep keep one job's record below the store's
--- a/node/forward/ending.go
+++ b/node/forward/ending.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"wigeonwinch/dispatch"
+	"wigeonwinch/node/retryafter"
 )
 
 // Reason says in one word why a request ended without an answer.
@@ -142,7 +143,7 @@
 		h.Set(HeaderRetry, retrySameID)
 	}
 	if e.retryAfter > 0 {
-		h.Set("Retry-After", strconv.FormatInt(wholeSeconds(e.retryAfter), 10))
+		retryafter.Set(h, e.retryAfter)
 	}
 	body, err := json.Marshal(p)
 	if err != nil {
@@ -167,8 +168,3 @@
 		h.Set(HeaderDuplicate, "yes")
 	}
 }
-
-// wholeSeconds rounds up to whole seconds.
-func wholeSeconds(d time.Duration) int64 {
-	return int64((d + time.Second - 1) / time.Second)
-}
--- a/node/jobapi/jobapi.go
+++ b/node/jobapi/jobapi.go
@@ -17,6 +17,7 @@
 	"wigeonwinch/jobs/spec"
 	"wigeonwinch/node/admin"
 	"wigeonwinch/node/jobhost"
+	"wigeonwinch/node/retryafter"
 )
 
 // Jobs is what the interface asks of the node.
@@ -26,10 +27,8 @@
 	Do(ctx context.Context, r jobhost.Request) jobhost.Result
 }
 
-// The interface's bounds.
+// The bounds of lists.
 const (
-	// maxBodyBytes bounds a submission, as at the callers' port.
-	maxBodyBytes = 1 << 20
 	// usualList and longestList bound the jobs in one answer; a longer one
 	// would not fit a message between nodes.
 	usualList, longestList = 100, 1000
@@ -167,10 +166,10 @@
 	case jobhost.Missing:
 		problem(w, http.StatusNotFound, "no such job", "jobs are kept for a while after their end; compare the queue and the id")
 	case jobhost.Refused:
-		w.Header().Set("Retry-After", strconv.FormatInt((res.RetryAfterMS+999)/1000, 10))
+		retryafter.SetMS(w.Header(), res.RetryAfterMS)
 		problem(w, http.StatusTooManyRequests, "not accepted: "+res.Reason, "the job does not run; come back after the time in Retry-After")
 	case jobhost.Unavailable:
-		w.Header().Set("Retry-After", strconv.FormatInt((res.RetryAfterMS+999)/1000, 10))
+		retryafter.SetMS(w.Header(), res.RetryAfterMS)
 		problem(w, http.StatusServiceUnavailable, "nothing was done: "+res.Reason, "try again after the time in Retry-After")
 	default:
 		problem(w, http.StatusGatewayTimeout, "the outcome is not known: "+res.Reason, "send the same request again; the same id is the same job")
@@ -240,7 +239,7 @@
 	if !ok {
 		return
 	}
-	job, err := decode(http.MaxBytesReader(w, r.Body, maxBodyBytes))
+	job, err := decode(http.MaxBytesReader(w, r.Body, spec.MaxBodyBytes))
 	if err == nil {
 		job.Queue = req.Queue
 		err = job.Check()
--- a/node/jobapi/jobapi_test.go
+++ b/node/jobapi/jobapi_test.go
@@ -12,6 +12,7 @@
 	"github.com/stretchr/testify/require"
 
 	"wigeonwinch/jobs/shard"
+	"wigeonwinch/jobs/spec"
 	"wigeonwinch/node/jobhost"
 	"wigeonwinch/node/timeline"
 )
@@ -85,7 +86,7 @@
 		"later step":     `{"id":"5c0e7a21d94b36f8","steps":[{"count":1,"need":{"milli_cpu":1},"after":[1]},{"count":1,"need":{"milli_cpu":1}}]}`,
 		"no steps":       `{"id":"5c0e7a21d94b36f8"}`,
 		"bad id":         `{"id":"x","steps":[{"count":1,"need":{"milli_cpu":1}}]}`,
-		"too long":       `{"id":"5c0e7a21d94b36f8","payload":"` + strings.Repeat("a", maxBodyBytes) + `"}`,
+		"too long":       `{"id":"5c0e7a21d94b36f8","payload":"` + strings.Repeat("a", spec.MaxBodyBytes) + `"}`,
 	} {
 		w, req := call(t, jobhost.Result{Outcome: jobhost.Done}, "POST", "/v1/queues/lint/jobs", body)
 		assert.Equal(t, http.StatusBadRequest, w.Code, name)
