Read the change again: the same work done twice

- a pool's report summed the lasting tasks of every worker's runs several times a second; the sum is kept with the other counts of a worker;
- the log writer looked for a closed channel that is never closed;
- two tests had the same stand-in of the codec and of a record: node/deps/depstest.
TestCountsFollowTheRuns checks the new count.

--- a/jobs/lab/lab.go
+++ b/jobs/lab/lab.go
@@ -90,10 +90,11 @@
 	Broken int `json:"broken"`
 }
 
-// arrival is one job and when it comes.
+// arrival is one job and when it comes. Its work and the time in which it counts
+// in full are as they really are, not as estimated.
 type arrival struct {
-	at  int64
-	job spec.Job
+	at, work, objective int64
+	job                 spec.Job
 }
 
 // Run plays a load under a policy.
@@ -106,7 +107,7 @@
 	}
 	w.Run(int64(l.Seconds)*1000 + drainMS)
 	r := Result{Policy: p.Name, Jobs: len(arrivals), Bound: l.bound(arrivals), Broken: len(w.Violations)}
-	r.rate(l, w.Results())
+	r.rate(arrivals, w.Results())
 	return r
 }
 
@@ -129,7 +130,10 @@
 		if at >= float64(l.Seconds)*1000 {
 			return list
 		}
-		list = append(list, arrival{int64(at) + firstMS, job(r, len(list))})
+		a := arrival{at: int64(at) + firstMS, job: job(r, len(list))}
+		chain, work := l.truth(&a.job)
+		a.work, a.objective = work, int64(model.Stretch*float64(chain))+model.TargetMS
+		list = append(list, a)
 	}
 }
 
@@ -158,7 +162,8 @@
 	return int64(took)
 }
 
-// truth returns a job's longest chain and all its work, as it really is.
+// truth returns a job's longest chain and all its work, as they really are: each
+// of its steps waits for the one before.
 func (l Load) truth(j *spec.Job) (chainMS, work int64) {
 	for s := range j.Steps {
 		longest := int64(0)
@@ -172,30 +177,34 @@
 	return chainMS, work
 }
 
-// objective is the time in which a job counts in full: each of its steps waits
-// for the one before.
-func (l Load) objective(j *spec.Job) int64 {
-	chain, _ := l.truth(j)
-	return int64(model.Stretch*float64(chain)) + model.TargetMS
-}
-
-func (l Load) earned(r *model.Result) float64 {
-	took, limit := r.DoneAt-r.SubmittedMS, l.objective(&r.Job)
+// earned is the share of its worth that a job earned.
+func (a *arrival) earned(r *model.Result) float64 {
+	took := r.DoneAt - r.SubmittedMS
 	switch {
-	case r.DoneAt == 0 || took > lateTimes*limit:
+	case r.DoneAt == 0 || took > lateTimes*a.objective:
 		return 0
-	case took > limit:
+	case took > a.objective:
 		return lateWorth
 	}
 	return 1
 }
 
 // rate fills in what the jobs earned.
-func (r *Result) rate(l Load, results []model.Result) {
+func (r *Result) rate(arrivals []arrival, results []model.Result) {
+	byID := map[string]*arrival{}
+	for i := range arrivals {
+		byID[arrivals[i].job.ID] = &arrivals[i]
+	}
+	type rated struct {
+		work   int64
+		earned float64
+	}
+	all := make([]rated, 0, len(results))
 	windows := map[int64][]float64{}
 	for i := range results {
 		res := &results[i]
-		e := l.earned(res)
+		e := byID[res.Job.ID].earned(res)
+		all = append(all, rated{res.Job.Work(), e})
 		r.Earned += e
 		windows[res.SubmittedMS/windowMS] = append(windows[res.SubmittedMS/windowMS], e)
 		r.Refusals += res.Refused
@@ -208,10 +217,10 @@
 	for _, list := range windows {
 		r.Worst = min(r.Worst, mean(list))
 	}
-	slices.SortFunc(results, func(a, b model.Result) int { return int(b.Job.Work() - a.Job.Work()) })
+	slices.SortStableFunc(all, func(a, b rated) int { return cmp.Compare(b.work, a.work) })
 	var large []float64
-	for i := range results[:len(results)/10] {
-		large = append(large, l.earned(&results[i]))
+	for _, j := range all[:len(all)/10] {
+		large = append(large, j.earned)
 	}
 	r.Large = mean(large)
 }
@@ -238,8 +247,7 @@
 			total++
 			continue
 		}
-		_, work := l.truth(&a.job)
-		inTurn[n] = append(inTurn[n], due{a.at + l.objective(&a.job), work})
+		inTurn[n] = append(inTurn[n], due{a.at + a.objective, a.work})
 	}
 	for n, jobs := range inTurn {
 		inTime := mostInTime(jobs, n*turnMS+firstMS, int64(l.Workers)*milliCPU)
--- a/jobs/shard/report.go
+++ b/jobs/shard/report.go
@@ -56,11 +56,7 @@
 				continue
 			}
 			s.Workers++
-			for _, r := range w.runs {
-				if r.step().Lasting {
-					s.LastingMilliCPU += int64(r.room.MilliCPU)
-				}
-			}
+			s.LastingMilliCPU += int64(w.lastingMilliCPU)
 		}
 		list = append(list, s)
 	}
--- a/jobs/shard/shard_test.go
+++ b/jobs/shard/shard_test.go
@@ -350,10 +350,13 @@
 	o := b.submit(jobOf(1, lasting(1, 0)))
 	w := b.core.workers["w0"]
 	assert.Equal(t, 1, w.lasting)
+	assert.Positive(t, w.lastingMilliCPU)
+	assert.Equal(t, w.used.MilliCPU, w.lastingMilliCPU)
 	b.take(o.Starts)
 	b.core.Cancel(b.now, 2, jobOf(1).ID)
 	b.core.Polled(b.now, b.now, o.Starts[0].Target, Lists{ClockMS: 300, Born: 1, Ended: []ListedEnd{{End: 1, RunRef: o.Starts[0].RunRef, Kind: EndStopped}}})
 	assert.Zero(t, w.lasting)
+	assert.Zero(t, w.lastingMilliCPU)
 	assert.Zero(t, w.placedWork)
 	assert.Equal(t, spec.Resources{}, w.used)
 }
--- a/jobs/shard/worker.go
+++ b/jobs/shard/worker.go
@@ -22,6 +22,8 @@
 	placedWork int64
 	// lasting, serving and fillers count the runs of each kind.
 	lasting, serving, fillers int
+	// lastingMilliCPU is what the lasting ones take.
+	lastingMilliCPU int
 	// stops counts the runs that are being stopped.
 	stops int
 	// strays are listed runs that are not ours; their room is not known.
@@ -86,6 +88,7 @@
 	w.placedWork += int64(n) * st.Work()
 	if st.Lasting {
 		w.lasting += n
+		w.lastingMilliCPU += n * st.Room().MilliCPU
 	}
 	if st.TailTargetMS > 0 {
 		w.serving += n
--- a/node/jobhost/host_test.go
+++ b/node/jobhost/host_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
 	"sync"
 	"testing"
@@ -17,21 +16,6 @@
 	"wigeonwinch/node/deps/depstest"
 )
 
-// jsonCodec reads the operator's and the workers' records as JSON.
-type jsonCodec struct{}
-
-func (jsonCodec) Operator(r shard.Record) (deps.OperatorChange, error) {
-	cfg := &deps.Configuration{}
-	return deps.OperatorChange{Configuration: cfg}, json.Unmarshal(r.Value, cfg)
-}
-
-func (jsonCodec) Worker(r shard.Record) (deps.WorkerChange, error) {
-	change := deps.WorkerChange{ID: r.Key}
-	return change, json.Unmarshal(r.Value, &change.Worker)
-}
-
-func (jsonCodec) WaveStatus(int, bool) (shard.Record, error) { return shard.Record{Key: "w"}, nil }
-
 // site is a store with a configuration and two workers.
 type site struct {
 	store   *depstest.Store
@@ -41,11 +25,7 @@
 func newSite(t *testing.T, runTime time.Duration) *site {
 	t.Helper()
 	s := &site{store: depstest.NewStore(), workers: depstest.NewWorkers(runTime)}
-	put := func(topic deps.Topic, key string, value any) {
-		data, err := json.Marshal(value)
-		require.NoError(t, err)
-		require.NoError(t, s.store.Append(context.Background(), deps.Append{Partition: deps.Partition{Topic: topic}, Records: []shard.Record{{Key: key, Value: data}}}))
-	}
+	put := func(topic deps.Topic, key string, value any) { require.NoError(t, s.store.Put(topic, key, value)) }
 	put(deps.TopicOperator, "config", deps.Configuration{Version: 1,
 		Routes: []deps.Route{{Host: "h", PathPrefix: "/q/", Queue: shard.Queue{Name: "q", Service: "s", MaxAttempts: 3, Stretch: 2, TargetMS: 5_000}}},
 		Pools:  []deps.Pool{{Service: "s"}}})
@@ -60,7 +40,7 @@
 	return Config{
 		Node: name, Zone: "z", IP: ip, PeerPort: 17_660, Partitions: 4, MaxLeaseMS: 6_000, StatusKeepMS: 60_000,
 		HolderGapMS: 3_000, Grace: 3 * time.Second, PeerKey: []byte("a key that all nodes of the test share"),
-		Store: s.store, Workers: s.workers, VMs: depstest.VMs{}, Codec: jsonCodec{},
+		Store: s.store, Workers: s.workers, VMs: depstest.VMs{}, Codec: depstest.Codec{},
 	}
 }
 
@@ -254,11 +234,9 @@
 	}
 	require.Eventually(t, func() bool { return ask(OpSubmit, "s").Outcome == Done }, 20*time.Second, 50*time.Millisecond)
 
-	data, err := json.Marshal(deps.Configuration{Version: 2,
+	require.NoError(t, s.store.Put(deps.TopicOperator, "config", deps.Configuration{Version: 2,
 		Routes: []deps.Route{{Host: "h", PathPrefix: "/q/", Queue: shard.Queue{Name: "q", Service: "other", MaxAttempts: 3, Stretch: 2, TargetMS: 5_000}}},
-		Pools:  []deps.Pool{{Service: "s"}, {Service: "other"}}})
-	require.NoError(t, err)
-	require.NoError(t, s.store.Append(ctx, deps.Append{Partition: deps.Partition{Topic: deps.TopicOperator}, Records: []shard.Record{{Key: "config", Value: data}}}))
+		Pools:  []deps.Pool{{Service: "s"}, {Service: "other"}}}))
 	require.Eventually(t, func() bool { return h.config.Load().Version == 2 }, 5*time.Second, 10*time.Millisecond)
 
 	require.Eventually(t, func() bool { return ask(OpShow, "other").Outcome == Done }, 10*time.Second, 50*time.Millisecond)
--- a/node/telemetry/asyncwriter.go
+++ b/node/telemetry/asyncwriter.go
@@ -74,11 +74,8 @@
 	batch, count = first, 1
 	for {
 		select {
-		case line, open := <-w.lines:
-			switch {
-			case !open:
-				return batch, count, nil
-			case len(batch)+len(line) > batchBytes:
+		case line := <-w.lines:
+			if len(batch)+len(line) > batchBytes {
 				return batch, count, line
 			}
 			batch = append(batch, line...)
