jobs/shard: keep a job that is submitted again while its delete waits

Cause: NextBatch appended the deletes of purged jobs after the records, so that an ID submitted again while its delete waited was answered accepted and then deleted from the store: a job lost after its acknowledgement. After a takeover all deletes came in one append without a bound. Change: the delete of an ID that is a job again is dropped; deletes count into the bound of 400 records of an append. Result: TestResubmittedJobIsNotDeleted and TestDeletesComeInBoundedAppends failed before (the record was gone; 1200 records in one append) and pass; jobs/... passes.

--- a/jobs/shard/core.go
+++ b/jobs/shard/core.go
@@ -51,8 +51,8 @@
 	pollWaitMS = 1_500
 	// pollRetryMS is the delay before the next poll after a failed one.
 	pollRetryMS = 300
-	// maxBatchRecords bounds the job records of one append, well below the
-	// store's byte limit for a call. Deletes are not counted.
+	// maxBatchRecords bounds the records of one append, well below the store's
+	// byte limit for a call.
 	maxBatchRecords = 400
 	// maxPendingDeletes purged jobs cause a batch of their own if no other
 	// record is waiting.
@@ -298,11 +298,24 @@
 		b.onCommit = append(b.onCommit, func() { c.markStored(j, state) })
 	}
 	c.dirty = append([]*job(nil), c.dirty[len(jobs):]...)
+	c.appendDeletes(&b)
+	return b, true
+}
+
+// appendDeletes adds the deletes of purged jobs to a batch, as many as its bound
+// allows. An ID that was submitted again is a new job whose record must stay.
+func (c *Core) appendDeletes(b *Batch) {
+	n := 0
 	for _, id := range c.pendingDeletes {
-		b.Records = append(b.Records, Record{Key: jobKey(id)})
+		if len(b.Records) >= maxBatchRecords {
+			break
+		}
+		n++
+		if c.jobs[id] == nil {
+			b.Records = append(b.Records, Record{Key: jobKey(id)})
+		}
 	}
-	c.pendingDeletes = nil
-	return b, true
+	c.pendingDeletes = slices.Clone(c.pendingDeletes[n:])
 }
 
 // AbandonWaiters returns replies to the callers whose request waits for the
