dispatch/slots: a worker that changes its pool keeps its lent slots

Cause: SetWorkers gave a worker with another pool a new account with counts from zero. Nodes see the change at different times, and a grant may be under way, so that lender and borrower together used more slots than the worker has. Change: the account and its counts stay; only the grouping changes. A new number of slots still starts anew: messages carry it. Result: TestPoolChangeKeepsLentSlots failed before with 10 of 8 slots in use, both when the lender sees the change first and when the grant arrives after it; it passes now.

--- a/dispatch/slots/ledger.go
+++ b/dispatch/slots/ledger.go
@@ -126,16 +126,18 @@
 	l.regroup()
 }
 
-// SetWorkers replaces the workers. A worker whose number of slots or pool
-// changed gets a new account, which has lent and borrowed no slots.
+// SetWorkers replaces the workers. A worker whose number of slots changed gets a
+// new account, which has lent and borrowed no slots. One whose pool changed keeps
+// its account, because the peers may see the change earlier or later.
 func (l *Ledger) SetWorkers(workers []WorkerSlots) {
 	next := make([]*account, 0, len(workers))
 	byWorker := make(map[string]*account, len(workers))
 	for _, w := range workers {
 		a := l.byWorker[w.Worker]
-		if a == nil || a.WorkerSlots != w {
+		if a == nil || a.Slots != w.Slots {
 			a = l.newAccount(w)
 		}
+		a.WorkerSlots = w
 		next = append(next, a)
 		byWorker[w.Worker] = a
 	}
--- a/dispatch/slots/slots_test.go
+++ b/dispatch/slots/slots_test.go
@@ -346,3 +346,31 @@
 		}
 	}
 }
+
+// TestPoolChangeKeepsLentSlots checks that a worker that changes its pool keeps
+// its lent slots. The nodes see the change at different times, and a grant may be
+// under way. If the counts began anew, the nodes would use more slots than the
+// worker has.
+func TestPoolChangeKeepsLentSlots(t *testing.T) {
+	moved := []WorkerSlots{{Worker: "w", Slots: 8, Pool: "other"}}
+	grant := func(lender, borrower *Ledger) Message {
+		requests := borrower.Tick(epoch, fullUsage(borrower))
+		return lender.Receive(epoch, "entry-1", requests[0].Message)[0].Message
+	}
+	t.Run("the lender sees the change first", func(t *testing.T) {
+		lender, borrower := newPair()
+		borrower.Receive(epoch, "entry-0", grant(lender, borrower))
+		lender.SetWorkers(moved)
+		require.LessOrEqual(t, lender.Usable("w")+borrower.Usable("w"), 8)
+		borrower.SetWorkers(moved)
+		require.Equal(t, 8, lender.Usable("w")+borrower.Usable("w"))
+	})
+	t.Run("the grant arrives after the change", func(t *testing.T) {
+		lender, borrower := newPair()
+		late := grant(lender, borrower)
+		lender.SetWorkers(moved)
+		borrower.SetWorkers(moved)
+		borrower.Receive(epoch, "entry-0", late)
+		require.LessOrEqual(t, lender.Usable("w")+borrower.Usable("w"), 8)
+	})
+}
