node/forward: announce all changed pools

Cause: at most 64 changed pools were sent in a summary of free slots and the others were recorded as sent, so that other zones did not know them for up to 30 s. Change: only the pools in the summary are recorded; the rest follows in the next one. Result: TestPoolsBeyondOneSummaryFollowInTheNext; with the old loop 64 of 133 pools were ever sent.

--- a/node/forward/sharing_test.go
+++ b/node/forward/sharing_test.go
@@ -99,3 +99,24 @@
 		})
 	}
 }
+
+// Pools that do not fit into one summary must follow in the next one. Pools that
+// count as sent without having been sent would stay unknown for half a minute.
+func TestPoolsBeyondOneSummaryFollowInTheNext(t *testing.T) {
+	var sp remoteSlots
+	sp.init()
+	var current []poolFreeSlots
+	for i := range 2*freeSlotsMaxPools + 5 {
+		current = append(current, poolFreeSlots{Pool: fmt.Sprintf("pool-%d", i), Free: 4})
+	}
+	sent := map[string]bool{}
+	for range 3 {
+		changed := sp.takeChanged(current)
+		require.LessOrEqual(t, len(changed), freeSlotsMaxPools)
+		for _, p := range changed {
+			sent[p.Pool] = true
+		}
+	}
+	require.Len(t, sent, len(current))
+	require.Empty(t, sp.takeChanged(current))
+}
--- a/node/forward/spare.go
+++ b/node/forward/spare.go
@@ -192,15 +192,25 @@
 		s.remoteSlots.fullSentAt = now
 		clear(s.remoteSlots.sent)
 	}
+	return s.remoteSlots.takeChanged(current)
+}
+
+// takeChanged returns the pools whose number differs from the one sent last, as
+// many as one summary holds, and records them as sent. The others follow in the
+// next summary.
+func (sp *remoteSlots) takeChanged(current []poolFreeSlots) []poolFreeSlots {
 	var changed []poolFreeSlots
 	for _, p := range current {
-		if last, ok := s.remoteSlots.sent[p.Pool]; ok && last == p.Free {
+		if last, ok := sp.sent[p.Pool]; ok && last == p.Free {
 			continue
 		}
-		s.remoteSlots.sent[p.Pool] = p.Free
+		if len(changed) == freeSlotsMaxPools {
+			break
+		}
+		sp.sent[p.Pool] = p.Free
 		changed = append(changed, p)
 	}
-	return changed[:min(len(changed), freeSlotsMaxPools)]
+	return changed
 }
 
 func (s *Server) localFreeSlots() []poolFreeSlots {
