explain: read on after an overlong line

Cause: bufio.Scanner ends at a line above its limit, so that explain dropped the rest of the log without a word. Change: such a line is skipped. Result: TestExplainReadsOnAfterAnOverlongLine.

--- a/cmd/internal/cli/explain.go
+++ b/cmd/internal/cli/explain.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -81,23 +82,31 @@
 }
 
 // scanLog returns the lines that hold a JSON object with an event name. Text
-// before the object, such as a log collector's timestamp, is ignored.
+// before the object, such as a log collector's timestamp, and lines longer than
+// maxLogLine are ignored.
 func scanLog(r io.Reader) []logLine {
 	var lines []logLine
-	s := bufio.NewScanner(r)
-	s.Buffer(make([]byte, 0, 1<<16), maxLogLine)
-	for s.Scan() {
-		text := s.Text()
-		i := strings.IndexByte(text, '{')
+	in := bufio.NewReaderSize(r, maxLogLine)
+	for {
+		text, tooLong, err := in.ReadLine()
+		if err != nil {
+			return lines
+		}
+		if tooLong {
+			for tooLong && err == nil {
+				_, tooLong, err = in.ReadLine()
+			}
+			continue
+		}
+		i := bytes.IndexByte(text, '{')
 		if i < 0 {
 			continue
 		}
 		var l logLine
-		if json.Unmarshal([]byte(text[i:]), &l) == nil && l.Name != "" {
+		if json.Unmarshal(text[i:], &l) == nil && l.Name != "" {
 			lines = append(lines, l)
 		}
 	}
-	return lines
 }
 
 // selectJobLines returns the lines of a job, sorted by time. It adds the lines about
--- a/cmd/internal/cli/explain_test.go
+++ b/cmd/internal/cli/explain_test.go
@@ -32,3 +32,11 @@
 	require.Error(t, err)
 	assert.Contains(t, err.Error(), "check the id")
 }
+
+// A line that is longer than a log line can be must not hide the lines after it.
+func TestExplainReadsOnAfterAnOverlongLine(t *testing.T) {
+	var out bytes.Buffer
+	log := strings.Repeat("x", maxLogLine+100) + "\n" + twoNodesLog
+	require.NoError(t, explain(&out, strings.NewReader(log), "aa", nil))
+	assert.Contains(t, out.String(), "job_accepted")
+}
