node/jobhost: a host that fails to start hands over; tests use ports of their own

A TakeoverGapMS below the longest call to the VM service would have let two fleet controllers act on a VM within it. Change: Run closes HandedOver when it fails. Tests ask the system for a port.

--- a/node/jobhost/acts.go
+++ b/node/jobhost/acts.go
@@ -18,6 +18,10 @@
 // a successor waits.
 const verificationTTL = 1200 * time.Millisecond
 
+// minTakeoverGap replaces a shorter gap from the settings: a call of the
+// predecessor to the VM service may take that long.
+const minTakeoverGap = actionTimeout
+
 // verifyAndAnnounce appends a fenced record that names the VMs of the planned
 // actions. The append proves that no newer fleet controller exists, and tells a
 // successor on which VMs this one may act from now on. It does nothing if the
--- a/node/jobhost/config.go
+++ b/node/jobhost/config.go
@@ -34,7 +34,7 @@
 	// per second, or 0 if unknown.
 	ActionsPerSecond float64
 	// TakeoverGapMS is the minimum time between the actions of two successive
-	// fleet controllers on one VM.
+	// fleet controllers on one VM. Values below minTakeoverGap are raised to it.
 	TakeoverGapMS int64
 	// ShutdownGrace is how long a graceful stop may take.
 	ShutdownGrace time.Duration
--- a/node/jobhost/host.go
+++ b/node/jobhost/host.go
@@ -77,6 +77,7 @@
 	if cfg.Events == nil {
 		cfg.Events = events.Discard{}
 	}
+	cfg.TakeoverGapMS = max(cfg.TakeoverGapMS, minTakeoverGap.Milliseconds())
 	if cfg.Incarnation == 0 {
 		cfg.Incarnation = time.Now().UnixNano()
 	}
@@ -114,10 +115,12 @@
 }
 
 // Run runs the host until the context ends, then hands its shards over and
-// forwards requests until Close.
+// forwards requests until Close. If it returns an error, the host never owned a
+// shard and Close is not needed.
 func (h *Host) Run(ctx context.Context) error {
 	listener, err := net.Listen("tcp", h.address())
 	if err != nil {
+		close(h.handedOver)
 		return errors.Wrapf(err, "cannot listen for connections from other nodes: check ip and internal ports")
 	}
 	mux := http.NewServeMux()
@@ -141,7 +144,8 @@
 	return nil
 }
 
-// HandedOver returns a channel that is closed once all shards are handed over.
+// HandedOver returns a channel that is closed once all shards are handed over,
+// or when Run fails.
 func (h *Host) HandedOver() <-chan struct{} { return h.handedOver }
 
 // Close ends Run after the shards were handed over.
--- a/node/jobhost/host_test.go
+++ b/node/jobhost/host_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"fmt"
+	"net"
+	"strconv"
 	"sync"
 	"testing"
 	"time"
@@ -18,13 +20,24 @@
 
 // testSite is a store with a configuration and two workers.
 type testSite struct {
-	store   *depstest.Store
-	workers *depstest.Workers
+	store    *depstest.Store
+	workers  *depstest.Workers
+	peerPort int
+}
+
+// freePort returns a port that no process uses on the loopback addresses of the
+// tests.
+func freePort(t testing.TB) int {
+	t.Helper()
+	listener, err := net.Listen("tcp", "0.0.0.0:0")
+	require.NoError(t, err)
+	defer func() { _ = listener.Close() }()
+	return listener.Addr().(*net.TCPAddr).Port
 }
 
 func newTestSite(t *testing.T, runTime time.Duration) *testSite {
 	t.Helper()
-	s := &testSite{store: depstest.NewStore(), workers: depstest.NewWorkers(runTime)}
+	s := &testSite{store: depstest.NewStore(), workers: depstest.NewWorkers(runTime), peerPort: freePort(t)}
 	put := func(topic deps.Topic, key string, value any) { require.NoError(t, s.store.Put(topic, key, value)) }
 	put(deps.TopicOperator, "config", deps.Configuration{Version: 1,
 		Routes: []deps.Route{{Host: "h", PathPrefix: "/q/", Queue: shard.Queue{Name: "q", Service: "s", MaxAttempts: 3, Stretch: 2, TargetMS: 5_000}}},
@@ -38,7 +51,7 @@
 
 func (s *testSite) config(name, ip string) Config {
 	return Config{
-		Node: name, Zone: "z", IP: ip, PeerPort: 17_660, Partitions: 4, MaxLeaseMS: 6_000, StatusRetentionMS: 60_000,
+		Node: name, Zone: "z", IP: ip, PeerPort: s.peerPort, Partitions: 4, MaxLeaseMS: 6_000, StatusRetentionMS: 60_000,
 		TakeoverGapMS: 3_000, ShutdownGrace: 3 * time.Second, PeerKey: []byte("a key that all nodes of the test share"),
 		Store: s.store, Workers: s.workers, VMs: depstest.VMs{}, Codec: depstest.Codec{},
 	}
@@ -251,3 +264,30 @@
 	missing := h.Do(ctx, Request{Op: OpShow, Service: "other", Queue: "q", ID: testJob(2).ID})
 	assert.Equal(t, Missing, missing.Outcome)
 }
+
+// A host whose port is taken must not leave its caller waiting for the hand-over
+// of shards that it never had.
+func TestFailedRunHandsOver(t *testing.T) {
+	s := newTestSite(t, time.Millisecond)
+	cfg := s.config("a", "127.0.0.1")
+	taken, err := net.Listen("tcp", net.JoinHostPort(cfg.IP, strconv.Itoa(cfg.PeerPort)))
+	require.NoError(t, err)
+	defer func() { _ = taken.Close() }()
+	h := New(cfg)
+	require.Error(t, h.Run(context.Background()))
+	select {
+	case <-h.HandedOver():
+	case <-time.After(5 * time.Second):
+		t.Fatal("the host never reports that it has handed over")
+	}
+}
+
+// The actions of two fleet controllers on a VM must be further apart than the
+// longest call of the first, whatever the settings say.
+func TestTakeoverGapCoversALateAction(t *testing.T) {
+	cfg := newTestSite(t, time.Millisecond).config("a", "127.0.0.1")
+	cfg.TakeoverGapMS = 0
+	assert.GreaterOrEqual(t, New(cfg).cfg.TakeoverGapMS, actionTimeout.Milliseconds())
+	cfg.TakeoverGapMS = 3_000
+	assert.Equal(t, int64(3_000), New(cfg).cfg.TakeoverGapMS)
+}
