Owners of large pools send their orders through relays

Cause: a task cost the owner of its pool 1.4 ms of processor time, nearly all of it HTTP calls to workers, and a pool in its peak starts thousands of tasks a second. Ruled out: cells (docs/design/cells.md weighs them) and cheaper calls alone. Change: jobs/relay assigns the workers of pools of 48 and more to entry nodes in their zone; node/jobhost sends orders to them in batches and takes results in batches; the owner calls directly while a relay is unreachable, silent or of an older version. Passes over the shards take at most half of the time.

--- a/node/events/jobs.go
+++ b/node/events/jobs.go
@@ -41,6 +41,8 @@
 	AdviceFailed
 	PoolLoad
 	SettingsReloaded
+	RelaySuspended
+	RelayedOrderDropped
 )
 
 var jobEvents = []Definition{
@@ -82,5 +84,7 @@
 	{PoolLoad, "pool_load", SeverityInfo, "The load of a pool as measured by the fleet controller.", ""},
 	{FleetPlan, "fleet_plan", SeverityInfo, "The plan for moves and maintenance changed.", ""},
 	{AdviceGiven, "advice", SeverityInfo, "The placement advisor, which permits placements, was asked, answered or did not answer; the outcome says which.", ""},
+	{RelaySuspended, "relay_suspended", SeverityWarning, "Another node that sends this owner's orders to workers failed; the owner sends them itself meanwhile.", "Check the node and the network to its zone."},
+	{RelayedOrderDropped, "relayed_order_dropped", SeverityWarning, "An order that another node sent to this one was not executed, because this node was suspended since it arrived.", ""},
 	{AdviceFailed, "advice_failed", SeverityWarning, "The placement advisor did not answer; it is asked again.", "Check the placement advisor; queues that need its permits wait."},
 }
--- a/node/jobhost/feeds.go
+++ b/node/jobhost/feeds.go
@@ -10,6 +10,7 @@
 	"strings"
 	"time"
 
+	"wigeonwinch/jobs/relay"
 	"wigeonwinch/jobs/shard"
 	"wigeonwinch/node/deps"
 	"wigeonwinch/node/events"
@@ -193,6 +194,10 @@
 		}
 	}
 	sort.Slice(list, func(i, j int) bool { return list[i].ID < list[j].ID })
+	s.relayWorkers = s.relayWorkers[:0]
+	for _, w := range list {
+		s.relayWorkers = append(s.relayWorkers, relay.Worker{ID: w.ID, Zone: w.Zone})
+	}
 	s.core.SetWorkers(monotonicMS(), list)
 }
 
--- a/node/jobhost/host.go
+++ b/node/jobhost/host.go
@@ -43,6 +43,7 @@
 	readsUnbrokenSince int64
 	stopping           bool
 	fleet              *fleetController
+	relays             *relayedOrders
 
 	config atomic.Pointer[deps.Configuration]
 	owners atomic.Pointer[map[deps.Partition]ownership]
@@ -90,6 +91,7 @@
 		startedAt: monotonicMS(), heartbeatTrigger: make(chan struct{}, 1),
 		handedOver: make(chan struct{}), closed: make(chan struct{}),
 	}
+	h.relays = newRelayedOrders(h)
 	h.owners.Store(&map[deps.Partition]ownership{})
 	h.ownedView.Store(&[]ownership{})
 	h.pending.waiting = map[uint64]chan reply{}
@@ -168,16 +170,26 @@
 func (h *Host) controlLoop(ctx context.Context) {
 	ticker := time.NewTicker(loopInterval)
 	defer ticker.Stop()
+	var pacer passPacer
+	pauseOver := time.NewTimer(0)
+	defer pauseOver.Stop()
 	for {
 		select {
 		case f := <-h.inbox:
 			f()
 			h.drainInbox()
 		case <-ticker.C:
+		case <-pauseOver.C:
 		case <-ctx.Done():
 			return
 		}
+		began := time.Now()
+		if rest := pacer.remaining(began); rest > 0 {
+			pauseOver.Reset(rest)
+			continue
+		}
 		h.advance()
+		pacer.passed(began, time.Now())
 	}
 }
 
@@ -220,7 +232,9 @@
 		h.ownersCheckedAt = now
 		h.updateHeartbeatMode(now)
 		h.takeOverVacantShards(now)
+		h.relays.expire(now)
 	}
+	h.relays.plan(now)
 	h.expireCordons(now)
 	for _, s := range h.sortedOwned() {
 		hb, verified := h.verifiedHeartbeat(s)
@@ -242,6 +256,7 @@
 		}
 		h.dispatchOrders(s)
 	}
+	h.relays.flush()
 }
 
 // record writes an event to the event log.
--- a/node/jobhost/messages.go
+++ b/node/jobhost/messages.go
@@ -18,12 +18,18 @@
 	// methodCordon tells the owner of a shard which workers to cordon, and
 	// returns the report that the fleet controller needs.
 	methodCordon
+	// methodOrders sends orders for workers to a relay, methodResults returns
+	// their results to the owner.
+	methodOrders
+	methodResults
 )
 
 func (h *Host) registerHandlers() {
 	h.mesh.Handle(methodRequest, h.serveRequest)
 	h.mesh.Handle(methodOwner, h.serveOwner)
 	h.mesh.Handle(methodCordon, h.serveCordon)
+	h.mesh.Handle(methodOrders, newRelayServer(h).serveOrders)
+	h.mesh.Handle(methodResults, h.serveResults)
 }
 
 func (h *Host) serveRequest(ctx context.Context, _ string, body []byte) ([]byte, error) {
--- a/node/jobhost/owners.go
+++ b/node/jobhost/owners.go
@@ -8,6 +8,7 @@
 	"sync/atomic"
 	"time"
 
+	"wigeonwinch/jobs/relay"
 	"wigeonwinch/jobs/shard"
 	"wigeonwinch/node/deps"
 	"wigeonwinch/node/events"
@@ -32,6 +33,9 @@
 	// verifiedAt is when this owner sent its last append that the store
 	// accepted.
 	verifiedAt atomic.Int64
+	// relayWorkers are the shard's workers as the assignment of relays needs
+	// them.
+	relayWorkers []relay.Worker
 	// extraRecords are records to append in addition to those of the core.
 	extraRecords []extraRecord
 	// cordonEpoch and cordonAt are the fleet controller's epoch and the time of
@@ -267,6 +271,7 @@
 func (h *Host) stopShard(s *ownedShard) {
 	delete(h.owned, s.partition)
 	s.cancel()
+	h.relays.dropShard(s)
 	if s.core == nil {
 		return
 	}
--- a/node/jobhost/shardrun.go
+++ b/node/jobhost/shardrun.go
@@ -20,18 +20,7 @@
 func (h *Host) dispatchOrders(s *ownedShard) {
 	h.appendNext(s)
 	o := s.core.TakeOrders()
-	for _, p := range o.Polls {
-		go h.pollWorker(s, p)
-	}
-	for _, st := range o.Starts {
-		go h.sendStart(s, st)
-	}
-	for _, st := range o.Stops {
-		go h.sendStop(s, st)
-	}
-	for _, p := range o.Paces {
-		go h.sendPace(s, p)
-	}
+	h.sendOrders(s, o)
 	for _, a := range o.AdviceRequests {
 		go h.requestAdvice(s, a)
 	}
@@ -43,6 +32,31 @@
 	}
 }
 
+// sendOrders sends the orders to the workers, through relays where the shard has
+// some.
+func (h *Host) sendOrders(s *ownedShard, o shard.Orders) {
+	for _, p := range o.Polls {
+		if !h.relays.addPoll(s, p) {
+			go h.pollWorker(s, p)
+		}
+	}
+	for _, st := range o.Starts {
+		if !h.relays.addStart(s, st) {
+			go h.sendStart(s, st)
+		}
+	}
+	for _, st := range o.Stops {
+		if !h.relays.addRunOrder(s, orderStop, st.Target, st.RunRef, 0) {
+			go h.sendStop(s, st)
+		}
+	}
+	for _, p := range o.Paces {
+		if !h.relays.addRunOrder(s, orderPace, p.Target, p.RunRef, p.Percent) {
+			go h.sendPace(s, p)
+		}
+	}
+}
+
 // appendNext starts to append the next batch of a shard unless an append is in
 // flight.
 func (h *Host) appendNext(s *ownedShard) {
