fleet/turns: a peak that begins gets the VMs of earlier peaks

Cause: on the large fleet half of the moves to a pool were ordered 2.7 s after its peak had begun (of 4.5 s), because the planner waited for the rate to rise. Change: the fleet controller remembers the settled rate of each pool's peaks; a rate that has just risen to 8 % of the expected peak gets its VMs at once. Before a pool's first peak the lowest peak of the others is expected. Result: TestBeginningPeakGetsTheVMsOfEarlierPeaks fails before (the planner asks for 117 VMs of 600).

--- a/fleet/turns/turns.go
+++ b/fleet/turns/turns.go
@@ -24,6 +24,9 @@
 	// SettledMilliCPU is the part of RequestedMilliCPU that has been requested
 	// for a while; the rest is growth that may go on.
 	SettledMilliCPU int64
+	// ExpectedPeakMilliCPU is the rate that the next peak of the pool will
+	// probably reach; 0 if no peak was seen yet.
+	ExpectedPeakMilliCPU int64
 	// MinVMs is the minimum number of VMs of the pool.
 	MinVMs int
 	// RecentPeakMilliCPU is the highest load of the last seconds. The pool keeps
@@ -60,6 +63,10 @@
 	// growingPercent is the part of the requested rate above which growth counts
 	// as the beginning of a peak.
 	growingPercent = 25
+	// peakStartPercent of the expected peak, of which most is recent growth, is
+	// the requested rate at which a peak counts as begun. It is more than a few
+	// jobs at once in a pool of ten VMs.
+	peakStartPercent = 8
 	// backlogTargetMS is the time within which queued work is to be done. It is
 	// less than the slack of a usual job.
 	backlogTargetMS = 1_000
@@ -156,8 +163,17 @@
 // Load returns the CPU demand of the pool's tasks and callers without lasting
 // tasks, in milli-CPU. A rate that rises is expected to rise by as much again
 // while VMs are being moved: a pool's demand can reach its peak within seconds.
+// At the beginning of a peak it is expected to reach the height of earlier peaks.
 func (p *Pool) Load() int64 {
-	return max(p.BusyMilliCPU+p.QueuedWork/backlogTargetMS, p.RequestedMilliCPU+p.growth())
+	load := max(p.BusyMilliCPU+p.QueuedWork/backlogTargetMS, p.RequestedMilliCPU+p.growth())
+	if p.beginsPeak() {
+		load = max(load, p.ExpectedPeakMilliCPU)
+	}
+	return load
+}
+
+func (p *Pool) beginsPeak() bool {
+	return p.ExpectedPeakMilliCPU > 0 && p.growth() > p.RequestedMilliCPU/2 && p.RequestedMilliCPU*100 >= p.ExpectedPeakMilliCPU*peakStartPercent
 }
 
 // requiredVMs returns the number of VMs of the given size that the pool needs for
--- a/fleet/turns/turns_test.go
+++ b/fleet/turns/turns_test.go
@@ -128,3 +128,20 @@
 	view.Pools[0].SettledMilliCPU = 4 * vmMilliCPU
 	assert.Positive(t, countMovesTo(Plan(view), "spare"))
 }
+
+// Queues take turns at their peaks, which are about equally high and begin within
+// a second. A pool that waits until its rate has risen gets its VMs when a third
+// of the peak is over. The rates are those of a pool of the large fleet in the
+// first second of a peak.
+func TestBeginningPeakGetsTheVMsOfEarlierPeaks(t *testing.T) {
+	const peak = 500 * vmMilliCPU
+	a := poolWithLoad("a", 30*vmMilliCPU)
+	a.RequestedMilliCPU, a.SettledMilliCPU, a.ExpectedPeakMilliCPU = 60*vmMilliCPU, 3*vmMilliCPU, peak
+	view := View{MaxMoves: 2_000, Pools: []Pool{a, {Name: "spare", Spare: true}}, VMs: makeVMs(map[string]int{"a": 50, "spare": 1_000})}
+	assert.Equal(t, 550, countMovesTo(Plan(view), "a"))
+
+	view.Pools[0].RequestedMilliCPU = 20 * vmMilliCPU
+	assert.Zero(t, countMovesTo(Plan(view), "a"), "a few jobs at once are no peak")
+	view.Pools[0].RequestedMilliCPU, view.Pools[0].SettledMilliCPU = 60*vmMilliCPU, 50*vmMilliCPU
+	assert.Less(t, countMovesTo(Plan(view), "a"), 60, "nor is a higher rate that lasts")
+}
--- a/node/jobhost/moves.go
+++ b/node/jobhost/moves.go
@@ -57,6 +57,8 @@
 	// loads holds the recent loads of each pool, rates the rates of arriving
 	// work.
 	loads, rates map[string][]sample
+	// peakRates holds the highest settled rate of each pool so far.
+	peakRates map[string]int64
 }
 
 type movingVM struct {
@@ -71,7 +73,7 @@
 type sample struct{ at, value int64 }
 
 func newMoveTracker() *moveTracker {
-	return &moveTracker{inProgress: map[string]*movingVM{}, arrivedWork: map[string][]sample{}, loads: map[string][]sample{}, rates: map[string][]sample{}}
+	return &moveTracker{inProgress: map[string]*movingVM{}, arrivedWork: map[string][]sample{}, loads: map[string][]sample{}, rates: map[string][]sample{}, peakRates: map[string]int64{}}
 }
 
 func (m *moveTracker) active() bool { return len(m.inProgress) > 0 }
@@ -128,6 +130,7 @@
 		}
 		m.arrivedWork[name] = samples
 		m.rates[name] = appendWithin(m.rates[name], sample{now, m.arrivalRate(name)}, settleWindow)
+		m.peakRates[name] = max(m.peakRates[name], m.settledRate(name))
 		pool := m.poolLoad(name, p)
 		m.loads[name] = appendWithin(m.loads[name], sample{now, pool.Load()}, peakLoadWindow)
 	}
@@ -142,6 +145,29 @@
 	return samples
 }
 
+// expectedPeak returns the rate that a peak of the pool will probably reach: that
+// of its own earlier peaks, or before its first one the lowest peak of the other
+// pools that had work.
+func (m *moveTracker) expectedPeak(pool string) int64 {
+	own, highest, lowest := m.peakRates[pool], int64(0), int64(0)
+	for _, rate := range m.peakRates {
+		highest = max(highest, rate)
+	}
+	for _, rate := range m.peakRates {
+		if rate > highest/minPeakDivisor && (lowest == 0 || rate < lowest) {
+			lowest = rate
+		}
+	}
+	if own > highest/minPeakDivisor {
+		return own
+	}
+	return lowest
+}
+
+// minPeakDivisor divides the highest rate of all pools to get the rate above
+// which a pool counts as having had a peak.
+const minPeakDivisor = 4
+
 // settledRate returns the rate of arriving work that a pool had at least
 // throughout the last settleWindow.
 func (m *moveTracker) settledRate(pool string) int64 {
@@ -159,7 +185,7 @@
 // poolLoad returns the planner's view of the load of a pool.
 func (m *moveTracker) poolLoad(name string, r poolReport) turns.Pool {
 	p := turns.Pool{Name: name, MinVMs: max(minVMsPerPool, r.MinWorkers), LastingMilliCPU: r.LastingMilliCPU,
-		BusyMilliCPU: r.UsedMilliCPU - r.LastingMilliCPU, QueuedWork: r.WaitingWork, RequestedMilliCPU: m.arrivalRate(name), SettledMilliCPU: m.settledRate(name)}
+		BusyMilliCPU: r.UsedMilliCPU - r.LastingMilliCPU, QueuedWork: r.WaitingWork, RequestedMilliCPU: m.arrivalRate(name), SettledMilliCPU: m.settledRate(name), ExpectedPeakMilliCPU: m.expectedPeak(name)}
 	if r.UnplacedLasting > 0 {
 		p.MinVMs = max(p.MinVMs, r.Workers+1)
 	}
