node/jobhost: the fleet controller goes to a large VM

Change: nodes with less than half the cores of the largest candidate come after the others. Result: TestFleetControllerPrefersLargeVMs.

--- a/node/jobhost/owners.go
+++ b/node/jobhost/owners.go
@@ -142,7 +142,8 @@
 
 // takeoverCandidates returns the live nodes in the order in which they should
 // take over a partition. The fleet partition goes to the node that started
-// last, because in a rolling restart that node is not the next to be restarted.
+// last, because in a rolling restart that node is not the next to be restarted,
+// and to a small VM only if there is no large one.
 // Other partitions go to the node with the most cores per shard.
 func (h *Host) takeoverCandidates(p deps.Partition, now int64, planned map[string]int) []string {
 	load := map[string]float64{h.cfg.Node: shardsPerCore(len(h.owned)+len(h.takingOver)+planned[h.cfg.Node], h.cfg.Cores)}
@@ -155,8 +156,15 @@
 	for name := range load {
 		names = append(names, name)
 	}
+	largest := 0.0
+	for _, name := range names {
+		largest = max(largest, h.coresOf(name))
+	}
 	sort.Slice(names, func(i, j int) bool {
 		a, b := names[i], names[j]
+		if aSmall, bSmall := h.coresOf(a) < largest/2, h.coresOf(b) < largest/2; p == fleetPartition && aSmall != bSmall {
+			return bSmall
+		}
 		if gap := h.incarnationOf(a) - h.incarnationOf(b); p == fleetPartition && (gap > restartGap.Nanoseconds() || -gap > restartGap.Nanoseconds()) {
 			return gap > 0
 		}
@@ -176,6 +184,17 @@
 	return float64(shards+1) / cores
 }
 
+func (h *Host) coresOf(node string) float64 {
+	cores := h.cfg.Cores
+	if node != h.cfg.Node {
+		cores = h.nodes[node].record.Cores
+	}
+	if cores <= 0 {
+		return defaultCores
+	}
+	return cores
+}
+
 func (h *Host) incarnationOf(node string) int64 {
 	if node == h.cfg.Node {
 		return h.incarnation
--- a/node/jobhost/owners_test.go
+++ b/node/jobhost/owners_test.go
@@ -35,3 +35,18 @@
 	candidates := h.takeoverCandidates(deps.Partition{Topic: deps.TopicJobs}, now, map[string]int{})
 	assert.Contains(t, candidates[0], "small-", "an idle small VM precedes large VMs with many shards")
 }
+
+// In a rolling restart of a large fleet the node that started last is mostly a
+// small VM, which is too slow to list and plan for a thousand VMs.
+func TestFleetControllerPrefersLargeVMs(t *testing.T) {
+	cfg := newTestSite(t, time.Millisecond).config("large-old", "127.0.0.1")
+	cfg.Cores, cfg.Incarnation = 0.8, 1
+	h := New(cfg)
+	now := monotonicMS()
+	node := func(name string, cores float64, startedS int64) {
+		h.nodes[name] = &nodeState{record: heartbeatRecord{Node: name, Cores: cores, Incarnation: startedS * time.Second.Nanoseconds()}, heartbeatAt: now}
+	}
+	node("small-new", 0.2, 100)
+	node("large-new", 0.8, 50)
+	assert.Equal(t, []string{"large-new", "large-old", "small-new"}, h.takeoverCandidates(fleetPartition, now, nil))
+}
