--- a/cmd/wigeonwinchd/main.go
+++ b/cmd/wigeonwinchd/main.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"syscall"
 	"time"
 
@@ -60,6 +61,9 @@
 	hangup := platform.NotifyHangup()
 	nodeSettings, problems := platform.LoadSettings()
 	exitOnProblems(problems)
+	if limit := nodeSettings.MemoryLimitBytes(); limit > 0 {
+		debug.SetMemoryLimit(limit)
+	}
 	metrics, err := telemetry.NewMetrics()
 	if err != nil {
 		return err
