Contain panics in message handlers and in the control loop

Change: a panic in a handler of the peer mesh ends only its message; one in the control loop ends that function, and the shards, whose state may be incomplete, are restored from the store.

--- a/node/events/node.go
+++ b/node/events/node.go
@@ -7,6 +7,7 @@
 	NodeNotReady
 	NodeStopping
 	NodeStopped
+	PanicContained
 )
 
 var nodeEvents = []Definition{
@@ -15,4 +16,5 @@
 	{NodeNotReady, "node_not_ready", SeverityWarning, "The node does not accept requests.", "Check the reason in the detail."},
 	{NodeStopping, "node_stopping", SeverityInfo, "The node is stopping; it finishes the requests in progress first.", ""},
 	{NodeStopped, "node_stopped", SeverityInfo, "The node has stopped.", ""},
+	{PanicContained, "panic_contained", SeverityViolation, "A defect was met while an input was processed; the input was dropped, and shards that it may have damaged are restored from the store.", "Report it with the detail and the logs of the seconds before."},
 }
--- a/node/jobhost/host.go
+++ b/node/jobhost/host.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/http"
+	"runtime/debug"
 	"strconv"
 	"sync/atomic"
 	"time"
@@ -158,7 +159,7 @@
 	for {
 		select {
 		case f := <-h.inbox:
-			f()
+			h.contain(f)
 		case <-h.closed:
 			return
 		}
@@ -176,7 +177,7 @@
 	for {
 		select {
 		case f := <-h.inbox:
-			f()
+			h.contain(f)
 			h.drainInbox()
 		case <-ticker.C:
 		case <-pauseOver.C:
@@ -188,18 +189,35 @@
 			pauseOver.Reset(rest)
 			continue
 		}
-		h.advance()
+		h.contain(h.advance)
 		pacer.passed(began, time.Now())
 	}
 }
 
+// contain runs f and survives a panic in it. The state of the owned shards may be
+// incomplete then, so they are given up: this or another node restores them from
+// the store.
+func (h *Host) contain(f func()) {
+	defer func() {
+		v := recover()
+		if v == nil {
+			return
+		}
+		h.record(events.PanicContained, events.Fields{Err: errors.Errorf("%v", v), Detail: string(debug.Stack())})
+		for _, s := range h.sortedOwned() {
+			h.dropShard(s, "a defect was met in the control loop")
+		}
+	}()
+	f()
+}
+
 // drainInbox runs further queued functions, so that one pass over the shards
 // serves many events.
 func (h *Host) drainInbox() {
 	for range 256 {
 		select {
 		case f := <-h.inbox:
-			f()
+			h.contain(f)
 		default:
 			return
 		}
--- a/node/jobhost/host_test.go
+++ b/node/jobhost/host_test.go
@@ -291,3 +291,20 @@
 	cfg.TakeoverGapMS = 3_000
 	assert.Equal(t, int64(3_000), New(cfg).cfg.TakeoverGapMS)
 }
+
+// An input that meets a defect must not end the process. The shards may be
+// damaged, so they are restored from the store, with the jobs in them.
+func TestPanicInControlLoopIsContained(t *testing.T) {
+	s := newTestSite(t, 50*time.Millisecond)
+	h := New(s.config("a", "127.0.0.1"))
+	ctx, cancel := context.WithCancel(context.Background())
+	go func() { assert.NoError(t, h.Run(ctx)) }()
+	defer func() { cancel(); <-h.HandedOver(); h.Close() }()
+	ask := func(op Operation) Result {
+		return h.Do(ctx, Request{Op: op, Service: "s", Queue: "q", ID: testJob(1).ID, Job: testJob(1)})
+	}
+	require.Eventually(t, func() bool { return ask(OpSubmit).Outcome == Done }, 20*time.Second, 50*time.Millisecond)
+	h.post(func() { panic("a malformed input") })
+	require.Eventually(t, func() bool { return ask(OpShow).State == spec.Completed }, 20*time.Second, 50*time.Millisecond)
+	assert.Empty(t, s.workers.ConcurrentRuns)
+}
--- a/node/peer/mesh.go
+++ b/node/peer/mesh.go
@@ -302,7 +302,7 @@
 }
 
 func (m *Mesh) runHandler(ctx context.Context, l *link, f frame, h Handler) {
-	body, err := h(ctx, l.peer.Node, f.Body)
+	body, err := m.handle(ctx, l, f, h)
 	if f.Kind == frameCast {
 		return
 	}
@@ -313,6 +313,17 @@
 	l.reply(reply)
 }
 
+// handle calls the handler of a message. A panic in it ends only this message.
+func (m *Mesh) handle(ctx context.Context, l *link, f frame, h Handler) (body []byte, err error) {
+	defer func() {
+		if v := recover(); v != nil {
+			err = errors.Errorf("the handler of method %d panicked: %v", f.Method, v)
+			m.cfg.Events.Record(events.PanicContained, events.Fields{Peer: l.peer.Node, Err: err})
+		}
+	}()
+	return h(ctx, l.peer.Node, f.Body)
+}
+
 func (m *Mesh) refuse(l *link, f frame, refusal Refusal) {
 	m.cfg.Events.Record(events.PeerMessageRefused, events.Fields{Peer: l.peer.Node, Detail: string(refusal)})
 	if f.Kind == frameCall {
--- a/node/peer/mesh_test.go
+++ b/node/peer/mesh_test.go
@@ -394,3 +394,22 @@
 		node1.mu.Unlock()
 	})
 }
+
+// A message whose handler meets a defect must not end the process: its sender
+// gets an error, and the next message is served.
+func TestPanicInHandlerEndsOnlyItsMessage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		tc := newTestCluster(t)
+		defer tc.stop()
+		node1 := tc.start(1, "north", 1, nil, seed(2, "north"))
+		node2 := tc.start(2, "north", 1, nil, seed(1, "north"))
+		const methodPanic uint16 = 990
+		node2.Handle(methodPanic, func(context.Context, string, []byte) ([]byte, error) { panic("a malformed message") })
+		time.Sleep(5 * time.Second)
+		_, err := node1.Call(context.Background(), "e-2", methodPanic, nil)
+		require.Equal(t, KindFailed, KindOf(err))
+		require.Equal(t, 1, node2.events.count(events.PanicContained))
+		_, err = node1.echo("e-2")
+		require.NoError(t, err)
+	})
+}
