--- a/node/jobhost/relays.go
+++ b/node/jobhost/relays.go
@@ -240,6 +240,7 @@
 	for id, c := range r.calls {
 		if c.node == l.node {
 			delete(r.calls, id)
+			r.host.stats.relayedGivenUp.Add(1)
 			r.host.giveUp(c)
 			unanswered++
 		}
@@ -294,6 +295,7 @@
 		return
 	}
 	delete(r.calls, res.ID)
+	r.host.stats.relayedAnswered.Add(1)
 	if r.host.owned[c.shard.partition] != c.shard {
 		return
 	}
--- a/node/telemetry/jobinstruments.go
+++ b/node/telemetry/jobinstruments.go
@@ -8,6 +8,7 @@
 	MetricAppendLatency = "wigeonwinch_store_append_latency"
 	MetricPolls         = "wigeonwinch_worker_polls"
 	MetricStarts        = "wigeonwinch_run_starts"
+	MetricRelayedOrders = "wigeonwinch_relayed_orders"
 	MetricShardsOwned   = "wigeonwinch_shards_owned"
 	MetricConfigVersion = "wigeonwinch_job_config_version"
 	MetricHeartbeatAge  = "wigeonwinch_heartbeat_age_ms"
@@ -20,6 +21,7 @@
 		{MetricStoreCalls, "", "counter", "kind", "Calls to the store: writes and reads.", "near the store's limits"},
 		{MetricPolls, "", "counter", "", "Polls of workers.", ""},
 		{MetricStarts, "", "counter", "", "Starts ordered.", ""},
+		{MetricRelayedOrders, "", "counter", "result", "Orders for workers that this node sent through relays: answered, or given up.", "given_up is more than 1 % over 5 minutes: look for relay_suspended in the log"},
 		{MetricShardsOwned, "", "gauge", "", "Shards that this node owns.", "the sum over all nodes is not the number of pools and one for a minute"},
 		{MetricConfigVersion, "", "gauge", "", "Version of the queues' configuration in force.", "two nodes differ for more than 14 s"},
 		{MetricHeartbeatAge, "ms", "gauge", "", "Time since the store last took a heartbeat of this node.", "above 2,000: the node may start nothing"},
