Jobs are accepted before a new owner knows its workers

Change: the reader wakes at the takeover; until the list is there, for a second at most, jobs are accepted.

--- a/jobs/shard/core.go
+++ b/jobs/shard/core.go
@@ -146,6 +146,9 @@
 	// workersByID lists the workers by ID; nil after a worker was added or
 	// removed.
 	workersByID []*worker
+	// workersListed reports whether the list of workers was set since the
+	// takeover.
+	workersListed bool
 	// workerKinds holds every kind of worker seen so far, to decide whether a
 	// task could ever be placed.
 	workerKinds map[string]Worker
--- a/jobs/shard/submit.go
+++ b/jobs/shard/submit.go
@@ -77,7 +77,7 @@
 	if reason, ok := c.unplaceable(j); ok {
 		return Reply{Reason: reason, RetryAfterMS: admit.UnplaceableRetryMS}, true
 	}
-	if c.cfg.Policy.AdmitAll {
+	if c.cfg.Policy.AdmitAll || c.workersUnknown() {
 		return Reply{}, false
 	}
 	p := c.ensurePool(q.Service)
@@ -115,6 +115,17 @@
 	return l
 }
 
+// workersUnknownGraceMS is how long after a takeover jobs are accepted although
+// the list of workers was not read yet: a part of the slack of a usual job.
+const workersUnknownGraceMS = 1_000
+
+// workersUnknown reports whether nothing is known about the pool because the
+// shard has just been taken over. The earlier owner's workers are there most
+// likely, and the job finds its place as soon as they are listed.
+func (c *Core) workersUnknown() bool {
+	return !c.workersListed && c.now-c.takeoverAt < workersUnknownGraceMS
+}
+
 // takeoverGraceMS is how long after a takeover unreached workers count as
 // capacity: several round trips of the first polls.
 const takeoverGraceMS = 500
--- a/jobs/shard/worker.go
+++ b/jobs/shard/worker.go
@@ -157,6 +157,7 @@
 // SetWorkers replaces the list of the shard's workers.
 func (c *Core) SetWorkers(now int64, list []Worker) {
 	c.now = now
+	c.workersListed = true
 	present := make(map[string]bool, len(list))
 	for _, info := range list {
 		present[info.ID] = true
--- a/node/jobhost/beats_test.go
+++ b/node/jobhost/beats_test.go
@@ -9,6 +9,7 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
+	"wigeonwinch/jobs/shard"
 	"wigeonwinch/node/deps"
 	"wigeonwinch/node/deps/depstest"
 )
@@ -226,3 +227,21 @@
 		return c != nil && c.sentAt-c.chainStart > startWindow.Milliseconds()
 	}, 4*time.Second, 10*time.Millisecond, "the chain of heartbeats stays unbroken although each answer is late")
 }
+
+// A node that takes over its first shard must read the workers at once: until
+// then it can place nothing and knows no room.
+func TestReaderOfWorkersIsWokenByATakeover(t *testing.T) {
+	s := newTestSite(t, time.Millisecond)
+	h := New(s.config("self", "127.0.0.1"))
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	reader := partitionReader{host: h, partition: deps.Partition{Topic: deps.TopicWorkers}, pause: time.Hour, active: h.needWorkers.Load, wake: h.workersNeeded}
+	read := make(chan struct{}, 1)
+	go reader.run(ctx, func([]shard.Record, bool) { read <- struct{}{} }, nil)
+	h.startOwning(takenPartition{partition: deps.Partition{Topic: deps.TopicJobs}, epoch: 1})
+	select {
+	case <-read:
+	case <-time.After(10 * time.Second):
+		t.Fatal("the workers are read only after the pause")
+	}
+}
--- a/node/jobhost/feeds.go
+++ b/node/jobhost/feeds.go
@@ -152,7 +152,7 @@
 
 // followWorkers reads the workers' entries while this node needs them.
 func (h *Host) followWorkers(ctx context.Context) {
-	f := partitionReader{host: h, partition: deps.Partition{Topic: deps.TopicWorkers}, pause: readInterval, active: h.needWorkers.Load, urgent: h.expectingVMs.Load}
+	f := partitionReader{host: h, partition: deps.Partition{Topic: deps.TopicWorkers}, pause: readInterval, active: h.needWorkers.Load, wake: h.workersNeeded, urgent: h.expectingVMs.Load}
 	f.run(ctx, func(records []shard.Record, whole bool) {
 		h.post(func() { h.applyWorkerRecords(records, whole) })
 	}, nil)
--- a/node/jobhost/host.go
+++ b/node/jobhost/host.go
@@ -62,7 +62,10 @@
 	largeFleet    atomic.Bool
 	ticket        atomic.Uint64
 	pending       pendingReplies
+	// needWorkers reports that this node owns a job shard. workersNeeded wakes
+	// the reader of the workers' entries when it gets the first one.
 	needWorkers   atomic.Bool
+	workersNeeded chan struct{}
 	// expectingVMs reports that VMs are moving to a shard of this node.
 	expectingVMs atomic.Bool
 	workersKnown atomic.Bool
@@ -89,7 +92,7 @@
 		owned: map[deps.Partition]*ownedShard{}, takingOver: map[deps.Partition]bool{},
 		vacantSince: map[deps.Partition]int64{}, announcedOwners: map[deps.Partition]ownership{}, ownerAnnouncedAt: map[deps.Partition]int64{},
 		workers: map[string]deps.WorkerChange{}, waves: map[int]*deps.Wave{}, waveSeenAt: map[int]int64{},
-		startedAt: monotonicMS(), heartbeatTrigger: make(chan struct{}, 1),
+		startedAt: monotonicMS(), heartbeatTrigger: make(chan struct{}, 1), workersNeeded: make(chan struct{}, 1),
 		handedOver: make(chan struct{}), closed: make(chan struct{}),
 	}
 	h.relays = newRelayedOrders(h)
--- a/node/jobhost/members.go
+++ b/node/jobhost/members.go
@@ -175,8 +175,10 @@
 	pause        time.Duration
 	// urgent reports whether to read more often. nil means never.
 	urgent func() bool
-	// active reports whether to read now. nil means always.
+	// active reports whether to read now. nil means always. wake ends the pause
+	// before active is asked again.
 	active func() bool
+	wake   <-chan struct{}
 }
 
 // run calls handle with new records. whole reports that they are all the
@@ -188,7 +190,7 @@
 	for ctx.Err() == nil {
 		if f.active != nil && !f.active() {
 			next = -1
-			pause.For(ctx, f.pause)
+			f.waitUntilActive(ctx)
 			continue
 		}
 		records, end, whole, err := f.read(ctx, next)
@@ -217,6 +219,16 @@
 	}
 }
 
+func (f partitionReader) waitUntilActive(ctx context.Context) {
+	timer := time.NewTimer(f.pause)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-f.wake:
+	case <-ctx.Done():
+	}
+}
+
 func (f partitionReader) nextPause() time.Duration {
 	if f.urgent != nil && f.urgent() {
 		return f.pause / 4
--- a/node/jobhost/takeover.go
+++ b/node/jobhost/takeover.go
@@ -177,5 +177,9 @@
 	}
 	h.updateShardQueues(s)
 	h.needWorkers.Store(true)
+	select {
+	case h.workersNeeded <- struct{}{}:
+	default:
+	}
 	h.updateShardWorkers(s)
 }
