A slow owner keeps its relays

Cause: an owner that was suspended or slowed down found the deadlines of its relayed orders passed before it looked at the results that waited, suspended every relay for 3 s and called hundreds of workers itself, at the moment when it had the least processor time. Change: the time for which the owner did not look is added to the deadlines. Result: TestSlowOwnerKeepsItsRelays fails without the extension.

--- a/node/jobhost/relays.go
+++ b/node/jobhost/relays.go
@@ -21,6 +21,9 @@
 	// relayMargin is how much longer an order may take through a relay: a round
 	// trip between zones and the time in two queues.
 	relayMargin = 400 * time.Millisecond
+	// ownLag is the time between two checks of deadlines above which this node
+	// was itself late.
+	ownLag = 4 * loopInterval
 	// relaySuspension is how long a node that failed is not used as a relay.
 	relaySuspension = 3 * time.Second
 	// maxBatchOrders bounds the orders of one message.
@@ -66,6 +69,8 @@
 	links    map[string]*relayLink
 	calls    map[uint64]*relayedCall
 	lastID   uint64
+	// expiredAt is when deadlines were last checked.
+	expiredAt int64
 }
 
 func newRelayedOrders(h *Host) *relayedOrders {
@@ -251,6 +256,7 @@
 // expire fails the relays that did not return a result in time, and those that
 // ended with orders in their hands.
 func (r *relayedOrders) expire(now int64) {
+	r.allowOwnLag(now)
 	failed := map[string]error{}
 	for _, c := range r.calls {
 		if now > c.deadline {
@@ -266,6 +272,19 @@
 	}
 }
 
+// allowOwnLag extends the deadlines by the time for which this node was
+// suspended or too slow to look: results that wait to be handled are not the
+// relays' fault. Without their relays a slow owner would fall behind for good.
+func (r *relayedOrders) allowOwnLag(now int64) {
+	lag := now - r.expiredAt
+	if r.expiredAt != 0 && lag > ownLag.Milliseconds() {
+		for _, c := range r.calls {
+			c.deadline += lag
+		}
+	}
+	r.expiredAt = now
+}
+
 // lostLink returns errRelayLost if there is no connection to a relay to which no
 // batch is under way.
 func (r *relayedOrders) lostLink(node string) error {
--- a/node/jobhost/relays_test.go
+++ b/node/jobhost/relays_test.go
@@ -187,3 +187,22 @@
 	server.execute("owner", monotonicMS(), order)
 	assert.Equal(t, int64(1), counted.starts.Load())
 }
+
+// An owner that was suspended or slowed down finds the deadlines of all its orders
+// passed. It must not suspend all relays for that and call hundreds of workers
+// itself.
+func TestSlowOwnerKeepsItsRelays(t *testing.T) {
+	s := newTestSite(t, time.Millisecond)
+	h := New(s.config("a", "127.0.0.1"))
+	now := monotonicMS()
+	r := h.relays
+	r.links["relay"] = &relayLink{node: "relay", sending: true}
+	r.calls[1] = &relayedCall{shard: &ownedShard{}, node: "relay", deadline: now + 1_000}
+	r.expire(now)
+	r.expire(now + 3_000)
+	assert.Zero(t, r.links["relay"].suspendedUntil, "this node did not look for three seconds")
+	for at := now + 3_050; at <= now+4_100; at += loopInterval.Milliseconds() {
+		r.expire(at)
+	}
+	assert.NotZero(t, r.links["relay"].suspendedUntil, "the relay had its time since then")
+}
