node/jobhost: a forwarded request goes to the next owner at once

Change: forwarding ends when the shard has a newer owner, and the request is sent there. The new owner knows every job that is stored, and nothing that is not stored was started, so its answer is the truth. If no later owner answers, the outcome stays unknown. Result: TestForwardingEndsWhenTheOwnerIsReplaced and TestSubmissionToAFormerOwnerIsNotReportedAsRefused.

--- a/node/jobhost/config.go
+++ b/node/jobhost/config.go
@@ -120,6 +120,9 @@
 	ownerWait = 900 * time.Millisecond
 	// ownerRetryDelay is the pause between two attempts to reach an owner.
 	ownerRetryDelay = 80 * time.Millisecond
+	// ownerCheckInterval is the pause between two checks whether the owner to
+	// which a request was forwarded has been replaced.
+	ownerCheckInterval = 50 * time.Millisecond
 	// forwardTimeout limits one request that is forwarded to an owner.
 	forwardTimeout = 1800 * time.Millisecond
 	// inboxSize limits the events that are queued for the control loop.
--- a/node/jobhost/host_test.go
+++ b/node/jobhost/host_test.go
@@ -308,3 +308,36 @@
 	require.Eventually(t, func() bool { return ask(OpShow).State == spec.Completed }, 20*time.Second, 50*time.Millisecond)
 	assert.Empty(t, s.workers.ConcurrentRuns)
 }
+
+// Callers whose request was forwarded to an owner behind a cut waited 1.8 s and
+// were told that the outcome is unknown, although the next owner could answer from
+// the records after a third of that.
+func TestForwardingEndsWhenTheOwnerIsReplaced(t *testing.T) {
+	h := New(newTestSite(t, time.Millisecond).config("a", "127.0.0.1"))
+	part := h.partitionOf("s")
+	former := ownership{Topic: int(part.Topic), Index: part.Index, Epoch: 5, Node: "behind the cut"}
+	h.owners.Store(&map[deps.Partition]ownership{part: former})
+	ctx, stop := h.untilOwnerChanges(context.Background(), part, former)
+	defer stop()
+	select {
+	case <-ctx.Done():
+		t.Fatal("the owner is the same")
+	case <-time.After(3 * ownerCheckInterval):
+	}
+	next := former
+	next.Epoch, next.Node = 6, "b"
+	h.owners.Store(&map[deps.Partition]ownership{part: next})
+	select {
+	case <-ctx.Done():
+		assert.ErrorIs(t, context.Cause(ctx), errOwnerChanged)
+	case <-time.After(5 * time.Second):
+		t.Fatal("the call goes on although the owner was replaced")
+	}
+}
+
+// A submission that a former owner may have stored must not be reported as
+// without effect when no later owner answers.
+func TestSubmissionToAFormerOwnerIsNotReportedAsRefused(t *testing.T) {
+	assert.Equal(t, Unknown, giveUpResult(true, "owner_unreachable").Outcome)
+	assert.Equal(t, Unavailable, giveUpResult(false, "no_owner").Outcome)
+}
--- a/node/jobhost/requests.go
+++ b/node/jobhost/requests.go
@@ -5,6 +5,8 @@
 	"sync"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"wigeonwinch/jobs/shard"
 	"wigeonwinch/jobs/spec"
 	"wigeonwinch/node/deps"
@@ -134,23 +136,36 @@
 }
 
 // doAtOwner sends a request to the owner of a shard. If there is none, it waits
-// up to ownerWait for one.
+// up to ownerWait for one. If another node takes the shard over while the owner is
+// silent, the request is sent to the new owner: it knows every job that the former
+// one has stored, and no job that is not stored was started.
 func (h *Host) doAtOwner(ctx context.Context, part deps.Partition, r Request) Result {
 	deadline := time.Now().Add(ownerWait)
-	reason := "no_owner"
+	mayHaveEffect := false
 	for {
 		res := h.tryOwner(ctx, part, r)
 		if res.Outcome != notOwner {
 			return res
 		}
-		reason = res.Reason
-		if ctx.Err() != nil || time.Now().After(deadline) {
-			return Result{Outcome: Unavailable, RetryAfterMS: unavailableRetryMS, Reason: reason}
+		ownerChanged := res.Reason == reasonOwnerChanged
+		mayHaveEffect = mayHaveEffect || ownerChanged && !r.Op.readOnly()
+		if ctx.Err() != nil || !mayHaveEffect && time.Now().After(deadline) {
+			return giveUpResult(mayHaveEffect, res.Reason)
+		}
+		if !ownerChanged {
+			pause.For(ctx, ownerRetryDelay)
 		}
-		pause.For(ctx, ownerRetryDelay)
 	}
 }
 
+// giveUpResult is the result of a request that no owner has answered.
+func giveUpResult(mayHaveEffect bool, reason string) Result {
+	if mayHaveEffect {
+		return Result{Outcome: Unknown, Reason: reason}
+	}
+	return Result{Outcome: Unavailable, RetryAfterMS: unavailableRetryMS, Reason: reason}
+}
+
 func (h *Host) tryOwner(ctx context.Context, part deps.Partition, r Request) Result {
 	owner, ok := (*h.owners.Load())[part]
 	if !ok {
@@ -159,7 +174,7 @@
 	if owner.Node == h.cfg.Node {
 		return h.doLocal(ctx, part, r)
 	}
-	return h.forward(ctx, owner.Node, part, r)
+	return h.forward(ctx, owner, part, r)
 }
 
 // forwardedRequest is a request that is forwarded to the owner of a shard.
@@ -168,15 +183,45 @@
 	Request   Request `cbor:"2,keyasint"`
 }
 
+// reasonOwnerChanged is the reason of a request that was given up because another
+// node has taken the shard over.
+const reasonOwnerChanged = "owner_changed"
+
+var errOwnerChanged = errors.New("another node has taken the shard over")
+
+// untilOwnerChanges returns a context that ends when another node takes over the
+// shard of the given owner.
+func (h *Host) untilOwnerChanges(ctx context.Context, part deps.Partition, owner ownership) (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithCancelCause(ctx)
+	var check *time.Timer
+	check = time.AfterFunc(time.Hour, func() {
+		if (*h.owners.Load())[part].Epoch > owner.Epoch {
+			cancel(errOwnerChanged)
+			return
+		}
+		if ctx.Err() == nil {
+			check.Reset(ownerCheckInterval)
+		}
+	})
+	check.Reset(ownerCheckInterval)
+	return ctx, func() { check.Stop(); cancel(context.Canceled) }
+}
+
 // forward sends a request to the owner of the shard.
-func (h *Host) forward(ctx context.Context, node string, part deps.Partition, r Request) Result {
+func (h *Host) forward(ctx context.Context, owner ownership, part deps.Partition, r Request) Result {
+	node := owner.Node
 	ctx, cancel := context.WithTimeout(ctx, forwardTimeout)
 	defer cancel()
+	ctx, stopWatching := h.untilOwnerChanges(ctx, part, owner)
+	defer stopWatching()
 	body, err := encMode.Marshal(forwardedRequest{part.Index, r})
 	if err != nil {
 		return Result{Outcome: Unavailable, Reason: err.Error()}
 	}
 	answer, err := h.mesh.Call(ctx, node, methodRequest, body)
+	if err != nil && errors.Is(context.Cause(ctx), errOwnerChanged) {
+		return Result{Outcome: notOwner, Reason: reasonOwnerChanged}
+	}
 	if err != nil {
 		h.record(events.RequestPassedOn, events.Fields{Request: r.ID, Peer: node, Err: err})
 		if peer.KindOf(err) == peer.KindUnreachable || r.Op.readOnly() {
