node/jobhost: results of relayed orders without their own accessors

Cause: the read-through found two methods that only convert a field, in the file of the relay's side. Change: the conversions stand where they are used. Result: no change of behaviour; tests of relays pass.

--- a/node/jobhost/relays.go
+++ b/node/jobhost/relays.go
@@ -322,12 +322,12 @@
 	switch c.order.Kind {
 	case orderPoll:
 		if res.Outcome != "" {
-			core.HandlePollError(now, c.order.target(), res.pollError())
+			core.HandlePollError(now, c.order.target(), shard.PollError(res.Outcome))
 			return
 		}
 		core.HandlePollResponse(now, c.sentAt, c.order.target(), res.response())
 	case orderStart:
-		core.HandleStartResult(now, c.order.start(), res.startOutcome())
+		core.HandleStartResult(now, c.order.start(), shard.StartOutcome(res.Outcome))
 	case orderStop:
 		core.HandleStopResult(now, shard.Stop{Target: c.order.target(), RunRef: c.order.runRef()}, res.Answered, res.Fenced)
 	case orderPace:
--- a/node/jobhost/relayserve.go
+++ b/node/jobhost/relayserve.go
@@ -156,7 +156,3 @@
 	w.results = w.results[n:]
 	return batch, true
 }
-
-// pollError and startOutcome return the parts of a result as the core knows them.
-func (r *orderResult) pollError() shard.PollError       { return shard.PollError(r.Outcome) }
-func (r *orderResult) startOutcome() shard.StartOutcome { return shard.StartOutcome(r.Outcome) }
