jobs/shard: a worker is drained only once its ends are stored

An owner behind a cut had read the end of a worker's last task but could not store it; it reported the worker as drained, the fleet controller moved its VM, and the successor of the owner could not ask the worker for the end any more: it waited for the leases (10.3 s) and ran the task, 18 s of work that was done, again. The same end would have been lost to any failure of the owner in that moment. Ruled out: relays (the poll and its end had come) and the planner of moves (it acted on the report). Change: Drained also asks that all ends that were read are stored. Result: TestWorkerIsDrainedOnlyOnceItsEndsAreStored fails before and passes.

--- a/jobs/shard/lasting.go
+++ b/jobs/shard/lasting.go
@@ -18,10 +18,11 @@
 	}
 }
 
-// Drained reports whether a cordoned worker certainly runs nothing.
+// Drained reports whether a cordoned worker certainly runs nothing and all its
+// ends are stored: once its VM is moved, nobody can ask it for them again.
 func (c *Core) Drained(id string) bool {
 	w := c.workers[id]
-	return w != nil && w.cordoned && w.reached && w.failedPolls == 0 && len(w.runs) == 0 && len(w.strays) == 0
+	return w != nil && w.cordoned && w.reached && w.failedPolls == 0 && len(w.runs) == 0 && len(w.strays) == 0 && w.seenEnd <= w.ackedEnd
 }
 
 // evacuate stops tasks on cordoned and draining workers. On cordoned workers,
--- a/jobs/shard/takeover_test.go
+++ b/jobs/shard/takeover_test.go
@@ -35,3 +35,19 @@
 	require.Len(t, refused, 1)
 	assert.Equal(t, "no_worker_in_reach", refused[0].Reason)
 }
+
+// A worker whose last end is known but not stored is not drained yet. Its VM was
+// moved, the owner lost its shard before the end was stored, and its successor
+// could not ask the worker any more: it ran a task again that had run for 18 s.
+func TestWorkerIsDrainedOnlyOnceItsEndsAreStored(t *testing.T) {
+	h := newHarness(t, 1)
+	starts := h.submit(testJob(1, smallStep(1))).Starts
+	require.Len(t, starts, 1)
+	h.acceptStarts(starts)
+	h.core.SetCordons(h.now, map[string]bool{"w0": false})
+	h.core.HandlePollResponse(h.now, h.now, starts[0].Target, PollResponse{ClockMS: 200, Incarnation: 1, Ended: []ListedEnd{{End: 1, RunRef: starts[0].RunRef, Kind: EndDone}}})
+	h.core.Advance(h.now, h.now)
+	assert.False(t, h.core.Drained("w0"), "only this owner knows of the end")
+	h.step(1)
+	assert.True(t, h.core.Drained("w0"))
+}
