--- a/node/jobhost/beats_test.go
+++ b/node/jobhost/beats_test.go
@@ -235,9 +235,19 @@
 	h := New(s.config("self", "127.0.0.1"))
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	reader := partitionReader{host: h, partition: deps.Partition{Topic: deps.TopicWorkers}, pause: time.Hour, active: h.needWorkers.Load, wake: h.workersNeeded}
+	asked := make(chan struct{}, 1)
+	active := func() bool {
+		needed := h.needWorkers.Load()
+		select {
+		case asked <- struct{}{}:
+		default:
+		}
+		return needed
+	}
+	reader := partitionReader{host: h, partition: deps.Partition{Topic: deps.TopicWorkers}, pause: time.Hour, active: active, wake: h.workersNeeded}
 	read := make(chan struct{}, 1)
 	go reader.run(ctx, func([]shard.Record, bool) { read <- struct{}{} }, nil)
+	<-asked // the reader pauses now
 	h.startOwning(takenPartition{partition: deps.Partition{Topic: deps.TopicJobs}, epoch: 1})
 	select {
 	case <-read:
