Logs and metrics tell a crashed worker from a silent one

Cause: worker_poll_failed said no_answer for a closed connection and for a time-out, refused for a closed port and for a worker that declines, and run_settled said lease_lapsed for all. Change: connection_closed and connection_rejected are reasons of their own, a settled run has the time from its start order to the loss of contact and whether the worker was listed, and wigeonwinch_runs_lost counts by cause. No decision changes.

--- a/jobs/shard/polls.go
+++ b/jobs/shard/polls.go
@@ -97,6 +97,9 @@
 	w.pollInFlight = false
 	w.nextPollAt = now + pollRetryMS
 	w.failedPolls++
+	if w.contactLostAt == 0 {
+		w.contactLostAt = now
+	}
 	if reason == PollFenced {
 		c.depose(w.info.ID)
 	}
@@ -133,7 +136,7 @@
 	}
 	w.clockMS, w.clockReadAt = l.ClockMS, now
 	w.listedAt = now
-	w.failedPolls = 0
+	w.failedPolls, w.contactLostAt = 0, 0
 	w.nextPollAt = now
 	if !w.reached {
 		w.reached = true
--- a/jobs/shard/runs.go
+++ b/jobs/shard/runs.go
@@ -104,10 +104,26 @@
 	c.orders.Stops = append(c.orders.Stops, Stop{c.target(r.worker), RunRef{r.key, r.number}})
 }
 
+// The reasons for which runs are settled without an end because their worker is
+// gone.
+const (
+	reasonLeaseLapsed  = "lease_lapsed"
+	reasonWorkerReborn = "worker_reborn"
+)
+
+// WorkerGone reports whether the event says that a run ended with its worker.
+func WorkerGone(e Event) bool {
+	return e.Name == EventSettled && (e.Outcome == reasonLeaseLapsed || e.Outcome == reasonWorkerReborn)
+}
+
 // settleRun discards a run without a reported end that certainly does not run
 // and never will.
 func (c *Core) settleRun(r *run, reason string) {
-	c.event(Event{Name: EventSettled, Job: r.key.Job, Run: RunRef{r.key, r.number}, Worker: r.worker.info.ID, Outcome: reason, AgeMS: c.now - r.phaseSince})
+	e := Event{Name: EventSettled, Job: r.key.Job, Run: RunRef{r.key, r.number}, Worker: r.worker.info.ID, Outcome: reason, AgeMS: c.now - r.phaseSince}
+	if lostAt := r.worker.contactLostAt; lostAt != 0 && r.startSentAt != 0 {
+		e.Detail = fmt.Sprintf("start_to_loss_ms=%d listed=%v", lostAt-r.startSentAt, r.worker.listed)
+	}
+	c.event(e)
 	c.releaseRun(r)
 }
 
--- a/jobs/shard/worker.go
+++ b/jobs/shard/worker.go
@@ -53,6 +53,9 @@
 	// listedAt is when the last lists arrived, pacedAt when fillers were last
 	// paced.
 	listedAt, pacedAt int64
+	// contactLostAt is when the first poll failed after the last answered one;
+	// 0 while polls are answered.
+	contactLostAt int64
 }
 
 // runID identifies a run on one worker.
@@ -187,12 +190,12 @@
 	if w.incarnation != 0 {
 		c.event(Event{Name: EventWorker, Worker: w.info.ID, Outcome: "reborn", Detail: fmt.Sprintf("was=%d now=%d runs=%d", w.incarnation, incarnation, len(w.runs))})
 		for _, r := range sortedRuns(w) {
-			c.settleRun(r, "worker_reborn")
+			c.settleRun(r, reasonWorkerReborn)
 		}
 	}
 	w.incarnation = incarnation
 	w.seenEnd, w.ackedEnd, w.clockMS, w.clockReadAt, w.leaseUntil = 0, 0, 0, 0, 0
-	w.reached, w.failStreak, w.failedPolls = false, 0, 0
+	w.reached, w.failStreak, w.failedPolls, w.contactLostAt = false, 0, 0, 0
 	w.strays = map[RunRef]int64{}
 	w.nextPollAt = c.now
 }
@@ -213,6 +216,10 @@
 	PollFenced     PollError = "newer_owner"
 	PollReplaced   PollError = "other_incarnation"
 	PollRefused    PollError = "refused"
+	// PollConnectionClosed means that the worker ended the connection without an
+	// answer, PollConnectionRejected that no process listens at its address.
+	PollConnectionClosed   PollError = "connection_closed"
+	PollConnectionRejected PollError = "connection_rejected"
 )
 
 // settleWorkers settles the runs of silent workers whose leases have all
@@ -226,7 +233,7 @@
 		if silent && w.leasesExpired(c.now) {
 			for _, r := range sortedRuns(w) {
 				if r.phase != phasePlaced {
-					c.settleRun(r, "lease_lapsed")
+					c.settleRun(r, reasonLeaseLapsed)
 				}
 			}
 			continue
--- a/node/deps/deps.go
+++ b/node/deps/deps.go
@@ -99,6 +99,30 @@
 	Call   string
 	Detail string
 	Err    error
+	// Connection says how the connection failed, if that is the cause.
+	Connection ConnectionFailure
+}
+
+// ConnectionFailure is the way in which a connection failed.
+type ConnectionFailure string
+
+// The ways in which connections fail. Both mean that the other host is up. All
+// other failures, time-outs among them, are the empty value.
+const (
+	// ConnectionClosed means that the other side ended the connection before it
+	// answered.
+	ConnectionClosed ConnectionFailure = "closed"
+	// ConnectionRejected means that no process listens at the address.
+	ConnectionRejected ConnectionFailure = "rejected"
+)
+
+// ConnectionFailureOf returns how the connection of a failed call failed.
+func ConnectionFailureOf(err error) ConnectionFailure {
+	var e *Error
+	if errors.As(err, &e) {
+		return e.Connection
+	}
+	return ""
 }
 
 // Error returns the call, the kind of the failure and its cause.
--- a/node/jobhost/metrics.go
+++ b/node/jobhost/metrics.go
@@ -34,6 +34,9 @@
 func (s *hostStats) requestReadings(r telemetry.Readings) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	for cause, n := range s.runsLost {
+		r[telemetry.MetricRunsLost] = append(r[telemetry.MetricRunsLost], telemetry.Reading{Labels: label("cause", cause), Value: float64(n)})
+	}
 	for l, n := range s.requests {
 		r[telemetry.MetricJobRequests] = append(r[telemetry.MetricJobRequests], telemetry.Reading{
 			Labels: append(label("operation", opNames[l.op]), telemetry.Label("outcome", string(l.outcome))), Value: float64(n)})
--- a/node/jobhost/shardrun.go
+++ b/node/jobhost/shardrun.go
@@ -173,6 +173,12 @@
 }
 
 func shardPollError(err error) shard.PollError {
+	switch deps.ConnectionFailureOf(err) {
+	case deps.ConnectionClosed:
+		return shard.PollConnectionClosed
+	case deps.ConnectionRejected:
+		return shard.PollConnectionRejected
+	}
 	switch deps.KindOf(err) {
 	case deps.KindFenced:
 		return shard.PollFenced
@@ -226,6 +232,9 @@
 
 // logDecision records one decision of a shard in the event log.
 func (h *Host) logDecision(s *ownedShard, e shard.Event) {
+	if shard.WorkerGone(e) {
+		h.stats.countLostRun(e.Outcome)
+	}
 	number, ok := decisionEvents[e.Name]
 	if !ok {
 		number = events.JobDecision
--- a/node/jobhost/stats.go
+++ b/node/jobhost/stats.go
@@ -19,6 +19,18 @@
 
 	mu       sync.Mutex
 	requests map[requestLabel]int64
+	// runsLost counts the runs that ended with their worker, by cause.
+	runsLost map[string]int64
+}
+
+// countLostRun counts a run that was settled because its worker is gone.
+func (s *hostStats) countLostRun(cause string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.runsLost == nil {
+		s.runsLost = map[string]int64{}
+	}
+	s.runsLost[cause]++
 }
 
 type requestLabel struct {
