--- a/jobs/model/worker.go
+++ b/jobs/model/worker.go
@@ -12,7 +12,9 @@
 
 // worker is a simulated worker.
 type worker struct {
-	world        *World
+	world *World
+	vm    string
+	// id is the worker's name in its present life.
 	id           string
 	incarnation  int64
 	up           bool
@@ -27,6 +29,17 @@
 	// stopped; the worker starts only higher ones.
 	closedRuns map[shard.Key]int
 	capacity   spec.Resources
+	// room is the largest capacity of the last resizeNoticeMS, which a start may
+	// fill.
+	room spec.Resources
+	// waitingPolls fail when the worker crashes.
+	waitingPolls []*waitingPoll
+}
+
+// waitingPoll is a poll whose answer the worker delays.
+type waitingPoll struct {
+	settled bool
+	fail    func()
 }
 
 type run struct {
@@ -36,7 +49,8 @@
 }
 
 func newWorker(w *World, i int) *worker {
-	wk := &worker{world: w, id: fmt.Sprintf("w-%03d", i), capacity: spec.Resources{MilliCPU: w.opts.MilliCPU, MemoryMB: w.opts.MemoryMB}}
+	full := spec.Resources{MilliCPU: w.opts.MilliCPU, MemoryMB: w.opts.MemoryMB}
+	wk := &worker{world: w, vm: fmt.Sprintf("w-%03d", i), capacity: full, room: full}
 	wk.clockRate = 0.98 + 0.02*w.rng.Float64()
 	wk.boot()
 	return wk
@@ -45,6 +59,10 @@
 func (k *worker) boot() {
 	k.up = true
 	k.incarnation = wallStartMS + k.world.now
+	k.id = k.vm
+	if k.world.opts.NewIDs {
+		k.id = fmt.Sprintf("%s-%d", k.vm, k.incarnation)
+	}
 	k.highestEpoch, k.leaseUntil, k.lastEnd, k.acked = 0, 0, 0, 0
 	k.running = map[shard.Key]*run{}
 	k.ended = nil
@@ -52,7 +70,7 @@
 }
 
 func (k *worker) listEntry() shard.Worker {
-	return shard.Worker{ID: k.id, Address: k.id, Rack: "r", Service: serviceName, Capacity: k.capacity, Incarnation: k.incarnation}
+	return shard.Worker{ID: k.id, Address: k.vm, Rack: "r", Service: serviceName, Capacity: k.capacity, Incarnation: k.incarnation}
 }
 
 func (k *worker) clock() int64 {
@@ -63,50 +81,76 @@
 // incarnation.
 func (w *World) crashWorker() {
 	k := w.workers[w.rng.IntN(len(w.workers))]
+	k.crash()
+}
+
+// crash ends the worker's process. Its host stays up: connections are closed,
+// and new ones rejected until the worker is back.
+func (k *worker) crash() {
 	if !k.up {
 		return
 	}
 	k.up = false
 	k.running = map[shard.Key]*run{}
-	w.after(minRestartMS+w.rng.Int64N(8_000), k.boot)
+	polls := k.waitingPolls
+	k.waitingPolls = nil
+	for _, p := range polls {
+		p.fail()
+	}
+	k.world.after(minRestartMS+k.world.rng.Int64N(8_000), k.boot)
 }
 
+// findWorker returns the worker at the address of an order; nil if the owner does
+// not know the address.
 func (w *World) findWorker(t shard.Target) *worker {
 	for _, k := range w.workers {
-		if k.id == t.Worker {
+		if k.vm == t.Address {
 			return k
 		}
 	}
 	return nil
 }
 
+// isTarget reports whether the worker is up in the life that an order is for.
+func (k *worker) isTarget(t shard.Target) bool { return k.up && k.id == t.Worker }
+
 // callWorker delivers one order to a worker. do runs on the worker and returns
-// the function that handles the answer; lost is called if there is no answer.
-func (w *World) callWorker(t shard.Target, do func(k *worker) func(), lost func()) {
+// the function that handles the answer; lost is called with the reason if there
+// is no answer.
+func (w *World) callWorker(t shard.Target, do func(k *worker) func(), lost func(shard.PollError)) {
+	unanswered := func() { lost(shard.PollUnanswered) }
 	k := w.findWorker(t)
+	if k == nil {
+		w.after(networkDelayMS, func() { lost(shard.PollRefused) })
+		return
+	}
 	roll := w.rng.Float64()
 	faulty := w.now < w.opts.FaultsUntilMS
 	switch {
 	case faulty && roll < w.opts.LostRequestShare:
-		w.after(answerTimeoutMS, lost)
+		w.after(answerTimeoutMS, unanswered)
 	case faulty && roll < w.opts.LostRequestShare+w.opts.DelayedShare:
 		w.after(2_000+w.rng.Int64N(10_000), func() {
-			if k.up && k.incarnation == t.Incarnation {
+			if k.isTarget(t) && k.incarnation == t.Incarnation {
 				do(k)
 			}
 		})
-		w.after(answerTimeoutMS, lost)
+		w.after(answerTimeoutMS, unanswered)
 	case faulty && roll < w.opts.LostRequestShare+w.opts.DelayedShare+w.opts.LostAnswerShare:
 		w.after(networkDelayMS, func() {
-			if k.up {
+			if k.isTarget(t) {
 				do(k)
 			}
 		})
-		w.after(answerTimeoutMS, lost)
+		w.after(answerTimeoutMS, unanswered)
 	default:
 		w.after(networkDelayMS, func() {
-			if !k.up {
-				w.after(answerTimeoutMS, lost)
+			switch {
+			case !k.up:
+				lost(shard.PollConnectionRejected)
+				return
+			case !k.isTarget(t):
+				lost(shard.PollReplaced)
 				return
 			}
 			answer := do(k)
@@ -117,14 +161,34 @@
 
 func (w *World) sendPoll(o *owner, p shard.Poll) {
 	sent := w.now
-	if k := w.findWorker(p.Target); p.WaitMS > 0 && k.up && len(k.ended) == 0 {
-		// The worker delays its answer (long poll).
-		w.after(min(p.WaitMS, longPollMS), func() { w.deliverPoll(o, p, sent) })
+	if k := w.findWorker(p.Target); p.WaitMS > 0 && k != nil && k.isTarget(p.Target) && len(k.ended) == 0 {
+		w.delayPoll(o, k, p, sent)
 		return
 	}
 	w.deliverPoll(o, p, sent)
 }
 
+// delayPoll holds a poll back (long poll) unless the worker crashes meanwhile.
+func (w *World) delayPoll(o *owner, k *worker, p shard.Poll, sent int64) {
+	wait := &waitingPoll{}
+	wait.fail = func() {
+		wait.settled = true
+		w.after(networkDelayMS, func() {
+			if !o.stopped {
+				o.core.HandlePollError(w.now, p.Target, shard.PollConnectionClosed)
+			}
+		})
+	}
+	k.waitingPolls = append(k.waitingPolls, wait)
+	w.after(min(p.WaitMS, longPollMS), func() {
+		if wait.settled {
+			return
+		}
+		k.waitingPolls = slices.DeleteFunc(k.waitingPolls, func(other *waitingPoll) bool { return other == wait })
+		w.deliverPoll(o, p, sent)
+	})
+}
+
 // longPollMS is how long a worker without unreported ends delays its answer.
 const longPollMS = 150
 
@@ -142,9 +206,9 @@
 			}
 			o.pump()
 		}
-	}, func() {
+	}, func(reason shard.PollError) {
 		if !o.stopped {
-			o.core.HandlePollError(w.now, p.Target, shard.PollUnanswered)
+			o.core.HandlePollError(w.now, p.Target, reason)
 		}
 	})
 }
@@ -229,13 +293,19 @@
 				o.pump()
 			}
 		}
-	}, func() {
+	}, func(reason shard.PollError) {
 		if !o.stopped {
-			o.core.HandleStartResult(w.now, s, shard.StartUnanswered)
+			o.core.HandleStartResult(w.now, s, startFailures[reason])
 		}
 	})
 }
 
+// startFailures are the outcomes of starts without an answer.
+var startFailures = map[shard.PollError]shard.StartOutcome{
+	shard.PollUnanswered: shard.StartUnanswered, shard.PollConnectionRejected: shard.StartNotSent,
+	shard.PollReplaced: shard.StartReplaced, shard.PollRefused: shard.StartNotSent,
+}
+
 func (k *worker) handleStart(s shard.Start) shard.StartOutcome {
 	switch {
 	case s.Epoch < k.highestEpoch:
@@ -255,7 +325,11 @@
 	k.checkStart(s, t, r)
 	k.running[s.Key] = r
 	k.world.StartedRuns++
-	k.scheduleEnd(r, st)
+	if k.world.opts.Deadly != nil && k.world.opts.Deadly(s.Key) {
+		k.scheduleCrash(t, r)
+	} else {
+		k.scheduleEnd(r, st)
+	}
 	return shard.StartAccepted
 }
 
@@ -288,6 +362,55 @@
 	})
 }
 
+// scheduleCrash lets a run crash its worker.
+func (k *worker) scheduleCrash(t *groundTruth, r *run) {
+	w := k.world
+	w.after(max(w.opts.DeadlyAfterMS, 1), func() {
+		if k.up && k.running[r.ref.Key] == r {
+			t.crashes[r.ref.Key]++
+			k.crash()
+		}
+	})
+}
+
+// maxStartsAfterCrashes is how often a task may be started after it has crashed
+// crashesUntilLimit workers.
+const (
+	crashesUntilLimit     = 3
+	maxStartsAfterCrashes = 2
+)
+
+// checkCrashes checks the bound on the starts of a task that crashes its
+// workers.
+func (w *World) checkCrashes(t *groundTruth, key shard.Key) {
+	if t.crashes[key] < crashesUntilLimit {
+		return
+	}
+	t.startsAfterCrashes[key]++
+	if t.startsAfterCrashes[key] > maxStartsAfterCrashes {
+		w.addViolation("task %+v started %d times after %d workers had crashed under it", key, t.startsAfterCrashes[key], crashesUntilLimit)
+	}
+}
+
+// resizeWorker gives a random worker another capacity: a part of its full one,
+// or all of it.
+func (w *World) resizeWorker() {
+	k := w.workers[w.rng.IntN(len(w.workers))]
+	percent := 40 + 20*w.rng.IntN(4)
+	k.capacity = spec.Resources{MilliCPU: w.opts.MilliCPU * percent / 100, MemoryMB: w.opts.MemoryMB * percent / 100}
+	k.room = spec.Resources{MilliCPU: max(k.room.MilliCPU, k.capacity.MilliCPU), MemoryMB: max(k.room.MemoryMB, k.capacity.MemoryMB)}
+	now := k.capacity
+	w.after(resizeNoticeMS, func() {
+		if k.capacity == now {
+			k.room = now
+		}
+	})
+}
+
+// resizeNoticeMS is how long after it has shrunk a worker's room counts: two
+// intervals of the list of workers.
+const resizeNoticeMS = 1_000
+
 // Stragglers: a few tasks run many times longer than the rest.
 const (
 	stragglerShare  = 0.03
@@ -301,9 +424,10 @@
 	for _, other := range k.running {
 		used = used.Add(other.need)
 	}
-	if !used.Fits(k.capacity) {
-		w.addViolation("worker %s exceeds its capacity: %+v", k.id, used)
+	if !used.Fits(k.room) {
+		w.addViolation("worker %s exceeds its capacity %+v: %+v", k.id, k.room, used)
 	}
+	w.checkCrashes(t, s.Key)
 	for _, other := range w.workers {
 		if other.up && other.running[s.Key] != nil {
 			w.addViolation("task %+v runs concurrently on %s and %s", s.Key, other.id, k.id)
@@ -341,7 +465,7 @@
 				o.pump()
 			}
 		}
-	}, func() {
+	}, func(shard.PollError) {
 		if !o.stopped {
 			o.core.HandleStopResult(w.now, s, false, false)
 		}
--- a/jobs/model/world.go
+++ b/jobs/model/world.go
@@ -35,6 +35,15 @@
 	// CrashIntervalMS and TakeoverIntervalMS are the mean times between worker
 	// crashes and between takeovers; 0 disables them.
 	CrashIntervalMS, TakeoverIntervalMS int64
+	// ResizeIntervalMS is the mean time between changes of a worker's capacity; 0
+	// disables them.
+	ResizeIntervalMS int64
+	// Deadly reports whether a task crashes each worker that starts it,
+	// DeadlyAfterMS after its start.
+	Deadly        func(k shard.Key) bool
+	DeadlyAfterMS int64
+	// NewIDs lets workers come back from a crash under new IDs.
+	NewIDs bool
 	// FaultsUntilMS is when the injection of faults ends.
 	FaultsUntilMS int64
 	MaxAttempts   int
@@ -112,6 +121,9 @@
 	// acknowledged; ackedFailures counts acknowledged failures.
 	done, acked   map[shard.Key]bool
 	ackedFailures map[shard.Key]int
+	// crashes counts the workers that a task crashed, startsAfterCrashes its
+	// starts after crashesUntilLimit of them.
+	crashes, startsAfterCrashes map[shard.Key]int
 }
 
 // New returns a World with one owner.
@@ -127,6 +139,7 @@
 	w.tick()
 	w.scheduleFault(o.CrashIntervalMS, w.crashWorker)
 	w.scheduleFault(o.TakeoverIntervalMS, w.takeover)
+	w.scheduleFault(o.ResizeIntervalMS, w.resizeWorker)
 	return w
 }
 
@@ -175,7 +188,8 @@
 func (w *World) Submit(j spec.Job) {
 	t := w.groundTruth[j.ID]
 	if t == nil {
-		t = &groundTruth{job: j, submittedAt: w.now, done: map[shard.Key]bool{}, acked: map[shard.Key]bool{}, ackedFailures: map[shard.Key]int{}}
+		t = &groundTruth{job: j, submittedAt: w.now, done: map[shard.Key]bool{}, acked: map[shard.Key]bool{}, ackedFailures: map[shard.Key]int{},
+			crashes: map[shard.Key]int{}, startsAfterCrashes: map[shard.Key]int{}}
 		w.groundTruth[j.ID] = t
 	}
 	o := w.owner
