Give up tasks that crash the workers that start them

Cause: only an end that a worker lists counts against a task. A run that ends with its worker leaves none, was settled by the lapsed lease and its task queued as if it had never run. Placement put the tasks of a crashed worker onto one worker again, so sound ones went down with the guilty one each time. Change: jobs/suspect assesses each loss of a worker: the runs started last are suspected. Suspects are kept apart: no other start on their worker until they have survived; after a second crash they run beside no other young run, on a worker that is emptied for them if there is none. A task is given up after three crashes, each at once after its start and the last one alone, or later where the grounds are weaker, and always after five. Cut off and draining workers do not count. The histories are stored with the job. Why it works: whoever is alone on the worker that it crashes is the cause; sound tasks prove harmless in their next run. The worst case stays within the two starts that the platform allows after the third crash.

--- a/jobs/model/crash_test.go
+++ b/jobs/model/crash_test.go
@@ -61,3 +61,32 @@
 	require.Positive(t, w.StartedRuns)
 	checkOnlyDeadlyJobsFail(t, w)
 }
+
+// randomCrashOptions draws the other troubles of a world with deadly tasks.
+func randomCrashOptions(seed uint64) Options {
+	r := rand.New(rand.NewPCG(seed, 4))
+	o := Options{Seed: seed, Workers: 8 + r.IntN(12), NewIDs: r.IntN(2) == 0, DeadlyAfterMS: 1 + r.Int64N(60), FaultsUntilMS: 40_000}
+	if r.IntN(2) == 0 {
+		o.TakeoverIntervalMS = 3_000 + r.Int64N(12_000)
+	}
+	if r.IntN(2) == 0 {
+		o.LostAnswerShare, o.LostRequestShare, o.DelayedShare = 0.02*r.Float64(), 0.01*r.Float64(), 0.02*r.Float64()
+	}
+	if r.IntN(2) == 0 {
+		o.CrashIntervalMS = 3_000 + r.Int64N(10_000)
+	}
+	if r.IntN(2) == 0 {
+		o.ResizeIntervalMS = 500 + r.Int64N(3_000)
+	}
+	return o
+}
+
+// TestRandomisedCrashes mixes deadly tasks with crashes of other causes, owners
+// that change, lost orders and workers that shrink.
+func TestRandomisedCrashes(t *testing.T) {
+	for i := range *seeds {
+		t.Run(fmt.Sprint(i+1), func(t *testing.T) {
+			checkOnlyDeadlyJobsFail(t, deadlyWorld(randomCrashOptions(uint64(i+1))))
+		})
+	}
+}
--- a/jobs/model/worker.go
+++ b/jobs/model/worker.go
@@ -70,7 +70,7 @@
 }
 
 func (k *worker) listEntry() shard.Worker {
-	return shard.Worker{ID: k.id, Address: k.vm, Rack: "r", Service: serviceName, Capacity: k.capacity, Incarnation: k.incarnation}
+	return shard.Worker{ID: k.id, Address: k.vm, VM: k.vm, Rack: "r", Service: serviceName, Capacity: k.capacity, Incarnation: k.incarnation}
 }
 
 func (k *worker) clock() int64 {
--- a/jobs/place/place.go
+++ b/jobs/place/place.go
@@ -21,6 +21,10 @@
 	// TailTargetMS is the tail latency target of the task; 0 if the task
 	// serves no requests.
 	TailTargetMS int
+	// Isolated tasks may crash the worker: they go where they would take the
+	// fewest Runs with them.
+	Isolated bool
+	Runs     int
 }
 
 // Score orders candidates. Its fields are compared in order; each decides only
@@ -42,6 +46,10 @@
 	return s.leftover < o.leftover
 }
 
+// runInterference weighs a run that an isolated task may take with it above all
+// other interference.
+const runInterference = 1_000
+
 // ScoreCandidate returns the score of a candidate. It prefers healthy workers
 // near the data, then workers on which tasks interfere least with each other,
 // then the tightest fit. Lasting tasks share the workers that already have
@@ -62,6 +70,9 @@
 	} else if c.TailTargetMS > 0 {
 		s.interference = c.FillerTasks * 8
 	}
+	if c.Isolated {
+		s.interference += c.Runs * runInterference
+	}
 	if c.Lasting && !c.HasLastingTasks {
 		s.interference++
 	}
--- a/jobs/shard/core.go
+++ b/jobs/shard/core.go
@@ -115,9 +115,11 @@
 
 // Worker is the platform's entry for a worker.
 type Worker struct {
-	ID       string
-	Address  string
-	Zone     string
+	ID      string
+	Address string
+	Zone    string
+	// VM is the VM on which the worker runs; "" if it is not known.
+	VM       string
 	Rack     string
 	Service  string
 	Labels   []string
@@ -247,6 +249,11 @@
 	// submittedWork is the estimated work of all jobs submitted since the
 	// takeover.
 	submittedWork int64
+	// aloneWaiting counts the tasks that found no worker on which they may run
+	// alone in the current pass; holding reports whether workers are held for
+	// such tasks.
+	aloneWaiting int
+	holding      bool
 }
 
 func (c *Core) ensurePool(service string) *pool {
--- /dev/null
+++ b/jobs/shard/crash_test.go
@@ -0,0 +1,175 @@
+package shard
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"wigeonwinch/jobs/spec"
+	"wigeonwinch/jobs/suspect"
+)
+
+// vmHarness is a harness whose workers are on VMs of their own.
+func vmHarness(t *testing.T, workers int) *harness {
+	h := newHarness(t, workers)
+	list := testWorkers(workers)
+	for i := range list {
+		list[i].VM = "vm-" + list[i].ID
+	}
+	h.core.SetWorkers(h.now, list)
+	return h
+}
+
+// crash closes the connections to a worker and lets it come back.
+func (h *harness) crash(target Target) {
+	h.now += 10
+	h.core.HandlePollError(h.now, target, PollConnectionClosed)
+	h.core.HandlePollError(h.now+300, target, PollConnectionRejected)
+	h.now += 3_000
+	w := h.core.workers[target.Worker].info
+	w.Incarnation = target.Incarnation + 1
+	h.core.resetIncarnation(h.core.workers[w.ID], w.Incarnation)
+	h.core.HandlePollResponse(h.now, h.now, h.core.target(h.core.workers[w.ID]), PollResponse{ClockMS: 1, Incarnation: w.Incarnation})
+	h.step(1)
+}
+
+func workersOf(starts []Start) map[string]int {
+	n := map[string]int{}
+	for _, s := range starts {
+		n[s.Worker]++
+	}
+	return n
+}
+
+// The tasks that were started last on a crashed worker were placed onto one
+// worker again, so that the sound ones among them lost a second worker.
+func TestSuspectsArePlacedTogether(t *testing.T) {
+	h := vmHarness(t, 4)
+	o := h.submit(testJob(1, smallStep(3)))
+	require.Len(t, workersOf(o.Starts), 1)
+	h.acceptStarts(o.Starts)
+	h.crash(o.Starts[0].Target)
+	again := h.core.TakeOrders().Starts
+	require.Len(t, again, 3)
+	assert.Len(t, workersOf(again), 3)
+	assert.NotContains(t, workersOf(again), o.Starts[0].Worker, "the worker that crashed is avoided")
+	for w := range workersOf(again) {
+		assert.False(t, h.core.workers[w].admits(suspect.Unrestricted, h.now), "nothing is started beside an unproved suspect")
+	}
+}
+
+// A suspect has proved harmless once its worker lists it late enough.
+func TestWorkerTakesStartsAfterProbation(t *testing.T) {
+	h := vmHarness(t, 1)
+	o := h.submit(testJob(1, smallStep(1)))
+	h.acceptStarts(o.Starts)
+	h.crash(o.Starts[0].Target)
+	again := h.core.TakeOrders().Starts
+	require.Len(t, again, 1)
+	h.acceptStarts(again)
+	require.Empty(t, h.submit(testJob(2, smallStep(1))).Starts)
+	listed := func(afterMS int64) []Start {
+		h.now += afterMS
+		h.core.HandlePollResponse(h.now, h.now, again[0].Target, PollResponse{ClockMS: h.now, Incarnation: 2, Running: listedRuns(again)})
+		h.step(1)
+		return h.core.TakeOrders().Starts
+	}
+	assert.Empty(t, listed(200))
+	assert.Len(t, listed(200), 1)
+}
+
+// A task that crashed two workers next runs alone; a worker is emptied for it.
+func TestNoWorkerIsEmptiedForSuspect(t *testing.T) {
+	h := vmHarness(t, 2)
+	busy := h.submit(testJob(1, smallStep(2))).Starts
+	busy = append(busy, h.submit(testJob(2, smallStep(4))).Starts...)
+	h.acceptStarts(busy)
+	require.Len(t, workersOf(busy), 2)
+	j := testJob(3, smallStep(1))
+	h.core.Submit(h.now, 1, j)
+	tk := &h.core.jobs[j.ID].occurrences[0].steps[0].tasks[0]
+	tk.history, tk.suspectedAt = suspect.History{Crashes: 2, Suspected: true}, h.now
+	h.step(1)
+	require.Empty(t, h.core.TakeOrders().Starts, "no worker is empty")
+	var held *worker
+	for _, w := range h.core.sortedWorkers() {
+		if w.held {
+			held = w
+		}
+	}
+	require.NotNil(t, held)
+	assert.NotContains(t, workersOf(h.submit(testJob(4, smallStep(1))).Starts), held.info.ID)
+
+	var ends []ListedEnd
+	for _, s := range busy {
+		if s.Worker == held.info.ID {
+			ends = append(ends, ListedEnd{End: len(ends) + 1, RunRef: s.RunRef, Kind: EndDone})
+		}
+	}
+	h.core.HandlePollResponse(h.now, h.now, h.core.target(held), PollResponse{ClockMS: h.now, Incarnation: 1, Ended: ends})
+	h.step(1)
+	starts := h.core.TakeOrders().Starts
+	require.Len(t, starts, 1)
+	assert.Equal(t, j.ID, starts[0].Key.Job)
+	assert.Equal(t, held.info.ID, starts[0].Worker)
+}
+
+// The count of crashes was lost when the owner changed.
+func TestCrashesAreForgottenInTakeover(t *testing.T) {
+	h := vmHarness(t, 2)
+	j := testJob(1, smallStep(1))
+	o := h.submit(j)
+	h.acceptStarts(o.Starts)
+	h.crash(o.Starts[0].Target)
+	rec, err := h.core.encodeJob(h.core.jobs[j.ID])
+	require.NoError(t, err)
+	before := h.core.jobs[j.ID].occurrences[0].steps[0].tasks[0].history
+	require.Equal(t, 1, before.Crashes)
+
+	next := New(Config{Epoch: 6, MaxLeaseMS: 6_000}, h.now, h.now)
+	require.NoError(t, next.Restore(rec))
+	tk := &next.jobs[j.ID].occurrences[0].steps[0].tasks[0]
+	assert.Equal(t, before, tk.history)
+	assert.Equal(t, tk.current, tk.current.worker.probation, "its run is on probation as before")
+	_, runs, _ := next.Job(j.ID)
+	assert.Equal(t, 1, runs[0].Crashes)
+}
+
+// A worker that is cut off, or that leaves as announced, has not crashed.
+func TestCutOffWorkerCountsAsCrashed(t *testing.T) {
+	for name, lose := range map[string]func(h *harness, target Target){
+		"cut off": func(h *harness, target Target) {
+			h.core.HandlePollError(h.now, target, PollUnanswered)
+			h.step(7_000)
+		},
+		"draining": func(h *harness, target Target) {
+			h.core.workers[target.Worker].info.Draining = true
+			h.crash(target)
+		},
+	} {
+		h := vmHarness(t, 1)
+		j := testJob(1, smallStep(1))
+		o := h.submit(j)
+		h.acceptStarts(o.Starts)
+		lose(h, o.Starts[0].Target)
+		tk := h.core.jobs[j.ID].occurrences[0].steps[0].tasks[0]
+		assert.Equal(t, suspect.History{}, tk.history, name)
+		assert.Equal(t, spec.Running, h.core.JobStatus(j.ID).State)
+	}
+}
+
+// The members of a gang that crashed a worker need a worker each. With fewer
+// workers than members the gang must not wait for ever.
+func TestSuspectedGangWaitsForEver(t *testing.T) {
+	h := vmHarness(t, 2)
+	gang := smallStep(3)
+	gang.Gang = true
+	o := h.submit(testJob(1, gang))
+	require.Len(t, workersOf(o.Starts), 1)
+	h.acceptStarts(o.Starts)
+	h.crash(o.Starts[0].Target)
+	require.Empty(t, h.core.TakeOrders().Starts)
+	h.step(isolationPatienceMS)
+	assert.Len(t, h.core.TakeOrders().Starts, 3)
+}
--- /dev/null
+++ b/jobs/shard/isolation.go
@@ -0,0 +1,96 @@
+package shard
+
+import (
+	"cmp"
+	"slices"
+
+	"wigeonwinch/jobs/suspect"
+)
+
+const (
+	// isolationPatienceMS is how long a task waits for a worker on which it may
+	// run as isolated as it should; after that it runs less isolated.
+	isolationPatienceMS = 6_000
+	// maxHeldShare is the share of a pool's workers that may be emptied for tasks
+	// that must run alone; one worker always may.
+	maxHeldShare = 0.25
+)
+
+// isolation returns how a task's next run is isolated. The members of a gang need
+// a worker each at the same time, so they do not wait for empty ones.
+func (c *Core) isolation(tk *task, gang bool) suspect.Isolation {
+	i := tk.history.Isolation()
+	if gang {
+		i = min(i, suspect.Separate)
+	}
+	if c.now-tk.suspectedAt <= isolationPatienceMS {
+		return i
+	}
+	if gang {
+		return suspect.Unrestricted
+	}
+	return min(i, suspect.Separate)
+}
+
+// admits reports whether a task with the given isolation may be placed on the
+// worker beside what is there.
+func (w *worker) admits(i suspect.Isolation, now int64) bool {
+	switch {
+	case w.probation != nil:
+		return false
+	case i == suspect.Alone:
+		return !w.hasYoungRuns(now)
+	}
+	return !w.held
+}
+
+// hasYoungRuns reports whether a run on the worker has not proved harmless.
+func (w *worker) hasYoungRuns(now int64) bool {
+	for _, r := range w.runs {
+		if r.phase != phaseRunning || r.ageMS(now) < suspect.HarmlessAfterMS {
+			return true
+		}
+	}
+	return false
+}
+
+// beginProbation keeps other starts off the run's worker until the run has
+// proved harmless.
+func (r *run) beginProbation(i suspect.Isolation) {
+	if i != suspect.Unrestricted {
+		r.probationMS = suspect.ProbationMS(i)
+		r.worker.probation = r
+		r.worker.held = false
+	}
+}
+
+// endProbation lifts the probation of a run that the worker listed late enough.
+func (c *Core) endProbation(w *worker) {
+	if r := w.probation; r != nil && r.phase == phaseRunning && r.ageMS(r.confirmedAt) >= r.probationMS {
+		w.probation = nil
+	}
+}
+
+// holdWorkers keeps starts off as many workers as needed by the tasks that wait
+// for an empty one, those with the fewest runs.
+func (c *Core) holdWorkers(p *pool, workers []*worker) {
+	want := min(p.aloneWaiting, max(1, int(maxHeldShare*float64(len(workers)))))
+	p.aloneWaiting = 0
+	if want == 0 && !p.holding {
+		return
+	}
+	p.holding = want > 0
+	candidates := slices.Clone(workers)
+	slices.SortStableFunc(candidates, func(a, b *worker) int {
+		if a.held != b.held {
+			if a.held {
+				return -1
+			}
+			return 1
+		}
+		return cmp.Compare(len(a.runs), len(b.runs))
+	})
+	for i, w := range candidates {
+		w.held = i < want
+	}
+}
--- a/jobs/shard/job.go
+++ b/jobs/shard/job.go
@@ -2,6 +2,7 @@
 
 import (
 	"wigeonwinch/jobs/spec"
+	"wigeonwinch/jobs/suspect"
 )
 
 // Key identifies one task of a job.
@@ -77,6 +78,11 @@
 	current *run
 	// avoidWorker is the worker on which the last run failed.
 	avoidWorker string
+	// history is the task's part in crashes of workers, suspectedAt the time of
+	// the last one and crashedOn their VMs.
+	history     suspect.History
+	suspectedAt int64
+	crashedOn   []string
 }
 
 // phase is the progress of a run as far as it is known.
@@ -117,6 +123,9 @@
 	// tailMS is the tail latency of a serving task as last reported by the
 	// worker.
 	tailMS int
+	// probationMS is how long the run has to survive until other tasks may be
+	// started beside it; 0 if its task is not suspected of crashing workers.
+	probationMS int64
 	// permit is the token of the placement permit, if the queue needs one.
 	permit string
 	// unconfirmed reports whether the start got no answer or was restored from
--- /dev/null
+++ b/jobs/shard/loss.go
@@ -0,0 +1,166 @@
+package shard
+
+import (
+	"fmt"
+
+	"wigeonwinch/jobs/spec"
+	"wigeonwinch/jobs/suspect"
+)
+
+// The reasons for which runs are settled without an end because their worker is
+// gone.
+const (
+	// reasonLeaseLapsed: the worker was silent until its leases had expired.
+	reasonLeaseLapsed = "lease_lapsed"
+	// reasonWorkerReborn: the worker started again under its ID.
+	reasonWorkerReborn = "worker_reborn"
+)
+
+// WorkerGone reports whether the event says that a run ended with its worker.
+func WorkerGone(e Event) bool {
+	if e.Name != EventSettled {
+		return false
+	}
+	switch e.Outcome {
+	case reasonLeaseLapsed, reasonWorkerReborn:
+		return true
+	}
+	return false
+}
+
+// lossEvidence says what is known about the end of a worker.
+type lossEvidence int
+
+const (
+	// lossHarmless: the worker left as planned, or was only cut off.
+	lossHarmless lossEvidence = iota
+	// lossPresumed: the worker is gone and nobody saw how.
+	lossPresumed
+	// lossCrash: the worker's process ended unannounced.
+	lossCrash
+)
+
+// silenceEvidence returns the evidence about a worker whose leases expired while
+// it was silent.
+func (w *worker) silenceEvidence() lossEvidence {
+	switch {
+	case w.info.Draining:
+		return lossHarmless
+	case w.connectionLost:
+		return lossCrash
+	case !w.listed && !w.reached:
+		return lossPresumed
+	}
+	return lossHarmless
+}
+
+// successorEvidence returns the evidence about a worker of which a later life is
+// known.
+func (w *worker) successorEvidence() lossEvidence {
+	switch {
+	case w.info.Draining:
+		return lossHarmless
+	case w.reached:
+		return lossCrash
+	}
+	return lossPresumed
+}
+
+// loseWorker settles all runs of a worker that is gone, and gives up the tasks
+// that are found to have crashed it.
+func (c *Core) loseWorker(w *worker, reason string, evidence lossEvidence) {
+	runs := sortedRuns(w)
+	if len(runs) == 0 {
+		return
+	}
+	c.event(Event{Name: EventWorker, Worker: w.info.ID, Outcome: "lost", Detail: fmt.Sprintf("cause=%s evidence=%d runs=%d", reason, evidence, len(runs))})
+	guilty := c.assessLoss(w, runs, evidence)
+	for _, r := range runs {
+		c.settleRun(r, reason)
+	}
+	for _, r := range guilty {
+		c.giveUp(r)
+	}
+}
+
+// assessLoss updates the histories of the tasks on a lost worker and returns
+// the runs whose tasks are to be given up.
+func (c *Core) assessLoss(w *worker, runs []*run, evidence lossEvidence) []*run {
+	if evidence == lossHarmless {
+		return nil
+	}
+	lostAt := w.contactLostAt
+	if lostAt == 0 {
+		lostAt = c.now
+	}
+	loss := suspect.Loss{Crashed: evidence == lossCrash}
+	var started []*run
+	for _, r := range runs {
+		if r.phase == phasePlaced {
+			continue
+		}
+		started = append(started, r)
+		history := suspect.History{}
+		if tk := r.task(); tk != nil {
+			history = tk.history
+		}
+		loss.Runs = append(loss.Runs, suspect.Run{History: history, AgeMS: r.ageMS(lostAt)})
+	}
+	var guilty []*run
+	for i, v := range suspect.Assess(loss) {
+		if c.applyVerdict(started[i], v) {
+			guilty = append(guilty, started[i])
+		}
+	}
+	return guilty
+}
+
+// applyVerdict stores a verdict with the run's task and reports whether the task
+// is to be given up.
+func (c *Core) applyVerdict(r *run, v suspect.Verdict) bool {
+	tk := r.task()
+	if tk == nil || tk.current != r || tk.done {
+		return false
+	}
+	if v.History.Crashes > tk.history.Crashes {
+		tk.suspectedAt = c.now
+		tk.crashedOn = append(tk.crashedOn, r.worker.location())
+		if v.History.Suspected {
+			c.event(Event{Name: EventSuspected, Job: r.key.Job, Run: RunRef{r.key, r.number}, Worker: r.worker.info.ID,
+				Detail: fmt.Sprintf("crashes=%d", v.History.Crashes)})
+		}
+	}
+	if v.History != tk.history {
+		tk.history = v.History
+		c.markDirty(r.job)
+	}
+	return v.GiveUp
+}
+
+// giveUp fails the job of a task that crashes its workers.
+func (c *Core) giveUp(r *run) {
+	if r.job.state.Final() {
+		return
+	}
+	c.event(Event{Name: EventGivenUp, Job: r.key.Job, Run: RunRef{r.key, r.number}, Worker: r.worker.info.ID,
+		Detail: fmt.Sprintf("crashes=%d", r.task().history.Crashes)})
+	c.finishJob(r.job, spec.Failed)
+}
+
+// ageMS returns how old the run was at a time. Of a run that an earlier owner
+// started it is known only since when this owner has it.
+func (r *run) ageMS(at int64) int64 {
+	since := r.startSentAt
+	if since == 0 {
+		since = r.phaseSince
+	}
+	return max(at-since, 0)
+}
+
+// location names the VM of the worker, as far as it is known.
+func (w *worker) location() string {
+	if w.info.VM != "" {
+		return w.info.VM
+	}
+	return w.info.ID
+}
--- a/jobs/shard/orders.go
+++ b/jobs/shard/orders.go
@@ -117,6 +117,8 @@
 	EventPaced        EventName = "run_paced"
 	EventAdvice       EventName = "advice"
 	EventInvariant    EventName = "invariant_broken"
+	EventSuspected    EventName = "task_suspected"
+	EventGivenUp      EventName = "task_given_up"
 )
 
 // Event is one decision, for the log.
--- a/jobs/shard/polls.go
+++ b/jobs/shard/polls.go
@@ -29,6 +29,9 @@
 		if w.reached && w.servingRuns > 0 && w.fillerRuns > 0 {
 			p.WaitMS = sharedPollWaitMS
 		}
+		if r := w.probation; r != nil {
+			p.WaitMS = min(p.WaitMS, max(r.probationMS-r.ageMS(c.now), 0))
+		}
 		if c.needsPollNow(w) {
 			p.WaitMS = 0
 		}
@@ -100,6 +103,9 @@
 	if w.contactLostAt == 0 {
 		w.contactLostAt = now
 	}
+	if reason == PollConnectionClosed || reason == PollConnectionRejected {
+		w.connectionLost = true
+	}
 	if reason == PollFenced {
 		c.depose(w.info.ID)
 	}
@@ -136,7 +142,7 @@
 	}
 	w.clockMS, w.clockReadAt = l.ClockMS, now
 	w.listedAt = now
-	w.failedPolls, w.contactLostAt = 0, 0
+	w.failedPolls, w.contactLostAt, w.connectionLost = 0, 0, false
 	w.nextPollAt = now
 	if !w.reached {
 		w.reached = true
@@ -144,6 +150,7 @@
 	}
 	c.recordEnds(w, l.Ended)
 	c.reconcileRunning(w, sentAt, l)
+	c.endProbation(w)
 	if c.needsPollNow(w) {
 		w.nextPollAt = now + urgentPollMS
 	}
--- a/jobs/shard/record.go
+++ b/jobs/shard/record.go
@@ -5,6 +5,7 @@
 
 	"wigeonwinch/fleet/codec"
 	"wigeonwinch/jobs/spec"
+	"wigeonwinch/jobs/suspect"
 )
 
 // recordVersion is incremented when the stored format changes incompatibly.
@@ -33,6 +34,17 @@
 	NextOccurrence int                `cbor:"8,keyasint,omitempty"`
 	Occurrences    []occurrenceRecord `cbor:"9,keyasint,omitempty"`
 	SlackMS        int64              `cbor:"10,keyasint,omitempty"`
+	// Crashes lists the tasks that were on workers when these crashed.
+	Crashes []crashRecord `cbor:"11,keyasint,omitempty"`
+}
+
+// crashRecord is the history of one task.
+type crashRecord struct {
+	_                       struct{} `cbor:",toarray"`
+	Occurrence, Step, Index int
+	Crashes                 int
+	Suspected               bool
+	MaxAgeMS                int64
 }
 
 type occurrenceRecord struct {
@@ -71,6 +83,7 @@
 	}
 	for _, number := range sortedKeys(j.occurrences) {
 		r.Occurrences = append(r.Occurrences, encodeOccurrence(j.occurrences[number]))
+		r.Crashes = append(r.Crashes, encodeCrashes(j.occurrences[number])...)
 	}
 	value, err := encMode.Marshal(r)
 	if err != nil {
@@ -91,6 +104,18 @@
 	return out
 }
 
+func encodeCrashes(o *occurrence) []crashRecord {
+	var out []crashRecord
+	for s := range o.steps {
+		for t := range o.steps[s].tasks {
+			if tk := &o.steps[s].tasks[t]; !tk.done && tk.history != (suspect.History{}) {
+				out = append(out, crashRecord{Occurrence: o.number, Step: s, Index: t, Crashes: tk.history.Crashes, Suspected: tk.history.Suspected, MaxAgeMS: tk.history.MaxAgeMS})
+			}
+		}
+	}
+	return out
+}
+
 func encodeTask(t *task) taskRecord {
 	rec := taskRecord{LastRun: t.lastRun, LastEnded: t.lastEnded, Failures: t.failures, Done: t.done}
 	if t.done {
@@ -130,6 +155,12 @@
 		c.finalJobs = append(c.finalJobs, j)
 		return nil
 	}
+	for _, o := range rec.Occurrences {
+		j.occurrences[o.Number] = newOccurrence(&j.spec, o.Number)
+	}
+	for _, r := range rec.Crashes {
+		c.restoreCrashes(j, r)
+	}
 	for i := range rec.Occurrences {
 		c.restoreOccurrence(j, &rec.Occurrences[i])
 	}
@@ -138,8 +169,7 @@
 }
 
 func (c *Core) restoreOccurrence(j *job, rec *occurrenceRecord) {
-	o := newOccurrence(&j.spec, rec.Number)
-	j.occurrences[rec.Number] = o
+	o := j.occurrences[rec.Number]
 	for s := range rec.Steps {
 		if s >= len(o.steps) {
 			break
@@ -153,6 +183,16 @@
 	}
 }
 
+// restoreCrashes restores the history of a task.
+func (c *Core) restoreCrashes(j *job, rec crashRecord) {
+	tk := j.findTask(Key{j.spec.ID, rec.Occurrence, rec.Step, rec.Index})
+	if tk == nil {
+		return
+	}
+	tk.history = suspect.History{Crashes: rec.Crashes, Suspected: rec.Suspected, MaxAgeMS: rec.MaxAgeMS}
+	tk.suspectedAt = c.now
+}
+
 func (c *Core) restoreTask(j *job, o *occurrence, s, t int, rec *taskRecord) {
 	tk := &o.steps[s].tasks[t]
 	tk.lastRun, tk.lastEnded, tk.failures, tk.done, tk.checkpoint = rec.LastRun, rec.LastEnded, rec.Failures, rec.Done, rec.Checkpoint
@@ -170,12 +210,16 @@
 		c.resetIncarnation(w, rec.Incarnation)
 	}
 	if rec.Incarnation < w.incarnation {
+		// Another record shows that this life of the worker is over.
+		tk.history = suspect.Assess(suspect.Loss{Runs: []suspect.Run{{History: tk.history}}})[0].History
+		tk.suspectedAt = c.now
 		return
 	}
 	key := Key{j.spec.ID, o.number, s, t}
 	r := &run{job: j, key: key, number: tk.lastRun, worker: w, phase: phaseStartSent, reserved: j.spec.Steps[s].Reservation(), phaseSince: c.now, pacePercent: 100, unconfirmed: true}
 	tk.current = r
 	w.addRun(r)
+	r.beginProbation(c.isolation(tk, j.spec.Steps[s].Gang))
 	if j.spec.Steps[s].Gang {
 		o.steps[s].gangRun = tk.lastRun
 	}
--- a/jobs/shard/runs.go
+++ b/jobs/shard/runs.go
@@ -104,18 +104,6 @@
 	c.orders.Stops = append(c.orders.Stops, Stop{c.target(r.worker), RunRef{r.key, r.number}})
 }
 
-// The reasons for which runs are settled without an end because their worker is
-// gone.
-const (
-	reasonLeaseLapsed  = "lease_lapsed"
-	reasonWorkerReborn = "worker_reborn"
-)
-
-// WorkerGone reports whether the event says that a run ended with its worker.
-func WorkerGone(e Event) bool {
-	return e.Name == EventSettled && (e.Outcome == reasonLeaseLapsed || e.Outcome == reasonWorkerReborn)
-}
-
 // settleRun discards a run without a reported end that certainly does not run
 // and never will.
 func (c *Core) settleRun(r *run, reason string) {
--- a/jobs/shard/schedule.go
+++ b/jobs/shard/schedule.go
@@ -2,10 +2,12 @@
 
 import (
 	"fmt"
+	"slices"
 	"sort"
 
 	"wigeonwinch/jobs/place"
 	"wigeonwinch/jobs/spec"
+	"wigeonwinch/jobs/suspect"
 )
 
 // The bounds of the scheduler.
@@ -50,6 +52,7 @@
 	if len(workers) == 0 {
 		return
 	}
+	defer c.holdWorkers(p, workers)
 	blocked := false
 	p.lastingQueue = c.placeJobs(p.lastingQueue, workers, &blocked)
 	if !blocked {
@@ -132,6 +135,8 @@
 			remaining = append(remaining, j)
 			continue
 		}
+		p := c.ensurePool(j.service)
+		aloneBefore := p.aloneWaiting
 		unplaced := c.placeJob(j, workers)
 		if unplaced == 0 {
 			j.queued = false
@@ -139,8 +144,10 @@
 			continue
 		}
 		remaining = append(remaining, j)
-		if c.queues[j.spec.Queue].AdviceTiming != nil {
-			// The job may lack permits rather than capacity.
+		unplaced -= p.aloneWaiting - aloneBefore
+		if c.queues[j.spec.Queue].AdviceTiming != nil || unplaced == 0 {
+			// The job may lack permits, or wait for an empty worker, rather than
+			// lack capacity.
 			continue
 		}
 		unplacedInRow += unplaced
@@ -180,6 +187,9 @@
 		}
 		w := c.chooseWorker(j, o, s, tk, workers, "")
 		if w == nil {
+			if c.isolation(tk, false) == suspect.Alone {
+				c.ensurePool(j.service).aloneWaiting++
+			}
 			unplaced++
 			if unplaced >= maxUnplacedInRow {
 				break
@@ -245,10 +255,11 @@
 func (c *Core) chooseWorker(j *job, o *occurrence, s int, tk *task, workers []*worker, rack string) *worker {
 	st := &j.spec.Steps[s]
 	reservation := st.Reservation()
+	isolation := c.isolation(tk, st.Gang)
 	var best *worker
 	var bestScore place.Score
 	for _, w := range workers {
-		if rack != "" && w.info.Rack != rack || !w.info.hasLabel(st.Label) {
+		if rack != "" && w.info.Rack != rack || !w.info.hasLabel(st.Label) || !w.admits(isolation, c.now) {
 			continue
 		}
 		free := w.info.Capacity.Sub(w.used)
@@ -261,9 +272,10 @@
 		score := place.ScoreCandidate(place.Candidate{
 			FreeMilliCPU: free.MilliCPU, NeedMilliCPU: reservation.MilliCPU,
 			DataLocal:  st.DataRack == "" || st.DataRack == w.info.Rack,
-			FailedHere: tk.avoidWorker == w.info.ID, WorkerFailing: w.failStreak > 0,
+			FailedHere: tk.avoidWorker == w.info.ID || slices.Contains(tk.crashedOn, w.location()), WorkerFailing: w.failStreak > 0,
 			Lasting: st.Lasting, HasLastingTasks: w.lastingRuns > 0, Filler: st.Filler,
 			ServingTasks: w.servingRuns, FillerTasks: w.fillerRuns, TailTargetMS: st.TailTargetMS,
+			Isolated: isolation != suspect.Unrestricted, Runs: len(w.runs),
 		})
 		if best == nil || score.Better(bestScore) {
 			best, bestScore = w, score
@@ -289,8 +301,10 @@
 		job: j, key: Key{j.spec.ID, o.number, s, t}, number: number, worker: w,
 		phase: phasePlaced, reserved: j.spec.Steps[s].Reservation(), phaseSince: c.now, pacePercent: 100, permit: token,
 	}
-	o.steps[s].tasks[t].current = r
+	tk := &o.steps[s].tasks[t]
+	tk.current = r
 	w.addRun(r)
+	r.beginProbation(c.isolation(tk, j.spec.Steps[s].Gang))
 	return r
 }
 
--- a/jobs/shard/summary.go
+++ b/jobs/shard/summary.go
@@ -37,6 +37,9 @@
 	Worker string `cbor:"7,keyasint,omitempty" json:"worker,omitempty"`
 	// SinceMS is how long the run has been in its state.
 	SinceMS int64 `cbor:"8,keyasint,omitempty" json:"since_ms"`
+	// Crashes is the number of workers that crashed soon after they were told to
+	// start the task.
+	Crashes int `cbor:"9,keyasint,omitempty" json:"crashes"`
 }
 
 // phaseNames are the states of runs that may be on a worker.
@@ -93,7 +96,7 @@
 }
 
 func (c *Core) runSummary(k Key, tk *task) RunSummary {
-	out := RunSummary{Occurrence: k.Occurrence, Step: k.Step, Index: k.Index, Run: tk.lastRun, Fails: tk.failures, State: "waiting"}
+	out := RunSummary{Occurrence: k.Occurrence, Step: k.Step, Index: k.Index, Run: tk.lastRun, Fails: tk.failures, Crashes: tk.history.Crashes, State: "waiting"}
 	switch {
 	case tk.done:
 		out.State = "done"
--- a/jobs/shard/worker.go
+++ b/jobs/shard/worker.go
@@ -54,8 +54,14 @@
 	// paced.
 	listedAt, pacedAt int64
 	// contactLostAt is when the first poll failed after the last answered one;
-	// 0 while polls are answered.
-	contactLostAt int64
+	// 0 while polls are answered. connectionLost reports whether a connection was
+	// closed or rejected since.
+	contactLostAt  int64
+	connectionLost bool
+	// probation is the run of a suspect that has not yet proved harmless. held
+	// reports whether the worker is being emptied for a task that must run alone.
+	probation *run
+	held      bool
 }
 
 // runID identifies a run on one worker.
@@ -85,6 +91,9 @@
 		return
 	}
 	delete(w.runs, runID{r.key, r.number})
+	if w.probation == r {
+		w.probation = nil
+	}
 	if r.phase == phaseStopping {
 		w.stoppingRuns--
 	}
@@ -189,13 +198,12 @@
 func (c *Core) resetIncarnation(w *worker, incarnation int64) {
 	if w.incarnation != 0 {
 		c.event(Event{Name: EventWorker, Worker: w.info.ID, Outcome: "reborn", Detail: fmt.Sprintf("was=%d now=%d runs=%d", w.incarnation, incarnation, len(w.runs))})
-		for _, r := range sortedRuns(w) {
-			c.settleRun(r, reasonWorkerReborn)
-		}
+		c.loseWorker(w, reasonWorkerReborn, w.successorEvidence())
 	}
 	w.incarnation = incarnation
 	w.seenEnd, w.ackedEnd, w.clockMS, w.clockReadAt, w.leaseUntil = 0, 0, 0, 0, 0
-	w.reached, w.failStreak, w.failedPolls, w.contactLostAt = false, 0, 0, 0
+	w.reached, w.failStreak, w.failedPolls, w.contactLostAt, w.connectionLost = false, 0, 0, 0, false
+	w.held = false
 	w.strays = map[RunRef]int64{}
 	w.nextPollAt = c.now
 }
@@ -231,11 +239,7 @@
 		}
 		silent := w.failedPolls > 0 || !w.reached
 		if silent && w.leasesExpired(c.now) {
-			for _, r := range sortedRuns(w) {
-				if r.phase != phasePlaced {
-					c.settleRun(r, reasonLeaseLapsed)
-				}
-			}
+			c.loseWorker(w, reasonLeaseLapsed, w.silenceEvidence())
 			continue
 		}
 		if w.stoppingRuns == 0 {
--- /dev/null
+++ b/jobs/suspect/suspect.go
@@ -0,0 +1,156 @@
+// Package suspect finds the tasks that crash the workers that start them. It
+// decides who is suspected after a crash, how suspects are kept apart from
+// other tasks until they have proved harmless, and when a task is given up.
+//
+// A crash says which runs were on the worker, not which of them caused it. A
+// task that crashes workers does so soon after its start, so the runs started
+// last are suspected first. A task is given up only after repeated crashes of
+// which the last one has no other explanation.
+package suspect
+
+// The bounds of an assessment.
+const (
+	// HarmlessAfterMS is the age at which a run has proved that its task does
+	// not crash the workers that start it.
+	HarmlessAfterMS = 10_000
+	// immediateMS and promptMS are the ages up to which crashes are laid to the
+	// start before them: at once, or if there are more of them.
+	immediateMS = 150
+	promptMS    = 2_000
+	// cohortMS is added to twice the age of the youngest run: the spread of the
+	// starts of one placement pass.
+	cohortMS = 100
+	// A task is given up after immediateCrashes, each at once after its start and
+	// the last one beside no other young run, after promptCrashes soon after its
+	// start, and after maxCrashes in any case. The platform allows two more starts
+	// after the third crash.
+	immediateCrashes, promptCrashes, maxCrashes = 3, 4, 5
+	// separateProbationMS and aloneProbationMS are how long a run has to survive
+	// until other tasks may be started beside it.
+	separateProbationMS = 400
+	aloneProbationMS    = promptMS
+)
+
+// History is a task's part in crashes of workers.
+type History struct {
+	// Crashes counts the workers that crashed soon after they were told to
+	// start the task.
+	Crashes int
+	// Suspected reports whether the task was among the last ones started on one
+	// of them.
+	Suspected bool
+	// MaxAgeMS is the highest age that its runs had when these workers crashed.
+	MaxAgeMS int64
+}
+
+func (h History) afterCrash(ageMS int64, suspected bool) History {
+	return History{Crashes: h.Crashes + 1, Suspected: h.Suspected || suspected, MaxAgeMS: max(h.MaxAgeMS, ageMS)}
+}
+
+// Isolation is how far a task is kept apart from others.
+type Isolation int
+
+// The degrees of isolation.
+const (
+	// Unrestricted tasks run anywhere.
+	Unrestricted Isolation = iota
+	// Separate tasks run on workers without another suspect. Nothing else is
+	// started there during their probation.
+	Separate
+	// Alone tasks run on workers without other young runs.
+	Alone
+)
+
+// Isolation returns how the task's next run is isolated.
+func (h History) Isolation() Isolation {
+	switch {
+	case h.Crashes >= immediateCrashes-1:
+		return Alone
+	case h.Suspected:
+		return Separate
+	}
+	return Unrestricted
+}
+
+// ProbationMS returns how long a run with the given isolation has to survive
+// until other tasks may be started beside it.
+func ProbationMS(i Isolation) int64 {
+	switch i {
+	case Separate:
+		return separateProbationMS
+	case Alone:
+		return aloneProbationMS
+	}
+	return 0
+}
+
+// Run is one run that was on a worker when the worker was lost.
+type Run struct {
+	History History
+	// AgeMS is the time from its start order to the loss of the worker.
+	AgeMS int64
+}
+
+// Loss is the loss of a worker and its runs.
+type Loss struct {
+	// Crashed reports whether the worker has certainly crashed; else it may
+	// also have been cut off or taken away.
+	Crashed bool
+	Runs    []Run
+}
+
+// Verdict is what follows from a loss for one run's task.
+type Verdict struct {
+	History History
+	GiveUp  bool
+}
+
+// Assess returns a verdict for each run of a loss, in the order of the runs.
+func Assess(l Loss) []Verdict {
+	threshold := cohortThreshold(l.Runs)
+	explained, young := false, 0
+	for _, r := range l.Runs {
+		explained = explained || r.AgeMS <= threshold && r.History.Suspected
+		if r.AgeMS < HarmlessAfterMS {
+			young++
+		}
+	}
+	verdicts := make([]Verdict, len(l.Runs))
+	for i, r := range l.Runs {
+		v := Verdict{History: r.History}
+		switch {
+		case r.AgeMS >= HarmlessAfterMS:
+			v.History = History{}
+		case r.AgeMS <= threshold:
+			v.History = r.History.afterCrash(r.AgeMS, true)
+			v.GiveUp = v.History.proved(l.Crashed, young == 1)
+		case !explained:
+			v.History = r.History.afterCrash(r.AgeMS, false)
+			v.GiveUp = v.History.proved(false, false)
+		}
+		verdicts[i] = v
+	}
+	return verdicts
+}
+
+// proved reports whether a task is given up after a loss. crashed reports whether
+// the worker certainly crashed, alone whether it had no other young run.
+func (h History) proved(crashed, alone bool) bool {
+	switch {
+	case h.Crashes >= maxCrashes:
+		return true
+	case !crashed || !alone:
+		return false
+	}
+	return h.Crashes >= promptCrashes && h.MaxAgeMS <= promptMS || h.Crashes >= immediateCrashes && h.MaxAgeMS <= immediateMS
+}
+
+// cohortThreshold returns the age up to which runs count as the ones started
+// last.
+func cohortThreshold(runs []Run) int64 {
+	youngest := int64(HarmlessAfterMS)
+	for _, r := range runs {
+		youngest = min(youngest, r.AgeMS)
+	}
+	return min(2*youngest+cohortMS, HarmlessAfterMS-1)
+}
--- a/node/events/jobs.go
+++ b/node/events/jobs.go
@@ -43,6 +43,8 @@
 	SettingsReloaded
 	RelaySuspended
 	RelayedOrderDropped
+	TaskSuspected
+	TaskGivenUp
 )
 
 var jobEvents = []Definition{
@@ -86,5 +88,7 @@
 	{AdviceGiven, "advice", SeverityInfo, "The placement advisor, which permits placements, was asked, answered or did not answer; the outcome says which.", ""},
 	{RelaySuspended, "relay_suspended", SeverityWarning, "Another node that sends this owner's orders to workers failed; the owner sends them itself meanwhile.", "Check the node and the network to its zone."},
 	{RelayedOrderDropped, "relayed_order_dropped", SeverityWarning, "An order that another node sent to this one was not executed, because this node was suspended since it arrived.", ""},
+	{TaskSuspected, "task_suspected", SeverityWarning, "A worker crashed soon after it was told to start this task; the detail has how many did so far.", ""},
+	{TaskGivenUp, "task_given_up", SeverityError, "A task was found to crash the workers that start it; its job has failed.", "Correct the job before it is submitted again."},
 	{AdviceFailed, "advice_failed", SeverityWarning, "The placement advisor did not answer; it is asked again.", "Check the placement advisor; queues that need its permits wait."},
 }
--- a/node/jobhost/metrics.go
+++ b/node/jobhost/metrics.go
@@ -9,8 +9,9 @@
 			{Labels: label("kind", "write"), Value: float64(h.stats.storeWrites.Load())},
 			{Labels: label("kind", "read"), Value: float64(h.stats.storeReads.Load())},
 		},
-		telemetry.MetricPolls:  {{Value: float64(h.stats.polls.Load())}},
-		telemetry.MetricStarts: {{Value: float64(h.stats.starts.Load())}},
+		telemetry.MetricPolls:        {{Value: float64(h.stats.polls.Load())}},
+		telemetry.MetricStarts:       {{Value: float64(h.stats.starts.Load())}},
+		telemetry.MetricTasksGivenUp: {{Value: float64(h.stats.tasksGivenUp.Load())}},
 		telemetry.MetricRelayedOrders: {
 			{Labels: label("result", "answered"), Value: float64(h.stats.relayedAnswered.Load())},
 			{Labels: label("result", "given_up"), Value: float64(h.stats.relayedGivenUp.Load())},
--- a/node/jobhost/shardrun.go
+++ b/node/jobhost/shardrun.go
@@ -235,6 +235,9 @@
 	if shard.WorkerGone(e) {
 		h.stats.countLostRun(e.Outcome)
 	}
+	if e.Name == shard.EventGivenUp {
+		h.stats.tasksGivenUp.Add(1)
+	}
 	number, ok := decisionEvents[e.Name]
 	if !ok {
 		number = events.JobDecision
@@ -257,5 +260,6 @@
 	shard.EventStray: events.RunStray, shard.EventWorker: events.WorkerChanged,
 	shard.EventPollFailed: events.WorkerPollFailed, shard.EventDeposed: events.OwnerDeposed,
 	shard.EventRecordFailed: events.RecordUnwritable, shard.EventPaced: events.RunPaced,
+	shard.EventSuspected: events.TaskSuspected, shard.EventGivenUp: events.TaskGivenUp,
 	shard.EventInvariant: events.JobInvariantBroken, shard.EventAdvice: events.AdviceGiven,
 }
--- a/node/telemetry/jobinstruments.go
+++ b/node/telemetry/jobinstruments.go
@@ -8,6 +8,7 @@
 	MetricAppendLatency = "wigeonwinch_store_append_latency"
 	MetricPolls         = "wigeonwinch_worker_polls"
 	MetricStarts        = "wigeonwinch_run_starts"
+	MetricTasksGivenUp  = "wigeonwinch_tasks_given_up"
 	MetricRunsLost      = "wigeonwinch_runs_lost"
 	MetricRelayedOrders = "wigeonwinch_relayed_orders"
 	MetricShardsOwned   = "wigeonwinch_shards_owned"
@@ -23,6 +24,7 @@
 		{MetricPolls, "", "counter", "", "Polls of workers.", ""},
 		{MetricStarts, "", "counter", "", "Starts ordered.", ""},
 		{MetricRunsLost, "", "counter", "cause", "Runs that ended with their worker.", ""},
+		{MetricTasksGivenUp, "", "counter", "", "Tasks given up because they crash the workers that start them.", "above 0: look for task_given_up in the log"},
 		{MetricRelayedOrders, "", "counter", "result", "Orders for workers that this node sent through relays: answered, or given up.", "given_up is more than 1 % over 5 minutes: look for relay_suspended in the log"},
 		{MetricShardsOwned, "", "gauge", "", "Shards that this node owns.", "the sum over all nodes is not the number of pools and one for a minute"},
 		{MetricConfigVersion, "", "gauge", "", "Version of the queues' configuration in force.", "two nodes differ for more than 14 s"},
