A silent worker is gone once its VM has another

What callers saw: tasks on a crashed worker waited for its leases, 6.2 s, although the next worker of the same VM was listed 3.3 s after the crash. Cause: a worker was known by its ID alone; one that comes back under another ID was a stranger. Change: the list of workers says on which VM each runs. A worker that does not answer is gone once a later life on its VM is listed: a worker is one life of its VM. One that answers is never counted as gone, whatever is listed. Measured: TestTasksOfReplacedWorkerWaitForItsLeases fails without it.

--- a/jobs/shard/crash_test.go
+++ b/jobs/shard/crash_test.go
@@ -173,3 +173,27 @@
 	h.step(isolationPatienceMS)
 	assert.Len(t, h.core.TakeOrders().Starts, 3)
 }
+
+// Callers of sound jobs waited for the leases of a crashed worker although the
+// platform already listed the next worker on its VM.
+func TestTasksOfReplacedWorkerWaitForItsLeases(t *testing.T) {
+	h := vmHarness(t, 2)
+	o := h.submit(testJob(1, smallStep(1)))
+	h.acceptStarts(o.Starts)
+	dead := o.Starts[0].Target
+	next := h.core.workers[dead.Worker].info
+	next.ID, next.Incarnation = "next", 2
+	other := h.core.workers["w1"].info
+	if dead.Worker == "w1" {
+		other = h.core.workers["w0"].info
+	}
+	h.core.SetWorkers(h.now, []Worker{next, other})
+	h.step(1)
+	require.Empty(t, h.core.TakeOrders().Starts, "a worker that answers is there, whatever is listed")
+	h.core.HandlePollError(h.now, dead, PollConnectionClosed)
+	h.core.SetWorkers(h.now, []Worker{next, other})
+	h.step(1)
+	starts := h.core.TakeOrders().Starts
+	require.Len(t, starts, 1)
+	assert.Equal(t, other.ID, starts[0].Worker)
+}
--- a/jobs/shard/loss.go
+++ b/jobs/shard/loss.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 
 	"wigeonwinch/jobs/spec"
 	"wigeonwinch/jobs/suspect"
@@ -14,6 +15,8 @@
 	reasonLeaseLapsed = "lease_lapsed"
 	// reasonWorkerReborn: the worker started again under its ID.
 	reasonWorkerReborn = "worker_reborn"
+	// reasonWorkerReplaced: another worker runs on its VM.
+	reasonWorkerReplaced = "worker_replaced"
 )
 
 // WorkerGone reports whether the event says that a run ended with its worker.
@@ -22,7 +25,7 @@
 		return false
 	}
 	switch e.Outcome {
-	case reasonLeaseLapsed, reasonWorkerReborn:
+	case reasonLeaseLapsed, reasonWorkerReborn, reasonWorkerReplaced:
 		return true
 	}
 	return false
@@ -164,3 +167,28 @@
 	}
 	return w.info.ID
 }
+
+// replaceSilentWorkers settles the runs of workers that do not answer and on
+// whose VM a later worker is listed: a worker is one life of its VM.
+func (c *Core) replaceSilentWorkers() {
+	if !slices.ContainsFunc(c.sortedWorkers(), (*worker).awaitsSuccessor) {
+		return
+	}
+	newest := map[string]*worker{}
+	for _, w := range c.sortedWorkers() {
+		if w.listed && w.info.VM != "" && (newest[w.info.VM] == nil || w.incarnation > newest[w.info.VM].incarnation) {
+			newest[w.info.VM] = w
+		}
+	}
+	for _, w := range c.sortedWorkers() {
+		next := newest[w.info.VM]
+		if w.awaitsSuccessor() && next != nil && next.incarnation > w.incarnation && next.firstListedAt >= w.firstListedAt {
+			c.loseWorker(w, reasonWorkerReplaced, w.successorEvidence())
+		}
+	}
+}
+
+// awaitsSuccessor reports whether the worker has runs and does not answer.
+func (w *worker) awaitsSuccessor() bool {
+	return len(w.runs) > 0 && w.info.VM != "" && (w.failedPolls > 0 || !w.reached)
+}
--- a/jobs/shard/worker.go
+++ b/jobs/shard/worker.go
@@ -58,6 +58,8 @@
 	// closed or rejected since.
 	contactLostAt  int64
 	connectionLost bool
+	// firstListedAt is when the platform's list first contained the worker.
+	firstListedAt int64
 	// probation is the run of a suspect that has not yet proved harmless. held
 	// reports whether the worker is being emptied for a task that must run alone.
 	probation *run
@@ -183,6 +185,9 @@
 		}
 		w.info = info
 		w.listed = true
+		if w.firstListedAt == 0 {
+			w.firstListedAt = now
+		}
 		c.rememberKind(info)
 	}
 	for id, w := range c.workers {
@@ -191,6 +196,7 @@
 			c.event(Event{Name: EventWorker, Worker: id, Outcome: "unlisted", Detail: fmt.Sprintf("runs=%d", len(w.runs))})
 		}
 	}
+	c.replaceSilentWorkers()
 }
 
 // resetIncarnation records a new incarnation of a worker: no run of an earlier
