A worker that shrinks before a start is not a broken invariant

A worker whose capacity shrinks between a placement and its start was logged as job_invariant_broken, severity violation, to be reported as a defect. Cause: capacities could not change when that check was written. Change: the start is dropped as before, and logged as settled, over_capacity. Measured: TestShrinkingWorkerIsReportedAsDefect fails without it. TestShrunkWorkerIsFilledBeyondItsCapacity passed before as well: placement has always read the newest capacity and counts what is being stopped.

--- a/jobs/shard/schedule.go
+++ b/jobs/shard/schedule.go
@@ -356,10 +356,6 @@
 	default:
 		return true
 	}
-	name := EventSettled
-	if reason == "over_capacity" {
-		name = EventInvariant
-	}
-	c.event(Event{Name: name, Job: r.key.Job, Run: RunRef{r.key, r.number}, Worker: r.worker.info.ID, Outcome: reason})
+	c.event(Event{Name: EventSettled, Job: r.key.Job, Run: RunRef{r.key, r.number}, Worker: r.worker.info.ID, Outcome: reason})
 	return false
 }
