Nothing is started by a stale list of workers

What callers would see: LIMIT broken. While one partition of the store was away and the others were not, an owner went on to fill its workers by the last list that it had read, however old. Cause: only appends and heartbeats were watched; a worker's capacity and its draining are known from the list alone, and nothing said how old that was. Change: each read of the list confirms it until the time at which it was sent. An owner whose list is older than 2.8 s starts nothing; the platform counts a shrunk room 3 s and one beat after it has shrunk.

--- a/jobs/shard/capacity_test.go
+++ b/jobs/shard/capacity_test.go
@@ -50,3 +50,22 @@
 		assert.NotEqual(t, EventInvariant, e.Name)
 	}
 }
+
+// While the list of workers can't be read, workers may have shrunk: an owner
+// whose appends succeed went on to fill them by the last list.
+func TestTasksAreStartedByStaleList(t *testing.T) {
+	h := newHarness(t, 1)
+	h.core.ConfirmWorkers(h.now)
+	h.now += maxListAgeMS
+	require.Empty(t, h.submit(testJob(1, smallStep(1))).Starts)
+	h.core.ConfirmWorkers(h.now)
+	h.step(1)
+	assert.Len(t, h.core.TakeOrders().Starts, 1)
+
+	h.core.Submit(h.now, 1, testJob(2, smallStep(1)))
+	h.core.Advance(h.now, h.now)
+	batch, ok := h.core.NextBatch()
+	require.True(t, ok)
+	h.core.HandleCommit(h.now+maxListAgeMS+1, batch)
+	assert.Empty(t, h.core.TakeOrders().Starts, "the list became stale while the placement was stored")
+}
--- a/jobs/shard/core.go
+++ b/jobs/shard/core.go
@@ -51,6 +51,10 @@
 	pollWaitMS = 1_500
 	// pollRetryMS is the delay before the next poll after a failed one.
 	pollRetryMS = 300
+	// maxListAgeMS is how old the list of workers may be when a task is started.
+	// The platform lets the capacity of a worker that has shrunk count three
+	// seconds after the list shows it.
+	maxListAgeMS = 2_800
 	// maxBatchRecords bounds the records of one append, well below the store's
 	// byte limit for a call.
 	maxBatchRecords = 400
@@ -149,8 +153,10 @@
 	// removed.
 	workersByID []*worker
 	// workersListed reports whether the list of workers was set since the
-	// takeover.
-	workersListed bool
+	// takeover. listConfirmedAt is when the read was sent that last confirmed it;
+	// 0 if the owner does not say.
+	workersListed   bool
+	listConfirmedAt int64
 	// workerKinds holds every kind of worker seen so far, to decide whether a
 	// task could ever be placed.
 	workerKinds map[string]Worker
--- a/jobs/shard/schedule.go
+++ b/jobs/shard/schedule.go
@@ -39,7 +39,7 @@
 
 // schedule places the tasks that can be started now.
 func (c *Core) schedule() {
-	if c.now >= c.startsUntil || c.deposed || c.storeDown {
+	if c.now >= c.startsUntil || c.deposed || c.storeDown || c.listStale() {
 		return
 	}
 	for _, name := range sortedKeys(c.pools) {
@@ -349,6 +349,8 @@
 		reason = "right_lapsed"
 	case r.job.state.Final():
 		reason = "job_final"
+	case c.listStale():
+		reason = "list_stale"
 	case !r.worker.schedulable(c.now):
 		reason = "worker_not_open"
 	case !r.worker.used.Fits(r.worker.info.Capacity):
--- a/jobs/shard/worker.go
+++ b/jobs/shard/worker.go
@@ -199,6 +199,15 @@
 	c.replaceSilentWorkers()
 }
 
+// ConfirmWorkers records that a read of the list of workers, sent at the given
+// time, brought all changes until then.
+func (c *Core) ConfirmWorkers(sentAt int64) { c.listConfirmedAt = max(c.listConfirmedAt, sentAt) }
+
+// listStale reports whether workers may have shrunk without the owner knowing.
+func (c *Core) listStale() bool {
+	return c.listConfirmedAt != 0 && c.now-c.listConfirmedAt > maxListAgeMS
+}
+
 // resetIncarnation records a new incarnation of a worker: no run of an earlier
 // one is running any more.
 func (c *Core) resetIncarnation(w *worker, incarnation int64) {
--- a/node/jobhost/feeds.go
+++ b/node/jobhost/feeds.go
@@ -155,7 +155,19 @@
 	f := partitionReader{host: h, partition: deps.Partition{Topic: deps.TopicWorkers}, pause: readInterval, active: h.needWorkers.Load, wake: h.workersNeeded, urgent: h.expectingVMs.Load}
 	f.run(ctx, func(records []shard.Record, whole bool) {
 		h.post(func() { h.applyWorkerRecords(records, whole) })
-	}, nil)
+	}, func(sentAt int64) {
+		h.post(func() { h.confirmWorkers(sentAt) })
+	})
+}
+
+// confirmWorkers tells the shards until when their lists of workers are complete.
+func (h *Host) confirmWorkers(sentAt int64) {
+	h.workersReadAt = sentAt
+	for _, s := range h.owned {
+		if s.core != nil {
+			s.core.ConfirmWorkers(sentAt)
+		}
+	}
 }
 
 func (h *Host) applyWorkerRecords(records []shard.Record, whole bool) {
@@ -203,6 +215,7 @@
 		h.relays.plannedAt = 0
 	}
 	s.core.SetWorkers(monotonicMS(), list)
+	s.core.ConfirmWorkers(h.workersReadAt)
 }
 
 // updateShardQueues sets the queues of a shard to those of its services.
--- a/node/jobhost/host.go
+++ b/node/jobhost/host.go
@@ -37,6 +37,9 @@
 	waveSeenAt       map[int]int64
 	startedAt        int64
 	nodesReadAt      int64
+	// workersReadAt is when the last successful read of the workers' entries was
+	// sent.
+	workersReadAt int64
 	// ownersCheckedAt is when the owners of the shards were last checked.
 	ownersCheckedAt int64
 	// readsUnbrokenSince is the time since which nodesPartition has been read
--- a/node/jobhost/members.go
+++ b/node/jobhost/members.go
@@ -78,7 +78,7 @@
 // idlePartition, which only a large fleet uses.
 func (h *Host) followNodes(ctx context.Context) {
 	f := partitionReader{host: h, partition: nodesPartition, pause: readInterval}
-	f.run(ctx, h.postHeartbeats, func() { h.post(h.markNodesRead) })
+	f.run(ctx, h.postHeartbeats, func(int64) { h.post(h.markNodesRead) })
 }
 
 func (h *Host) followIdle(ctx context.Context) {
@@ -183,8 +183,8 @@
 
 // run calls handle with new records. whole reports that they are all the
 // records that the store holds rather than an addition. onRead, if set, is
-// called after each successful read.
-func (f partitionReader) run(ctx context.Context, handle func(records []shard.Record, whole bool), onRead func()) {
+// called after each successful read with the time at which it was sent.
+func (f partitionReader) run(ctx context.Context, handle func(records []shard.Record, whole bool), onRead func(sentAt int64)) {
 	next := int64(-1)
 	failing := false
 	for ctx.Err() == nil {
@@ -193,6 +193,7 @@
 			f.waitUntilActive(ctx)
 			continue
 		}
+		sentAt := monotonicMS()
 		records, end, whole, err := f.read(ctx, next)
 		if (err != nil) != failing {
 			failing = err != nil
@@ -211,7 +212,7 @@
 			handle(records, whole)
 		}
 		if onRead != nil {
-			onRead()
+			onRead(sentAt)
 		}
 		if f.wait == 0 || len(records) > 0 {
 			pause.For(ctx, f.nextPause())
