A request that two workers lost is not sent to a third

A repeatable request that crashes each backend server was sent to three of them in each zone that it was relayed to, and its caller was told that sending it again is safe and may help. Cause: attempts are limited by number and by the retry budget, whatever ended them, and each entry node counts its own. Change: after two connections that ended without an answer the request ends unknown with reason workers_lost, here and where it was relayed, and its caller is not asked to send it again. The scheduler's Retry has the same limit. The tests of dispatch and node/forward pass.

--- a/dispatch/scheduler/failure_test.go
+++ b/dispatch/scheduler/failure_test.go
@@ -388,3 +388,13 @@
 	require.Zero(t, s.workers.freeSlots)
 	require.Zero(t, s.workers.usableSlots)
 }
+
+// A request that may crash its workers went to as many as four of them.
+func TestLostRequestIsSentToWorkerAfterWorker(t *testing.T) {
+	s := newTest(t, Options{}, worker("w1", 4), worker("w2", 4), worker("w3", 4), worker("w4", 4))
+	ticket := submit(t, s, epoch, request("a"))
+	require.Len(t, s.Next(epoch).Starts, 1)
+	require.True(t, s.Retry(epoch, ticket, Lost))
+	require.Len(t, s.Next(epoch).Starts, 1)
+	require.False(t, s.Retry(epoch, ticket, Lost))
+}
--- a/dispatch/scheduler/finish.go
+++ b/dispatch/scheduler/finish.go
@@ -51,10 +51,20 @@
 	return true
 }
 
-// maxAttempts limits the attempts for one ticket.
-const maxAttempts = maxAvoided + 1
+// maxAttempts limits the attempts for one ticket, maxLost those that may have
+// made their worker fail.
+const (
+	maxAttempts = maxAvoided + 1
+	maxLost     = 2
+)
 
 func (s *Scheduler) mayRetry(now time.Time, j *job, res Result) bool {
+	if res == Lost {
+		j.lost++
+		if j.lost >= maxLost {
+			return false
+		}
+	}
 	retryable := res == Refused || j.req.Repeatable && (res == Failed || res == Lost)
 	if !retryable || j.attempts >= maxAttempts || !now.Before(j.deadline) {
 		return false
--- a/dispatch/scheduler/job.go
+++ b/dispatch/scheduler/job.go
@@ -39,6 +39,7 @@
 	startedAt     time.Time
 	runningIndex  int
 	attempts      int
+	lost          int
 	avoided       [maxAvoided]string
 	reliablyShort bool
 	preempting    bool
--- a/node/forward/ending.go
+++ b/node/forward/ending.go
@@ -33,6 +33,7 @@
 	ReasonCanceled        Reason = "canceled"         // the caller disconnected
 	ReasonNoConnection    Reason = "no_connection"    // no worker could be reached
 	ReasonAnswerLost      Reason = "answer_lost"      // no answer arrived
+	ReasonWorkersLost     Reason = "workers_lost"     // several workers failed while they ran the request
 	ReasonAnswerTruncated Reason = "answer_truncated" // the answer was truncated
 	ReasonAnswerCrossed   Reason = "answer_crossed"   // the answer has another request's ID
 	ReasonAnswerUnframed  Reason = "answer_unframed"  // the end of the answer cannot be detected
@@ -80,6 +81,14 @@
 	return result{outcome: dispatch.OutcomeUnknown, status: status, reason: reason, detail: detail, retrySame: true}
 }
 
+// workersLostResult is the result of a request that is not sent to another worker
+// because it may be what makes them fail. Callers are not asked to send it again.
+func workersLostResult() result {
+	res := unknownResult(http.StatusBadGateway, ReasonWorkersLost, "several workers ended the connection while they ran the request; check it before it is sent again")
+	res.retrySame = false
+	return res
+}
+
 func (res result) withRetryAfter(d time.Duration) result {
 	res.retryAfter = d
 	return res
--- a/node/forward/execute.go
+++ b/node/forward/execute.go
@@ -97,7 +97,8 @@
 	}
 	p.cancel(wt)
 	if x := s.sendImmediate(runCtx, r, peer); x.kind != exchangeNotRun {
-		return x.result, x.kind == exchangeLost && r.Repeatable && !x.canceled
+		res, lost := r.countLost(x)
+		return res, lost && r.Repeatable && !x.canceled && r.workersLost < maxWorkersLost
 	}
 	wt, refusal = p.submit(&r.Request)
 	if refusal != nil {
@@ -167,7 +168,26 @@
 		return x.result, false
 	}
 	p.finish(wt, scheduler.Lost)
-	return x.result, r.Repeatable
+	res, _ := r.countLost(x)
+	return res, r.Repeatable && r.workersLost < maxWorkersLost
+}
+
+// countLost counts the worker that was lost in an exchange, if one was, and
+// returns the result and whether the request may have run without an answer.
+func (r *request) countLost(x exchange) (result, bool) {
+	if x.kind != exchangeLost || x.canceled {
+		return x.result, x.kind == exchangeLost
+	}
+	switch x.result.reason {
+	case ReasonAnswerLost:
+		r.workersLost++
+	case ReasonWorkersLost:
+		r.workersLost = maxWorkersLost
+	}
+	if r.workersLost >= maxWorkersLost {
+		return workersLostResult(), true
+	}
+	return x.result, true
 }
 
 func schedulerResult(failed bool) scheduler.Result {
--- a/node/forward/parse.go
+++ b/node/forward/parse.go
@@ -32,8 +32,15 @@
 	body      []byte
 	phase     phase
 	claim     claim
+	// workersLost counts the workers whose connection ended without an answer
+	// while they ran the request.
+	workersLost int
 }
 
+// maxWorkersLost is the number of workers after whose loss a request is not sent
+// to another one: it may be what makes them fail.
+const maxWorkersLost = 2
+
 // needsClaim reports whether the request's ID must be claimed before it runs.
 func (r *request) needsClaim() bool {
 	return !r.Repeatable && !r.generatedID && !r.relayed
--- a/node/forward/relay.go
+++ b/node/forward/relay.go
@@ -26,11 +26,12 @@
 		}
 		s.counts.relayed.Add(1)
 		x := s.exchange(runCtx, r, target{peer: peer.Node, address: peer.PeerAddress})
-		last = mergeResults(last, x.result)
+		res, lost := r.countLost(x)
+		last = mergeResults(last, res)
 		if x.kind == exchangeNotRun {
 			continue
 		}
-		if x.kind != exchangeLost || !r.Repeatable || x.canceled {
+		if !lost || !r.Repeatable || x.canceled || r.workersLost >= maxWorkersLost {
 			return last
 		}
 	}
