A crash before a takeover does not count as a late one

Cause: a new owner does not know when its predecessor sent a start, and took the time until the leases expired for the age of the run, 6.3 s. Change: a run that the new owner never saw has the age 0. Measured: TestCrashBeforeTakeoverCountsAsLate fails without it.

--- a/jobs/shard/crash_test.go
+++ b/jobs/shard/crash_test.go
@@ -197,3 +197,20 @@
 	require.Len(t, starts, 1)
 	assert.Equal(t, other.ID, starts[0].Worker)
 }
+
+// A run whose worker crashed before its owner changed counted as old, since the
+// new owner measured its age until the leases had expired. The task was given up
+// after five crashes instead of three.
+func TestCrashBeforeTakeoverCountsAsLate(t *testing.T) {
+	h := vmHarness(t, 1)
+	j := testJob(1, smallStep(1))
+	h.submit(j)
+	rec, err := h.core.encodeJob(h.core.jobs[j.ID])
+	require.NoError(t, err)
+	next := New(Config{Epoch: 6, MaxLeaseMS: 6_000, EarlierLeaseMS: 6_000}, h.now, h.now)
+	next.SetOwnershipDeadlines(forever, forever)
+	require.NoError(t, next.Restore(rec))
+	next.SetWorkers(h.now, nil)
+	next.Advance(h.now+6_001, h.now)
+	assert.Equal(t, suspect.History{Crashes: 1, Suspected: true}, next.jobs[j.ID].occurrences[0].steps[0].tasks[0].history)
+}
--- a/jobs/shard/loss.go
+++ b/jobs/shard/loss.go
@@ -150,14 +150,16 @@
 	c.finishJob(r.job, spec.Failed)
 }
 
-// ageMS returns how old the run was at a time. Of a run that an earlier owner
-// started it is known only since when this owner has it.
+// ageMS returns how old the run was at a time. A run that an earlier owner
+// started is as old as this owner has seen it, 0 if it has not.
 func (r *run) ageMS(at int64) int64 {
-	since := r.startSentAt
-	if since == 0 {
-		since = r.phaseSince
+	switch {
+	case r.startSentAt != 0:
+		return max(at-r.startSentAt, 0)
+	case r.confirmedAt != 0:
+		return max(at-r.phaseSince, 0)
 	}
-	return max(at-since, 0)
+	return 0
 }
 
 // location names the VM of the worker, as far as it is known.
