A new owner knows on which VMs its workers ran

Cause: the list of workers no longer has the crashed one, and the records named workers by ID alone. Change: a job's record names the VMs of the workers that its runs are on. The field is new; records without it are read as before. Measured: TestReplacedWorkerIsForgottenInTakeover fails without it.

--- a/jobs/shard/crash_test.go
+++ b/jobs/shard/crash_test.go
@@ -214,3 +214,22 @@
 	next.Advance(h.now+6_001, h.now)
 	assert.Equal(t, suspect.History{Crashes: 1, Suspected: true}, next.jobs[j.ID].occurrences[0].steps[0].tasks[0].history)
 }
+
+// A new owner did not know the VM of a worker that had left the list, and waited
+// for its leases although the next worker of that VM was listed.
+func TestReplacedWorkerIsForgottenInTakeover(t *testing.T) {
+	h := vmHarness(t, 1)
+	j := testJob(1, smallStep(1))
+	old := h.submit(j).Starts
+	require.Len(t, old, 1)
+	rec, err := h.core.encodeJob(h.core.jobs[j.ID])
+	require.NoError(t, err)
+	next := New(Config{Epoch: 6, MaxLeaseMS: 6_000, EarlierLeaseMS: 6_000}, h.now, h.now)
+	next.SetOwnershipDeadlines(forever, forever)
+	require.NoError(t, next.Restore(rec))
+	list := testWorkers(1)
+	list[0].ID, list[0].VM, list[0].Incarnation = "later", "vm-w0", 2
+	next.SetWorkers(h.now, list)
+	assert.Nil(t, next.jobs[j.ID].occurrences[0].steps[0].tasks[0].current)
+	assert.Empty(t, next.workers["w0"].runs)
+}
--- a/jobs/shard/record.go
+++ b/jobs/shard/record.go
@@ -36,6 +36,14 @@
 	SlackMS        int64              `cbor:"10,keyasint,omitempty"`
 	// Crashes lists the tasks that were on workers when these crashed.
 	Crashes []crashRecord `cbor:"11,keyasint,omitempty"`
+	// VMs lists the VMs of the workers that the tasks name.
+	VMs []workerVM `cbor:"12,keyasint,omitempty"`
+}
+
+// workerVM is a worker and the VM on which it runs.
+type workerVM struct {
+	_          struct{} `cbor:",toarray"`
+	Worker, VM string
 }
 
 // crashRecord is the history of one task.
@@ -85,6 +93,7 @@
 		r.Occurrences = append(r.Occurrences, encodeOccurrence(j.occurrences[number]))
 		r.Crashes = append(r.Crashes, encodeCrashes(j.occurrences[number])...)
 	}
+	r.VMs = encodeVMs(j)
 	value, err := encMode.Marshal(r)
 	if err != nil {
 		return Record{}, errors.Wrapf(err, "encode job %s", j.spec.ID)
@@ -116,6 +125,20 @@
 	return out
 }
 
+func encodeVMs(j *job) []workerVM {
+	vms := map[string]string{}
+	j.eachRun(func(r *run) {
+		if r.worker.info.VM != "" {
+			vms[r.worker.info.ID] = r.worker.info.VM
+		}
+	})
+	out := make([]workerVM, 0, len(vms))
+	for _, id := range sortedKeys(vms) {
+		out = append(out, workerVM{Worker: id, VM: vms[id]})
+	}
+	return out
+}
+
 func encodeTask(t *task) taskRecord {
 	rec := taskRecord{LastRun: t.lastRun, LastEnded: t.lastEnded, Failures: t.failures, Done: t.done}
 	if t.done {
@@ -164,6 +187,11 @@
 	for i := range rec.Occurrences {
 		c.restoreOccurrence(j, &rec.Occurrences[i])
 	}
+	for _, v := range rec.VMs {
+		if w := c.workers[v.Worker]; w != nil && w.info.VM == "" {
+			w.info.VM = v.VM
+		}
+	}
 	c.enqueueRestored(j)
 	return nil
 }
