Suspects are tested quickly, on half of a pool at most

Cause: a suspect was cleared by the next list of its worker, up to 1.5 s later, and nothing else was started there meanwhile; nothing bounded how many workers of a pool were on probation. Change: a run that is confirmed and has survived 0.25 s with its poll unbroken is cleared at once; a crash closes that connection. At most half of a pool's workers are on probation.

--- a/jobs/shard/core.go
+++ b/jobs/shard/core.go
@@ -260,6 +260,9 @@
 	// such tasks.
 	aloneWaiting int
 	holding      bool
+	// probations counts the pool's workers on probation, of which there may be
+	// maxProbations.
+	probations, maxProbations int
 }
 
 func (c *Core) ensurePool(service string) *pool {
--- a/jobs/shard/isolation.go
+++ b/jobs/shard/isolation.go
@@ -14,6 +14,9 @@
 	// maxHeldShare is the share of a pool's workers that may be emptied for tasks
 	// that must run alone; one worker always may.
 	maxHeldShare = 0.25
+	// maxProbationShare is the share of a pool's workers that may be on probation
+	// at a time, so that sound tasks go on starting; one worker always may.
+	maxProbationShare = 0.5
 )
 
 // isolation returns how a task's next run is isolated. The members of a gang need
@@ -56,19 +59,32 @@
 
 // beginProbation keeps other starts off the run's worker until the run has
 // proved harmless.
-func (r *run) beginProbation(i suspect.Isolation) {
-	if i != suspect.Unrestricted {
-		r.probationMS = suspect.ProbationMS(i)
-		r.worker.probation = r
-		r.worker.held = false
+func (c *Core) beginProbation(r *run, i suspect.Isolation) {
+	if i == suspect.Unrestricted {
+		return
 	}
+	r.probationMS = suspect.ProbationMS(i)
+	r.worker.probation = r
+	r.worker.held = false
+	c.ensurePool(r.job.service).probations++
 }
 
-// endProbation lifts the probation of a run that the worker listed late enough.
-func (c *Core) endProbation(w *worker) {
-	if r := w.probation; r != nil && r.phase == phaseRunning && r.ageMS(r.confirmedAt) >= r.probationMS {
-		w.probation = nil
+// endProbations lifts the probation of the runs that have survived it. A crash
+// closes the connection of the poll in flight, so that it is known at once.
+func (c *Core) endProbations(p *pool, workers []*worker) {
+	p.probations = 0
+	for _, w := range workers {
+		r := w.probation
+		if r == nil {
+			continue
+		}
+		if r.phase == phaseRunning && w.contactLostAt == 0 && r.ageMS(c.now) >= r.probationMS {
+			w.probation = nil
+			continue
+		}
+		p.probations++
 	}
+	p.maxProbations = max(1, int(maxProbationShare*float64(len(workers))))
 }
 
 // holdWorkers keeps starts off as many workers as needed by the tasks that wait
--- a/jobs/shard/polls.go
+++ b/jobs/shard/polls.go
@@ -29,9 +29,6 @@
 		if w.reached && w.servingRuns > 0 && w.fillerRuns > 0 {
 			p.WaitMS = sharedPollWaitMS
 		}
-		if r := w.probation; r != nil {
-			p.WaitMS = min(p.WaitMS, max(r.probationMS-r.ageMS(c.now), 0))
-		}
 		if c.needsPollNow(w) {
 			p.WaitMS = 0
 		}
@@ -150,7 +147,6 @@
 	}
 	c.recordEnds(w, l.Ended)
 	c.reconcileRunning(w, sentAt, l)
-	c.endProbation(w)
 	if c.needsPollNow(w) {
 		w.nextPollAt = now + urgentPollMS
 	}
--- a/jobs/shard/record.go
+++ b/jobs/shard/record.go
@@ -251,7 +251,7 @@
 	r := &run{job: j, key: key, number: tk.lastRun, worker: w, phase: phaseStartSent, reserved: j.spec.Steps[s].Reservation(), phaseSince: c.now, pacePercent: 100, unconfirmed: true}
 	tk.current = r
 	w.addRun(r)
-	r.beginProbation(c.isolation(tk, j.spec.Steps[s].Gang))
+	c.beginProbation(r, c.isolation(tk, j.spec.Steps[s].Gang))
 	if j.spec.Steps[s].Gang {
 		o.steps[s].gangRun = tk.lastRun
 	}
--- a/jobs/shard/schedule.go
+++ b/jobs/shard/schedule.go
@@ -52,6 +52,7 @@
 	if len(workers) == 0 {
 		return
 	}
+	c.endProbations(p, workers)
 	defer c.holdWorkers(p, workers)
 	blocked := false
 	p.lastingQueue = c.placeJobs(p.lastingQueue, workers, &blocked)
@@ -256,6 +257,9 @@
 	st := &j.spec.Steps[s]
 	reservation := st.Reservation()
 	isolation := c.isolation(tk, st.Gang)
+	if p := c.ensurePool(j.service); isolation != suspect.Unrestricted && p.probations >= p.maxProbations && !st.Gang {
+		return nil
+	}
 	var best *worker
 	var bestScore place.Score
 	for _, w := range workers {
@@ -304,7 +308,7 @@
 	tk := &o.steps[s].tasks[t]
 	tk.current = r
 	w.addRun(r)
-	r.beginProbation(c.isolation(tk, j.spec.Steps[s].Gang))
+	c.beginProbation(r, c.isolation(tk, j.spec.Steps[s].Gang))
 	return r
 }
 
--- a/jobs/suspect/suspect.go
+++ b/jobs/suspect/suspect.go
@@ -15,8 +15,8 @@
 	HarmlessAfterMS = 10_000
 	// immediateMS and promptMS are the ages up to which a crash counts as
 	// immediate or prompt.
-	immediateMS = 150
-	promptMS    = 2_000
+	immediateMS = 100
+	promptMS    = 500
 	// cohortMS is added to twice the age of the youngest run: the spread of the
 	// starts of one placement pass. If the youngest run is older than
 	// maxYoungestMS, no start explains the crash.
@@ -28,8 +28,8 @@
 	maxImmediate, maxPrompt, maxCrashes = 3, 4, 5
 	// separateProbationMS and aloneProbationMS are how long a run has to survive
 	// until other tasks may be started beside it.
-	separateProbationMS = 400
-	aloneProbationMS    = promptMS
+	separateProbationMS = 250
+	aloneProbationMS    = 1_000
 )
 
 // History is a task's part in crashes of workers.
