Suspects that wait do not hold up a pool

What callers saw: with more than 24 suspects waiting for their turn nothing behind them was placed; and half of a pool without other work stood idle while suspects waited. Cause: a task that found no worker for its isolation ended the placement pass like one that finds no capacity; the share of workers on probation was fixed. Change: such tasks count by themselves, and all workers may be on probation while no other task waits.

--- a/jobs/shard/core.go
+++ b/jobs/shard/core.go
@@ -255,14 +255,17 @@
 	// submittedWork is the estimated work of all jobs submitted since the
 	// takeover.
 	submittedWork int64
-	// aloneWaiting counts the tasks that found no worker on which they may run
-	// alone in the current pass; holding reports whether workers are held for
-	// such tasks.
-	aloneWaiting int
-	holding      bool
+	// isolationWaiting counts the tasks of the current pass that found no worker
+	// on which they are isolated as they must, aloneWaiting those of them that must
+	// run alone. holding reports whether workers are held for the latter.
+	isolationWaiting, aloneWaiting int
+	holding                        bool
 	// probations counts the pool's workers on probation, of which there may be
 	// maxProbations.
 	probations, maxProbations int
+	// crowded reports whether the last pass left a task unplaced that is no
+	// suspect.
+	crowded bool
 }
 
 func (c *Core) ensurePool(service string) *pool {
--- a/jobs/shard/isolation.go
+++ b/jobs/shard/isolation.go
@@ -15,7 +15,7 @@
 	// that must run alone; one worker always may.
 	maxHeldShare = 0.25
 	// maxProbationShare is the share of a pool's workers that may be on probation
-	// at a time, so that sound tasks go on starting; one worker always may.
+	// while other tasks wait; one worker always may.
 	maxProbationShare = 0.5
 )
 
@@ -35,6 +35,21 @@
 	return min(i, suspect.Separate)
 }
 
+// waitsForIsolation records that a task that found no worker is a suspect, and
+// reports whether it is.
+func (c *Core) waitsForIsolation(j *job, tk *task) bool {
+	i := c.isolation(tk, false)
+	if i == suspect.Unrestricted {
+		return false
+	}
+	p := c.ensurePool(j.service)
+	p.isolationWaiting++
+	if i == suspect.Alone {
+		p.aloneWaiting++
+	}
+	return true
+}
+
 // admits reports whether a task with the given isolation may be placed on the
 // worker beside what is there.
 func (w *worker) admits(i suspect.Isolation, now int64) bool {
@@ -84,14 +99,18 @@
 		}
 		p.probations++
 	}
-	p.maxProbations = max(1, int(maxProbationShare*float64(len(workers))))
+	p.maxProbations = len(workers)
+	if p.crowded {
+		p.maxProbations = max(1, int(maxProbationShare*float64(len(workers))))
+	}
+	p.crowded = false
 }
 
 // holdWorkers keeps starts off as many workers as needed by the tasks that wait
 // for an empty one, those with the fewest runs.
 func (c *Core) holdWorkers(p *pool, workers []*worker) {
 	want := min(p.aloneWaiting, max(1, int(maxHeldShare*float64(len(workers)))))
-	p.aloneWaiting = 0
+	p.aloneWaiting, p.isolationWaiting = 0, 0
 	if want == 0 && !p.holding {
 		return
 	}
--- a/jobs/shard/schedule.go
+++ b/jobs/shard/schedule.go
@@ -137,18 +137,16 @@
 			continue
 		}
 		p := c.ensurePool(j.service)
-		aloneBefore := p.aloneWaiting
+		isolatedBefore := p.isolationWaiting
 		unplaced := c.placeJob(j, workers)
-		if unplaced == 0 {
+		if unplaced == 0 && p.isolationWaiting == isolatedBefore {
 			j.queued = false
 			unplacedInRow = 0
 			continue
 		}
 		remaining = append(remaining, j)
-		unplaced -= p.aloneWaiting - aloneBefore
-		if c.queues[j.spec.Queue].AdviceTiming != nil || unplaced == 0 {
-			// The job may lack permits, or wait for an empty worker, rather than
-			// lack capacity.
+		if unplaced == 0 || c.queues[j.spec.Queue].AdviceTiming != nil {
+			// The job lacks isolation, or may lack permits, rather than capacity.
 			continue
 		}
 		unplacedInRow += unplaced
@@ -160,7 +158,7 @@
 }
 
 // placeJob places as many ready tasks of a job as possible and returns how
-// many found no worker.
+// many found no worker, without those that wait for isolation.
 func (c *Core) placeJob(j *job, workers []*worker) int {
 	unplaced := 0
 	for _, number := range sortedKeys(j.occurrences) {
@@ -187,10 +185,11 @@
 			continue
 		}
 		w := c.chooseWorker(j, o, s, tk, workers, "")
+		if w == nil && c.waitsForIsolation(j, tk) {
+			continue
+		}
 		if w == nil {
-			if c.isolation(tk, false) == suspect.Alone {
-				c.ensurePool(j.service).aloneWaiting++
-			}
+			c.ensurePool(j.service).crowded = true
 			unplaced++
 			if unplaced >= maxUnplacedInRow {
 				break
