Tests that every kind of task is given up

The same cause sought elsewhere: tasks that last, members of gangs, later steps and recurring jobs. All go through the same loss of their worker; none needed a change. Measured: TestEveryKindOfTaskIsGivenUp passes, at most five crashes each.

--- a/jobs/shard/crash_test.go
+++ b/jobs/shard/crash_test.go
@@ -277,3 +277,73 @@
 	}
 	assert.Equal(t, 6, byJob[testJob(2).ID])
 }
+
+// Tasks that last, members of gangs, later steps and recurring jobs crash their
+// workers in the same way, and had no limit either.
+func TestEveryKindOfTaskIsGivenUp(t *testing.T) {
+	lasting, gang, later := smallStep(1), smallStep(2), smallStep(1)
+	lasting.Lasting = true
+	gang.Gang = true
+	later.After = []int{0}
+	recurring := testJob(4, smallStep(1))
+	recurring.Repeat, recurring.FirstRunMS, recurring.IntervalMS = 50, 1, 1_000
+	for name, c := range map[string]struct {
+		job  spec.Job
+		step int
+	}{
+		"lasting": {testJob(1, lasting), 0}, "gang": {testJob(2, gang), 0},
+		"later step": {testJob(3, smallStep(1), later), 1}, "recurring": {recurring, 0},
+	} {
+		h := vmHarness(t, 6)
+		starts := h.submit(c.job).Starts
+		deadly := Key{Job: c.job.ID, Step: c.step}
+		crashes := 0
+		for rounds := 0; h.core.JobStatus(c.job.ID).State != spec.Failed; rounds++ {
+			require.Less(t, rounds, 20, "%s: %d crashes, starts %v", name, crashes, starts)
+			h.acceptStarts(starts)
+			starts = h.crashUnder(starts, deadly, &crashes)
+		}
+		assert.LessOrEqual(t, crashes, 5, name)
+		h.step(5_000)
+		assert.Empty(t, h.core.TakeOrders().Starts, name)
+	}
+}
+
+// crashUnder crashes the worker on which the task was started, ends the runs of
+// other steps as done and those that are to stop as stopped. It returns the starts
+// that follow.
+func (h *harness) crashUnder(starts []Start, deadly Key, crashes *int) []Start {
+	end := func(target Target, ref RunRef, kind EndKind) {
+		w := h.core.workers[target.Worker]
+		if w.runs[runID{ref.Key, ref.Number}] != nil {
+			e := ListedEnd{End: w.seenEnd + 1, RunRef: ref, Kind: kind}
+			h.core.HandlePollResponse(h.now, h.now, target, PollResponse{ClockMS: h.now, Incarnation: w.incarnation, Running: h.listedOn(w, ref), Ended: []ListedEnd{e}})
+		}
+	}
+	for _, s := range starts {
+		if s.Key == deadly {
+			*crashes++
+			h.crash(s.Target)
+		} else if s.Key.Step != deadly.Step {
+			end(s.Target, s.RunRef, EndDone)
+		}
+	}
+	h.step(1)
+	o := h.core.TakeOrders()
+	for _, stop := range o.Stops {
+		end(stop.Target, stop.RunRef, EndStopped)
+	}
+	h.step(suspect.ProbationMS(suspect.Alone))
+	return append(o.Starts, h.core.TakeOrders().Starts...)
+}
+
+// listedOn lists the runs on a worker but one.
+func (h *harness) listedOn(w *worker, without RunRef) []ListedRun {
+	var list []ListedRun
+	for _, r := range sortedRuns(w) {
+		if ref := (RunRef{r.key, r.number}); ref != without {
+			list = append(list, ListedRun{RunRef: ref, Percent: 100})
+		}
+	}
+	return list
+}
