--- a/jobs/model/worker.go
+++ b/jobs/model/worker.go
@@ -36,12 +36,6 @@
 	waitingPolls []*waitingPoll
 }
 
-// waitingPoll is a poll whose answer the worker delays.
-type waitingPoll struct {
-	settled bool
-	fail    func()
-}
-
 type run struct {
 	ref      shard.RunRef
 	need     spec.Resources
@@ -77,32 +71,6 @@
 	return int64(float64(wallStartMS+k.world.now-k.incarnation) * k.clockRate)
 }
 
-// crashWorker stops a random worker, which restarts later as a new
-// incarnation.
-func (w *World) crashWorker() {
-	k := w.workers[w.rng.IntN(len(w.workers))]
-	k.crash()
-}
-
-// crash ends the worker's process. Its host stays up: connections are closed,
-// and new ones rejected until the worker is back.
-func (k *worker) crash() {
-	if !k.up {
-		return
-	}
-	k.up = false
-	for key := range k.running {
-		k.world.groundTruth[key.Job].lost[key]++
-	}
-	k.running = map[shard.Key]*run{}
-	polls := k.waitingPolls
-	k.waitingPolls = nil
-	for _, p := range polls {
-		p.fail()
-	}
-	k.world.after(minRestartMS+k.world.rng.Int64N(8_000), k.boot)
-}
-
 // findWorker returns the worker at the address of an order; nil if the owner does
 // not know the address.
 func (w *World) findWorker(t shard.Target) *worker {
@@ -171,27 +139,6 @@
 	w.deliverPoll(o, p, sent)
 }
 
-// delayPoll holds a poll back (long poll) unless the worker crashes meanwhile.
-func (w *World) delayPoll(o *owner, k *worker, p shard.Poll, sent int64) {
-	wait := &waitingPoll{}
-	wait.fail = func() {
-		wait.settled = true
-		w.after(networkDelayMS, func() {
-			if !o.stopped {
-				o.core.HandlePollError(w.now, p.Target, shard.PollConnectionClosed)
-			}
-		})
-	}
-	k.waitingPolls = append(k.waitingPolls, wait)
-	w.after(min(p.WaitMS, longPollMS), func() {
-		if wait.settled {
-			return
-		}
-		k.waitingPolls = slices.DeleteFunc(k.waitingPolls, func(other *waitingPoll) bool { return other == wait })
-		w.deliverPoll(o, p, sent)
-	})
-}
-
 // longPollMS is how long a worker without unreported ends delays its answer.
 const longPollMS = 150
 
@@ -365,55 +312,6 @@
 	})
 }
 
-// scheduleCrash lets a run crash its worker.
-func (k *worker) scheduleCrash(t *groundTruth, r *run) {
-	w := k.world
-	w.after(max(w.opts.DeadlyAfterMS, 1), func() {
-		if k.up && k.running[r.ref.Key] == r {
-			t.crashes[r.ref.Key]++
-			k.crash()
-		}
-	})
-}
-
-// maxStartsAfterCrashes is how often a task may be started after it has crashed
-// crashesUntilLimit workers.
-const (
-	crashesUntilLimit     = 3
-	maxStartsAfterCrashes = 2
-)
-
-// checkCrashes checks the bound on the starts of a task that crashes its
-// workers.
-func (w *World) checkCrashes(t *groundTruth, key shard.Key) {
-	if t.crashes[key] < crashesUntilLimit {
-		return
-	}
-	t.startsAfterCrashes[key]++
-	if t.startsAfterCrashes[key] > maxStartsAfterCrashes {
-		w.addViolation("task %+v started %d times after %d workers had crashed under it", key, t.startsAfterCrashes[key], crashesUntilLimit)
-	}
-}
-
-// resizeWorker gives a random worker another capacity: a part of its full one,
-// or all of it.
-func (w *World) resizeWorker() {
-	k := w.workers[w.rng.IntN(len(w.workers))]
-	percent := 40 + 20*w.rng.IntN(4)
-	k.capacity = spec.Resources{MilliCPU: w.opts.MilliCPU * percent / 100, MemoryMB: w.opts.MemoryMB * percent / 100}
-	k.room = spec.Resources{MilliCPU: max(k.room.MilliCPU, k.capacity.MilliCPU), MemoryMB: max(k.room.MemoryMB, k.capacity.MemoryMB)}
-	now := k.capacity
-	w.after(resizeNoticeMS, func() {
-		if k.capacity == now {
-			k.room = now
-		}
-	})
-}
-
-// resizeNoticeMS is how long after it has shrunk a worker's room counts: two
-// intervals of the list of workers.
-const resizeNoticeMS = 1_000
-
 // Stragglers: a few tasks run many times longer than the rest.
 const (
 	stragglerShare  = 0.03
--- a/jobs/shard/core.go
+++ b/jobs/shard/core.go
@@ -239,44 +239,6 @@
 	c.purgeExpired()
 }
 
-// pool is the shard's state of one service.
-type pool struct {
-	service string
-	// queue and lastingQueue hold the jobs with tasks to start, without and
-	// with lasting steps.
-	queue        []*job
-	lastingQueue []*job
-	// remainingWork is the estimated work of all accepted tasks that are not
-	// done.
-	remainingWork int64
-	// blockedSince is when a lasting task first found no capacity; 0 if none
-	// is waiting.
-	blockedSince int64
-	// submittedWork is the estimated work of all jobs submitted since the
-	// takeover.
-	submittedWork int64
-	// isolationWaiting counts the tasks of the current pass that found no worker
-	// on which they are isolated as they must, aloneWaiting those of them that must
-	// run alone. holding reports whether workers are held for the latter.
-	isolationWaiting, aloneWaiting int
-	holding                        bool
-	// probations counts the pool's workers on probation, of which there may be
-	// maxProbations.
-	probations, maxProbations int
-	// crowded reports whether the last pass left a task unplaced that is no
-	// suspect.
-	crowded bool
-}
-
-func (c *Core) ensurePool(service string) *pool {
-	p := c.pools[service]
-	if p == nil {
-		p = &pool{service: service}
-		c.pools[service] = p
-	}
-	return p
-}
-
 func (c *Core) markDirty(j *job) {
 	if !j.dirty {
 		j.dirty = true
