A suspected lasting task holds up other starts as before

What callers would see: LOST. A lasting task that had stood beside a crash found no worker in a full pool, and short tasks took all capacity that became free. Cause: counted every suspect that finds no worker as one that waits for its isolation; only tasks that find no capacity hold up short starts. Change: lasting tasks do so in either case, for 2.5 s at most, as before. Evidence: by reading. Measured: TestSuspectedLastingTaskStarvesInFullPool fails without it.

--- a/jobs/shard/crash_test.go
+++ b/jobs/shard/crash_test.go
@@ -278,6 +278,29 @@
 	assert.Equal(t, 6, byJob[testJob(2).ID])
 }
 
+// A lasting task that had stood beside a crash no longer held up other starts while
+// its pool was full, and short tasks took all the capacity that it waited for.
+func TestSuspectedLastingTaskStarvesInFullPool(t *testing.T) {
+	h := vmHarness(t, 1)
+	busy := h.submit(testJob(1, smallStep(4))).Starts
+	h.acceptStarts(busy)
+	lasting := smallStep(1)
+	lasting.Lasting, lasting.Need.MilliCPU = true, 2_000
+	j := testJob(2, lasting)
+	h.core.Submit(h.now, 1, j)
+	tk := &h.core.jobs[j.ID].occurrences[0].steps[0].tasks[0]
+	tk.history, tk.suspectedAt = suspect.History{Crashes: 1, Suspicions: 1}, h.now
+	h.core.Submit(h.now, 2, testJob(3, smallStep(4)))
+	for n := 1; n <= 2; n++ {
+		e := ListedEnd{End: n, RunRef: busy[n-1].RunRef, Kind: EndDone}
+		h.core.HandlePollResponse(h.now, h.now, busy[0].Target, PollResponse{ClockMS: h.now, Incarnation: 1, Running: listedRuns(busy[n:]), Ended: []ListedEnd{e}})
+		h.step(100)
+	}
+	starts := h.core.TakeOrders().Starts
+	require.Len(t, starts, 1)
+	assert.Equal(t, j.ID, starts[0].Key.Job)
+}
+
 // Tasks that last, members of gangs, later steps and recurring jobs crash their
 // workers in the same way, and had no limit either.
 func TestEveryKindOfTaskIsGivenUp(t *testing.T) {
--- a/jobs/shard/schedule.go
+++ b/jobs/shard/schedule.go
@@ -185,11 +185,16 @@
 			continue
 		}
 		w := c.chooseWorker(j, o, s, tk, workers, "")
-		if w == nil && c.waitsForIsolation(j, tk) {
-			continue
-		}
 		if w == nil {
-			c.ensurePool(j.service).crowded = true
+			// A lasting task has to get capacity in any case, so it holds up other
+			// starts also while it waits for isolation.
+			isolated := c.waitsForIsolation(j, tk)
+			if isolated && !j.spec.Steps[s].Lasting {
+				continue
+			}
+			if !isolated {
+				c.ensurePool(j.service).crowded = true
+			}
 			unplaced++
 			if unplaced >= maxUnplacedInRow {
 				break
