Read-through: evidence of a loss in words, one result from countLost

Cause: worker_changed logged the evidence of a loss as a number, and countLost returned a flag that its callers had already. Change: evidence is no_crash, unseen or crash in the log; countLost returns the result alone. No decision changes.

--- a/jobs/shard/loss.go
+++ b/jobs/shard/loss.go
@@ -32,15 +32,15 @@
 }
 
 // lossEvidence says what is known about the end of a worker.
-type lossEvidence int
+type lossEvidence string
 
 const (
 	// lossHarmless: the worker left as planned, or was only cut off.
-	lossHarmless lossEvidence = iota
-	// lossPresumed: the worker is gone and nobody saw how.
-	lossPresumed
+	lossHarmless lossEvidence = "no_crash"
+	// lossUnseen: the worker is gone and nobody saw how.
+	lossUnseen lossEvidence = "unseen"
 	// lossCrash: the worker's process ended unannounced.
-	lossCrash
+	lossCrash lossEvidence = "crash"
 )
 
 // silenceEvidence returns the evidence about a worker whose leases expired while
@@ -52,7 +52,7 @@
 	case w.connectionLost:
 		return lossCrash
 	case !w.listed && !w.reached:
-		return lossPresumed
+		return lossUnseen
 	}
 	return lossHarmless
 }
@@ -66,7 +66,7 @@
 	case w.reached:
 		return lossCrash
 	}
-	return lossPresumed
+	return lossUnseen
 }
 
 // loseWorker settles all runs of a worker that is gone, and gives up the tasks
@@ -76,7 +76,7 @@
 	if len(runs) == 0 {
 		return
 	}
-	c.event(Event{Name: EventWorker, Worker: w.info.ID, Outcome: "lost", Detail: fmt.Sprintf("cause=%s evidence=%d runs=%d", reason, evidence, len(runs))})
+	c.event(Event{Name: EventWorker, Worker: w.info.ID, Outcome: "lost", Detail: fmt.Sprintf("cause=%s evidence=%s runs=%d", reason, evidence, len(runs))})
 	guilty := c.assessLoss(w, runs, evidence)
 	for _, r := range runs {
 		c.settleRun(r, reason)
--- a/node/forward/execute.go
+++ b/node/forward/execute.go
@@ -97,8 +97,8 @@
 	}
 	p.cancel(wt)
 	if x := s.sendImmediate(runCtx, r, peer); x.kind != exchangeNotRun {
-		res, lost := r.countLost(x)
-		return res, lost && r.Repeatable && !x.canceled && r.workersLost < maxWorkersLost
+		res := r.countLost(x)
+		return res, x.kind == exchangeLost && r.Repeatable && !x.canceled && r.workersLost < maxWorkersLost
 	}
 	wt, refusal = p.submit(&r.Request)
 	if refusal != nil {
@@ -168,15 +168,15 @@
 		return x.result, false
 	}
 	p.finish(wt, scheduler.Lost)
-	res, _ := r.countLost(x)
+	res := r.countLost(x)
 	return res, r.Repeatable && r.workersLost < maxWorkersLost
 }
 
 // countLost counts the worker that was lost in an exchange, if one was, and
-// returns the result and whether the request may have run without an answer.
-func (r *request) countLost(x exchange) (result, bool) {
+// returns the result for the caller.
+func (r *request) countLost(x exchange) result {
 	if x.kind != exchangeLost || x.canceled {
-		return x.result, x.kind == exchangeLost
+		return x.result
 	}
 	switch x.result.reason {
 	case ReasonAnswerLost:
@@ -185,9 +185,9 @@
 		r.workersLost = maxWorkersLost
 	}
 	if r.workersLost >= maxWorkersLost {
-		return workersLostResult(), true
+		return workersLostResult()
 	}
-	return x.result, true
+	return x.result
 }
 
 func schedulerResult(failed bool) scheduler.Result {
--- a/node/forward/relay.go
+++ b/node/forward/relay.go
@@ -26,12 +26,11 @@
 		}
 		s.counts.relayed.Add(1)
 		x := s.exchange(runCtx, r, target{peer: peer.Node, address: peer.PeerAddress})
-		res, lost := r.countLost(x)
-		last = mergeResults(last, res)
+		last = mergeResults(last, r.countLost(x))
 		if x.kind == exchangeNotRun {
 			continue
 		}
-		if !lost || !r.Repeatable || x.canceled || r.workersLost >= maxWorkersLost {
+		if x.kind != exchangeLost || !r.Repeatable || x.canceled || r.workersLost >= maxWorkersLost {
 			return last
 		}
 	}
