A test of crashes before a takeover guards its mend again

Cause: since histories hold no ages, so TestCrashBeforeTakeoverCountsAsLate passed also without the mend of the age of unseen runs; found by taking each mend out on a scratch copy. Change: the leases that it waits for last as long as a run needs to prove harmless, so that a wrong age would clear the task. The check is the same. Measured: fails with the mend taken out, passes with it.

--- a/jobs/shard/crash_test.go
+++ b/jobs/shard/crash_test.go
@@ -219,19 +219,19 @@
 }
 
 // A run whose worker crashed before its owner changed counted as old, since the
-// new owner measured its age until the leases had expired. The task was given up
-// after five crashes instead of three.
+// new owner measured its age until the leases had expired. Its crash was then laid
+// to something else.
 func TestCrashBeforeTakeoverCountsAsLate(t *testing.T) {
 	h := vmHarness(t, 1)
 	j := testJob(1, smallStep(1))
 	h.submit(j)
 	rec, err := h.core.encodeJob(h.core.jobs[j.ID])
 	require.NoError(t, err)
-	next := New(Config{Epoch: 6, MaxLeaseMS: 6_000, EarlierLeaseMS: 6_000}, h.now, h.now)
+	next := New(Config{Epoch: 6, MaxLeaseMS: 6_000, EarlierLeaseMS: suspect.HarmlessAfterMS}, h.now, h.now)
 	next.SetOwnershipDeadlines(forever, forever)
 	require.NoError(t, next.Restore(rec))
 	next.SetWorkers(h.now, nil)
-	next.Advance(h.now+6_001, h.now)
+	next.Advance(h.now+suspect.HarmlessAfterMS+1, h.now)
 	assert.Equal(t, suspect.History{Crashes: 1}, next.jobs[j.ID].occurrences[0].steps[0].tasks[0].history)
 }
 
