--- a/review/standin/cases.go
+++ b/review/standin/cases.go
@@ -12,6 +12,7 @@
 	cases["moved-queue"] = movedQueue
 	cases["hopeless-job"] = hopelessJob
 	cases["many-occurrences"] = manyOccurrences
+	cases["crashing-workers"] = crashingWorkers
 	cases["large-append"] = largeAppend
 	cases["restarted-worker"] = restartedWorker
 }
@@ -215,3 +216,48 @@
 		}
 	}
 }
+
+// crashingWorkers: the worker that runs one task of a lasting job crashes, five
+// times.
+func crashingWorkers(p *Platform, trouble bool) {
+	p.addMachines("intake", 8)
+	p.configure([]string{"intake"}, route{"lint", "intake", 1.6, 3000}, route{"sync", "intake", 2.2, 2500})
+	p.startNodes(3, "lint")
+	body := job(0, 300, []map[string]any{step(5, 300, 700, map[string]any{"long_running": true, "anti_affinity": 1, "may_miss": 1})}, nil)
+	body["spec"] = body["spec"].(string) + " tasks=5 may_miss=1"
+	id := newID()
+	if !p.submit("sync", id, body) {
+		exit(2)
+	}
+	for range 5 {
+		time.Sleep(4 * time.Second)
+		logLine("%d of 5 tasks run", p.judge.runningTasks(id))
+		if trouble {
+			p.crashWorkerOf(id + ".0.0.0")
+		}
+	}
+	time.Sleep(15 * time.Second)
+	logLine("%d of 5 tasks run", p.judge.runningTasks(id))
+	p.reportState("sync", id)
+}
+
+// crashWorkerOf crashes the worker that runs a task. The next life of its machine
+// begins after a second, under a new id.
+func (p *Platform) crashWorkerOf(task string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, m := range p.machines {
+		if m.worker == nil || !m.worker.runsTask(task) {
+			continue
+		}
+		m.worker.crash()
+		m.worker, m.state = nil, "down"
+		time.AfterFunc(time.Second, func() {
+			p.mu.Lock()
+			defer p.mu.Unlock()
+			m.worker, m.state = startWorker(p, m.name, m.pool, m.zone, m.rack), "up"
+		})
+		return
+	}
+	logLine("%s does not run", task)
+}
--- a/review/standin/judge.go
+++ b/review/standin/judge.go
@@ -41,20 +41,24 @@
 	running map[string]map[string]bool
 	// runningOf counts the running tasks of each job.
 	runningOf map[string]int
+	// newest holds the newest run of each task.
+	newest map[string]*taskRun
 	// done holds the tasks with an end "done" that was acknowledged.
 	done   map[string]bool
 	broken []string
 }
 
 func newJudge() *Judge {
-	return &Judge{running: map[string]map[string]bool{}, runningOf: map[string]int{}, done: map[string]bool{}}
+	return &Judge{running: map[string]map[string]bool{}, runningOf: map[string]int{}, newest: map[string]*taskRun{}, done: map[string]bool{}}
 }
 
 func jobOf(task string) string { id, _, _ := strings.Cut(task, "."); return id }
 
-func (j *Judge) runStarted(task string, run int, worker string) {
+func (j *Judge) runStarted(r *taskRun, worker string) {
+	task, run := r.task, r.run
 	j.mu.Lock()
 	defer j.mu.Unlock()
+	j.newest[task] = r
 	logLine("worker %s: starts %s run %d", worker, task, run)
 	if j.done[task] {
 		j.violation("TWICE: %s run %d starts on %s after an end done was taken note of", task, run, worker)
@@ -74,6 +78,23 @@
 	j.runningOf[jobOf(task)]--
 }
 
+// checkStop checks a stop of a lasting run that is at work: fewer others of its
+// step than its budget may be away.
+func (j *Judge) checkStop(r *taskRun, worker string) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	step, away := r.task[:strings.LastIndex(r.task, ".")], 0
+	for i := range r.tasks {
+		other := fmt.Sprintf("%s.%d", step, i)
+		if n := j.newest[other]; other != r.task && (n == nil || len(j.running[other]) == 0 || !n.atWork()) {
+			away++
+		}
+	}
+	if away >= r.mayMiss {
+		j.violation("AVAIL: %s run %d, at work on %s, is stopped while %d others of its step are away and %d may be", r.task, r.run, worker, away, r.mayMiss)
+	}
+}
+
 func (j *Judge) runGone(task string, run int, worker string) {
 	j.mu.Lock()
 	defer j.mu.Unlock()
--- a/review/standin/worker.go
+++ b/review/standin/worker.go
@@ -19,6 +19,7 @@
 	maxHoldMS    = 10_000
 	stopGrace    = 100 * time.Millisecond
 	maxHoldWait  = 2000
+	servesAfter  = 300 * time.Millisecond
 	workerMilli  = 16_000
 	workerMemory = 65_536
 )
@@ -58,8 +59,13 @@
 	// saveMS is the work between two checkpoints, 0 if there are none; restoredMS is
 	// the work that the start's checkpoint holds.
 	saveMS, restoredMS int64
+	// tasks and mayMiss are the size and the budget of a lasting run's step.
+	tasks, mayMiss int
 }
 
+// atWork reports whether a lasting run has begun to serve.
+func (r *taskRun) atWork() bool { return r.lasts && time.Since(r.started) > servesAfter }
+
 // saved returns the run's newest checkpoint: the work done and the task.
 func (r *taskRun) saved() string {
 	if r.saveMS == 0 {
@@ -225,8 +231,21 @@
 	}
 }
 
-// end ends this life of the machine with all that runs on it.
+// crash ends this life of the machine; its connections are closed by its kernel,
+// and its entry stays until three heartbeats are missing.
+func (w *Worker) crash() {
+	logLine("worker %s: crashes", w.id)
+	w.stopServing()
+	time.AfterFunc(3*heartbeat, func() { w.platform.store.Delete("keyed.servers", w.id) })
+}
+
+// end ends this life of the machine with all that runs on it, and its entry.
 func (w *Worker) end() {
+	w.stopServing()
+	w.platform.store.Delete("keyed.servers", w.id)
+}
+
+func (w *Worker) stopServing() {
 	w.mu.Lock()
 	w.gone = true
 	for _, r := range w.runs {
@@ -236,7 +255,12 @@
 	w.runs = map[string]*taskRun{}
 	w.mu.Unlock()
 	_ = w.server.Close()
-	w.platform.store.Delete("keyed.servers", w.id)
+}
+
+func (w *Worker) runsTask(task string) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.runs[task] != nil
 }
 
 func (w *Worker) usedMilli() int {
@@ -389,6 +413,10 @@
 			r.saveMS = int64(n)
 		case "lasts":
 			r.lasts = true
+		case "tasks":
+			r.tasks = n
+		case "may_miss":
+			r.mayMiss = n
 		}
 	}
 	if o.Saved != "" {
@@ -405,7 +433,7 @@
 		w.expireLease()
 		w.endRun(r, "done")
 	})
-	w.platform.judge.runStarted(o.Task, o.Run, w.id)
+	w.platform.judge.runStarted(r, w.id)
 	w.mu.Unlock()
 	w.ok(rw)
 }
@@ -413,6 +441,10 @@
 func (w *Worker) stop(rw http.ResponseWriter, o order) {
 	w.highest[o.Task] = max(w.highest[o.Task], o.Run)
 	if r := w.runs[o.Task]; r != nil && r.run <= o.Run {
+		logLine("worker %s: is told to stop %s run %d", w.id, o.Task, r.run)
+		if r.atWork() && r.tasks > 0 {
+			w.platform.judge.checkStop(r, w.id)
+		}
 		time.AfterFunc(stopGrace, func() {
 			w.mu.Lock()
 			defer w.mu.Unlock()
@@ -451,7 +483,7 @@
 	running, list := [][]any{}, [][]any{}
 	for _, t := range w.runs {
 		percent, figure := 50, t.cpu
-		if t.lasts && time.Since(t.started) > 300*time.Millisecond {
+		if t.atWork() {
 			percent = 100
 		}
 		running = append(running, []any{t.task, t.run, t.saved(), percent, figure})
