--- a/review/standin/judge.go
+++ b/review/standin/judge.go
@@ -135,3 +135,10 @@
 	defer j.mu.Unlock()
 	return j.runningOf[id]
 }
+
+// hasStarted reports whether a run of the task was started.
+func (j *Judge) hasStarted(task string) bool {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	return j.newest[task] != nil
+}
--- a/review/standin/worker.go
+++ b/review/standin/worker.go
@@ -47,6 +47,8 @@
 	ended    []ended
 	lastEnd  int
 	changed  chan struct{}
+	// refusesUntil is the time until which starts are answered with 503.
+	refusesUntil time.Time
 }
 
 type taskRun struct {
@@ -257,6 +259,14 @@
 	_ = w.server.Close()
 }
 
+// refuseStarts makes the worker answer starts with 503 for a time.
+func (w *Worker) refuseStarts(d time.Duration) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.refusesUntil = time.Now().Add(d)
+	logLine("worker %s: answers starts with 503 for %s", w.id, d)
+}
+
 func (w *Worker) runsTask(task string) bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -380,6 +390,12 @@
 // start begins a run. A task's spec says how long it works: "work_ms=N" or "lasts",
 // and after a blank how much it uses: "cpu=N".
 func (w *Worker) start(rw http.ResponseWriter, o order) {
+	if time.Now().Before(w.refusesUntil) {
+		w.mu.Unlock()
+		logLine("worker %s: refuses %s run %d with 503", w.id, o.Task, o.Run)
+		rw.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
 	if r := w.runs[o.Task]; r != nil && r.run == o.Run {
 		w.mu.Unlock()
 		w.ok(rw)
