--- a/review/4/run.sh
+++ b/review/4/run.sh
@@ -6,4 +6,4 @@
   echo "run the build of deploy/system.toml and review/build.sh first"
   exit 2
 fi
-exec review/bin/standin crashing-workers review/4/record.txt
+exec review/bin/standin hopeless-job review/4/record.txt
