Log the worker's clock in the answer to a start

The log could not tell whether a start was accepted by the life of the worker that it was sent to, or by a later life under the same id.

Change: a start's answer carries the worker's clock up to the shard, also through a relay; the event run_start_answered has it beside the expected one.

--- a/jobs/model/worker.go
+++ b/jobs/model/worker.go
@@ -236,16 +236,16 @@
 
 func (w *World) sendStart(o *owner, s shard.Start) {
 	w.callWorker(s.Target, func(k *worker) func() {
-		outcome := k.handleStart(s)
+		result := shard.StartResult{Outcome: k.handleStart(s), ClockMS: k.clock()}
 		return func() {
 			if !o.stopped {
-				o.core.HandleStartResult(w.now, s, outcome)
+				o.core.HandleStartResult(w.now, s, result)
 				o.pump()
 			}
 		}
 	}, func(reason shard.PollError) {
 		if !o.stopped {
-			o.core.HandleStartResult(w.now, s, startFailures[reason])
+			o.core.HandleStartResult(w.now, s, shard.StartResult{Outcome: startFailures[reason]})
 		}
 	})
 }
--- a/jobs/shard/advice_test.go
+++ b/jobs/shard/advice_test.go
@@ -54,7 +54,7 @@
 	h.step(1)
 	starts := h.core.TakeOrders().Starts
 	require.Len(t, starts, 1)
-	h.core.HandleStartResult(h.now, starts[0], StartNoPermit)
+	h.core.HandleStartResult(h.now, starts[0], StartResult{Outcome: StartNoPermit})
 	h.step(1)
 	o := h.core.TakeOrders()
 	assert.Empty(t, o.Starts)
--- a/jobs/shard/job.go
+++ b/jobs/shard/job.go
@@ -111,6 +111,8 @@
 	phaseSince int64
 	// startSentAt is when the start order was sent.
 	startSentAt int64
+	// clockAtStart is the estimate of the worker's clock at startSentAt.
+	clockAtStart int64
 	// confirmedAt is when the worker last confirmed the run.
 	confirmedAt int64
 	// stopSentAt is when the last stop was sent, stopAnsweredAt when the
--- a/jobs/shard/runs.go
+++ b/jobs/shard/runs.go
@@ -25,9 +25,17 @@
 	StartUnanswered      StartOutcome = "no_answer"
 )
 
+// StartResult is the result of a start order.
+type StartResult struct {
+	Outcome StartOutcome
+	// ClockMS is the worker's clock in its answer; 0 if there is none.
+	ClockMS int64
+}
+
 // HandleStartResult applies the result of a start order.
-func (c *Core) HandleStartResult(now int64, s Start, outcome StartOutcome) {
+func (c *Core) HandleStartResult(now int64, s Start, result StartResult) {
 	c.now = now
+	outcome := result.Outcome
 	w := c.workers[s.Worker]
 	if w == nil {
 		return
@@ -36,7 +44,8 @@
 	if r == nil || w.incarnation != s.Incarnation {
 		return
 	}
-	c.event(Event{Name: EventStartAnswer, Job: s.Key.Job, Run: s.RunRef, Worker: s.Worker, Outcome: string(outcome), AgeMS: now - r.startSentAt})
+	c.event(Event{Name: EventStartAnswer, Job: s.Key.Job, Run: s.RunRef, Worker: s.Worker, Outcome: string(outcome), AgeMS: now - r.startSentAt,
+		Detail: fmt.Sprintf("clock_ms=%d expected_ms=%d", result.ClockMS, r.clockAtStart)})
 	switch outcome {
 	case StartAccepted:
 		if r.phase == phaseStartSent {
--- a/jobs/shard/shard_test.go
+++ b/jobs/shard/shard_test.go
@@ -71,7 +71,7 @@
 
 func (h *harness) acceptStarts(starts []Start) {
 	for _, s := range starts {
-		h.core.HandleStartResult(h.now, s, StartAccepted)
+		h.core.HandleStartResult(h.now, s, StartResult{Outcome: StartAccepted})
 	}
 }
 
@@ -181,7 +181,7 @@
 	h := newHarness(t, 2)
 	o := h.submit(testJob(1, smallStep(1)))
 	first := o.Starts[0]
-	h.core.HandleStartResult(h.now, first, StartUnanswered)
+	h.core.HandleStartResult(h.now, first, StartResult{Outcome: StartUnanswered})
 	h.step(1)
 	o = h.core.TakeOrders()
 	require.Len(t, o.Stops, 1)
--- a/node/deps/deps.go
+++ b/node/deps/deps.go
@@ -164,7 +164,7 @@
 // Workers sends polls and orders to workers.
 type Workers interface {
 	Poll(ctx context.Context, p shard.Poll) (shard.PollResponse, error)
-	Start(ctx context.Context, s shard.Start) shard.StartOutcome
+	Start(ctx context.Context, s shard.Start) shard.StartResult
 	Stop(ctx context.Context, s shard.Stop) error
 	Pace(ctx context.Context, p shard.Pace) error
 }
--- a/node/deps/depstest/workers.go
+++ b/node/deps/depstest/workers.go
@@ -34,6 +34,8 @@
 	closedRuns map[shard.Key]int
 }
 
+func (s *workerState) clockMS() int64 { return time.Now().UnixMilli() - s.incarnation }
+
 // NewWorkers returns workers that answer immediately.
 func NewWorkers(runTime time.Duration) *Workers {
 	return &Workers{RunTime: runTime, byID: map[string]*workerState{}, Starts: map[shard.Key]int{}}
@@ -75,7 +77,7 @@
 	for len(s.ended) > 0 && s.ended[0].End <= p.AckedUpto {
 		s.ended = s.ended[1:]
 	}
-	l := shard.PollResponse{ClockMS: time.Now().UnixMilli() - s.incarnation, Incarnation: s.incarnation, Ended: append([]shard.ListedEnd(nil), s.ended...)}
+	l := shard.PollResponse{ClockMS: s.clockMS(), Incarnation: s.incarnation, Ended: append([]shard.ListedEnd(nil), s.ended...)}
 	for ref := range s.running {
 		l.Running = append(l.Running, shard.ListedRun{RunRef: ref, Percent: 100})
 	}
@@ -83,10 +85,15 @@
 }
 
 // Start implements deps.Workers.
-func (w *Workers) Start(_ context.Context, st shard.Start) shard.StartOutcome {
+func (w *Workers) Start(_ context.Context, st shard.Start) shard.StartResult {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	s := w.worker(st.Target)
+	return shard.StartResult{Outcome: w.start(s, st), ClockMS: s.clockMS()}
+}
+
+// start starts a run. The caller holds the lock.
+func (w *Workers) start(s *workerState, st shard.Start) shard.StartOutcome {
 	switch {
 	case st.Epoch < s.epoch:
 		return shard.StartFenced
--- a/node/jobhost/relay_bench_test.go
+++ b/node/jobhost/relay_bench_test.go
@@ -59,7 +59,7 @@
 	}
 }
 
-func (w *quickWorkers) Start(_ context.Context, s shard.Start) shard.StartOutcome {
+func (w *quickWorkers) Start(_ context.Context, s shard.Start) shard.StartResult {
 	q := w.byID[s.Worker]
 	q.mu.Lock()
 	defer q.mu.Unlock()
@@ -73,7 +73,7 @@
 		close(q.endAdded)
 		q.endAdded = make(chan struct{})
 	})
-	return shard.StartAccepted
+	return shard.StartResult{Outcome: shard.StartAccepted, ClockMS: time.Now().UnixMilli() - q.born}
 }
 
 func (w *quickWorkers) Stop(context.Context, shard.Stop) error { return nil }
--- a/node/jobhost/relaymessages.go
+++ b/node/jobhost/relaymessages.go
@@ -78,7 +78,8 @@
 	// Answered and Fenced are the result of a stop, Answered also that of a pace
 	// order.
 	Answered, Fenced bool
-	// The remaining fields are the answer to a poll.
+	// ClockMS is the worker's clock in its answer to a start or a poll. The other
+	// remaining fields are the answer to a poll.
 	ClockMS, Incarnation int64
 	Running              []listedRunRow
 	Ended                []listedEndRow
--- a/node/jobhost/relays.go
+++ b/node/jobhost/relays.go
@@ -327,7 +327,7 @@
 		}
 		core.HandlePollResponse(now, c.sentAt, c.order.target(), res.response())
 	case orderStart:
-		core.HandleStartResult(now, c.order.start(), shard.StartOutcome(res.Outcome))
+		core.HandleStartResult(now, c.order.start(), shard.StartResult{Outcome: shard.StartOutcome(res.Outcome), ClockMS: res.ClockMS})
 	case orderStop:
 		core.HandleStopResult(now, shard.Stop{Target: c.order.target(), RunRef: c.order.runRef()}, res.Answered, res.Fenced)
 	case orderPace:
@@ -360,7 +360,7 @@
 		return
 	}
 	if c.order.Kind == orderStart {
-		c.shard.core.HandleStartResult(monotonicMS(), c.order.start(), shard.StartUnanswered)
+		c.shard.core.HandleStartResult(monotonicMS(), c.order.start(), shard.StartResult{Outcome: shard.StartUnanswered})
 		return
 	}
 	h.callDirectly(c.shard, c.order)
--- a/node/jobhost/relays_test.go
+++ b/node/jobhost/relays_test.go
@@ -26,7 +26,7 @@
 	silent atomic.Bool
 }
 
-func (w *countedWorkers) Start(ctx context.Context, s shard.Start) shard.StartOutcome {
+func (w *countedWorkers) Start(ctx context.Context, s shard.Start) shard.StartResult {
 	w.starts.Add(1)
 	return w.Workers.Start(ctx, s)
 }
--- a/node/jobhost/relayserve.go
+++ b/node/jobhost/relayserve.go
@@ -88,7 +88,8 @@
 		res.setResponse(lists)
 	case orderStart:
 		h.stats.starts.Add(1)
-		res.Outcome = string(h.cfg.Workers.Start(ctx, o.start()))
+		result := h.cfg.Workers.Start(ctx, o.start())
+		res.Outcome, res.ClockMS = string(result.Outcome), result.ClockMS
 	case orderStop:
 		err := h.cfg.Workers.Stop(ctx, shard.Stop{Target: o.target(), RunRef: o.runRef()})
 		res.Answered, res.Fenced = err == nil, err != nil && deps.KindOf(err) == deps.KindFenced
--- a/node/jobhost/shardrun.go
+++ b/node/jobhost/shardrun.go
@@ -194,8 +194,8 @@
 	ctx, cancel := context.WithTimeout(s.ctx, orderTimeout)
 	defer cancel()
 	h.stats.starts.Add(1)
-	out := h.cfg.Workers.Start(ctx, st)
-	h.post(func() { s.core.HandleStartResult(monotonicMS(), st, out) })
+	result := h.cfg.Workers.Start(ctx, st)
+	h.post(func() { s.core.HandleStartResult(monotonicMS(), st, result) })
 }
 
 func (h *Host) sendStop(s *ownedShard, st shard.Stop) {
