Keep the earlier shards of a queue in the store

Cause: the node that takes a submission asked the shards of the queue's earlier services, which it knew only from configurations that it had seen itself.

Evidence: the restarted node reads configuration 2 only, and the second shard logs job_accepted for the same ID. Ruled out: that the earlier shard forgot the job; without the restart the answer is accepted_before_the_queue_moved.

Change: the store has a book of homes. A shard is entered before it accepts the first job of a queue; its owner reads the book after that, and again with each configuration and takeover, and asks the earlier shards. One that does not have the job leaves it to the other shard; one that is still storing it says so. Pure decisions are in jobs/homes.

--- a/jobs/shard/core.go
+++ b/jobs/shard/core.go
@@ -30,6 +30,12 @@
 	// firstSeenKeepMS is how long the first submission time of a refused job
 	// is kept; clients have given up long before.
 	firstSeenKeepMS = 30_000
+	// maxRememberedTimes is the size from which old entries are dropped from maps of
+	// times.
+	maxRememberedTimes = 4096
+	// yieldKeepMS is how long a job is left to another shard; nodes with an older
+	// configuration forward no submission for that long.
+	yieldKeepMS = 30_000
 	// startConfirmMS is how long an unconfirmed start may be missing from the
 	// worker's list before it is stopped: a few round trips between zones.
 	startConfirmMS = 400
@@ -165,6 +171,8 @@
 	workerKinds map[string]Worker
 	pools       map[string]*pool
 	firstSeenAt map[string]int64
+	// yieldedAt is when jobs were left to another shard.
+	yieldedAt map[string]int64
 	// startsUntil is when the right to start tasks expires, leasesUntil the
 	// right to extend leases.
 	startsUntil, leasesUntil int64
@@ -196,7 +204,7 @@
 	return &Core{
 		cfg: cfg, longestLeaseMS: longestLeaseMS, now: now, takeoverAt: now, wallMS: wallMS, earlierLeasesUntil: now + cfg.EarlierLeaseMS,
 		queues: map[string]Queue{}, jobs: map[string]*job{}, scheduled: map[string]*job{}, workers: map[string]*worker{},
-		workerKinds: map[string]Worker{}, pools: map[string]*pool{}, firstSeenAt: map[string]int64{},
+		workerKinds: map[string]Worker{}, pools: map[string]*pool{}, firstSeenAt: map[string]int64{}, yieldedAt: map[string]int64{},
 	}
 }
 
@@ -352,11 +360,19 @@
 		c.pendingDeletes = append(c.pendingDeletes, c.finalJobs[0].spec.ID)
 		c.finalJobs = c.finalJobs[1:]
 	}
-	if len(c.firstSeenAt) > 4096 {
-		for id, at := range c.firstSeenAt {
-			if c.now-at > firstSeenKeepMS {
-				delete(c.firstSeenAt, id)
-			}
+	c.forgetOld(c.firstSeenAt, firstSeenKeepMS)
+	c.forgetOld(c.yieldedAt, yieldKeepMS)
+}
+
+// forgetOld drops the entries of a map of times that are older than keepMS, once it
+// has grown.
+func (c *Core) forgetOld(times map[string]int64, keepMS int64) {
+	if len(times) <= maxRememberedTimes {
+		return
+	}
+	for id, at := range times {
+		if c.now-at > keepMS {
+			delete(times, id)
 		}
 	}
 }
--- a/jobs/shard/submit.go
+++ b/jobs/shard/submit.go
@@ -21,6 +21,10 @@
 		c.reply(Reply{Ticket: ticket, Outcome: Unknown, Reason: "no such queue"})
 		return
 	}
+	if at, ok := c.yieldedAt[s.ID]; ok && now-at <= yieldKeepMS {
+		c.reply(Reply{Ticket: ticket, Outcome: Unavailable, Reason: "left_to_another_shard"})
+		return
+	}
 	firstSeen, seen := c.firstSeenAt[s.ID]
 	if !seen {
 		firstSeen = now
@@ -38,6 +42,17 @@
 	c.acceptJob(j, ticket)
 }
 
+// Yield reports whether the shard does not have a job. If so, it leaves the job to the
+// shard that asks: for a while it accepts no submission of it.
+func (c *Core) Yield(now int64, id string) bool {
+	c.now = now
+	if c.jobs[id] != nil {
+		return false
+	}
+	c.yieldedAt[id] = now
+	return true
+}
+
 func (c *Core) newJob(s spec.Job, q Queue, firstSeen int64) *job {
 	pathMS := s.CriticalPathMS(nil)
 	return &job{
--- a/node/deps/deps.go
+++ b/node/deps/deps.go
@@ -31,6 +31,8 @@
 	// TopicFleet holds the records of the fleet controller, which moves and
 	// maintains VMs.
 	TopicFleet
+	// TopicHomes holds the shards that accept, or have accepted, jobs of each queue.
+	TopicHomes
 )
 
 // Partition identifies one partition of a topic.
--- a/node/deps/depstest/workers.go
+++ b/node/deps/depstest/workers.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"sync"
 	"time"
 
@@ -41,6 +42,13 @@
 	return &Workers{RunTime: runTime, byID: map[string]*workerState{}, Starts: map[shard.Key]int{}}
 }
 
+// StartCounts returns a copy of Starts.
+func (w *Workers) StartCounts() map[shard.Key]int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return maps.Clone(w.Starts)
+}
+
 func (w *Workers) worker(t shard.Target) *workerState {
 	s := w.byID[t.Worker]
 	if s == nil {
--- a/node/events/jobs.go
+++ b/node/events/jobs.go
@@ -45,6 +45,8 @@
 	RelayedOrderDropped
 	TaskSuspected
 	TaskGivenUp
+	QueueHomeStored
+	QueueHomeUnknown
 )
 
 var jobEvents = []Definition{
@@ -90,5 +92,7 @@
 	{RelayedOrderDropped, "relayed_order_dropped", SeverityWarning, "An order that another node sent to this one was not executed, because this node was suspended since it arrived.", ""},
 	{TaskSuspected, "task_suspected", SeverityWarning, "A worker crashed soon after it was told to start this task; the detail has how many did so far.", ""},
 	{TaskGivenUp, "task_given_up", SeverityError, "A task was found to crash the workers that start it; its job has failed.", "Correct the job before it is submitted again."},
+	{QueueHomeStored, "queue_home_stored", SeverityInfo, "A shard is recorded as a home of a queue, before it accepts the queue's first job.", ""},
+	{QueueHomeUnknown, "queue_home_unknown", SeverityWarning, "The shards that may hold jobs of a queue could not be read or written; submissions are refused until they can.", "Check the store."},
 	{AdviceFailed, "advice_failed", SeverityWarning, "The placement advisor did not answer; it is asked again.", "Check the placement advisor; queues that need its permits wait."},
 }
--- a/node/jobhost/feeds.go
+++ b/node/jobhost/feeds.go
@@ -4,7 +4,6 @@
 	"context"
 	"fmt"
 	"hash/fnv"
-	"maps"
 	"slices"
 	"sort"
 	"strings"
@@ -51,7 +50,6 @@
 	if old != nil && cfg.Version <= old.Version {
 		return
 	}
-	h.recordFormerShards(old, cfg)
 	sort.SliceStable(cfg.Routes, func(i, j int) bool { return len(cfg.Routes[i].PathPrefix) > len(cfg.Routes[j].PathPrefix) })
 	h.config.Store(cfg)
 	h.record(events.JobConfigInForce, events.Fields{Detail: fmt.Sprintf("version=%d routes=%d pools=%d", cfg.Version, len(cfg.Routes), len(cfg.Pools))})
@@ -60,29 +58,6 @@
 	}
 }
 
-// recordFormerShards records the shards from which queues move away.
-func (h *Host) recordFormerShards(old, cfg *deps.Configuration) {
-	if old == nil {
-		return
-	}
-	oldPartitions := map[string]deps.Partition{}
-	for _, r := range old.Routes {
-		oldPartitions[r.Queue.Name] = h.partitionOf(r.Queue.Service)
-	}
-	former := map[string][]deps.Partition{}
-	if recorded := h.formerShardsByQueue.Load(); recorded != nil {
-		former = maps.Clone(*recorded)
-	}
-	for _, r := range cfg.Routes {
-		name := r.Queue.Name
-		oldPartition, existed := oldPartitions[name]
-		if existed && oldPartition != h.partitionOf(r.Queue.Service) && !slices.Contains(former[name], oldPartition) {
-			former[name] = append(slices.Clone(former[name]), oldPartition)
-		}
-	}
-	h.formerShardsByQueue.Store(&former)
-}
-
 // Route returns the route of a request by host and path.
 func (h *Host) Route(host, path string) (deps.Route, RouteResult) {
 	cfg := h.config.Load()
--- /dev/null
+++ b/node/jobhost/homes.go
@@ -0,0 +1,177 @@
+package jobhost
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"wigeonwinch/jobs/homes"
+	"wigeonwinch/jobs/shard"
+	"wigeonwinch/node/deps"
+	"wigeonwinch/node/events"
+)
+
+const (
+	// homesKeepMargin is added to the retention of final jobs: a submission that
+	// arrives again later than that is a new job in any shard.
+	homesKeepMargin = time.Minute
+	// homesRetryDelay is how long submissions are refused at once after the book
+	// of homes could not be read or written.
+	homesRetryDelay = 250 * time.Millisecond
+)
+
+var (
+	homesPartition = deps.Partition{Topic: deps.TopicHomes}
+
+	errHomesUnavailable = errors.New("the book of homes could not be read or written a moment ago")
+)
+
+// queueHomes is this node's copy of the book of homes. Owners of shards use it
+// before they accept jobs.
+type queueHomes struct {
+	host *Host
+	// turn holds one element while the book is read or written.
+	turn chan struct{}
+
+	mu    sync.Mutex
+	book  *homes.Book
+	basis homesBasis
+	// failedAt is when the store last failed; 0 if it did not since the last
+	// success.
+	failedAt int64
+}
+
+// homesBasis is what a copy of the book was read for. With another configuration
+// or after another takeover it is read again: queues may have moved meanwhile.
+type homesBasis struct {
+	version int64
+	owners  map[deps.Partition]ownership
+}
+
+func newQueueHomes(h *Host) *queueHomes { return &queueHomes{host: h, turn: make(chan struct{}, 1)} }
+
+func (q *queueHomes) currentBasis() homesBasis {
+	b := homesBasis{owners: *q.host.owners.Load()}
+	if cfg := q.host.config.Load(); cfg != nil {
+		b.version = cfg.Version
+	}
+	return b
+}
+
+// earlierHomes returns the shards in which jobs of the queue must be looked for
+// before the given shard accepts one. It stores the shard as the queue's home first
+// if it is not.
+func (q *queueHomes) earlierHomes(ctx context.Context, queue string, p deps.Partition) ([]deps.Partition, error) {
+	if earlier, ok, err := q.fromCopy(queue, p); ok || err != nil {
+		return earlier, err
+	}
+	select {
+	case q.turn <- struct{}{}:
+		defer func() { <-q.turn }()
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+	if earlier, ok, err := q.fromCopy(queue, p); ok || err != nil {
+		return earlier, err
+	}
+	return q.settle(ctx, queue, p)
+}
+
+// fromCopy answers from the copy if it is current. It returns an error if the store
+// has just failed.
+func (q *queueHomes) fromCopy(queue string, p deps.Partition) (earlier []deps.Partition, ok bool, err error) {
+	now := q.currentBasis()
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if q.book != nil && q.basis.version == now.version && q.basis.owners[p].Epoch == now.owners[p].Epoch && q.book.Settled(queue, p.Index) {
+		return q.partitions(q.book, queue, p), true, nil
+	}
+	if q.failedAt != 0 && sinceMS(q.failedAt) < homesRetryDelay {
+		return nil, false, errHomesUnavailable
+	}
+	return nil, false, nil
+}
+
+func (q *queueHomes) partitions(book *homes.Book, queue string, p deps.Partition) []deps.Partition {
+	keepMS := q.host.cfg.StatusRetentionMS + homesKeepMargin.Milliseconds()
+	var list []deps.Partition
+	for _, index := range book.Earlier(queue, p.Index, wallMS(), keepMS) {
+		list = append(list, deps.Partition{Topic: p.Topic, Index: index})
+	}
+	return list
+}
+
+// settle makes the shard the queue's home and reads the book.
+func (q *queueHomes) settle(ctx context.Context, queue string, p deps.Partition) ([]deps.Partition, error) {
+	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
+	basis := q.currentBasis()
+	book, err := q.read(ctx)
+	if err == nil && !book.Settled(queue, p.Index) {
+		if err = q.write(ctx, book.Next(queue, p.Index, wallMS())); err == nil {
+			book, err = q.read(ctx)
+		}
+	}
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if err != nil {
+		q.failedAt = monotonicMS()
+		q.host.record(events.QueueHomeUnknown, events.Fields{Detail: "queue=" + queue, Shard: p.Index, Err: err})
+		return nil, err
+	}
+	q.book, q.basis, q.failedAt = book, basis, 0
+	return q.partitions(book, queue, p), nil
+}
+
+func (q *queueHomes) read(ctx context.Context) (*homes.Book, error) {
+	snapshot, err := q.host.cfg.Store.Newest(ctx, homesPartition)
+	if err != nil {
+		return nil, err
+	}
+	book := &homes.Book{}
+	for _, r := range snapshot.Records {
+		home, err := homes.Decode(r.Value)
+		if err != nil {
+			return nil, errors.Wrapf(err, "record %s", r.Key)
+		}
+		book.Add(home)
+	}
+	return book, nil
+}
+
+func (q *queueHomes) write(ctx context.Context, home homes.Home) error {
+	value, err := home.Encode()
+	if err != nil {
+		return err
+	}
+	q.host.stats.storeWrites.Add(1)
+	err = q.host.cfg.Store.Append(ctx, deps.Append{Partition: homesPartition, Records: []shard.Record{{Key: home.Key(), Value: value}}})
+	if err == nil {
+		q.host.record(events.QueueHomeStored, events.Fields{Detail: fmt.Sprintf("queue=%s since_ms=%d", home.Queue, home.SinceMS), Shard: home.Shard})
+	}
+	return err
+}
+
+// askEarlierHomes looks for a submitted job in the shards that held its queue
+// before. It returns the answer to the caller, or false if none of them has the job;
+// they will not accept it any more.
+func (h *Host) askEarlierHomes(ctx context.Context, p deps.Partition, r Request) (Result, bool) {
+	earlier, err := h.homes.earlierHomes(ctx, r.Queue, p)
+	if err != nil {
+		return Result{Outcome: Unavailable, RetryAfterMS: unavailableRetryMS, Reason: "queue_home_unknown"}, true
+	}
+	for _, other := range earlier {
+		res := h.doAtOwner(ctx, other, Request{Op: OpYield, Queue: r.Queue, ID: r.ID})
+		switch res.Outcome {
+		case Missing:
+		case Done:
+			return Result{Outcome: Done, Reason: "accepted_before_the_queue_moved"}, true
+		default:
+			return Result{Outcome: Unavailable, RetryAfterMS: unavailableRetryMS, Reason: "earlier_service_" + res.Reason}, true
+		}
+	}
+	return Result{}, false
+}
--- a/node/jobhost/host.go
+++ b/node/jobhost/host.go
@@ -49,15 +49,13 @@
 	fleet              *fleetController
 	relays             *relayedOrders
 
-	config atomic.Pointer[deps.Configuration]
-	owners atomic.Pointer[map[deps.Partition]ownership]
-	// formerShardsByQueue holds the shards of the services that each queue
-	// belonged to before.
-	formerShardsByQueue atomic.Pointer[map[string][]deps.Partition]
-	confirmedHeartbeat  atomic.Pointer[confirmedHeartbeat]
-	ownedView           atomic.Pointer[[]ownership]
-	heartbeatTrigger    chan struct{}
-	leaving             atomic.Bool
+	homes              *queueHomes
+	config             atomic.Pointer[deps.Configuration]
+	owners             atomic.Pointer[map[deps.Partition]ownership]
+	confirmedHeartbeat atomic.Pointer[confirmedHeartbeat]
+	ownedView          atomic.Pointer[[]ownership]
+	heartbeatTrigger   chan struct{}
+	leaving            atomic.Bool
 	// heartbeatMode is the current heartbeat mode. largeFleet reports that the
 	// fleet is large enough for nodes without shards to send infrequent
 	// heartbeats.
@@ -99,6 +97,7 @@
 		handedOver: make(chan struct{}), closed: make(chan struct{}),
 	}
 	h.relays = newRelayedOrders(h)
+	h.homes = newQueueHomes(h)
 	h.owners.Store(&map[deps.Partition]ownership{})
 	h.ownedView.Store(&[]ownership{})
 	h.pending.waiting = map[uint64]chan reply{}
--- a/node/jobhost/host_test.go
+++ b/node/jobhost/host_test.go
@@ -265,6 +265,83 @@
 	assert.Equal(t, Missing, missing.Outcome)
 }
 
+// A queue moves, and a node that has seen only the newer configuration gets a
+// submission that was answered before. It knew no earlier shard, so that the whole job
+// ran again (review/3).
+func TestJobRunsOnceAfterQueueMovesAndNodeRestarts(t *testing.T) {
+	s := newTestSite(t, 20*time.Millisecond)
+	cfg := s.config("a", "127.0.0.1")
+	cfg.Partitions = 64
+	run := func() (h *Host, stop func()) {
+		h = New(cfg)
+		ctx, cancel := context.WithCancel(context.Background())
+		go func() { assert.NoError(t, h.Run(ctx)) }()
+		return h, func() { cancel(); <-h.HandedOver(); h.Close() }
+	}
+	ask := func(h *Host, op Operation, service string) Result {
+		return h.Do(context.Background(), Request{Op: op, Service: service, Queue: "q", ID: testJob(1).ID, Job: testJob(1)})
+	}
+	h, stop := run()
+	require.Eventually(t, func() bool { return ask(h, OpSubmit, "s").Outcome == Done }, 20*time.Second, 50*time.Millisecond)
+	require.Eventually(t, func() bool { return ask(h, OpShow, "s").State == spec.Completed }, 20*time.Second, 50*time.Millisecond)
+	require.NoError(t, s.store.Put(deps.TopicOperator, "config", deps.Configuration{Version: 2,
+		Routes: []deps.Route{{Host: "h", PathPrefix: "/q/", Queue: shard.Queue{Name: "q", Service: "other", MaxAttempts: 3, Stretch: 2, TargetMS: 5_000}}},
+		Pools:  []deps.Pool{{Service: "s"}, {Service: "other"}}}))
+	require.NoError(t, s.store.Put(deps.TopicWorkers, "w-other", shard.Worker{ID: "w-other", Address: "w-other", Service: "other", Capacity: spec.Resources{MilliCPU: 16_000, MemoryMB: 64_000}, Incarnation: time.Now().UnixMilli()}))
+	stop()
+	h, stop = run()
+	defer stop()
+	var again Result
+	require.Eventually(t, func() bool { again = ask(h, OpSubmit, "other"); return again.Outcome == Done }, 20*time.Second, 50*time.Millisecond)
+	assert.Equal(t, "accepted_before_the_queue_moved", again.Reason)
+	time.Sleep(300 * time.Millisecond)
+	for key, n := range s.workers.StartCounts() {
+		assert.Equal(t, 1, n, "%+v", key)
+	}
+}
+
+// A shard that is asked for a job it does not have must not accept it from a node
+// with an older configuration afterwards.
+func TestJobIsAcceptedByOneShardOnly(t *testing.T) {
+	s := newTestSite(t, 20*time.Millisecond)
+	h := New(s.config("a", "127.0.0.1"))
+	ctx, cancel := context.WithCancel(context.Background())
+	go func() { assert.NoError(t, h.Run(ctx)) }()
+	defer func() { cancel(); <-h.HandedOver(); h.Close() }()
+	ask := func(op Operation, i int) Result {
+		return h.Do(ctx, Request{Op: op, Service: "s", Queue: "q", ID: testJob(i).ID, Job: testJob(i)})
+	}
+	require.Eventually(t, func() bool { return ask(OpSubmit, 1).Outcome == Done }, 20*time.Second, 50*time.Millisecond)
+	assert.Equal(t, Done, ask(OpYield, 1).Outcome)
+	assert.Equal(t, Missing, ask(OpYield, 2).Outcome)
+	assert.Equal(t, Unknown, ask(OpSubmit, 2).Outcome)
+	assert.Equal(t, Missing, ask(OpShow, 2).Outcome)
+	assert.Equal(t, Done, ask(OpSubmit, 3).Outcome)
+}
+
+// Jobs that are accepted without the book of homes may run twice.
+func TestSubmissionsAreRefusedWithoutTheBookOfHomes(t *testing.T) {
+	s := newTestSite(t, 20*time.Millisecond)
+	s.store.Fail = func(a deps.Append) error {
+		if a.Topic == deps.TopicHomes {
+			return &deps.Error{Kind: deps.KindRefused, Call: "append"}
+		}
+		return nil
+	}
+	h := New(s.config("a", "127.0.0.1"))
+	ctx, cancel := context.WithCancel(context.Background())
+	go func() { assert.NoError(t, h.Run(ctx)) }()
+	defer func() { cancel(); <-h.HandedOver(); h.Close() }()
+	var res Result
+	require.Eventually(t, func() bool {
+		res = h.Do(ctx, Request{Op: OpSubmit, Service: "s", Queue: "q", ID: testJob(1).ID, Job: testJob(1)})
+		return res.Reason == "queue_home_unknown"
+	}, 20*time.Second, 50*time.Millisecond)
+	assert.Equal(t, Unavailable, res.Outcome)
+	assert.Positive(t, res.RetryAfterMS)
+	assert.Empty(t, s.workers.StartCounts())
+}
+
 // A host whose port is taken must not leave its caller waiting for the hand-over
 // of shards that it never had.
 func TestFailedRunHandsOver(t *testing.T) {
--- a/node/jobhost/requests.go
+++ b/node/jobhost/requests.go
@@ -27,6 +27,9 @@
 	// OpList lists the jobs of a queue, OpTasks the tasks of a job.
 	OpList
 	OpTasks
+	// OpYield looks for a job on behalf of the shard to which its queue has moved.
+	// A shard that does not have the job will not accept it any more.
+	OpYield
 )
 
 // Request is one caller's request about the jobs of a queue.
@@ -93,24 +96,13 @@
 	return res
 }
 
-var opNames = map[Operation]string{OpSubmit: "submit", OpCancel: "cancel", OpShow: "show", OpWaiting: "waiting", OpList: "list", OpTasks: "tasks"}
+var opNames = map[Operation]string{OpSubmit: "submit", OpCancel: "cancel", OpShow: "show", OpWaiting: "waiting", OpList: "list", OpTasks: "tasks", OpYield: "yield"}
 
 // doAcrossShards sends a request to the shard of the queue's service. A job
 // that was accepted before its queue moved to another service is still in the
-// previous shard.
+// previous shard; the owner that accepts jobs of the queue now looks there itself.
 func (h *Host) doAcrossShards(ctx context.Context, r Request) Result {
 	part := h.partitionOf(r.Service)
-	if r.Op == OpSubmit {
-		for _, former := range h.formerShards(r.Queue) {
-			formerResult := h.doAtOwner(ctx, former, Request{Op: OpShow, Queue: r.Queue, ID: r.ID})
-			if formerResult.Outcome == Done {
-				return Result{Outcome: Done, Reason: "accepted_before_the_queue_moved"}
-			}
-			if formerResult.Outcome != Missing {
-				return Result{Outcome: Unavailable, RetryAfterMS: unavailableRetryMS, Reason: "earlier_service_" + formerResult.Reason}
-			}
-		}
-	}
 	res := h.doAtOwner(ctx, part, r)
 	if res.Outcome != Missing || r.Op == OpSubmit {
 		return res
@@ -126,15 +118,6 @@
 	return res
 }
 
-// formerShards returns the shards of the services that a queue belonged to
-// before, as far as this node has observed it.
-func (h *Host) formerShards(queue string) []deps.Partition {
-	if former := h.formerShardsByQueue.Load(); former != nil {
-		return (*former)[queue]
-	}
-	return nil
-}
-
 // doAtOwner sends a request to the owner of a shard. If there is none, it waits
 // up to ownerWait for one. If another node takes the shard over while the owner is
 // silent, the request is sent to the new owner: it knows every job that the former
@@ -241,6 +224,11 @@
 	if r.Op.readOnly() {
 		return h.readLocal(ctx, part, r)
 	}
+	if r.Op == OpSubmit {
+		if res, answered := h.askEarlierHomes(ctx, part, r); answered {
+			return res
+		}
+	}
 	ticket := h.ticket.Add(1)
 	answer := h.pending.register(ticket)
 	defer h.pending.unregister(ticket)
@@ -274,6 +262,10 @@
 		if s == nil || s.core == nil {
 			return
 		}
+		if r.Op == OpYield {
+			res = yieldJob(s.core, r.ID)
+			return
+		}
 		res = readShard(s.core, r)
 	})
 	if err != nil {
@@ -282,6 +274,18 @@
 	return res
 }
 
+// yieldJob leaves a job to another shard unless this one has it. A job that is being
+// stored may be in either, so its caller has to ask again.
+func yieldJob(core *shard.Core, id string) Result {
+	if core.Yield(monotonicMS(), id) {
+		return Result{Outcome: Missing}
+	}
+	if !core.JobStatus(id).Known {
+		return Result{Outcome: Unavailable, Reason: "being_stored"}
+	}
+	return Result{Outcome: Done}
+}
+
 // readShard executes a read-only request.
 func readShard(core *shard.Core, r Request) Result {
 	switch r.Op {
