Log the placement passes that leave jobs untried

Nothing in the log told why accepted jobs were not placed while the pool was empty.

Change: the event jobs_untried has the job at which a pass ended, the number of jobs that were not tried, and the free capacity; at most one line a second and pool.

--- a/jobs/shard/orders.go
+++ b/jobs/shard/orders.go
@@ -119,6 +119,7 @@
 	EventInvariant    EventName = "invariant_broken"
 	EventSuspected    EventName = "task_suspected"
 	EventGivenUp      EventName = "task_given_up"
+	EventUntried      EventName = "jobs_untried"
 )
 
 // Event is one decision, for the log.
--- a/jobs/shard/pool.go
+++ b/jobs/shard/pool.go
@@ -24,6 +24,8 @@
 	// probations counts the pool's workers on probation, of which there may be
 	// maxProbations.
 	probations, maxProbations int
+	// untriedLoggedAt is when a pass that left jobs untried was last logged.
+	untriedLoggedAt int64
 	// crowded reports whether the last pass left a task unplaced that is no
 	// suspect.
 	crowded bool
--- a/jobs/shard/schedule.go
+++ b/jobs/shard/schedule.go
@@ -126,7 +126,8 @@
 // that still have tasks to start.
 func (c *Core) placeJobs(jobs []*job, workers []*worker, blocked *bool) []*job {
 	remaining := jobs[:0]
-	unplacedInRow := 0
+	unplacedInRow, untried := 0, 0
+	var last *job
 	for _, j := range jobs {
 		if j.state.Final() {
 			j.queued = false
@@ -134,8 +135,10 @@
 		}
 		if unplacedInRow >= maxUnplacedInRow {
 			remaining = append(remaining, j)
+			untried++
 			continue
 		}
+		last = j
 		p := c.ensurePool(j.service)
 		isolatedBefore := p.isolationWaiting
 		unplaced := c.placeJob(j, workers)
@@ -154,9 +157,27 @@
 			*blocked = true
 		}
 	}
+	if untried > 0 {
+		c.logUntried(last, untried, unplacedInRow)
+	}
 	return remaining
 }
 
+// untriedLogMS is the pause between two log lines about jobs that a pass did not
+// try.
+const untriedLogMS = 1_000
+
+// logUntried records that a pass ended after a job and left others untried.
+func (c *Core) logUntried(last *job, untried, unplaced int) {
+	p := c.ensurePool(last.service)
+	if p.untriedLoggedAt != 0 && c.now-p.untriedLoggedAt < untriedLogMS {
+		return
+	}
+	p.untriedLoggedAt = c.now
+	l := c.poolLoad(p)
+	c.event(Event{Name: EventUntried, Job: last.spec.ID, Detail: fmt.Sprintf("service=%s untried=%d unplaced_tasks=%d free=%d of=%d", p.service, untried, unplaced, l.FreeMilliCPU, l.CapacityMilliCPU)})
+}
+
 // placeJob places as many ready tasks of a job as possible and returns how
 // many found no worker, without those that wait for isolation.
 func (c *Core) placeJob(j *job, workers []*worker) int {
