Try all waiting jobs although some find no worker

Cause: a placement pass ended after 24 tasks in a row found no worker. One job whose tasks find none for reasons of its own ended every pass.

Evidence: jobs_untried shows untried=29 unplaced_tasks=24 with 122400 of 128000 free, each second. Ruled out: admission, and that the later jobs find no worker.

Change: a pass tries every lasting job, and every other job each 500 ms. A step is searched once, and a size for which no worker has room is not searched again in the pass.

--- a/jobs/shard/pool.go
+++ b/jobs/shard/pool.go
@@ -1,5 +1,7 @@
 package shard
 
+import "wigeonwinch/jobs/spec"
+
 // pool is the shard's state of one service.
 type pool struct {
 	service string
@@ -24,6 +26,11 @@
 	// probations counts the pool's workers on probation, of which there may be
 	// maxProbations.
 	probations, maxProbations int
+	// fullPassAt is when a pass last tried every waiting job.
+	fullPassAt int64
+	// noRoom holds the reservations for which no worker of the current pass has
+	// room, by label. A pass only fills workers.
+	noRoom map[string][]spec.Resources
 	// untriedLoggedAt is when a pass that left jobs untried was last logged.
 	untriedLoggedAt int64
 	// crowded reports whether the last pass left a task unplaced that is no
--- a/jobs/shard/schedule.go
+++ b/jobs/shard/schedule.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"slices"
 	"sort"
 
@@ -13,8 +14,12 @@
 // The bounds of the scheduler.
 const (
 	// maxUnplacedInRow ends a placement pass after this many tasks in a row
-	// found no worker.
+	// found no worker: the pool is full, most likely.
 	maxUnplacedInRow = 24
+	// fullPassIntervalMS is the pause between two passes that try every job. Tasks
+	// that can't be placed for other reasons than a full pool hold up the others no
+	// longer: the platform allows three seconds.
+	fullPassIntervalMS = 500
 	// maxBlockMS is how long a lasting task without capacity may block the
 	// starts of other tasks: a few run times of short tasks.
 	maxBlockMS = 2_500
@@ -54,8 +59,9 @@
 	}
 	c.endProbations(p, workers)
 	defer c.holdWorkers(p, workers)
+	p.noRoom = map[string][]spec.Resources{}
 	blocked := false
-	p.lastingQueue = c.placeJobs(p.lastingQueue, workers, &blocked)
+	p.lastingQueue = c.placeJobs(p.lastingQueue, workers, math.MaxInt, &blocked)
 	if !blocked {
 		p.blockedSince = 0
 	} else if p.blockedSince == 0 {
@@ -65,7 +71,12 @@
 		return
 	}
 	c.sortJobs(p.queue)
-	p.queue = c.placeJobs(p.queue, workers, nil)
+	maxUnplaced := maxUnplacedInRow
+	if c.now-p.fullPassAt >= fullPassIntervalMS {
+		maxUnplaced = math.MaxInt
+		p.fullPassAt = c.now
+	}
+	p.queue = c.placeJobs(p.queue, workers, maxUnplaced, nil)
 }
 
 func (c *Core) schedulableWorkers(service string) []*worker {
@@ -123,8 +134,9 @@
 }
 
 // placeJobs tries to place the tasks of the jobs in order and returns the jobs
-// that still have tasks to start.
-func (c *Core) placeJobs(jobs []*job, workers []*worker, blocked *bool) []*job {
+// that still have tasks to start. It stops after maxUnplaced tasks in a row found no
+// worker.
+func (c *Core) placeJobs(jobs []*job, workers []*worker, maxUnplaced int, blocked *bool) []*job {
 	remaining := jobs[:0]
 	unplacedInRow, untried := 0, 0
 	var last *job
@@ -133,7 +145,7 @@
 			j.queued = false
 			continue
 		}
-		if unplacedInRow >= maxUnplacedInRow {
+		if unplacedInRow >= maxUnplaced {
 			remaining = append(remaining, j)
 			untried++
 			continue
@@ -152,7 +164,7 @@
 			// The job lacks isolation, or may lack permits, rather than capacity.
 			continue
 		}
-		unplacedInRow += unplaced
+		unplacedInRow = min(unplacedInRow+unplaced, maxUnplaced)
 		if blocked != nil {
 			*blocked = true
 		}
@@ -200,12 +212,21 @@
 
 func (c *Core) placeTasks(j *job, o *occurrence, s int, workers []*worker) int {
 	unplaced := 0
+	searched := c.lacksRoom(j, s)
 	for t := range o.steps[s].tasks {
 		tk := &o.steps[s].tasks[t]
 		if tk.done || tk.current != nil {
 			continue
 		}
-		w := c.chooseWorker(j, o, s, tk, workers, "")
+		var w *worker
+		if !searched {
+			w = c.chooseWorker(j, o, s, tk, workers, "")
+		}
+		if w == nil && !searched && c.isolation(tk, false) == suspect.Unrestricted {
+			// The other tasks of the step find none either.
+			searched = true
+			c.noteRoom(j, s, workers)
+		}
 		if w == nil {
 			// A lasting task has to get capacity in any case, so it holds up other
 			// starts also while it waits for isolation.
@@ -227,9 +248,41 @@
 	return unplaced
 }
 
+// lacksRoom reports whether the current pass has found that no worker has room for a
+// task of the step.
+func (c *Core) lacksRoom(j *job, s int) bool {
+	st := &j.spec.Steps[s]
+	reservation := st.Reservation()
+	for _, r := range c.ensurePool(j.service).noRoom[st.Label] {
+		if r.Fits(reservation) {
+			return true
+		}
+	}
+	return false
+}
+
+// noteRoom remembers for the current pass that no worker has room for a task of the
+// step, if that is so.
+func (c *Core) noteRoom(j *job, s int, workers []*worker) {
+	st := &j.spec.Steps[s]
+	reservation := st.Reservation()
+	for _, w := range workers {
+		if w.info.hasLabel(st.Label) && w.admits(suspect.Unrestricted, c.now) && reservation.Fits(w.info.Capacity.Sub(w.used)) {
+			return
+		}
+	}
+	p := c.ensurePool(j.service)
+	if p.noRoom != nil {
+		p.noRoom[st.Label] = append(p.noRoom[st.Label], reservation)
+	}
+}
+
 // placeGang places all tasks of a gang under one run number, or none.
 func (c *Core) placeGang(j *job, o *occurrence, s int, workers []*worker) int {
 	so := &o.steps[s]
+	if c.lacksRoom(j, s) {
+		return so.openTasks
+	}
 	number := 0
 	for t := range so.tasks {
 		if so.tasks[t].current != nil {
