--- a/node/jobhost/feeds.go
+++ b/node/jobhost/feeds.go
@@ -155,7 +155,7 @@
 		}
 		change, err := h.cfg.Codec.Worker(r)
 		if err != nil {
-			h.record(events.RecordUnreadable, events.Fields{Detail: "worker " + r.Key, Err: err})
+			h.record(events.RecordUnreadable, events.Fields{Detail: "worker", Err: err})
 		}
 		if change.Removed {
 			delete(h.workers, change.ID)
