--- a/node/jobhost/host_test.go
+++ b/node/jobhost/host_test.go
@@ -275,8 +275,9 @@
 	run := func() (h *Host, stop func()) {
 		h = New(cfg)
 		ctx, cancel := context.WithCancel(context.Background())
-		go func() { assert.NoError(t, h.Run(ctx)) }()
-		return h, func() { cancel(); <-h.HandedOver(); h.Close() }
+		ended := make(chan struct{})
+		go func() { defer close(ended); assert.NoError(t, h.Run(ctx)) }()
+		return h, func() { cancel(); <-h.HandedOver(); h.Close(); <-ended }
 	}
 	ask := func(h *Host, op Operation, service string) Result {
 		return h.Do(context.Background(), Request{Op: op, Service: service, Queue: "q", ID: testJob(1).ID, Job: testJob(1)})
