Do not refuse submissions that an earlier shard may have accepted

Cause: while the book of homes or an earlier shard could not be asked, a submission was answered with 503, which says that the job does not run. An earlier shard, or this one, may have it.

Change: the answer is that nobody knows (504), unless the shard itself has the job; an earlier shard that is storing the job says the same. A worker that was only suspended gets back its own lease bound once it has answered.

--- a/jobs/shard/polls.go
+++ b/jobs/shard/polls.go
@@ -144,8 +144,9 @@
 	w.clockMS, w.clockReadAt = l.ClockMS, now
 	w.listedAt = now
 	w.failedPolls, w.contactLostAt, w.connectionLost = 0, 0, false
-	if sentAt >= w.doubtedAt {
-		w.doubtedAt = 0
+	if w.inDoubt() && sentAt >= w.doubtedAt {
+		// The worker is the same; only its clock stood still.
+		w.doubtedAt, w.laterLeasesUntil = 0, 0
 	}
 	w.nextPollAt = now
 	if !w.reached {
--- a/jobs/shard/reborn.go
+++ b/jobs/shard/reborn.go
@@ -61,9 +61,11 @@
 	c.expectLongestLease(w)
 }
 
+// expectLongestLease records that a later incarnation of a worker may have granted its
+// longest lease just now.
 func (c *Core) expectLongestLease(w *worker) {
 	until := c.now + int64(float64(c.longestLeaseMS)/(1-maxClockDrift)) + leaseMarginMS
-	w.earlierLeasesUntil = max(w.earlierLeasesUntil, until)
+	w.laterLeasesUntil = max(w.laterLeasesUntil, until)
 }
 
 // loseIncarnation settles the runs that were lost with an incarnation of a worker
--- a/jobs/shard/reborn_test.go
+++ b/jobs/shard/reborn_test.go
@@ -182,3 +182,21 @@
 	assert.Empty(t, o.Starts)
 	assert.Empty(t, o.Stops)
 }
+
+// A worker that was suspended shows a clock that is behind. Once it answers in the
+// same incarnation it is used again, and its leases are those that it was given.
+func TestSuspendedWorkerIsNoLaterIncarnation(t *testing.T) {
+	h := newHarness(t, 2)
+	h.now += 5_000
+	starts := h.submit(testJob(1, smallStep(1))).Starts
+	h.core.HandleStartResult(h.now, starts[0], StartResult{Outcome: StartAccepted, ClockMS: 20})
+	w := h.core.workers[starts[0].Worker]
+	require.False(t, w.schedulable(h.now))
+	h.core.HandlePollResponse(h.now+5, h.now-5, starts[0].Target, PollResponse{ClockMS: 25, Incarnation: 1})
+	require.True(t, w.inDoubt(), "the poll was sent before the doubt")
+	h.core.HandlePollResponse(h.now+10, h.now, starts[0].Target, PollResponse{ClockMS: 30, Incarnation: 1, Running: listedRuns(starts)})
+	assert.True(t, w.schedulable(h.now+10))
+	assert.Zero(t, w.laterLeasesUntil)
+	h.list(w.info.ID, 2)
+	assert.Len(t, h.core.TakeOrders().Starts, 1, "it was listed, so it is lost with the incarnation")
+}
--- a/jobs/shard/worker.go
+++ b/jobs/shard/worker.go
@@ -35,12 +35,13 @@
 	// leaseUntil is the latest lease end that was ordered, in the worker's
 	// clock.
 	leaseUntil int64
-	// earlierLeasesUntil is the time until which leases may be valid that this
-	// owner did not grant to this incarnation.
+	// earlierLeasesUntil is the time until which leases of earlier owners may
+	// be valid.
 	earlierLeasesUntil int64
 	// doubtedAt is when an answer showed the clock of a later incarnation that is
-	// not listed yet; 0 if none did.
-	doubtedAt int64
+	// not listed yet; 0 if none did. laterLeasesUntil is the time until which leases
+	// may be valid that orders for an earlier incarnation have given a later one.
+	doubtedAt, laterLeasesUntil int64
 	// seenEnd is the highest end that was processed, ackedEnd the highest one
 	// that is stored.
 	seenEnd, ackedEnd int
@@ -150,7 +151,7 @@
 // leasesExpired reports whether every lease on the worker has certainly
 // expired.
 func (w *worker) leasesExpired(now int64) bool {
-	if now < w.earlierLeasesUntil {
+	if now < w.earlierLeasesUntil || now < w.laterLeasesUntil {
 		return false
 	}
 	if w.leaseUntil == 0 {
--- a/node/events/jobs.go
+++ b/node/events/jobs.go
@@ -94,7 +94,7 @@
 	{TaskSuspected, "task_suspected", SeverityWarning, "A worker crashed soon after it was told to start this task; the detail has how many did so far.", ""},
 	{TaskGivenUp, "task_given_up", SeverityError, "A task was found to crash the workers that start it; its job has failed.", "Correct the job before it is submitted again."},
 	{QueueHomeStored, "queue_home_stored", SeverityInfo, "A shard is recorded as a home of a queue, before it accepts the queue's first job.", ""},
-	{QueueHomeUnknown, "queue_home_unknown", SeverityWarning, "The shards that may hold jobs of a queue could not be read or written; submissions are refused until they can.", "Check the store."},
+	{QueueHomeUnknown, "queue_home_unknown", SeverityWarning, "The shards that may hold jobs of a queue could not be read or written; submissions of unknown jobs are not decided until they can.", "Check the store."},
 	{JobsUntried, "jobs_untried", SeverityInfo, "A pass over the waiting jobs of a pool ended after this job, because too many tasks in a row found no worker; the detail has how many jobs were not tried.", ""},
 	{AdviceFailed, "advice_failed", SeverityWarning, "The placement advisor did not answer; it is asked again.", "Check the placement advisor; queues that need its permits wait."},
 }
--- a/node/jobhost/homes.go
+++ b/node/jobhost/homes.go
@@ -157,11 +157,12 @@
 
 // askEarlierHomes looks for a submitted job in the shards that held its queue
 // before. It returns the answer to the caller, or false if none of them has the job;
-// they will not accept it any more.
+// they will not accept it any more. Where that can't be found out the answer is not
+// that the job won't run: an earlier shard may have it.
 func (h *Host) askEarlierHomes(ctx context.Context, p deps.Partition, r Request) (Result, bool) {
 	earlier, err := h.homes.earlierHomes(ctx, r.Queue, p)
 	if err != nil {
-		return Result{Outcome: Unavailable, RetryAfterMS: unavailableRetryMS, Reason: "queue_home_unknown"}, true
+		return h.unlessOwn(ctx, p, r, "queue_home_unknown")
 	}
 	for _, other := range earlier {
 		res := h.doAtOwner(ctx, other, Request{Op: OpYield, Queue: r.Queue, ID: r.ID})
@@ -170,8 +171,17 @@
 		case Done:
 			return Result{Outcome: Done, Reason: "accepted_before_the_queue_moved"}, true
 		default:
-			return Result{Outcome: Unavailable, RetryAfterMS: unavailableRetryMS, Reason: "earlier_service_" + res.Reason}, true
+			return h.unlessOwn(ctx, p, r, "earlier_service_"+res.Reason)
 		}
 	}
 	return Result{}, false
 }
+
+// unlessOwn returns false if this node's shard has the job, and otherwise the answer
+// that nobody knows.
+func (h *Host) unlessOwn(ctx context.Context, p deps.Partition, r Request, reason string) (Result, bool) {
+	if res := h.readLocal(ctx, p, Request{Op: OpShow, ID: r.ID}); res.Outcome == Done {
+		return Result{}, false
+	}
+	return Result{Outcome: Unknown, Reason: reason}, true
+}
--- a/node/jobhost/requests.go
+++ b/node/jobhost/requests.go
@@ -281,7 +281,7 @@
 		return Result{Outcome: Missing}
 	}
 	if !core.JobStatus(id).Known {
-		return Result{Outcome: Unavailable, Reason: "being_stored"}
+		return Result{Outcome: Unknown, Reason: "being_stored"}
 	}
 	return Result{Outcome: Done}
 }
