Wait out the lease that a restarted worker may have from an earlier order

Tasks of that incarnation were restarted after the lease that it had been given itself.

Change: the longest lease is expected of each incarnation that follows one with leases.

Measured: TestLeaseThatReachedTheLaterIncarnationIsWaitedOut failed before (leases counted as expired 10 s after the restart).

--- a/jobs/shard/reborn_test.go
+++ b/jobs/shard/reborn_test.go
@@ -149,6 +149,24 @@
 	assert.Len(t, h.core.TakeOrders().Starts, 1)
 }
 
+// An extension of the earlier incarnation's lease may have reached the later one before
+// that was listed. It has its longest lease then, also for runs that come after.
+func TestLeaseThatReachedTheLaterIncarnationIsWaitedOut(t *testing.T) {
+	h := newHarness(t, 1)
+	h.core.longestLeaseMS = 10_000
+	h.list("w0", 2)
+	rebornAt := h.now
+	p := h.pollOf(h.core.TakeOrders(), "w0")
+	h.core.HandlePollResponse(h.now, h.now, p.Target, PollResponse{ClockMS: 20, Incarnation: 2})
+	starts := h.submit(testJob(1, smallStep(1))).Starts
+	require.Len(t, starts, 1)
+	h.acceptStarts(starts)
+	h.core.HandlePollError(h.now, p.Target, PollUnanswered)
+	w := h.core.workers["w0"]
+	assert.False(t, w.leasesExpired(rebornAt+10_000))
+	assert.True(t, w.leasesExpired(rebornAt+10_500))
+}
+
 // A takeover hid the later incarnation: the record of a task names the earlier one,
 // to which its start was sent.
 func TestRestoredRunMayBeOnLaterIncarnation(t *testing.T) {
--- a/jobs/shard/worker.go
+++ b/jobs/shard/worker.go
@@ -217,6 +217,10 @@
 // until its lists tell.
 func (c *Core) resetIncarnation(w *worker, incarnation int64) {
 	if w.incarnation != 0 {
+		if w.clockReadAt != 0 {
+			// An order for the earlier incarnation may have reached this one.
+			c.expectLongestLease(w)
+		}
 		c.event(Event{Name: EventWorker, Worker: w.info.ID, Outcome: "reborn", Detail: fmt.Sprintf("was=%d now=%d runs=%d", w.incarnation, incarnation, len(w.runs))})
 		c.loseIncarnation(w)
 	}
