Search held workers for tasks that must run alone, also in a full pool

A size for which no worker has room was not searched again in the pass, but workers that are held for a task that must run alone admit only such tasks.

Change: those tasks are always searched for. A start that a later incarnation has rejected no longer counts as lost in a crash.

Measured: TestHeldWorkerIsFoundInAFullPool fails without the change.

--- a/jobs/shard/reborn.go
+++ b/jobs/shard/reborn.go
@@ -111,8 +111,10 @@
 
 // carryRuns moves the runs in doubt to the new incarnation of their worker.
 func (c *Core) carryRuns(w *worker) {
-	for _, r := range sortedRuns(w) {
+	if len(w.runs) > 0 {
 		c.expectLongestLease(w)
+	}
+	for _, r := range sortedRuns(w) {
 		if r.phase == phaseStopping {
 			r.stopAnsweredAt = 0
 			c.sendStop(r)
--- a/jobs/shard/runs.go
+++ b/jobs/shard/runs.go
@@ -65,13 +65,20 @@
 		if so := r.job.findStep(r.key); so != nil {
 			delete(so.permits, w.info.ID)
 		}
-		c.settleRun(r, string(outcome))
+		c.rejectRun(r, outcome)
 	default:
 		w.backoffUntil = now + workerBackoffMS
-		c.settleRun(r, string(outcome))
+		c.rejectRun(r, outcome)
 	}
 }
 
+// rejectRun settles a run that the worker has not started. It was not lost with an
+// earlier incarnation.
+func (c *Core) rejectRun(r *run, outcome StartOutcome) {
+	r.doubt = nil
+	c.settleRun(r, string(outcome))
+}
+
 // acceptStart records that a worker has accepted a start.
 func (c *Core) acceptStart(w *worker, s Start, r *run, by incarnationKind) {
 	if by == targetIncarnation && w.incarnation != s.Incarnation {
--- a/jobs/shard/schedule.go
+++ b/jobs/shard/schedule.go
@@ -16,9 +16,9 @@
 	// maxUnplacedInRow ends a placement pass after this many tasks in a row
 	// found no worker: the pool is full, most likely.
 	maxUnplacedInRow = 24
-	// fullPassIntervalMS is the pause between two passes that try every job. Tasks
-	// that can't be placed for other reasons than a full pool hold up the others no
-	// longer: the platform allows three seconds.
+	// fullPassIntervalMS is the pause between two passes that try every job, so that
+	// tasks that can't be placed for other reasons than a full pool hold up the
+	// others for no longer. The platform allows three seconds.
 	fullPassIntervalMS = 500
 	// maxBlockMS is how long a lasting task without capacity may block the
 	// starts of other tasks: a few run times of short tasks.
@@ -219,10 +219,12 @@
 			continue
 		}
 		var w *worker
-		if !searched {
+		isolation := c.isolation(tk, false)
+		// Workers that are held for tasks that must run alone admit no others.
+		if !searched || isolation == suspect.Alone {
 			w = c.chooseWorker(j, o, s, tk, workers, "")
 		}
-		if w == nil && !searched && c.isolation(tk, false) == suspect.Unrestricted {
+		if w == nil && !searched && isolation == suspect.Unrestricted {
 			// The other tasks of the step find none either.
 			searched = true
 			c.noteRoom(j, s, workers)
--- a/jobs/shard/starvation_test.go
+++ b/jobs/shard/starvation_test.go
@@ -7,6 +7,7 @@
 	"github.com/stretchr/testify/require"
 
 	"wigeonwinch/jobs/spec"
+	"wigeonwinch/jobs/suspect"
 )
 
 // startedJobs submits jobs and returns which of them have started a task by the given
@@ -98,6 +99,25 @@
 	assert.Equal(t, 2, startedJobs(h, 2_000, testJob(1, gang), testJob(2, last))[testJob(2).ID])
 }
 
+// A worker that is held for a task that must run alone has no room for others. The
+// task must find it although the others of its size find none.
+func TestHeldWorkerIsFoundInAFullPool(t *testing.T) {
+	h := newHarness(t, 2)
+	h.core.cfg.Policy.AdmitAll = true
+	require.Len(t, h.submit(testJob(1, smallStep(4))).Starts, 4)
+	h.core.workers["w1"].held = true
+	h.core.ensurePool("s").holding = true
+	h.core.Submit(h.now, 2, testJob(2, smallStep(2)))
+	h.core.Submit(h.now, 3, testJob(3, smallStep(3)))
+	tk := &h.core.jobs[testJob(3).ID].occurrences[0].steps[0].tasks[0]
+	tk.history, tk.suspectedAt = suspect.History{Crashes: 2, Suspicions: 2}, h.now
+	h.step(1)
+	starts := h.core.TakeOrders().Starts
+	require.Len(t, starts, 1)
+	assert.Equal(t, testJob(3).ID, starts[0].Key.Job)
+	assert.Equal(t, "w1", starts[0].Worker)
+}
+
 // A pass over a full pool must not search all workers for each of the waiting tasks.
 func TestFullPoolIsSearchedOncePerSize(t *testing.T) {
 	h := newHarness(t, 2)
--- a/node/jobhost/homes.go
+++ b/node/jobhost/homes.go
@@ -18,7 +18,7 @@
 	// homesKeepMargin is added to the retention of final jobs: a submission that
 	// arrives again later than that is a new job in any shard.
 	homesKeepMargin = time.Minute
-	// homesRetryDelay is how long submissions are refused at once after the book
+	// homesRetryDelay is how long submissions are answered at once after the book
 	// of homes could not be read or written.
 	homesRetryDelay = 250 * time.Millisecond
 )
