Count and list the jobs that wait in earlier shards of a queue

Change: the owner adds the jobs of the earlier shards in the book of homes, which it reads without entering itself.

Measured: TestWaitingJobsAreCountedInEarlierShards failed before (0 of 1 waiting job, 0 of 2 jobs listed).

--- a/node/jobhost/homes.go
+++ b/node/jobhost/homes.go
@@ -61,11 +61,11 @@
 	return b
 }
 
-// earlierHomes returns the shards in which jobs of the queue must be looked for
-// before the given shard accepts one. It stores the shard as the queue's home first
-// if it is not.
-func (q *queueHomes) earlierHomes(ctx context.Context, queue string, p deps.Partition) ([]deps.Partition, error) {
-	if earlier, ok, err := q.fromCopy(queue, p); ok || err != nil {
+// earlierHomes returns the other shards that may hold jobs of a queue. If enter is
+// true, as it must be before the given shard accepts a job, it stores that shard as the
+// queue's home first if it is not.
+func (q *queueHomes) earlierHomes(ctx context.Context, queue string, p deps.Partition, enter bool) ([]deps.Partition, error) {
+	if earlier, ok, err := q.fromCopy(queue, p, enter); ok || err != nil {
 		return earlier, err
 	}
 	select {
@@ -74,19 +74,20 @@
 	case <-ctx.Done():
 		return nil, ctx.Err()
 	}
-	if earlier, ok, err := q.fromCopy(queue, p); ok || err != nil {
+	if earlier, ok, err := q.fromCopy(queue, p, enter); ok || err != nil {
 		return earlier, err
 	}
-	return q.settle(ctx, queue, p)
+	return q.fromStore(ctx, queue, p, enter)
 }
 
 // fromCopy answers from the copy if it is current. It returns an error if the store
 // has just failed.
-func (q *queueHomes) fromCopy(queue string, p deps.Partition) (earlier []deps.Partition, ok bool, err error) {
+func (q *queueHomes) fromCopy(queue string, p deps.Partition, enter bool) (earlier []deps.Partition, ok bool, err error) {
 	now := q.currentBasis()
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	if q.book != nil && q.basis.version == now.version && q.basis.owners[p].Epoch == now.owners[p].Epoch && q.book.Settled(queue, p.Index) {
+	current := q.book != nil && q.basis.version == now.version && q.basis.owners[p].Epoch == now.owners[p].Epoch
+	if current && (!enter || q.book.Settled(queue, p.Index)) {
 		return q.partitions(q.book, queue, p), true, nil
 	}
 	if q.failedAt != 0 && sinceMS(q.failedAt) < homesRetryDelay {
@@ -104,13 +105,14 @@
 	return list
 }
 
-// settle makes the shard the queue's home and reads the book.
-func (q *queueHomes) settle(ctx context.Context, queue string, p deps.Partition) ([]deps.Partition, error) {
+// fromStore reads the book, after it has made the shard the queue's home if enter is
+// true.
+func (q *queueHomes) fromStore(ctx context.Context, queue string, p deps.Partition, enter bool) ([]deps.Partition, error) {
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
 	basis := q.currentBasis()
 	book, err := q.read(ctx)
-	if err == nil && !book.Settled(queue, p.Index) {
+	if err == nil && enter && !book.Settled(queue, p.Index) {
 		if err = q.write(ctx, book.Next(queue, p.Index, wallMS())); err == nil {
 			book, err = q.read(ctx)
 		}
@@ -160,7 +162,7 @@
 // they will not accept it any more. Where that can't be found out the answer is not
 // that the job won't run: an earlier shard may have it.
 func (h *Host) askEarlierHomes(ctx context.Context, p deps.Partition, r Request) (Result, bool) {
-	earlier, err := h.homes.earlierHomes(ctx, r.Queue, p)
+	earlier, err := h.homes.earlierHomes(ctx, r.Queue, p, true)
 	if err != nil {
 		return h.unlessOwn(ctx, p, r, "queue_home_unknown")
 	}
@@ -177,6 +179,28 @@
 	return Result{}, false
 }
 
+// addEarlierHomes adds the queue's jobs in earlier shards to the answer of a request
+// that counts or lists them. Those that do not answer are left out.
+func (h *Host) addEarlierHomes(ctx context.Context, p deps.Partition, r Request, res Result) Result {
+	earlier, err := h.homes.earlierHomes(ctx, r.Queue, p, false)
+	if err != nil {
+		return res
+	}
+	r.ShardOnly = true
+	for _, other := range earlier {
+		more := h.tryOwner(ctx, other, r)
+		if more.Outcome != Done {
+			h.record(events.RequestPassedOn, events.Fields{Detail: opNames[r.Op] + " in an earlier shard: " + more.Reason, Shard: other.Index})
+			continue
+		}
+		res.Waiting += more.Waiting
+		if r.Limit > len(res.Jobs) {
+			res.Jobs = append(res.Jobs, more.Jobs[:min(len(more.Jobs), r.Limit-len(res.Jobs))]...)
+		}
+	}
+	return res
+}
+
 // unlessOwn returns false if this node's shard has the job, and otherwise the answer
 // that nobody knows.
 func (h *Host) unlessOwn(ctx context.Context, p deps.Partition, r Request, reason string) (Result, bool) {
--- a/node/jobhost/host_test.go
+++ b/node/jobhost/host_test.go
@@ -369,6 +369,33 @@
 	require.Eventually(t, func() bool { return ask(2).Outcome == Done }, 20*time.Second, 50*time.Millisecond)
 }
 
+// Jobs that wait in the shard from which their queue has moved were not counted.
+func TestWaitingJobsAreCountedInEarlierShards(t *testing.T) {
+	s := newTestSite(t, time.Hour)
+	cfg := s.config("a", "127.0.0.1")
+	cfg.Partitions = 64
+	h := New(cfg)
+	ctx, cancel := context.WithCancel(context.Background())
+	go func() { assert.NoError(t, h.Run(ctx)) }()
+	defer func() { cancel(); <-h.HandedOver(); h.Close() }()
+	ask := func(op Operation, service string, i, tasks int) Result {
+		job := &spec.Job{ID: testJob(i).ID, Queue: "q", Steps: []spec.Step{{Count: tasks, Need: spec.Resources{MilliCPU: 16_000}, EstimateMS: 50}}}
+		return h.Do(ctx, Request{Op: op, Service: service, Queue: "q", ID: job.ID, Job: job, Limit: 10})
+	}
+	require.Eventually(t, func() bool { return ask(OpSubmit, "s", 1, 2).Outcome == Done }, 20*time.Second, 50*time.Millisecond)
+	require.Equal(t, Done, ask(OpSubmit, "s", 2, 1).Outcome)
+	require.Equal(t, 1, ask(OpWaiting, "s", 0, 1).Waiting)
+	next := *h.config.Load()
+	next.Version++
+	next.Routes = []deps.Route{{Host: "h", PathPrefix: "/q/", Queue: shard.Queue{Name: "q", Service: "other", MaxAttempts: 3, Stretch: 2, TargetMS: 5_000}}}
+	next.Pools = []deps.Pool{{Service: "s"}, {Service: "other"}}
+	require.NoError(t, s.store.Put(deps.TopicOperator, "config", next))
+	require.Eventually(t, func() bool { return ask(OpWaiting, "other", 0, 1).Outcome == Done }, 20*time.Second, 50*time.Millisecond)
+	assert.Equal(t, 1, ask(OpWaiting, "other", 0, 1).Waiting)
+	assert.Len(t, ask(OpList, "other", 0, 1).Jobs, 2)
+	assert.Equal(t, 1, ask(OpWaiting, "s", 0, 1).Waiting, "a node with the older configuration")
+}
+
 // storeWithoutHomes does not answer reads of the book of homes while it is away.
 type storeWithoutHomes struct {
 	*depstest.Store
--- a/node/jobhost/requests.go
+++ b/node/jobhost/requests.go
@@ -41,6 +41,9 @@
 	Job     *spec.Job `cbor:"5,keyasint,omitempty"`
 	// Limit is the maximum number of jobs that OpList returns.
 	Limit int `cbor:"6,keyasint,omitempty"`
+	// ShardOnly restricts OpWaiting and OpList to the shard that is asked; otherwise
+	// its owner adds the queue's jobs in earlier shards.
+	ShardOnly bool `cbor:"7,keyasint,omitempty"`
 }
 
 // readOnly reports whether the operation changes nothing.
@@ -222,7 +225,11 @@
 // doLocal executes a request on a shard that this node owns.
 func (h *Host) doLocal(ctx context.Context, part deps.Partition, r Request) Result {
 	if r.Op.readOnly() {
-		return h.readLocal(ctx, part, r)
+		res := h.readLocal(ctx, part, r)
+		if (r.Op == OpWaiting || r.Op == OpList) && res.Outcome == Done && !r.ShardOnly {
+			return h.addEarlierHomes(ctx, part, r, res)
+		}
+		return res
 	}
 	if r.Op == OpSubmit {
 		if res, answered := h.askEarlierHomes(ctx, part, r); answered {
