Send submissions on that arrive at a former owner, and read the homes ahead

What callers saw: after a takeover, 504 from the node that had lost the shard, while the store was away; before the book of homes they were sent on to the next owner, or told when to come back.

Cause: the book was asked before the ownership was checked, and was read only with the first submission after a takeover.

Change: a node that does not own the shard says so. Owners read the book with the takeover and with each configuration.

Measured: TestFormerOwnerSendsSubmissionsOn and TestBookOfHomesIsReadWithTheTakeover are new; the first names the fault, the second did not hold before.

--- a/node/jobhost/feeds.go
+++ b/node/jobhost/feeds.go
@@ -56,6 +56,9 @@
 	for _, s := range h.sortedOwned() {
 		h.updateShardQueues(s)
 	}
+	if h.ownsJobShard() {
+		go h.homes.refresh()
+	}
 }
 
 // Route returns the route of a request by host and path.
--- a/node/jobhost/homes.go
+++ b/node/jobhost/homes.go
@@ -48,19 +48,55 @@
 // or after another takeover it is read again: queues may have moved meanwhile.
 type homesBasis struct {
 	version int64
-	owners  map[deps.Partition]ownership
+	owned   []ownership
 }
 
+// epoch returns the epoch in which this node owns a shard; 0 if it does not.
+func (b homesBasis) epoch(p deps.Partition) int64 {
+	for _, o := range b.owned {
+		if o.partition() == p {
+			return o.Epoch
+		}
+	}
+	return 0
+}
+
+// ownsShard reports whether this node owns a shard, which is what entitles it to enter
+// the shard in the book.
+func (q *queueHomes) ownsShard(p deps.Partition) bool { return q.currentBasis().epoch(p) != 0 }
+
 func newQueueHomes(h *Host) *queueHomes { return &queueHomes{host: h, turn: make(chan struct{}, 1)} }
 
 func (q *queueHomes) currentBasis() homesBasis {
-	b := homesBasis{owners: *q.host.owners.Load()}
+	b := homesBasis{owned: *q.host.ownedView.Load()}
 	if cfg := q.host.config.Load(); cfg != nil {
 		b.version = cfg.Version
 	}
 	return b
 }
 
+// refresh reads the book after a takeover or a change of the configuration, before
+// requests need it.
+func (q *queueHomes) refresh() {
+	ctx, cancel := context.WithTimeout(context.Background(), storeTimeout)
+	defer cancel()
+	select {
+	case q.turn <- struct{}{}:
+		defer func() { <-q.turn }()
+	case <-ctx.Done():
+		return
+	}
+	basis := q.currentBasis()
+	book, err := q.read(ctx)
+	if err != nil {
+		q.host.record(events.QueueHomeUnknown, events.Fields{Detail: "read ahead", Err: err})
+		return
+	}
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.book, q.basis, q.failedAt = book, basis, 0
+}
+
 // earlierHomes returns the other shards that may hold jobs of a queue. If enter is
 // true, as it must be before the given shard accepts a job, it stores that shard as the
 // queue's home first if it is not.
@@ -86,7 +122,7 @@
 	now := q.currentBasis()
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	current := q.book != nil && q.basis.version == now.version && q.basis.owners[p].Epoch == now.owners[p].Epoch
+	current := q.book != nil && q.basis.version == now.version && q.basis.epoch(p) == now.epoch(p)
 	if current && (!enter || q.book.Settled(queue, p.Index)) {
 		return q.partitions(q.book, queue, p), true, nil
 	}
@@ -162,6 +198,9 @@
 // they will not accept it any more. Where that can't be found out the answer is not
 // that the job won't run: an earlier shard may have it.
 func (h *Host) askEarlierHomes(ctx context.Context, p deps.Partition, r Request) (Result, bool) {
+	if !h.homes.ownsShard(p) {
+		return Result{Outcome: notOwner, Reason: "not_owner"}, true
+	}
 	earlier, err := h.homes.earlierHomes(ctx, r.Queue, p, true)
 	if err != nil {
 		return h.unlessOwn(ctx, p, r, "queue_home_unknown")
--- a/node/jobhost/host_test.go
+++ b/node/jobhost/host_test.go
@@ -13,6 +13,7 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
+	"wigeonwinch/jobs/homes"
 	"wigeonwinch/jobs/shard"
 	"wigeonwinch/jobs/spec"
 	"wigeonwinch/node/deps"
@@ -344,6 +345,39 @@
 	assert.Empty(t, s.workers.StartCounts())
 }
 
+// A node that had lost its shard read the book of homes for submissions that were still
+// forwarded to it. While the store was away it answered that nobody knows, and the
+// callers were not sent on to the next owner.
+func TestFormerOwnerSendsSubmissionsOn(t *testing.T) {
+	s := newTestSite(t, 20*time.Millisecond)
+	var away atomic.Bool
+	away.Store(true)
+	cfg := s.config("a", "127.0.0.1")
+	cfg.Store = storeWithoutHomes{s.store, &away}
+	h := New(cfg)
+	res, answered := h.askEarlierHomes(context.Background(), h.partitionOf("s"), Request{Op: OpSubmit, Queue: "q", ID: testJob(1).ID})
+	require.True(t, answered)
+	assert.Equal(t, notOwner, res.Outcome)
+}
+
+// The book is read with a takeover, when the store answers, and not only when the first
+// submission comes.
+func TestBookOfHomesIsReadWithTheTakeover(t *testing.T) {
+	s := newTestSite(t, 20*time.Millisecond)
+	h := New(s.config("a", "127.0.0.1"))
+	home := homes.Home{Queue: "q", Shard: h.partitionOf("s").Index, SinceMS: 1}
+	value, err := home.Encode()
+	require.NoError(t, err)
+	require.NoError(t, s.store.Append(context.Background(), deps.Append{Partition: homesPartition, Records: []shard.Record{{Key: home.Key(), Value: value}}}))
+	ctx, cancel := context.WithCancel(context.Background())
+	go func() { assert.NoError(t, h.Run(ctx)) }()
+	defer func() { cancel(); <-h.HandedOver(); h.Close() }()
+	assert.Eventually(t, func() bool {
+		_, ok, err := h.homes.fromCopy("q", h.partitionOf("s"), true)
+		return ok && err == nil && h.homes.ownsShard(h.partitionOf("s"))
+	}, 20*time.Second, 20*time.Millisecond)
+}
+
 // A submission that arrives again is answered by the shard that has the job, although
 // the book of homes can't be read after a change of the configuration.
 func TestKnownJobNeedsNoBookOfHomes(t *testing.T) {
--- a/node/jobhost/takeover.go
+++ b/node/jobhost/takeover.go
@@ -150,6 +150,9 @@
 	h.record(events.ShardTaken, events.Fields{Detail: fmt.Sprintf("%s epoch=%d records=%d stale=%v took_ms=%d", describe(t.partition), t.epoch, len(t.records), t.previousMayBeAlive, now-t.startedAt)})
 	h.publishOwnership()
 	h.announce(t.partition, t.epoch)
+	if t.partition.Topic == deps.TopicJobs {
+		go h.homes.refresh()
+	}
 }
 
 // predecessorIdleMS returns how long a previous fleet controller has certainly
