Read and write the idle time of the fleet controller atomically

Cause: leave() wrote a field that a heartbeat in flight reads; the race detector met it once in tests that stop a node soon after its start.

Change: the field is atomic.

--- a/node/jobhost/host.go
+++ b/node/jobhost/host.go
@@ -75,7 +75,7 @@
 	closed       chan struct{}
 	stats        hostStats
 	// actionIdleMS is set once, before the last heartbeat.
-	actionIdleMS int64
+	actionIdleMS atomic.Int64
 }
 
 // New returns a host. Nothing runs before Run.
--- a/node/jobhost/leave.go
+++ b/node/jobhost/leave.go
@@ -18,7 +18,7 @@
 	h.stopping = true
 	h.finishAppends()
 	if h.fleet != nil {
-		h.actionIdleMS = max(sinceMS(h.fleet.lastActionStart.Load()).Milliseconds(), 1)
+		h.actionIdleMS.Store(max(sinceMS(h.fleet.lastActionStart.Load()).Milliseconds(), 1))
 	}
 	for _, s := range h.sortedOwned() {
 		h.stopShard(s)
