--- a/jobs/shard/schedule.go
+++ b/jobs/shard/schedule.go
@@ -175,21 +175,6 @@
 	return remaining
 }
 
-// untriedLogMS is the pause between two log lines about jobs that a pass did not
-// try.
-const untriedLogMS = 1_000
-
-// logUntried records that a pass ended after a job and left others untried.
-func (c *Core) logUntried(last *job, untried, unplaced int) {
-	p := c.ensurePool(last.service)
-	if p.untriedLoggedAt != 0 && c.now-p.untriedLoggedAt < untriedLogMS {
-		return
-	}
-	p.untriedLoggedAt = c.now
-	l := c.poolLoad(p)
-	c.event(Event{Name: EventUntried, Job: last.spec.ID, Detail: fmt.Sprintf("service=%s untried=%d unplaced_tasks=%d free=%d of=%d", p.service, untried, unplaced, l.FreeMilliCPU, l.CapacityMilliCPU)})
-}
-
 // placeJob places as many ready tasks of a job as possible and returns how
 // many found no worker, without those that wait for isolation.
 func (c *Core) placeJob(j *job, workers []*worker) int {
@@ -250,35 +235,6 @@
 	return unplaced
 }
 
-// lacksRoom reports whether the current pass has found that no worker has room for a
-// task of the step.
-func (c *Core) lacksRoom(j *job, s int) bool {
-	st := &j.spec.Steps[s]
-	reservation := st.Reservation()
-	for _, r := range c.ensurePool(j.service).noRoom[st.Label] {
-		if r.Fits(reservation) {
-			return true
-		}
-	}
-	return false
-}
-
-// noteRoom remembers for the current pass that no worker has room for a task of the
-// step, if that is so.
-func (c *Core) noteRoom(j *job, s int, workers []*worker) {
-	st := &j.spec.Steps[s]
-	reservation := st.Reservation()
-	for _, w := range workers {
-		if w.info.hasLabel(st.Label) && w.admits(suspect.Unrestricted, c.now) && reservation.Fits(w.info.Capacity.Sub(w.used)) {
-			return
-		}
-	}
-	p := c.ensurePool(j.service)
-	if p.noRoom != nil {
-		p.noRoom[st.Label] = append(p.noRoom[st.Label], reservation)
-	}
-}
-
 // placeGang places all tasks of a gang under one run number, or none.
 func (c *Core) placeGang(j *job, o *occurrence, s int, workers []*worker) int {
 	so := &o.steps[s]
@@ -368,16 +324,6 @@
 	return best
 }
 
-func (w *worker) countStepRuns(j *job, occurrence, step int) int {
-	n := 0
-	for id := range w.runs {
-		if id.key.Job == j.spec.ID && id.key.Occurrence == occurrence && id.key.Step == step {
-			n++
-		}
-	}
-	return n
-}
-
 // reserve reserves a worker's resources for a task.
 func (c *Core) reserve(j *job, o *occurrence, s, t, number int, w *worker) *run {
 	token, _ := c.permitFor(j, o, s, w)
--- a/jobs/shard/worker.go
+++ b/jobs/shard/worker.go
@@ -123,6 +123,17 @@
 	}
 }
 
+// countStepRuns counts the runs of a step that are on the worker.
+func (w *worker) countStepRuns(j *job, occurrence, step int) int {
+	n := 0
+	for id := range w.runs {
+		if id.key.Job == j.spec.ID && id.key.Occurrence == occurrence && id.key.Step == step {
+			n++
+		}
+	}
+	return n
+}
+
 // hasLabel reports whether the worker may run tasks that require a label; the
 // empty label requires none.
 func (w *Worker) hasLabel(label string) bool {
