Log which owner answered a request, and how old its proof of ownership was

Cause: event 631 said that a cancel was answered 'missing', but not by whom. Change: results carry the owner, its shard and epoch, and the time since its last append that the store accepted; 631 logs them with the version of the configuration by which the request was routed.

--- a/node/events/jobs.go
+++ b/node/events/jobs.go
@@ -82,7 +82,7 @@
 	{WaveDone, "wave_done", SeverityInfo, "Maintenance of all VMs of a wave has started.", ""},
 	{VMAct, "vm_act", SeverityInfo, "A VM was moved, or its maintenance was started.", ""},
 	{VMActFailed, "vm_act_failed", SeverityWarning, "An action on a VM failed; it is decided again.", ""},
-	{RequestAnswered, "request_answered", SeverityInfo, "A caller's request was answered; the outcome is the answer.", ""},
+	{RequestAnswered, "request_answered", SeverityInfo, "A caller's request was answered; the outcome is the answer, the peer, shard and epoch name the owner that gave it.", ""},
 	{RequestPassedOn, "request_passed_on", SeverityInfo, "A request or message could not be forwarded to another node; the error has the reason.", ""},
 	{LogLinesDropped, "log_lines_dropped", SeverityWarning, "Log lines were dropped because the log output was too slow.", "Make sure that the log is read fast enough."},
 	{SettingsReloaded, "settings_reloaded", SeverityInfo, "The settings file was read again; the outcome says whether it changed.", "changed: restart the node at a convenient time."},
--- a/node/jobhost/owners.go
+++ b/node/jobhost/owners.go
@@ -295,7 +295,7 @@
 		return
 	}
 	for _, r := range s.core.AbandonWaiters() {
-		h.pending.deliver(r)
+		h.pending.deliver(r, h.answeredBy(s))
 	}
 }
 
--- a/node/jobhost/requests.go
+++ b/node/jobhost/requests.go
@@ -81,6 +81,8 @@
 	// the tasks of that job.
 	Jobs []shard.JobSummary `cbor:"6,keyasint,omitempty"`
 	Runs []shard.RunSummary `cbor:"7,keyasint,omitempty"`
+	// By is the owner that answered; zero if none did.
+	By answeredBy `cbor:"8,keyasint,omitzero"`
 }
 
 // unavailableRetryMS is about the duration of a takeover.
@@ -94,7 +96,7 @@
 	res := h.doAcrossShards(ctx, r)
 	h.stats.countRequest(r.Op, res.Outcome, time.Since(began))
 	if !r.Op.readOnly() || r.Op == OpShow && res.Outcome != Done {
-		h.record(events.RequestAnswered, events.Fields{Request: r.ID, Outcome: string(res.Outcome), Detail: opNames[r.Op] + " " + res.Reason, AgeMS: time.Since(began).Milliseconds()})
+		h.recordAnswer(r, res, time.Since(began))
 	}
 	return res
 }
@@ -256,7 +258,7 @@
 	case r.Op == OpCancel:
 		s.core.Cancel(monotonicMS(), ticket, r.ID)
 	case r.Job == nil:
-		h.pending.complete(ticket, reply{Reply: shard.Reply{Outcome: shard.Refused, Reason: "no_job"}})
+		h.pending.complete(ticket, reply{Reply: shard.Reply{Outcome: shard.Refused, Reason: "no_job"}, by: h.answeredBy(s)})
 	default:
 		s.core.Submit(monotonicMS(), ticket, *r.Job)
 	}
@@ -269,11 +271,11 @@
 		if s == nil || s.core == nil {
 			return
 		}
+		res = readShard(s.core, r)
 		if r.Op == OpYield {
 			res = yieldJob(s.core, r.ID)
-			return
 		}
-		res = readShard(s.core, r)
+		res.By = h.answeredBy(s)
 	})
 	if err != nil {
 		return Result{Outcome: Unknown, Reason: err.Error()}
@@ -318,13 +320,14 @@
 type reply struct {
 	shard.Reply
 	notOwner bool
+	by       answeredBy
 }
 
 func (r reply) result() Result {
 	if r.notOwner {
 		return Result{Outcome: notOwner, Reason: "not_owner"}
 	}
-	res := Result{RetryAfterMS: r.RetryAfterMS, Reason: r.Reason}
+	res := Result{RetryAfterMS: r.RetryAfterMS, Reason: r.Reason, By: r.by}
 	switch r.Outcome {
 	case shard.Accepted:
 		res.Outcome = Done
@@ -359,7 +362,9 @@
 	p.mu.Unlock()
 }
 
-func (p *pendingReplies) deliver(r shard.Reply) { p.complete(r.Ticket, reply{Reply: r}) }
+func (p *pendingReplies) deliver(r shard.Reply, by answeredBy) {
+	p.complete(r.Ticket, reply{Reply: r, by: by})
+}
 
 func (p *pendingReplies) complete(ticket uint64, r reply) {
 	p.mu.Lock()
--- a/node/jobhost/shardrun.go
+++ b/node/jobhost/shardrun.go
@@ -25,7 +25,7 @@
 		go h.requestAdvice(s, a)
 	}
 	for _, r := range o.Replies {
-		h.pending.deliver(r)
+		h.pending.deliver(r, h.answeredBy(s))
 	}
 	for _, e := range o.Events {
 		h.logDecision(s, e)
