Failing test: a former owner denies the jobs of its successor

The cut from the workers matters: an owner that reaches a worker learns from its fencing that it was replaced.

--- /dev/null
+++ b/node/jobhost/superseded_test.go
@@ -0,0 +1,114 @@
+package jobhost
+
+import (
+	"context"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"wigeonwinch/jobs/shard"
+	"wigeonwinch/jobs/spec"
+	"wigeonwinch/node/deps"
+	"wigeonwinch/node/deps/depstest"
+)
+
+// cutStore is a store that does not answer one host while that host is cut off.
+type cutStore struct {
+	*depstest.Store
+	cut *atomic.Bool
+}
+
+func (s cutStore) answer(ctx context.Context, call string) error {
+	if !s.cut.Load() {
+		return nil
+	}
+	<-ctx.Done()
+	return &deps.Error{Kind: deps.KindUnknown, Call: call, Err: ctx.Err()}
+}
+
+func (s cutStore) Append(ctx context.Context, a deps.Append) error {
+	if err := s.answer(ctx, "append"); err != nil {
+		return err
+	}
+	return s.Store.Append(ctx, a)
+}
+
+func (s cutStore) Newest(ctx context.Context, p deps.Partition) (deps.Snapshot, error) {
+	if err := s.answer(ctx, "newest"); err != nil {
+		return deps.Snapshot{}, err
+	}
+	return s.Store.Newest(ctx, p)
+}
+
+func (s cutStore) Read(ctx context.Context, p deps.Partition, from int64, wait time.Duration) ([]shard.Record, int64, error) {
+	if err := s.answer(ctx, "read"); err != nil {
+		return nil, from, err
+	}
+	return s.Store.Read(ctx, p, from, wait)
+}
+
+// cutWorkers are workers that do not answer one host while that host is cut off.
+type cutWorkers struct {
+	*depstest.Workers
+	cut *atomic.Bool
+}
+
+func (w cutWorkers) Poll(ctx context.Context, p shard.Poll) (shard.PollResponse, error) {
+	if w.cut.Load() {
+		<-ctx.Done()
+		return shard.PollResponse{}, &deps.Error{Kind: deps.KindUnknown, Call: "poll", Err: ctx.Err()}
+	}
+	res, err := w.Workers.Poll(ctx, p)
+	if w.cut.Load() {
+		return shard.PollResponse{}, &deps.Error{Kind: deps.KindUnknown, Call: "poll"}
+	}
+	return res, err
+}
+
+// runHost runs a host until the end of the test.
+func runHost(t *testing.T, cfg Config) *Host {
+	t.Helper()
+	h := New(cfg)
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan struct{})
+	go func() { defer close(ended); assert.NoError(t, h.Run(ctx)) }()
+	t.Cleanup(func() { cancel(); <-h.HandedOver(); h.Close(); <-ended })
+	return h
+}
+
+// supersededOwner returns a host that is cut off from the store and from the other
+// nodes, and the host that has taken its shard over.
+func supersededOwner(t *testing.T, s *testSite) (former, owner *Host, heal func()) {
+	t.Helper()
+	var cut atomic.Bool
+	cfg := s.config("a", "127.0.0.1")
+	cfg.Store, cfg.Workers = cutStore{s.store, &cut}, cutWorkers{s.workers, &cut}
+	former = runHost(t, cfg)
+	require.Eventually(t, func() bool { return doJob(former, OpSubmit, 1).Outcome == Done }, 20*time.Second, 20*time.Millisecond)
+	next := s.config("b", "127.0.0.2")
+	next.PeerKey = []byte("a key that keeps the nodes from connecting to each other")
+	owner = runHost(t, next)
+	cut.Store(true)
+	t.Cleanup(func() { cut.Store(false) })
+	require.Eventually(t, func() bool { return doJob(owner, OpSubmit, 2).Outcome == Done }, 20*time.Second, 20*time.Millisecond)
+	return former, owner, func() { cut.Store(false) }
+}
+
+func doJob(h *Host, op Operation, i int) Result {
+	return h.Do(context.Background(), Request{Op: op, Service: "s", Queue: "q", ID: testJob(i).ID, Job: testJob(i)})
+}
+
+// A cancel that reached a former owner was answered with "no such job" from its memory,
+// although its successor had accepted the job, and the job ran on.
+func TestFormerOwnerDoesNotDenyJobsOfItsSuccessor(t *testing.T) {
+	s := newTestSite(t, time.Second)
+	former, owner, _ := supersededOwner(t, s)
+	for name, op := range map[string]Operation{"cancel": OpCancel, "show": OpShow, "yield": OpYield} {
+		assert.NotEqual(t, Missing, doJob(former, op, 2).Outcome, name)
+	}
+	require.Equal(t, Done, doJob(owner, OpCancel, 2).Outcome)
+	assert.Equal(t, spec.Cancelled, doJob(owner, OpShow, 2).State)
+}
