Deny a job only after the store has accepted an append

Cause: an owner that was suspended or cut off answers from its memory. A job that its successor accepted is not in it, and 'unknown' was the only answer that needed neither the store nor a look at the ownership. As a machine wakes up, the cancels that wait in its sockets are read before its heartbeats and polls tell it that it was replaced. Change: cancels, statuses and yields of unknown jobs become questions that the core answers with its next append, which carries the owner record if there is nothing else to store. The store accepts it only from the newest owner, so whoever accepted a job before the question was asked is known. If the append is refused, or the right to decide has expired, the caller's node asks the owner again, whoever that is. Known jobs are answered as before.

--- a/jobs/shard/core.go
+++ b/jobs/shard/core.go
@@ -183,7 +183,10 @@
 	deposed            bool
 	dirty              []*job
 	onCommit           []func()
-	orders             Orders
+	// questions wait for an append to be sent, askedStore for the answer of the one
+	// in flight.
+	questions, askedStore []question
+	orders                Orders
 	// adviceWorkers are the workers for which the step adviceStep lacks
 	// permits, adviceInFlight reports whether a request is in flight,
 	// nextAdviceAt is the earliest time of the next one.
@@ -249,6 +252,7 @@
 	c.requestAdvice()
 	c.pollWorkers()
 	c.purgeExpired()
+	c.abandonQuestions()
 }
 
 func (c *Core) markDirty(j *job) {
@@ -262,14 +266,17 @@
 
 // Batch is one append and the callbacks that run after it is committed.
 type Batch struct {
-	Records  []Record
-	onCommit []func()
+	Records []Record
+	// NeedsAppend reports that the callbacks need proof that no newer owner exists. An
+	// append is necessary although there may be no records.
+	NeedsAppend bool
+	onCommit    []func()
 }
 
 // NextBatch returns the records that wait to be stored. The caller must append
 // them before it calls NextBatch again.
 func (c *Core) NextBatch() (Batch, bool) {
-	if len(c.dirty) == 0 && len(c.onCommit) == 0 && len(c.pendingDeletes) < maxPendingDeletes {
+	if len(c.dirty) == 0 && len(c.onCommit) == 0 && len(c.questions) == 0 && len(c.pendingDeletes) < maxPendingDeletes {
 		return Batch{}, false
 	}
 	var b Batch
@@ -295,6 +302,7 @@
 	}
 	c.dirty = append([]*job(nil), c.dirty[len(jobs):]...)
 	c.appendDeletes(&b)
+	c.takeQuestions(&b)
 	return b, true
 }
 
@@ -317,7 +325,7 @@
 // AbandonWaiters returns replies to the callers whose request waits for the
 // store, because this owner will not learn whether the store has their records.
 func (c *Core) AbandonWaiters() []Reply {
-	var replies []Reply
+	replies := c.returnQuestions()
 	for _, id := range sortedKeys(c.jobs) {
 		j := c.jobs[id]
 		for _, t := range append(j.submitWaiters, j.cancelWaiters...) {
--- a/jobs/shard/orders.go
+++ b/jobs/shard/orders.go
@@ -1,5 +1,7 @@
 package shard
 
+import "wigeonwinch/jobs/spec"
+
 // Orders is what the owner must execute after an event.
 type Orders struct {
 	Polls          []Poll
@@ -74,6 +76,9 @@
 	// Unavailable means that it is not known whether the request was carried
 	// out.
 	Unavailable Outcome = "unavailable"
+	// Superseded means that nothing was done, because this owner can't prove that it is
+	// still the owner. The caller has to ask the owner of the shard again.
+	Superseded Outcome = "superseded"
 )
 
 // Reply answers one caller.
@@ -83,6 +88,8 @@
 	// RetryAfterMS is the delay before a refused caller should retry.
 	RetryAfterMS int64
 	Reason       string
+	// State is the job's state in the answer to Lookup.
+	State spec.State
 }
 
 // TakeOrders returns the orders since the last call.
--- a/jobs/shard/submit.go
+++ b/jobs/shard/submit.go
@@ -42,17 +42,6 @@
 	c.acceptJob(j, ticket)
 }
 
-// Yield reports whether the shard does not have a job. If so, it leaves the job to the
-// shard that asks: for a while it accepts no submission of it.
-func (c *Core) Yield(now int64, id string) bool {
-	c.now = now
-	if c.jobs[id] != nil {
-		return false
-	}
-	c.yieldedAt[id] = now
-	return true
-}
-
 func (c *Core) newJob(s spec.Job, q Queue, firstSeen int64) *job {
 	pathMS := s.CriticalPathMS(nil)
 	return &job{
@@ -235,12 +224,13 @@
 	return "", false
 }
 
-// Cancel cancels a job. The reply follows after the cancel is stored.
+// Cancel cancels a job. The reply follows after the cancel is stored, or after an append
+// has proven that there is no such job.
 func (c *Core) Cancel(now int64, ticket uint64, id string) {
 	c.now = now
 	j, ok := c.jobs[id]
 	if !ok {
-		c.reply(Reply{Ticket: ticket, Outcome: Unknown})
+		c.askStore(ticket, func() { c.cancelUnlessAbsent(ticket, id) })
 		return
 	}
 	if j.storedState.Final() {
@@ -255,6 +245,16 @@
 	c.finishJob(j, spec.Cancelled)
 }
 
+// cancelUnlessAbsent cancels a job that was accepted while the owner proved its
+// ownership.
+func (c *Core) cancelUnlessAbsent(ticket uint64, id string) {
+	if c.jobs[id] == nil {
+		c.reply(Reply{Ticket: ticket, Outcome: Unknown})
+		return
+	}
+	c.Cancel(c.now, ticket, id)
+}
+
 // JobStatus is the state of a job as reported to callers.
 type JobStatus struct {
 	State spec.State
--- a/node/jobhost/requests.go
+++ b/node/jobhost/requests.go
@@ -226,22 +226,31 @@
 
 // doLocal executes a request on a shard that this node owns.
 func (h *Host) doLocal(ctx context.Context, part deps.Partition, r Request) Result {
-	if r.Op.readOnly() {
+	switch r.Op {
+	case OpWaiting, OpList:
 		res := h.readLocal(ctx, part, r)
-		if (r.Op == OpWaiting || r.Op == OpList) && res.Outcome == Done && !r.ShardOnly {
+		if res.Outcome == Done && !r.ShardOnly {
 			return h.addEarlierHomes(ctx, part, r, res)
 		}
 		return res
-	}
-	if r.Op == OpSubmit {
+	case OpShow, OpTasks:
+		if res := h.readLocal(ctx, part, r); res.Outcome != Missing {
+			return res
+		}
+	case OpSubmit:
 		if res, answered := h.askEarlierHomes(ctx, part, r); answered {
 			return res
 		}
 	}
+	return h.askShard(ctx, part, r)
+}
+
+// askShard posts a request to a shard that this node owns, and waits for its reply.
+func (h *Host) askShard(ctx context.Context, part deps.Partition, r Request) Result {
 	ticket := h.ticket.Add(1)
 	answer := h.pending.register(ticket)
 	defer h.pending.unregister(ticket)
-	h.post(func() { h.submitOrCancel(part, ticket, r) })
+	h.post(func() { h.postToShard(part, ticket, r) })
 	select {
 	case a := <-answer:
 		return a.result()
@@ -250,13 +259,17 @@
 	}
 }
 
-func (h *Host) submitOrCancel(part deps.Partition, ticket uint64, r Request) {
+func (h *Host) postToShard(part deps.Partition, ticket uint64, r Request) {
 	s := h.owned[part]
 	switch {
 	case s == nil || s.core == nil:
-		h.pending.complete(ticket, reply{notOwner: true})
+		h.pending.complete(ticket, reply{Reply: shard.Reply{Outcome: shard.Superseded}})
 	case r.Op == OpCancel:
 		s.core.Cancel(monotonicMS(), ticket, r.ID)
+	case r.Op == OpYield:
+		s.core.Yield(monotonicMS(), ticket, r.ID)
+	case r.Op != OpSubmit:
+		s.core.Lookup(monotonicMS(), ticket, r.ID)
 	case r.Job == nil:
 		h.pending.complete(ticket, reply{Reply: shard.Reply{Outcome: shard.Refused, Reason: "no_job"}, by: h.answeredBy(s)})
 	default:
@@ -272,9 +285,6 @@
 			return
 		}
 		res = readShard(s.core, r)
-		if r.Op == OpYield {
-			res = yieldJob(s.core, r.ID)
-		}
 		res.By = h.answeredBy(s)
 	})
 	if err != nil {
@@ -283,18 +293,6 @@
 	return res
 }
 
-// yieldJob leaves a job to another shard unless this one has it. A job that is being
-// stored may be in either, so its caller has to ask again.
-func yieldJob(core *shard.Core, id string) Result {
-	if core.Yield(monotonicMS(), id) {
-		return Result{Outcome: Missing}
-	}
-	if !core.JobStatus(id).Known {
-		return Result{Outcome: Unknown, Reason: "being_stored"}
-	}
-	return Result{Outcome: Done}
-}
-
 // readShard executes a read-only request.
 func readShard(core *shard.Core, r Request) Result {
 	switch r.Op {
@@ -319,16 +317,14 @@
 // reply is a shard's answer to the request with one ticket.
 type reply struct {
 	shard.Reply
-	notOwner bool
-	by       answeredBy
+	by answeredBy
 }
 
 func (r reply) result() Result {
-	if r.notOwner {
-		return Result{Outcome: notOwner, Reason: "not_owner"}
-	}
-	res := Result{RetryAfterMS: r.RetryAfterMS, Reason: r.Reason, By: r.by}
+	res := Result{RetryAfterMS: r.RetryAfterMS, Reason: r.Reason, State: r.State, By: r.by}
 	switch r.Outcome {
+	case shard.Superseded:
+		res.Outcome, res.Reason = notOwner, "not_owner"
 	case shard.Accepted:
 		res.Outcome = Done
 	case shard.Refused:
--- a/node/jobhost/shardrun.go
+++ b/node/jobhost/shardrun.go
@@ -82,10 +82,18 @@
 	if !ok {
 		return
 	}
-	if len(batch.Records) == 0 {
+	if len(batch.Records) == 0 && !batch.NeedsAppend {
 		s.core.HandleCommit(monotonicMS(), batch)
 		return
 	}
+	if len(batch.Records) == 0 {
+		rec, err := h.ownerRecord(s.partition, s.epoch)
+		if err != nil {
+			h.dropShard(s, err.Error())
+			return
+		}
+		batch.Records = []shard.Record{rec}
+	}
 	s.appendInFlight = true
 	s.sequence++
 	go h.append(s, s.sequence, batch.Records, func() {
