Do not count or list jobs by what a former owner remembers

What callers could see: the number of waiting jobs as an owner knew it before it was cut off, however long ago (rule MIXED allows 2 s). Not seen by the users: found as the same cause on a related path. Cause: counts and lists were read from memory without a look at the ownership. Change: an owner whose right to extend leases has expired answers neither; the caller's node looks for the owner and answers 503 if there is none. Measured: TestFormerOwnerDoesNotCountWaitingJobs fails on (outcome done, 5.5 s after the last heartbeat) and passes now.

--- a/jobs/shard/core.go
+++ b/jobs/shard/core.go
@@ -234,6 +234,11 @@
 	c.startsUntil, c.leasesUntil = startsUntil, leasesUntil
 }
 
+// IsCurrent reports whether what this owner knows of its shard is recent: its right to
+// extend leases has not expired, so that a successor has been at work for a few
+// seconds at most.
+func (c *Core) IsCurrent(now int64) bool { return now < c.leasesUntil }
+
 // SetStoreDown sets whether the store currently rejects appends.
 func (c *Core) SetStoreDown(down bool) { c.storeDown = down }
 
--- a/node/jobhost/requests.go
+++ b/node/jobhost/requests.go
@@ -49,6 +49,9 @@
 // readOnly reports whether the operation changes nothing.
 func (o Operation) readOnly() bool { return o != OpSubmit && o != OpCancel }
 
+// reportsShard reports whether the operation asks about all jobs of a queue.
+func (o Operation) reportsShard() bool { return o == OpWaiting || o == OpList }
+
 // Outcome is the outcome of a request as reported to the caller.
 type Outcome string
 
@@ -281,7 +284,7 @@
 	res := Result{Outcome: notOwner, Reason: "not_owner"}
 	err := h.runOnLoop(ctx, func() {
 		s := h.owned[part]
-		if s == nil || s.core == nil {
+		if s == nil || s.core == nil || r.Op.reportsShard() && !s.core.IsCurrent(monotonicMS()) {
 			return
 		}
 		res = readShard(s.core, r)
--- a/node/jobhost/superseded_test.go
+++ b/node/jobhost/superseded_test.go
@@ -122,3 +122,16 @@
 		assert.Equal(t, Missing, doJob(h, op, 2).Outcome, name)
 	}
 }
+
+// A former owner counted the waiting jobs by what it had known before it was cut off.
+func TestFormerOwnerDoesNotCountWaitingJobs(t *testing.T) {
+	s := newTestSite(t, time.Minute)
+	former, _, _ := supersededOwner(t, s)
+	require.Eventually(t, func() bool {
+		hb := former.confirmedHeartbeat.Load()
+		return sinceMS(hb.sentAt) > leaseExtensionWindow
+	}, 2*leaseExtensionWindow, 20*time.Millisecond)
+	for name, op := range map[string]Operation{"waiting": OpWaiting, "list": OpList} {
+		assert.NotEqual(t, Done, doJob(former, op, 2).Outcome, name)
+	}
+}
