A job is missing only when every shard that may have it was asked

Cause: a read or cancel that finds nothing asked the shards of the node's own configuration. That may be behind, so that it does not name the shard to which the queue has moved, and does not name the shards of services that were dropped or turned off. The answer was 410, which for a cancel counts as acknowledged.

Change: before a job is reported as missing, the book of homes is read from the store after the request came, and all shards that it names for the queue are asked. If it can't be read, nobody knows (504). A job that is found needs no read. Concurrent requests share a read; none uses one that was sent before it came. After a failed read requests are answered at once for 250 ms, as submissions are. Reads of the book count among the store's reads now.

Ruled out: homes may not expire here as they do for submissions that arrive again; a job that runs on stays in its shard.

--- a/jobs/homes/homes.go
+++ b/jobs/homes/homes.go
@@ -63,6 +63,16 @@
 	b.byQueue[h.Queue] = append(b.byQueue[h.Queue], h)
 }
 
+// Shards returns all shards that may hold jobs of the queue. Jobs that run, and those that
+// last, outlive the time in which callers submit them once more.
+func (b *Book) Shards(queue string) []int {
+	var shards []int
+	for _, h := range b.byQueue[queue] {
+		shards = append(shards, h.Shard)
+	}
+	return shards
+}
+
 // newest returns the home to which the queue came last.
 func (b *Book) newest(queue string) (Home, bool) {
 	var newest Home
--- a/jobs/homes/homes_test.go
+++ b/jobs/homes/homes_test.go
@@ -66,3 +66,14 @@
 func TestKeysOfLongNamesFit(t *testing.T) {
 	assert.Less(t, len(Home{Queue: strings.Repeat("n", 4_000), Shard: 11}.Key()), 64)
 }
+
+// A job that runs on after its queue has moved is in an earlier home however long ago
+// that was.
+func TestAllShardsOfAQueueAreNamedForGood(t *testing.T) {
+	var b Book
+	b.Add(b.Next("q", 1, 1_000))
+	b.Add(b.Next("q", 2, 5_000))
+	assert.Empty(t, b.Earlier("q", 2, 5_001+keepMS, keepMS))
+	assert.Equal(t, []int{1, 2}, b.Shards("q"))
+	assert.Empty(t, b.Shards("other"))
+}
--- a/node/jobhost/everyshard_test.go
+++ b/node/jobhost/everyshard_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -9,6 +10,7 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
+	"wigeonwinch/jobs/homes"
 	"wigeonwinch/jobs/shard"
 	"wigeonwinch/jobs/spec"
 	"wigeonwinch/node/deps"
@@ -130,3 +132,49 @@
 	away.Store(false)
 	require.Eventually(t, func() bool { return s.ask(h, OpCancel, 2).Outcome == Missing }, 10*time.Second, 50*time.Millisecond)
 }
+
+// heldHomes holds each answer about the book of homes until it is released.
+type heldHomes struct {
+	*depstest.Store
+	sent    chan struct{}
+	release chan struct{}
+}
+
+func (s *heldHomes) Newest(ctx context.Context, p deps.Partition) (deps.Snapshot, error) {
+	snapshot, err := s.Store.Newest(ctx, p)
+	s.sent <- struct{}{}
+	<-s.release
+	return snapshot, err
+}
+
+// Callers that ask about unknown jobs at the same time must not read the book once each,
+// and none may be answered from a read that was sent before it called.
+func TestConcurrentCallersShareOneLaterReadOfTheBook(t *testing.T) {
+	const callers = 50
+	s := newTestSite(t, time.Millisecond)
+	store := &heldHomes{Store: s.store, sent: make(chan struct{}, callers), release: make(chan struct{})}
+	cfg := s.config("a", "127.0.0.1")
+	cfg.Store = store
+	h := New(cfg)
+	var calls sync.WaitGroup
+	call := func(want []deps.Partition) {
+		after := h.homes.readsSent()
+		calls.Go(func() {
+			shards, err := h.homes.allHomes(context.Background(), "q", after)
+			assert.NoError(t, err)
+			assert.Equal(t, want, shards)
+		})
+	}
+	call(nil)
+	<-store.sent
+	home := homes.Home{Queue: "q", Shard: 3, SinceMS: 1}
+	value, err := home.Encode()
+	require.NoError(t, err)
+	require.NoError(t, s.store.Append(context.Background(), deps.Append{Partition: homesPartition, Records: []shard.Record{{Key: home.Key(), Value: value}}}))
+	for range callers {
+		call([]deps.Partition{{Topic: deps.TopicJobs, Index: 3}})
+	}
+	close(store.release)
+	calls.Wait()
+	assert.Len(t, store.sent, 1, "reads after the first one")
+}
--- a/node/jobhost/homes.go
+++ b/node/jobhost/homes.go
@@ -30,7 +30,7 @@
 )
 
 // queueHomes is this node's copy of the book of homes. Owners of shards use it
-// before they accept jobs.
+// before they accept jobs, and all nodes before they report a job as missing.
 type queueHomes struct {
 	host *Host
 	// turn holds one element while the book is read or written.
@@ -39,6 +39,9 @@
 	mu    sync.Mutex
 	book  *homes.Book
 	basis homesBasis
+	// reads numbers the reads of the book in the order in which they were sent. bookRead
+	// is the number of the read that gave the copy.
+	reads, bookRead uint64
 	// failedAt is when the store last failed; 0 if it did not since the last
 	// success.
 	failedAt int64
@@ -92,9 +95,14 @@
 		q.host.record(events.QueueHomeUnknown, events.Fields{Detail: "read ahead", Err: err})
 		return
 	}
+	q.keep(book, basis)
+}
+
+// keep replaces the copy of the book by the one that was read last.
+func (q *queueHomes) keep(book *homes.Book, basis homesBasis) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	q.book, q.basis, q.failedAt = book, basis, 0
+	q.book, q.basis, q.bookRead, q.failedAt = book, basis, q.reads, 0
 }
 
 // earlierHomes returns the other shards that may hold jobs of a queue. If enter is
@@ -126,10 +134,15 @@
 	if current && (!enter || q.book.Settled(queue, p.Index)) {
 		return q.partitions(q.book, queue, p), true, nil
 	}
+	return nil, false, q.recentFailure()
+}
+
+// recentFailure returns an error if the store has just failed. The caller holds the lock.
+func (q *queueHomes) recentFailure() error {
 	if q.failedAt != 0 && sinceMS(q.failedAt) < homesRetryDelay {
-		return nil, false, errHomesUnavailable
+		return errHomesUnavailable
 	}
-	return nil, false, nil
+	return nil
 }
 
 func (q *queueHomes) partitions(book *homes.Book, queue string, p deps.Partition) []deps.Partition {
@@ -153,18 +166,73 @@
 			book, err = q.read(ctx)
 		}
 	}
+	if err != nil {
+		q.noteFailure(events.Fields{Detail: "queue=" + queue, Shard: p.Index, Err: err})
+		return nil, err
+	}
+	q.keep(book, basis)
+	return q.partitions(book, queue, p), nil
+}
+
+func (q *queueHomes) noteFailure(f events.Fields) {
+	q.mu.Lock()
+	q.failedAt = monotonicMS()
+	q.mu.Unlock()
+	q.host.record(events.QueueHomeUnknown, f)
+}
+
+// readsSent returns the number of reads of the book that have been sent so far.
+func (q *queueHomes) readsSent() uint64 {
 	q.mu.Lock()
 	defer q.mu.Unlock()
+	return q.reads
+}
+
+// allHomes returns all shards that may hold jobs of a queue, from a read of the book
+// that was sent after the given number of reads. Calls that wait for the same read share it.
+func (q *queueHomes) allHomes(ctx context.Context, queue string, after uint64) ([]deps.Partition, error) {
+	select {
+	case q.turn <- struct{}{}:
+		defer func() { <-q.turn }()
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+	book, err := q.bookReadAfter(ctx, after)
 	if err != nil {
-		q.failedAt = monotonicMS()
-		q.host.record(events.QueueHomeUnknown, events.Fields{Detail: "queue=" + queue, Shard: p.Index, Err: err})
 		return nil, err
 	}
-	q.book, q.basis, q.failedAt = book, basis, 0
-	return q.partitions(book, queue, p), nil
+	var list []deps.Partition
+	for _, index := range book.Shards(queue) {
+		list = append(list, deps.Partition{Topic: deps.TopicJobs, Index: index})
+	}
+	return list, nil
+}
+
+// bookReadAfter returns the copy of the book if it is from a read that was sent after the
+// given number of reads, and otherwise reads the book. The caller holds the turn.
+func (q *queueHomes) bookReadAfter(ctx context.Context, after uint64) (*homes.Book, error) {
+	q.mu.Lock()
+	book, fresh, err := q.book, q.bookRead > after, q.recentFailure()
+	q.mu.Unlock()
+	if fresh || err != nil {
+		return book, err
+	}
+	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
+	basis := q.currentBasis()
+	if book, err = q.read(ctx); err != nil {
+		q.noteFailure(events.Fields{Detail: "read for a job that was not found", Err: err})
+		return nil, err
+	}
+	q.keep(book, basis)
+	return book, nil
 }
 
 func (q *queueHomes) read(ctx context.Context) (*homes.Book, error) {
+	q.mu.Lock()
+	q.reads++
+	q.mu.Unlock()
+	q.host.stats.storeReads.Add(1)
 	snapshot, err := q.host.cfg.Store.Newest(ctx, homesPartition)
 	if err != nil {
 		return nil, err
--- a/node/jobhost/requests.go
+++ b/node/jobhost/requests.go
@@ -110,15 +110,7 @@
 	if res.Outcome != Missing || r.Op == OpSubmit {
 		return res
 	}
-	for _, other := range h.requiredPartitions() {
-		if other == part || other.Topic != deps.TopicJobs {
-			continue
-		}
-		if res := h.doAtOwner(ctx, other, r); res.Outcome != Missing {
-			return res
-		}
-	}
-	return res
+	return h.askOtherShards(ctx, part, r)
 }
 
 // doAtOwner sends a request to the owner of a shard. If there is none, it waits
