Deliver the replies that were decided before a shard was lost

What callers saw: no answer until their deadline, from a node that had just learned that it was replaced. Cause: a reply is delivered with the next pass over the shard. If the shard is dropped before that, the core goes away with its replies; only callers that wait for the store were answered. Its log events were lost as well. Change: dropping a shard delivers the replies and logs the events that the core holds. A reply is decided only after the append that it needs, so that losing the shard later does not make it wrong. Measured: TestDecidedReplyIsDeliveredWhenTheShardIsLost failed before (no answer in 5 s) and passes.

--- a/node/jobhost/owners.go
+++ b/node/jobhost/owners.go
@@ -294,7 +294,11 @@
 	if s.core == nil {
 		return
 	}
-	for _, r := range s.core.AbandonWaiters() {
+	decided := s.core.TakeOrders()
+	for _, e := range decided.Events {
+		h.logDecision(s, e)
+	}
+	for _, r := range append(decided.Replies, s.core.AbandonWaiters()...) {
 		h.pending.deliver(r, h.answeredBy(s))
 	}
 }
--- a/node/jobhost/superseded_test.go
+++ b/node/jobhost/superseded_test.go
@@ -135,3 +135,24 @@
 		assert.NotEqual(t, Done, doJob(former, op, 2).Outcome, name)
 	}
 }
+
+// A reply that was decided in the same pass in which the shard was lost never reached its
+// caller, who waited until its deadline.
+func TestDecidedReplyIsDeliveredWhenTheShardIsLost(t *testing.T) {
+	s := newTestSite(t, time.Minute)
+	h := runHost(t, s.config("a", "127.0.0.1"))
+	require.Eventually(t, func() bool { return doJob(h, OpSubmit, 1).Outcome == Done }, 20*time.Second, 20*time.Millisecond)
+	answer := h.pending.register(h.ticket.Add(1))
+	ticket := h.ticket.Load()
+	h.post(func() {
+		owned := h.owned[h.partitionOf("s")]
+		owned.core.Submit(monotonicMS(), ticket, *testJob(1))
+		h.dropShard(owned, "the test takes it away")
+	})
+	select {
+	case a := <-answer:
+		assert.Equal(t, Done, a.result().Outcome)
+	case <-time.After(5 * time.Second):
+		t.Fatal("the caller gets no answer")
+	}
+}
