Tests of former owners: repeated appends, queued orders, yields

Change: tests of three defects. The answer to a repeated append is taken for a proof of ownership at the time of the repeat, although the store answers it like the first execution. Orders that wait for a relay are sent although the shard is lost. A shard that has left a job to another shard forgets that in a takeover, so that the job may be in two shards, of which a cancel reaches the first.

--- /dev/null
+++ b/node/jobhost/formerowner_test.go
@@ -0,0 +1,95 @@
+package jobhost
+
+import (
+	"context"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"wigeonwinch/jobs/shard"
+	"wigeonwinch/node/deps"
+)
+
+// A shard that had left a job to another shard forgot that in a takeover, and accepted
+// a repeated submission: a cancel then reached only one of the two jobs.
+func TestYieldedJobIsAcceptedAfterTakeover(t *testing.T) {
+	o := newOwnerSite(t)
+	require.Equal(t, Missing, o.ask(OpYield, 2).Outcome)
+	require.Equal(t, Unknown, o.ask(OpSubmit, 2).Outcome)
+	before := (*o.host.owners.Load())[o.part].Epoch
+	o.host.post(func() { o.host.dropShard(o.host.owned[o.part], "test") })
+	require.Eventually(t, func() bool {
+		return (*o.host.owners.Load())[o.part].Epoch > before && o.ask(OpShow, 1).Outcome == Done
+	}, 20*time.Second, 20*time.Millisecond)
+	assert.NotEqual(t, Done, o.ask(OpSubmit, 2).Outcome)
+}
+
+// lostAnswerStore loses the answer to the next append of jobs, and lets no repeat
+// through until it is released.
+type lostAnswerStore struct {
+	deps.Store
+	losing, held atomic.Bool
+}
+
+func (s *lostAnswerStore) Append(ctx context.Context, a deps.Append) error {
+	unknown := &deps.Error{Kind: deps.KindUnknown, Call: "append"}
+	if a.Topic != deps.TopicJobs {
+		return s.Store.Append(ctx, a)
+	}
+	if s.losing.CompareAndSwap(true, false) {
+		s.held.Store(true)
+		if err := s.Store.Append(ctx, a); err != nil {
+			return err
+		}
+		return unknown
+	}
+	if s.held.Load() {
+		return unknown
+	}
+	return s.Store.Append(ctx, a)
+}
+
+// The store answers the repeat of an append like its first execution. An owner whose
+// append was executed before a successor took over, and that repeated it after a gap,
+// took the answer for a proof that it was still the owner.
+func TestRepeatedAppendProvesOwnershipOnlyWhenItWasFirstSent(t *testing.T) {
+	s := newTestSite(t, 20*time.Millisecond)
+	store := &lostAnswerStore{Store: s.store}
+	cfg := s.config("a", "127.0.0.1")
+	cfg.Store = store
+	h := New(cfg)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	o := &ownedShard{partition: h.partitionOf("s"), epoch: 5, ctx: ctx, cancel: cancel, appendInFlight: true}
+	h.owned[o.partition] = o
+	store.losing.Store(true)
+	rec, err := h.ownerRecord(o.partition, o.epoch)
+	require.NoError(t, err)
+	go h.append(o, 1, []shard.Record{rec}, func() {})
+	(<-h.inbox)()
+	takenOverAt := monotonicMS()
+	require.NoError(t, s.store.Append(ctx, deps.Append{Partition: o.partition, Records: []shard.Record{{Key: ownerKey, Value: []byte{1}}}, Fence: &deps.Fence{Epoch: 6, Sequence: 1}}))
+	time.Sleep(5 * time.Millisecond)
+	store.held.Store(false)
+	for h.owned[o.partition] == o && o.appendInFlight {
+		(<-h.inbox)()
+	}
+	if h.owned[o.partition] == o {
+		assert.LessOrEqual(t, o.verifiedAt.Load(), takenOverAt, "the append was executed before the takeover")
+	}
+}
+
+// Orders of a shard that its node had lost were still sent to the relay.
+func TestQueuedOrdersOfLostShardAreNotSent(t *testing.T) {
+	h := New(newTestSite(t, time.Millisecond).config("a", "127.0.0.1"))
+	part := h.partitionOf("s")
+	o := &ownedShard{partition: part}
+	h.relays.assigned[part] = map[string]string{"w-0": "relay"}
+	require.True(t, h.relays.addStart(o, shard.Start{Target: shard.Target{Worker: "w-0"}, RunRef: shard.RunRef{Key: shard.Key{Job: "j"}, Number: 1}}))
+	h.relays.dropShard(o)
+	assert.Empty(t, h.relays.calls)
+	assert.Empty(t, h.relays.links["relay"].queue)
+}
