Tests of the reply that a job is unknown

Change: the reply must wait for an append that is made after the request, also when nothing has changed, and its caller must be answered when the shard is lost.

--- a/jobs/shard/cancel_test.go
+++ b/jobs/shard/cancel_test.go
@@ -251,3 +251,40 @@
 	next.step(5_000)
 	assert.Empty(t, next.core.TakeOrders().Starts)
 }
+
+// unknownReplied reports whether the cancel was replied to with Unknown.
+func unknownReplied(o Orders) bool {
+	for _, r := range o.Replies {
+		if r.Ticket == cancelTicket && r.Outcome == Unknown {
+			return true
+		}
+	}
+	return false
+}
+
+// A deposed owner replied that a job was unknown that its successor had accepted. An
+// append that was under way before the request proves nothing about the time after.
+func TestUnknownIsRepliedAfterAnAppendOfItsOwn(t *testing.T) {
+	h := newHarness(t, 1)
+	h.core.Submit(h.now, 1, testJob(1, smallStep(1)))
+	before, ok := h.core.NextBatch()
+	require.True(t, ok)
+	h.core.Cancel(h.now, cancelTicket, testJob(2).ID)
+	assert.False(t, unknownReplied(h.core.TakeOrders()))
+	h.core.HandleCommit(h.now, before)
+	assert.False(t, unknownReplied(h.core.TakeOrders()))
+	after, ok := h.core.NextBatch()
+	require.True(t, ok, "an append is needed although nothing has changed")
+	assert.False(t, unknownReplied(h.core.TakeOrders()))
+	h.core.HandleCommit(h.now, after)
+	assert.True(t, unknownReplied(h.core.TakeOrders()))
+}
+
+// The caller of a cancel of an unknown job waited for its time-out after the shard was
+// lost, rather than ask the next owner.
+func TestAbandonAnswersCancelsOfUnknownJobs(t *testing.T) {
+	h := newHarness(t, 1)
+	h.core.Cancel(h.now, cancelTicket, testJob(2).ID)
+	require.False(t, unknownReplied(h.core.TakeOrders()))
+	assert.Equal(t, []Reply{{Ticket: cancelTicket, Outcome: Unavailable, Reason: "owner_changed"}}, h.core.AbandonWaiters())
+}
