Test of an owner that reads its successor's heartbeats

A takeover is announced once; an owner that misses the announcement keeps its shard although it reads from the store that another node owns it with a higher epoch, until an append or a worker refuses it. Until then it answers forwarded requests from memory.

--- a/node/jobhost/deposed_test.go
+++ b/node/jobhost/deposed_test.go
@@ -69,3 +69,22 @@
 		})
 	}
 }
+
+// An owner that had missed the announcement of its successor, because it was cut off
+// from the other nodes, kept its shard although it read the successor's heartbeats,
+// and answered requests that were forwarded to it.
+func TestHeartbeatOfNewerOwnerEndsOwnership(t *testing.T) {
+	h := New(newTestSite(t, time.Millisecond).config("a", "127.0.0.1"))
+	part := h.partitionOf("s")
+	now := monotonicMS()
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	core := shard.New(shard.Config{Epoch: 5}, now, wallMS())
+	h.owned[part] = &ownedShard{partition: part, epoch: 5, core: core, ctx: ctx, cancel: cancel}
+	rec, err := encMode.Marshal(heartbeatRecord{Node: "b", Incarnation: 1, Sequence: 1,
+		Owned: []ownership{{Topic: int(part.Topic), Index: part.Index, Epoch: 6, Node: "b", Incarnation: 1}}})
+	require.NoError(t, err)
+	h.applyHeartbeats([]shard.Record{{Key: "b", Value: rec}})
+	require.Equal(t, "b", (*h.owners.Load())[part].Node, "requests of this node go to the successor")
+	assert.NotContains(t, h.owned, part)
+}
