--- a/node/jobhost/formerowner_test.go
+++ b/node/jobhost/formerowner_test.go
@@ -93,3 +93,28 @@
 	assert.Empty(t, h.relays.calls)
 	assert.Empty(t, h.relays.links["relay"].queue)
 }
+
+// The replies that a shard had given in the pass in which a worker reported a newer
+// owner were dropped with it: their callers waited for their time-out.
+func TestRepliesOfDeposedShardAreDelivered(t *testing.T) {
+	h := New(newTestSite(t, time.Millisecond).config("a", "127.0.0.1"))
+	part := h.partitionOf("s")
+	now := monotonicMS()
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	core := shard.New(shard.Config{Epoch: 5}, now, wallMS())
+	core.SetQueues([]shard.Queue{{Name: "q", Service: "s"}})
+	core.SetWorkers(now, []shard.Worker{{ID: "w-0", Address: "w-0", Service: "s", Incarnation: 1}})
+	h.owned[part] = &ownedShard{partition: part, epoch: 5, core: core, ctx: ctx, cancel: cancel}
+	answer := h.pending.register(1)
+	h.submitOrCancel(part, 1, Request{Op: OpSubmit, Service: "s", Queue: "q", ID: testJob(1).ID, Job: testJob(1)})
+	core.HandlePollError(now, shard.Target{Worker: "w-0", Incarnation: 1, Epoch: 5}, shard.PollFenced)
+	h.advance()
+	require.NotContains(t, h.owned, part)
+	select {
+	case a := <-answer:
+		assert.Equal(t, shard.Refused, a.Outcome)
+	default:
+		assert.Fail(t, "the reply was dropped")
+	}
+}
