Count the answer to a repeated append from its first sending

Cause: the store answers a repeat of one of the last appends like its first execution, also after a successor has taken the shard over. The owner took the time of the last sending as proof of its ownership, which the fleet controller acts by. Change: an append counts from its first sending.

--- a/node/jobhost/shardrun.go
+++ b/node/jobhost/shardrun.go
@@ -111,10 +111,12 @@
 }
 
 // append appends records and retries until the store has them or a newer owner
-// exists. Retries carry the same sequence number, so a repeat changes nothing.
+// exists. Retries carry the same sequence number, so a repeat changes nothing. The
+// answer to a repeat proves only that nobody had taken the shard over when the append
+// was sent first.
 func (h *Host) append(s *ownedShard, sequence int64, records []shard.Record, done func()) {
+	sentAt := monotonicMS()
 	for s.ctx.Err() == nil {
-		sentAt := monotonicMS()
 		err := h.appendOnce(s, sequence, records)
 		if err == nil {
 			h.post(func() { h.handleAppended(s, sentAt, done) })
