Give no count of waiting jobs without the queue's earlier shards

Cause: earlier shards that did not answer, and the whole book of homes when it could not be read, were left out and the sum was given as done. Change: the answer is 503 with a Retry-After until all are known. Measured: TestWaitingJobsAreNotGivenWithoutAnEarlierShard failed before (outcome done) and passes.

--- a/node/jobhost/homes.go
+++ b/node/jobhost/homes.go
@@ -287,18 +287,18 @@
 }
 
 // addEarlierHomes adds the queue's jobs in earlier shards to the answer of a request
-// that counts or lists them. Those that do not answer are left out.
+// that counts or lists them. Without all of these shards the answer would be too low.
 func (h *Host) addEarlierHomes(ctx context.Context, p deps.Partition, r Request, res Result) Result {
 	earlier, err := h.homes.earlierHomes(ctx, r.Queue, p, false)
 	if err != nil {
-		return res
+		return Result{Outcome: Unavailable, RetryAfterMS: unavailableRetryMS, Reason: "queue_home_unknown"}
 	}
 	r.ShardOnly = true
 	for _, other := range earlier {
 		more := h.tryOwner(ctx, other, r)
 		if more.Outcome != Done {
 			h.record(events.RequestPassedOn, events.Fields{Detail: opNames[r.Op] + " in an earlier shard: " + more.Reason, Shard: other.Index})
-			continue
+			return Result{Outcome: Unavailable, RetryAfterMS: unavailableRetryMS, Reason: "earlier_service_" + more.Reason}
 		}
 		res.Waiting += more.Waiting
 		if r.Limit > len(res.Jobs) {
