Do not make other shards leave a job to a shard that has lost its queue

What callers saw: submissions of a job answered 504 for 30 s. A node with an older configuration sends a submission to the shard that the queue has left. That cannot accept it, but asked the queue's shard to leave the job to it first. Change: a shard that does not have the queue by its own configuration asks nobody. A job that it already has is accepted again as before. Measured: TestJobIsAcceptedAfterANodeWithAnOlderConfigurationHasTried failed before (unknown, being left to another shard) and passes.

--- a/jobs/shard/core.go
+++ b/jobs/shard/core.go
@@ -228,6 +228,12 @@
 	}
 }
 
+// HasQueue reports whether the shard accepts jobs of a queue.
+func (c *Core) HasQueue(name string) bool {
+	_, ok := c.queues[name]
+	return ok
+}
+
 // SetOwnershipDeadlines sets until when the owner may start tasks and extend
 // leases.
 func (c *Core) SetOwnershipDeadlines(startsUntil, leasesUntil int64) {
--- a/node/jobhost/homes.go
+++ b/node/jobhost/homes.go
@@ -269,6 +269,9 @@
 	if !h.homes.ownsShard(p) {
 		return Result{Outcome: notOwner, Reason: "not_owner"}, true
 	}
+	if !h.shardHasQueue(ctx, p, r.Queue) {
+		return Result{}, false
+	}
 	earlier, err := h.homes.earlierHomes(ctx, r.Queue, p, true)
 	if err != nil {
 		return h.unlessOwn(ctx, p, r, "queue_home_unknown")
@@ -286,6 +289,18 @@
 	return Result{}, false
 }
 
+// shardHasQueue reports whether this node's shard accepts jobs of a queue by its own
+// configuration. Otherwise the earlier shards must not be asked to leave a job to it.
+func (h *Host) shardHasQueue(ctx context.Context, p deps.Partition, queue string) bool {
+	has := false
+	err := h.runOnLoop(ctx, func() {
+		if s := h.owned[p]; s != nil && s.core != nil {
+			has = s.core.HasQueue(queue)
+		}
+	})
+	return err == nil && has
+}
+
 // addEarlierHomes adds the queue's jobs in earlier shards to the answer of a request
 // that counts or lists them. Without all of these shards the answer would be too low.
 func (h *Host) addEarlierHomes(ctx context.Context, p deps.Partition, r Request, res Result) Result {
--- a/node/jobhost/stale_queue_test.go
+++ b/node/jobhost/stale_queue_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
@@ -25,3 +27,22 @@
 	h.homes.refresh()
 	assert.NotEqual(t, Done, s.ask(h, OpWaiting, 0).Outcome)
 }
+
+// A node with an older configuration gave a job to the shard that its queue had left. That
+// could not accept it, but made the queue's shard promise not to accept it either, for 30 s.
+func TestJobIsAcceptedAfterANodeWithAnOlderConfigurationHasTried(t *testing.T) {
+	s := newMovedQueueSite(t)
+	var behind atomic.Bool
+	current := s.run("a", "127.0.0.1", s.store)
+	s.submit(current, 1)
+	late := s.run("b", "127.0.0.2", storeBehind{s.store, &behind})
+	require.Eventually(t, func() bool { return s.ask(late, OpShow, 1).Outcome == Done }, 10*time.Second, 50*time.Millisecond)
+	behind.Store(true)
+	s.moveQueue(deps.Pool{Service: "s"})
+	require.Eventually(t, func() bool { return current.config.Load().Version == 2 }, 10*time.Second, 10*time.Millisecond)
+	s.submit(current, 2)
+	require.Equal(t, int64(1), late.config.Load().Version)
+	assert.NotEqual(t, Done, s.ask(late, OpSubmit, 3).Outcome)
+	res := s.ask(current, OpSubmit, 3)
+	assert.Equal(t, Done, res.Outcome, res.Reason)
+}
