Show no state of a job that a former owner remembers

What callers saw: a job shown as running, by a node that had been cut off for long, after its successor had acknowledged the job's cancel. Cause: statuses of known jobs were read from memory, however old. Change: an owner whose right to extend leases has expired gives final states only, which stay; the caller's node looks for the owner.

--- a/node/jobhost/requests.go
+++ b/node/jobhost/requests.go
@@ -49,9 +49,6 @@
 // readOnly reports whether the operation changes nothing.
 func (o Operation) readOnly() bool { return o != OpSubmit && o != OpCancel }
 
-// reportsShard reports whether the operation asks about all jobs of a queue.
-func (o Operation) reportsShard() bool { return o == OpWaiting || o == OpList }
-
 // Outcome is the outcome of a request as reported to the caller.
 type Outcome string
 
@@ -88,6 +85,10 @@
 	By answeredBy `cbor:"8,keyasint,omitzero"`
 }
 
+// maySoonChange reports whether a successor of the owner that gave the result may give
+// another one. A final state stays.
+func (r Result) maySoonChange() bool { return r.Outcome == Done && !r.State.Final() }
+
 // unavailableRetryMS is about the duration of a takeover.
 const unavailableRetryMS = 1000
 
@@ -276,10 +277,12 @@
 	res := Result{Outcome: notOwner, Reason: "not_owner"}
 	err := h.runOnLoop(ctx, func() {
 		s := h.owned[part]
-		if s == nil || s.core == nil || r.Op.reportsShard() && !s.core.IsCurrent(monotonicMS()) {
+		if s == nil || s.core == nil {
 			return
 		}
-		res = readShard(s.core, r)
+		if res = readShard(s.core, r); res.maySoonChange() && !s.core.IsCurrent(monotonicMS()) {
+			res = Result{Outcome: notOwner, Reason: "not_owner"}
+		}
 		res.By = h.answeredBy(s)
 	})
 	if err != nil {
--- a/node/jobhost/superseded_test.go
+++ b/node/jobhost/superseded_test.go
@@ -169,3 +169,16 @@
 		t.Fatal("the caller gets no answer")
 	}
 }
+
+// A former owner that was cut off for long showed a job as running that its successor had
+// cancelled.
+func TestFormerOwnerShowsNoOldState(t *testing.T) {
+	former, owner, _ := supersededOwner(t, newTestSite(t, time.Minute))
+	require.Equal(t, Done, doJob(owner, OpCancel, 1).Outcome)
+	require.Eventually(t, func() bool { return sinceMS(former.confirmedHeartbeat.Load().sentAt) > leaseExtensionWindow }, 2*leaseExtensionWindow, 20*time.Millisecond)
+	for name, op := range map[string]Operation{"show": OpShow, "tasks": OpTasks} {
+		if res := doJob(former, op, 1); res.Outcome == Done {
+			assert.Equal(t, spec.Cancelled, res.State, name)
+		}
+	}
+}
