Call a worker directly that its relay cannot reach

What callers could see: a cancelled task that runs on until its lease expires, up to six seconds, in pools that are large enough for relays. Cause: a relay that returns its failures in time is kept. If its own link to a worker is cut, neither stops nor polls reach that worker, although the owner could. Change: a poll, a start or a stop that a relay could not deliver makes the owner call that worker itself for three seconds.

--- a/node/jobhost/relaymessages.go
+++ b/node/jobhost/relaymessages.go
@@ -85,6 +85,22 @@
 	Ended                []listedEndRow
 }
 
+// workerSilent reports whether the relay got no answer from the worker to an order of the
+// given kind.
+func (r *orderResult) workerSilent(kind orderKind) bool {
+	switch kind {
+	case orderPoll:
+		reason := shard.PollError(r.Outcome)
+		return reason == shard.PollUnanswered || reason == shard.PollConnectionClosed || reason == shard.PollConnectionRejected
+	case orderStart:
+		outcome := shard.StartOutcome(r.Outcome)
+		return outcome == shard.StartUnanswered || outcome == shard.StartNotSent
+	case orderStop:
+		return !r.Answered && !r.Fenced
+	}
+	return false
+}
+
 type listedRunRow struct {
 	_                               struct{} `cbor:",toarray"`
 	Job                             string
--- a/node/jobhost/relays.go
+++ b/node/jobhost/relays.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"time"
 
 	"github.com/pkg/errors"
@@ -71,11 +72,14 @@
 	lastID   uint64
 	// expiredAt is when deadlines were last checked.
 	expiredAt int64
+	// directUntil is the time until which the owner calls a worker itself, because its
+	// relay had no answer from it.
+	directUntil map[string]int64
 }
 
 func newRelayedOrders(h *Host) *relayedOrders {
 	return &relayedOrders{host: h, assigned: map[deps.Partition]map[string]string{}, links: map[string]*relayLink{}, calls: map[uint64]*relayedCall{},
-		lastID: uint64(h.incarnation)}
+		directUntil: map[string]int64{}, lastID: uint64(h.incarnation)}
 }
 
 // plan assigns relays to the workers of the owned shards.
@@ -95,6 +99,7 @@
 		}
 	}
 	r.assigned = assigned
+	maps.DeleteFunc(r.directUntil, func(_ string, until int64) bool { return now >= until })
 }
 
 // candidates returns the nodes that may be relays: all live nodes without a
@@ -145,6 +150,9 @@
 		return false
 	}
 	now := monotonicMS()
+	if now < r.directUntil[o.Worker] {
+		return false
+	}
 	l := r.links[node]
 	if l == nil {
 		l = &relayLink{node: node}
@@ -319,6 +327,9 @@
 		return
 	}
 	now, core := monotonicMS(), c.shard.core
+	if res.workerSilent(c.order.Kind) {
+		r.directUntil[c.order.Worker] = now + relaySuspension.Milliseconds()
+	}
 	switch c.order.Kind {
 	case orderPoll:
 		if res.Outcome != "" {
--- a/node/jobhost/relays_test.go
+++ b/node/jobhost/relays_test.go
@@ -18,12 +18,17 @@
 )
 
 // countedWorkers counts the starts that one node sends. While silent is set, its
-// polls return nothing, like those of a node whose process is suspended with
-// orders in its hands.
+// polls and stops return nothing, like those of a node whose process is suspended
+// with orders in its hands.
 type countedWorkers struct {
 	*depstest.Workers
 	starts atomic.Int64
 	silent atomic.Bool
+	// cut makes polls and stops fail once their time is over, like those of a node
+	// whose links to the workers are cut.
+	cut atomic.Bool
+	// stopped counts the stops that reached a worker.
+	stopped atomic.Int64
 }
 
 func (w *countedWorkers) Start(ctx context.Context, s shard.Start) shard.StartResult {
@@ -31,6 +36,26 @@
 	return w.Workers.Start(ctx, s)
 }
 
+// hold waits while the node is silent, and returns an error if its links are cut.
+func (w *countedWorkers) hold(ctx context.Context) error {
+	for w.silent.Load() {
+		time.Sleep(10 * time.Millisecond)
+	}
+	if !w.cut.Load() {
+		return nil
+	}
+	<-ctx.Done()
+	return ctx.Err()
+}
+
+func (w *countedWorkers) Stop(ctx context.Context, s shard.Stop) error {
+	if err := w.hold(ctx); err != nil {
+		return err
+	}
+	w.stopped.Add(1)
+	return w.Workers.Stop(ctx, s)
+}
+
 // relaySite is a pool that is large enough for relays, with three nodes.
 type relaySite struct {
 	site    *testSite
@@ -141,8 +166,8 @@
 }
 
 func (w *countedWorkers) Poll(ctx context.Context, p shard.Poll) (shard.PollResponse, error) {
-	for w.silent.Load() {
-		time.Sleep(10 * time.Millisecond)
+	if err := w.hold(ctx); err != nil {
+		return shard.PollResponse{}, err
 	}
 	return w.Workers.Poll(ctx, p)
 }
@@ -206,3 +231,38 @@
 	}
 	assert.NotZero(t, r.links["relay"].suspendedUntil, "the relay had its time since then")
 }
+
+// cancelPastRelays cancels a job of three tasks while the orders of all other nodes than
+// the owner fail as set, and waits until the owner has stopped the tasks itself.
+func cancelPastRelays(t *testing.T, fail func(*countedWorkers) *atomic.Bool) {
+	t.Helper()
+	r := newRelaySite(t)
+	r.site.workers.RunTime = time.Minute
+	owner, _ := r.owner(t)
+	r.submit(t, 1, 1)
+	require.Eventually(t, func() bool { return relayInUse(r.hosts[owner]) }, 5*time.Second, 20*time.Millisecond)
+	for name, w := range r.workers {
+		fail(w).Store(name != owner)
+	}
+	defer func() {
+		for _, w := range r.workers {
+			fail(w).Store(false)
+		}
+	}()
+	cancelled := r.hosts["a"].Do(context.Background(), Request{Op: OpCancel, Service: "s", Queue: "q", ID: testJob(1).ID})
+	require.Equal(t, Done, cancelled.Outcome)
+	assert.Eventually(t, func() bool { return r.workers[owner].stopped.Load() >= 3 }, 5*time.Second, 20*time.Millisecond)
+}
+
+// The stop of a cancelled run was lost with a relay that kept its orders without a
+// result.
+func TestCancelReachesWorkersPastASilentRelay(t *testing.T) {
+	cancelPastRelays(t, func(w *countedWorkers) *atomic.Bool { return &w.silent })
+}
+
+// A relay whose links to the workers were cut returned its failures in time, so that it
+// was kept: a cancelled run went on until its lease expired, although its owner could
+// reach the worker.
+func TestCancelReachesWorkersPastARelayThatCannotReachThem(t *testing.T) {
+	cancelPastRelays(t, func(w *countedWorkers) *atomic.Bool { return &w.cut })
+}
