--- a/node/jobhost/leave.go
+++ b/node/jobhost/leave.go
@@ -47,9 +47,7 @@
 		}
 		for _, s := range h.sortedOwned() {
 			if s.core != nil {
-				for _, r := range s.core.TakeOrders().Replies {
-					h.pending.deliver(r, h.answeredBy(s))
-				}
+				h.deliverDecided(s)
 			}
 		}
 	}
--- a/node/jobhost/owners.go
+++ b/node/jobhost/owners.go
@@ -294,11 +294,20 @@
 	if s.core == nil {
 		return
 	}
+	h.deliverDecided(s)
+	for _, r := range s.core.AbandonWaiters() {
+		h.pending.deliver(r, h.answeredBy(s))
+	}
+}
+
+// deliverDecided delivers the replies and logs the decisions that the core of a shard
+// holds, without its orders.
+func (h *Host) deliverDecided(s *ownedShard) {
 	decided := s.core.TakeOrders()
 	for _, e := range decided.Events {
 		h.logDecision(s, e)
 	}
-	for _, r := range append(decided.Replies, s.core.AbandonWaiters()...) {
+	for _, r := range decided.Replies {
 		h.pending.deliver(r, h.answeredBy(s))
 	}
 }
