Do not refuse submissions after the right to decide has expired

What callers saw: 429 for a job that a successor had accepted, from an owner that was frozen or cut off. A caller whose first answer was lost takes it for granted that the job never runs (PROTOCOL on 429). Change: once the window for starting tasks has expired, a submission of a job that the owner does not have is answered 504 at once: nobody knows, ask again with the same id. Inside the window no successor can exist, and refusals are given as before. Measured: TestFormerOwnerRefusesNoJob failed before (refused, store_away) and passes.

--- a/jobs/shard/submit.go
+++ b/jobs/shard/submit.go
@@ -31,6 +31,11 @@
 		c.firstSeenAt[s.ID] = now
 		c.ensurePool(q.Service).submittedWork += s.Work()
 	}
+	if c.now >= c.startsUntil {
+		// A successor may have accepted the job, so that a refusal may be false.
+		c.reply(Reply{Ticket: ticket, Outcome: Unavailable, Reason: "ownership_expired"})
+		return
+	}
 	j := c.newJob(s, q, firstSeen)
 	if refusal, refused := c.checkAdmission(j, q); refused {
 		c.event(Event{Name: EventRefused, Job: s.ID, Outcome: refusal.Reason, AgeMS: now - firstSeen,
@@ -75,7 +80,7 @@
 
 // checkAdmission decides whether a job is refused before it is stored.
 func (c *Core) checkAdmission(j *job, q Queue) (Reply, bool) {
-	if c.storeDown || c.now >= c.startsUntil {
+	if c.storeDown {
 		return Reply{Reason: "store_away", RetryAfterMS: admit.UnavailableRetryMS}, true
 	}
 	if reason, ok := c.unplaceable(j); ok {
--- a/node/jobhost/superseded_test.go
+++ b/node/jobhost/superseded_test.go
@@ -182,3 +182,11 @@
 		}
 	}
 }
+
+// A former owner said of a job that its successor had accepted that it was not accepted and would
+// never run.
+func TestFormerOwnerRefusesNoJob(t *testing.T) {
+	former, _, _ := supersededOwner(t, newTestSite(t, time.Minute))
+	res := doJob(former, OpSubmit, 2)
+	assert.NotEqual(t, Refused, res.Outcome, res.Reason)
+}
