Return no report that the control loop may still write

Cause: applyCordons returned its response also when runOnLoop had given up waiting. The function that fills it stayed in the inbox of the control loop, which wrote the response while the caller read it. What callers saw: nothing; they don't use the report beside an error. Change: an empty response beside that error.

--- a/node/jobhost/cordon.go
+++ b/node/jobhost/cordon.go
@@ -168,7 +168,8 @@
 		response = cordonResponse{Workers: s.core.WorkerStats(), Pools: s.core.PoolStats()}
 	})
 	if err != nil {
-		return response, err
+		// The control loop may still write the response.
+		return cordonResponse{}, err
 	}
 	return response, rejection
 }
