Report on a shard only while its ownership is certain

Cause: applyCordons answered the fleet controller by what the owner remembered, as long as it did not know of a successor. A former owner whose machine had just resumed still had its workers as drained, because no poll had been answered since. What callers saw: the fleet controller moves and maintains VMs on such reports, here under the tasks that the successor had sent to them (AVAIL, stopped work). Change: the owner sets the cordons and reports only within the start window of its last confirmed heartbeat, and after it has verified that nobody took over in between; otherwise it answers with an error. Cordons are still set, so that a late heartbeat doesn't lift them. It needs no store call.

--- a/node/jobhost/cordon.go
+++ b/node/jobhost/cordon.go
@@ -146,7 +146,8 @@
 }
 
 // applyCordons sets the cordons of a shard that this node owns and returns a
-// report on the shard. It rejects cordons of an older fleet controller.
+// report on the shard, unless another node may have taken it over. It rejects
+// cordons of an older fleet controller.
 func (h *Host) applyCordons(ctx context.Context, p deps.Partition, m cordonMessage) (cordonResponse, error) {
 	var response cordonResponse
 	var rejection error
@@ -165,6 +166,10 @@
 		s.core.SetCordons(now, m.Workers)
 		s.core.SetIncomingCapacity(m.IncomingMilliCPU)
 		h.expectingVMs.Store(len(m.IncomingMilliCPU) > 0)
+		if !h.isSoleOwner(s, now) {
+			rejection = errors.New("another node may own the shard")
+			return
+		}
 		response = cordonResponse{Workers: s.core.WorkerStats(), Pools: s.core.PoolStats()}
 	})
 	if err != nil {
--- a/node/jobhost/owners.go
+++ b/node/jobhost/owners.go
@@ -244,6 +244,13 @@
 	return *c, s.verifiedAt.Load() >= c.chainStart
 }
 
+// isSoleOwner reports whether this node is certainly the owner of the shard, so that no
+// other node starts tasks on its workers.
+func (h *Host) isSoleOwner(s *ownedShard, now int64) bool {
+	hb, verified := h.verifiedHeartbeat(s)
+	return verified && now < hb.sentAt+startWindow.Milliseconds()
+}
+
 // verifyOwnership appends the owner record again. The store rejects it if a
 // newer owner exists.
 func (h *Host) verifyOwnership(s *ownedShard) {
--- /dev/null
+++ b/node/jobhost/stale_test.go
@@ -0,0 +1,65 @@
+package jobhost
+
+import (
+	"context"
+	"math"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"wigeonwinch/jobs/shard"
+	"wigeonwinch/node/deps/depstest"
+)
+
+// suspendedWorkers hold back the answers to the polls of one host while it is suspended.
+type suspendedWorkers struct {
+	*depstest.Workers
+	suspended *atomic.Bool
+}
+
+func (w suspendedWorkers) Poll(ctx context.Context, p shard.Poll) (shard.PollResponse, error) {
+	response, err := w.Workers.Poll(ctx, p)
+	for w.suspended.Load() {
+		time.Sleep(10 * time.Millisecond)
+		response, err = shard.PollResponse{}, context.DeadlineExceeded
+	}
+	return response, err
+}
+
+// As its machine resumed, a former owner reported workers as drained to which its successor
+// had sent tasks. The fleet controller moves and maintains VMs on such reports.
+func TestFormerOwnerReportsNoWorkerAsDrained(t *testing.T) {
+	s := newTestSite(t, time.Minute)
+	var suspended atomic.Bool
+	cfg := s.config("a", "127.0.0.1")
+	cfg.Store, cfg.Workers = cutStore{s.store, &suspended}, suspendedWorkers{s.workers, &suspended}
+	former := runHost(t, cfg)
+	require.Eventually(t, func() bool { return former.homes.ownsShard(former.partitionOf("s")) && former.Ready() }, 20*time.Second, 20*time.Millisecond)
+	part := former.partitionOf("s")
+	cordon := func(h *Host) (cordonResponse, error) {
+		ctx, cancel := context.WithTimeout(context.Background(), cordonTimeout)
+		defer cancel()
+		return h.applyCordons(ctx, part, cordonMessage{Partition: part.Index, Epoch: math.MaxInt64, Workers: map[string]bool{"w-0": false, "w-1": false}})
+	}
+	require.Eventually(t, func() bool {
+		response, err := cordon(former)
+		return err == nil && len(response.Workers) == 2 && response.Workers[0].Drained && response.Workers[1].Drained
+	}, 20*time.Second, 20*time.Millisecond)
+	next := s.config("b", "127.0.0.2")
+	next.PeerKey = []byte("a key that keeps the nodes from connecting to each other")
+	owner := runHost(t, next)
+	suspended.Store(true)
+	t.Cleanup(func() { suspended.Store(false) })
+	require.Eventually(t, func() bool { return doJob(owner, OpSubmit, 2).Outcome == Done }, 20*time.Second, 20*time.Millisecond)
+	require.Eventually(t, func() bool { return len(s.workers.StartCounts()) > 0 }, 20*time.Second, 20*time.Millisecond)
+	response, err := cordon(former)
+	if err != nil {
+		return
+	}
+	for _, w := range response.Workers {
+		assert.False(t, w.Drained, w.ID)
+	}
+}
