Reject the cordons of a replaced fleet controller

Cause: the owner of a shard compared the epoch of cordons only with that of the last cordons it had applied, and an owner that has just taken the shard over has applied none. The fleet controller sends cordons before it verifies that it is still the only one. Change: the epoch is compared also with the highest epoch with which any node has claimed the fleet partition (newestKnownEpoch, which startTakeover computed for itself). Why it works: a claim follows a fenced append, so whoever has a lower epoch is no longer the fleet controller. Remaining: cordons that arrive before this node has heard of the new controller (a read of heartbeats, 0.35 s, or its announcement).

--- a/node/jobhost/cordon.go
+++ b/node/jobhost/cordon.go
@@ -157,8 +157,8 @@
 			rejection = errors.New("this node does not own the shard")
 			return
 		}
-		if m.Epoch < s.cordonEpoch {
-			rejection = errors.New("a newer fleet duty has set cordons")
+		if m.Epoch < max(s.cordonEpoch, h.newestKnownEpoch(fleetPartition)) {
+			rejection = errors.New("there is a newer fleet controller")
 			return
 		}
 		now := monotonicMS()
--- a/node/jobhost/owners.go
+++ b/node/jobhost/owners.go
@@ -136,6 +136,20 @@
 	return false
 }
 
+// newestKnownEpoch returns the highest epoch with which a node has claimed a partition,
+// alive or not.
+func (h *Host) newestKnownEpoch(p deps.Partition) int64 {
+	epoch := h.announcedOwners[p].Epoch
+	for _, n := range h.nodes {
+		for _, o := range n.record.Owned {
+			if o.partition() == p {
+				epoch = max(epoch, o.Epoch)
+			}
+		}
+	}
+	return epoch
+}
+
 // restartGap is the minimum difference of start times by which a node counts as
 // restarted recently rather than started together with the others.
 const restartGap = 3 * time.Second
--- a/node/jobhost/stale_test.go
+++ b/node/jobhost/stale_test.go
@@ -63,3 +63,18 @@
 		assert.False(t, w.Drained, w.ID)
 	}
 }
+
+// An owner that had just taken its shard over stopped tasks on the cordons of a fleet
+// controller that was replaced but did not know it.
+func TestCordonsOfAFormerFleetControllerAreRejected(t *testing.T) {
+	s := newTestSite(t, time.Hour)
+	h := runHost(t, s.config("a", "127.0.0.1"))
+	require.Eventually(t, func() bool { return doJob(h, OpSubmit, 1).Outcome == Done }, 20*time.Second, 20*time.Millisecond)
+	ctx := context.Background()
+	part := h.partitionOf("s")
+	fleetOwner := func() int64 { return (*h.owners.Load())[fleetPartition].Epoch }
+	require.Eventually(t, func() bool { return fleetOwner() > 0 }, 20*time.Second, 20*time.Millisecond)
+	require.NoError(t, h.runOnLoop(ctx, func() { h.owned[part].cordonEpoch = 0 }))
+	_, err := h.applyCordons(ctx, part, cordonMessage{Partition: part.Index, Epoch: fleetOwner() - 1, Workers: map[string]bool{"w-0": true}})
+	assert.Error(t, err)
+}
--- a/node/jobhost/takeover.go
+++ b/node/jobhost/takeover.go
@@ -16,16 +16,11 @@
 func (h *Host) startTakeover(p deps.Partition, now int64) {
 	h.takingOver[p] = true
 	deadNodes := map[string]bool{}
-	knownEpoch := h.announcedOwners[p].Epoch
+	knownEpoch := h.newestKnownEpoch(p)
 	for name, n := range h.nodes {
 		if !h.presumedAlive(n, now) {
 			deadNodes[name] = true
 		}
-		for _, o := range n.record.Owned {
-			if o.partition() == p {
-				knownEpoch = max(knownEpoch, o.Epoch)
-			}
-		}
 	}
 	incarnations := map[string]int64{}
 	for name, n := range h.nodes {
