Complete no wave by a list of VMs from before it

Cause: the planner takes VMs of a wave that the list lacks for removed. The list may be 0.9 s old with a wave in progress and 4 s without one, so a wave of VMs that had just been added was complete at once, and for good: the completion is stored. What callers saw: the wave is said to be completed though its VMs haven't begun their upkeep (MIXED). Change: a wave is reported as completed only by a list that was asked for after this node had seen the wave. Why it works: the VMs of a wave exist when the wave is given, so such a list has those that stay. The list is read again within 0.9 s while a wave is open; drains and upkeep don't wait for it.

--- a/node/jobhost/fleet.go
+++ b/node/jobhost/fleet.go
@@ -148,6 +148,8 @@
 	}
 	now := monotonicMS()
 	plan := upkeep.NewPlan(c.upkeepView(now, waves, waveSeenAt))
+	// A list from before a wave may lack VMs of the wave.
+	plan.Done = slices.DeleteFunc(plan.Done, func(n int) bool { return c.listedAt <= waveSeenAt[n] })
 	moves := c.moves.plan(c, now, plan)
 	c.trackDraining(now, waves, plan)
 	c.exchangeCordons(ctx, plan, moves)
--- a/node/jobhost/stale_test.go
+++ b/node/jobhost/stale_test.go
@@ -11,6 +11,7 @@
 	"github.com/stretchr/testify/require"
 
 	"wigeonwinch/jobs/shard"
+	"wigeonwinch/node/deps"
 	"wigeonwinch/node/deps/depstest"
 )
 
@@ -78,3 +79,29 @@
 	_, err := h.applyCordons(ctx, part, cordonMessage{Partition: part.Index, Epoch: fleetOwner() - 1, Workers: map[string]bool{"w-0": true}})
 	assert.Error(t, err)
 }
+
+// listedVMs lists VMs that may change.
+type listedVMs struct {
+	depstest.VMs
+	list *atomic.Pointer[[]deps.VM]
+}
+
+func (v listedVMs) List(context.Context) ([]deps.VM, error) { return *v.list.Load(), nil }
+
+// A wave was reported as completed by a list of VMs that was read before the wave came and
+// did not have its VM yet.
+func TestWaveIsNotCompletedByAnEarlierList(t *testing.T) {
+	cfg := newTestSite(t, time.Minute).config("a", "127.0.0.1")
+	var list atomic.Pointer[[]deps.VM]
+	list.Store(&[]deps.VM{{ID: "vm-1", Pool: "s", State: deps.VMUp}})
+	cfg.VMs = listedVMs{list: &list}
+	h := runHost(t, cfg)
+	require.Eventually(t, func() bool { return h.homes.ownsShard(fleetPartition) }, 20*time.Second, 20*time.Millisecond)
+	var c *fleetController
+	ctx := context.Background()
+	require.NoError(t, h.runOnLoop(ctx, func() { c = newFleetController(h, h.owned[fleetPartition]) }))
+	c.planAndAct(ctx, nil, nil)
+	list.Store(&[]deps.VM{{ID: "vm-1", Pool: "s", State: deps.VMUp}, {ID: "vm-2", Pool: "s", State: deps.VMUp}})
+	c.planAndAct(ctx, []*deps.Wave{{Number: 1, VMs: []string{"vm-2"}, Duration: time.Minute, MaxDown: 1}}, map[int]int64{1: monotonicMS()})
+	assert.False(t, c.completedWaves[1])
+}
