Act on a VM only by a report of the current owner of its shard

Cause: a report that a VM is drained is a promise of the owner that made it. A successor doesn't know the cordon and starts tasks on the VM, while the fleet controller still acted on the report: after the exchange of cordons (0.6 s) and the announcement of the action (0.9 s). What callers saw: a VM is moved or maintained under tasks that the successor has just started (AVAIL, stopped work). Change: a report carries its owner's epoch. It counts only while the owners known to this node name that epoch for the shard: when the actions are chosen, and once more just before the calls begin. Remaining window: a takeover that this node hasn't heard of when the call begins (its announcement, or else a read of heartbeats, 0.35 s and the store's time), and one during the call itself (1.5 s). To close it the cordon has to outlive a takeover: stored with the shard, or the successor starts nothing on a worker before its first cordons or for cordonTTL. A report of an owner from before this change has no epoch and doesn't count.

--- a/node/jobhost/acts.go
+++ b/node/jobhost/acts.go
@@ -58,6 +58,12 @@
 		sinceMS(c.shard.verifiedAt.Load()) < verificationTTL
 }
 
+// mayActOn reports whether a call for a VM may begin. Its shard may have got another
+// owner since the plan was made.
+func (c *fleetController) mayActOn(vm string) bool {
+	return c.announced.includes(vm) && c.reportedByOwner(vm)
+}
+
 // vmInTakeoverGap reports whether a predecessor may have acted on the VM so
 // recently that this node must not act on it yet. Meanwhile the VM counts as
 // down for the waves that list it.
@@ -80,7 +86,7 @@
 // until it is answered.
 func (c *fleetController) startMaintenance(ctx context.Context, actions []upkeep.Action) {
 	now := monotonicMS()
-	actions = slices.DeleteFunc(actions, func(a upkeep.Action) bool { return !c.announced.includes(a.VM) })
+	actions = slices.DeleteFunc(actions, func(a upkeep.Action) bool { return !c.mayActOn(a.VM) })
 	if len(actions) == 0 || !c.mayAct() {
 		return
 	}
--- a/node/jobhost/cordon.go
+++ b/node/jobhost/cordon.go
@@ -29,11 +29,14 @@
 type cordonResponse struct {
 	Workers []shard.WorkerStat `cbor:"1,keyasint,omitempty"`
 	Pools   []shard.PoolStats  `cbor:"2,keyasint,omitempty"`
+	// Epoch is the owner's epoch.
+	Epoch int64 `cbor:"3,keyasint,omitempty"`
 }
 
+// workerReport is what the owner with the given epoch reported on a worker.
 type workerReport struct {
 	shard.WorkerStat
-	at int64
+	at, epoch int64
 }
 
 type poolReport struct {
@@ -101,7 +104,7 @@
 func (c *fleetController) applyReports(a cordonResponse) {
 	now := monotonicMS()
 	for _, w := range a.Workers {
-		c.workerReports[w.ID] = workerReport{w, now}
+		c.workerReports[w.ID] = workerReport{w, now, a.Epoch}
 	}
 	for _, p := range a.Pools {
 		c.poolReports[p.Service] = poolReport{p, now}
@@ -170,7 +173,7 @@
 			rejection = errors.New("another node may own the shard")
 			return
 		}
-		response = cordonResponse{Workers: s.core.WorkerStats(), Pools: s.core.PoolStats()}
+		response = cordonResponse{Workers: s.core.WorkerStats(), Pools: s.core.PoolStats(), Epoch: s.epoch}
 	})
 	if err != nil {
 		// The control loop may still write the response.
--- a/node/jobhost/cordon_test.go
+++ b/node/jobhost/cordon_test.go
@@ -6,8 +6,11 @@
 	"time"
 
 	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
 
+	"wigeonwinch/fleet/upkeep"
 	"wigeonwinch/jobs/shard"
+	"wigeonwinch/node/deps"
 )
 
 // A report was still read by a caller that had given it up while the control loop wrote
@@ -31,3 +34,30 @@
 	setCordons()
 	<-ended
 }
+
+// The shard of a VM got another owner while the action on the VM was announced, and the
+// VM was moved and maintained by the report of the former owner.
+func TestActionsEndWithTheOwnerThatReported(t *testing.T) {
+	ctx := context.Background()
+	c, vms := newSuccessorController(t, []string{}, true)
+	c.vms["vm"] = deps.VM{ID: "vm", Pool: "s", State: deps.VMUp, Worker: "w"}
+	c.workerReports["w"] = workerReport{WorkerStat: shard.WorkerStat{ID: "w", Drained: true}, at: monotonicMS(), epoch: 5}
+	moves := func() []vmMove { return []vmMove{{"vm", "spare"}} }
+	maintain := func() []upkeep.Action { return []upkeep.Action{{VM: "vm", Wave: 1}} }
+	claim := func(epoch int64) {
+		part := c.host.partitionOf("s")
+		require.NoError(t, c.host.runOnLoop(ctx, func() {
+			c.host.applyAnnouncement(ownership{Topic: int(part.Topic), Index: part.Index, Epoch: epoch, Node: "owner", Incarnation: 1})
+		}))
+	}
+	claim(5)
+	c.verifyAndAnnounce(ctx, maintain(), moves())
+	claim(6)
+	c.startMoves(ctx, moves())
+	c.startMaintenance(ctx, maintain())
+	assert.Zero(t, vms.moved)
+	assert.Zero(t, vms.maintained)
+	c.workerReports["w"] = workerReport{WorkerStat: shard.WorkerStat{ID: "w", Drained: true}, at: monotonicMS(), epoch: 6}
+	c.startMoves(ctx, moves())
+	assert.Equal(t, 1, vms.moved)
+}
--- a/node/jobhost/fleet.go
+++ b/node/jobhost/fleet.go
@@ -205,7 +205,18 @@
 		return true
 	}
 	r, reported := c.workerReports[v.Worker]
-	return reported && r.Drained && r.at >= since
+	return reported && r.Drained && r.at >= since && c.reportedByOwner(vm)
+}
+
+// reportedByOwner reports whether the last report on a VM is by the current owner of
+// its shard. The next owner does not keep to the cordons before they are sent to it.
+func (c *fleetController) reportedByOwner(vm string) bool {
+	v := c.vms[vm]
+	if c.isSparePool(v.Pool) {
+		return true
+	}
+	owner := (*c.host.owners.Load())[c.host.partitionOf(v.Pool)]
+	return c.workerReports[v.Worker].epoch == owner.Epoch
 }
 
 // refreshVMs reads the list of VMs if it is older than its maximum age.
--- a/node/jobhost/host_test.go
+++ b/node/jobhost/host_test.go
@@ -194,12 +194,12 @@
 	c := newFleetController(h, &ownedShard{})
 	now := monotonicMS()
 	c.vms["vm"] = deps.VM{ID: "vm", Pool: "s", Worker: "w"}
-	c.workerReports["w"] = workerReport{shard.WorkerStat{ID: "w", Drained: true}, now - 200}
+	c.workerReports["w"] = workerReport{WorkerStat: shard.WorkerStat{ID: "w", Drained: true}, at: now - 200}
 	assert.True(t, c.drained(c.vms["vm"], now), "recent enough for planning")
 	assert.False(t, c.drainedSince("vm", now), "too old for an action")
-	c.workerReports["w"] = workerReport{shard.WorkerStat{ID: "w", Drained: true}, now + 5}
+	c.workerReports["w"] = workerReport{WorkerStat: shard.WorkerStat{ID: "w", Drained: true}, at: now + 5}
 	assert.True(t, c.drainedSince("vm", now))
-	c.workerReports["w"] = workerReport{shard.WorkerStat{ID: "w"}, now + 5}
+	c.workerReports["w"] = workerReport{WorkerStat: shard.WorkerStat{ID: "w"}, at: now + 5}
 	assert.False(t, c.drainedSince("vm", now), "the next owner has no cordon yet")
 }
 
--- a/node/jobhost/moves.go
+++ b/node/jobhost/moves.go
@@ -272,7 +272,7 @@
 // startMoves asks the platform to move drained VMs, several at a time.
 func (c *fleetController) startMoves(ctx context.Context, moves []vmMove) {
 	now := monotonicMS()
-	moves = slices.DeleteFunc(moves, func(m vmMove) bool { return !c.announced.includes(m.VM) })
+	moves = slices.DeleteFunc(moves, func(m vmMove) bool { return !c.mayActOn(m.VM) })
 	if len(moves) == 0 || !c.mayAct() {
 		return
 	}
--- a/node/jobhost/stale_test.go
+++ b/node/jobhost/stale_test.go
@@ -10,6 +10,7 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
+	"wigeonwinch/fleet/upkeep"
 	"wigeonwinch/jobs/shard"
 	"wigeonwinch/node/deps"
 	"wigeonwinch/node/deps/depstest"
@@ -80,6 +81,27 @@
 	assert.Error(t, err)
 }
 
+// A report that a VM is drained is a promise of the owner that made it. Its successor, which
+// does not know it, sends tasks to the VM before the fleet controller takes it down.
+func TestReportOfAFormerOwnerDoesNotCount(t *testing.T) {
+	h := runHost(t, newTestSite(t, time.Minute).config("a", "127.0.0.1"))
+	part := h.partitionOf("s")
+	require.Eventually(t, func() bool { return h.homes.ownsShard(part) && h.homes.ownsShard(fleetPartition) }, 20*time.Second, 20*time.Millisecond)
+	var c *fleetController
+	ctx := context.Background()
+	require.NoError(t, h.runOnLoop(ctx, func() { c = newFleetController(h, h.owned[fleetPartition]) }))
+	c.vms["vm"] = deps.VM{ID: "vm", Pool: "s", State: deps.VMUp, Worker: "w-0"}
+	began := monotonicMS()
+	require.Eventually(t, func() bool {
+		c.exchangeCordons(ctx, upkeep.Plan{Drain: map[string]bool{"vm": true}}, movePlan{})
+		return c.drainedSince("vm", began)
+	}, 20*time.Second, 20*time.Millisecond)
+	next := (*h.owners.Load())[part]
+	next.Node, next.Epoch = "successor", next.Epoch+1
+	require.NoError(t, h.runOnLoop(ctx, func() { h.applyAnnouncement(next) }))
+	assert.False(t, c.drainedSince("vm", began))
+}
+
 // listedVMs lists VMs that may change.
 type listedVMs struct {
 	depstest.VMs
