Give a shard up on the heartbeat of its next owner

Cause: an owner dropped its shard on the announcement of a successor, on a rejected append or on a worker's word, but not on the successor's heartbeat. Announcements are sent once, and are lost for nodes that are cut off from the others. What callers saw: such a node sent its own requests to the successor, but answered those that were forwarded to it, and the fleet controller's cordons, from memory until its next append. Change: the claims of a heartbeat are handled like announcements. Why it works: whoever claims a higher epoch has fenced the partition.

--- a/node/jobhost/members.go
+++ b/node/jobhost/members.go
@@ -128,6 +128,16 @@
 	}
 	n.record = rec
 	n.heartbeatAt = now
+	for _, o := range rec.Owned {
+		h.applyClaim(o)
+	}
+}
+
+// applyClaim drops the shard that a newer owner claims.
+func (h *Host) applyClaim(o ownership) {
+	if s := h.owned[o.partition()]; s != nil && s.epoch < o.Epoch {
+		h.dropShard(s, "taken over by "+o.Node)
+	}
 }
 
 // publishOwners determines the owner of each shard for the goroutines that
--- a/node/jobhost/messages.go
+++ b/node/jobhost/messages.go
@@ -76,8 +76,6 @@
 	}
 	h.announcedOwners[p] = o
 	h.ownerAnnouncedAt[p] = monotonicMS()
-	if s := h.owned[p]; s != nil && s.epoch < o.Epoch {
-		h.dropShard(s, "taken over by "+o.Node)
-	}
+	h.applyClaim(o)
 	h.publishOwners(monotonicMS())
 }
