Send no queued orders of a lost shard

Cause: dropShard forgot the calls of the shard, but left their orders in the queues of the relays. What callers saw: a former owner's node sent polls, starts and stops to relays after it had given the shard up. Workers reject them once they know the next owner. Change: orders whose calls are forgotten leave the queues. Remaining: the one batch that is under way to each relay.

--- a/node/jobhost/relays.go
+++ b/node/jobhost/relays.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"time"
 
 	"github.com/pkg/errors"
@@ -373,5 +374,8 @@
 			delete(r.calls, id)
 		}
 	}
+	for _, l := range r.links {
+		l.queue = slices.DeleteFunc(l.queue, func(o relayedOrder) bool { return r.calls[o.ID] == nil })
+	}
 	delete(r.assigned, s.partition)
 }
