--- a/node/jobhost/owners.go
+++ b/node/jobhost/owners.go
@@ -136,6 +136,20 @@
 	return false
 }
 
+// newestKnownEpoch returns the highest epoch with which a node has claimed a partition,
+// alive or not.
+func (h *Host) newestKnownEpoch(p deps.Partition) int64 {
+	epoch := h.announcedOwners[p].Epoch
+	for _, n := range h.nodes {
+		for _, o := range n.record.Owned {
+			if o.partition() == p {
+				epoch = max(epoch, o.Epoch)
+			}
+		}
+	}
+	return epoch
+}
+
 // restartGap is the minimum difference of start times by which a node counts as
 // restarted recently rather than started together with the others.
 const restartGap = 3 * time.Second
@@ -244,6 +258,13 @@
 	return *c, s.verifiedAt.Load() >= c.chainStart
 }
 
+// isSoleOwner reports whether this node is certainly the owner of the shard, so that no
+// other node starts tasks on its workers.
+func (h *Host) isSoleOwner(s *ownedShard, now int64) bool {
+	hb, verified := h.verifiedHeartbeat(s)
+	return verified && now < hb.sentAt+startWindow.Milliseconds()
+}
+
 // verifyOwnership appends the owner record again. The store rejects it if a
 // newer owner exists.
 func (h *Host) verifyOwnership(s *ownedShard) {
--- a/node/jobhost/relays.go
+++ b/node/jobhost/relays.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"maps"
+	"slices"
 	"time"
 
 	"github.com/pkg/errors"
@@ -384,5 +385,8 @@
 			delete(r.calls, id)
 		}
 	}
+	for _, l := range r.links {
+		l.queue = slices.DeleteFunc(l.queue, func(o relayedOrder) bool { return r.calls[o.ID] == nil })
+	}
 	delete(r.assigned, s.partition)
 }
