Never accept a submission that skipped the book of homes

A shard that did not have the queue asked nobody and posted the submission all the same. If the configuration that moves the queue there came in between, or the caller's time was over, the shard accepted the job without its entry in the book and without asking the earlier shards: the job could be in two shards, and a node with the older configuration denied it. Change: such a submission is answered by what the shard has accepted before, and otherwise with 'nobody knows' (504).

--- a/node/jobhost/homes.go
+++ b/node/jobhost/homes.go
@@ -270,7 +270,7 @@
 		return Result{Outcome: notOwner, Reason: "not_owner"}, true
 	}
 	if !h.shardHasQueue(ctx, p, r.Queue) {
-		return Result{}, false
+		return h.acceptedOnly(ctx, p, r), true
 	}
 	earlier, err := h.homes.earlierHomes(ctx, r.Queue, p, true)
 	if err != nil {
@@ -301,6 +301,15 @@
 	return err == nil && has
 }
 
+// acceptedOnly answers a submission to a shard that must not accept it: it may have
+// accepted the job before.
+func (h *Host) acceptedOnly(ctx context.Context, p deps.Partition, r Request) Result {
+	if res := h.readLocal(ctx, p, Request{Op: OpShow, ID: r.ID}); res.Outcome == Done {
+		return Result{Outcome: Done, By: res.By}
+	}
+	return Result{Outcome: Unknown, Reason: "queue_of_another_shard"}
+}
+
 // addEarlierHomes adds the queue's jobs in earlier shards to the answer of a request
 // that counts or lists them. Without all of these shards the answer would be too low.
 func (h *Host) addEarlierHomes(ctx context.Context, p deps.Partition, r Request, res Result) Result {
