--- a/node/jobhost/requests.go
+++ b/node/jobhost/requests.go
@@ -116,7 +116,7 @@
 	if res.Outcome != Missing || r.Op == OpSubmit {
 		return res
 	}
-	return h.askOtherShards(ctx, part, r)
+	return h.askOtherShards(ctx, part, r, res)
 }
 
 // doAtOwner sends a request to the owner of a shard. If there is none, it waits
