Keep an owner for the shards that have jobs of dropped services

What callers saw: after a configuration dropped a service, or made its pool the spare one, the shard got no new owner when its owner stopped. Cause: only the shards of configured services were taken over. Change: the shards in the book of homes are required as well; each node reads the book with each configuration.

--- a/jobs/homes/homes.go
+++ b/jobs/homes/homes.go
@@ -13,6 +13,8 @@
 import (
 	"crypto/sha256"
 	"fmt"
+	"maps"
+	"slices"
 
 	"github.com/pkg/errors"
 
@@ -73,6 +75,17 @@
 	return shards
 }
 
+// AllShards returns the shards that may hold jobs of any queue, in ascending order.
+func (b *Book) AllShards() []int {
+	shards := map[int]bool{}
+	for _, list := range b.byQueue {
+		for _, h := range list {
+			shards[h.Shard] = true
+		}
+	}
+	return slices.Sorted(maps.Keys(shards))
+}
+
 // newest returns the home to which the queue came last.
 func (b *Book) newest(queue string) (Home, bool) {
 	var newest Home
--- a/node/jobhost/feeds.go
+++ b/node/jobhost/feeds.go
@@ -56,9 +56,7 @@
 	for _, s := range h.sortedOwned() {
 		h.updateShardQueues(s)
 	}
-	if h.ownsJobShard() {
-		go h.homes.refresh()
-	}
+	go h.homes.refresh()
 }
 
 // Route returns the route of a request by host and path.
@@ -109,7 +107,9 @@
 	return deps.Partition{Topic: deps.TopicJobs, Index: int(f.Sum32() % uint32(h.cfg.Partitions))}
 }
 
-// requiredPartitions returns the partitions that must have an owner.
+// requiredPartitions returns the partitions that must have an owner: those of the
+// configured services, and those that have jobs of services that are not configured any
+// more.
 func (h *Host) requiredPartitions() []deps.Partition {
 	cfg := h.config.Load()
 	if cfg == nil {
@@ -117,13 +117,20 @@
 	}
 	seen := map[deps.Partition]bool{}
 	list := []deps.Partition{fleetPartition}
+	add := func(p deps.Partition) {
+		if !seen[p] {
+			seen[p] = true
+			list = append(list, p)
+		}
+	}
 	for _, p := range cfg.Pools {
-		part := h.partitionOf(p.Service)
-		if !seen[part] && !p.Spare {
-			seen[part] = true
-			list = append(list, part)
+		if !p.Spare {
+			add(h.partitionOf(p.Service))
 		}
 	}
+	for _, index := range h.homes.shardsWithJobs() {
+		add(deps.Partition{Topic: deps.TopicJobs, Index: index})
+	}
 	sort.Slice(list[1:], func(i, j int) bool { return list[1+i].Index < list[1+j].Index })
 	return list
 }
--- a/node/jobhost/homes.go
+++ b/node/jobhost/homes.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -45,6 +46,8 @@
 	// failedAt is when the store last failed; 0 if it did not since the last
 	// success.
 	failedAt int64
+	// shards are the shards in the book as it was last read.
+	shards atomic.Pointer[[]int]
 }
 
 // homesBasis is what a copy of the book was read for. With another configuration
@@ -103,6 +106,16 @@
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	q.book, q.basis, q.bookRead, q.failedAt = book, basis, q.reads, 0
+	shards := book.AllShards()
+	q.shards.Store(&shards)
+}
+
+// shardsWithJobs returns the shards that may hold jobs, as the book was last read.
+func (q *queueHomes) shardsWithJobs() []int {
+	if shards := q.shards.Load(); shards != nil {
+		return *shards
+	}
+	return nil
 }
 
 // earlierHomes returns the other shards that may hold jobs of a queue. If enter is
--- a/node/jobhost/stale_queue_test.go
+++ b/node/jobhost/stale_queue_test.go
@@ -46,3 +46,26 @@
 	res := s.ask(current, OpSubmit, 3)
 	assert.Equal(t, Done, res.Outcome, res.Reason)
 }
+
+// Nobody took over the shard of a service that the configuration had dropped, so that its jobs
+// were lost with the node that owned it.
+func TestShardOfADroppedServiceIsTakenOver(t *testing.T) {
+	s := newMovedQueueSite(t)
+	cfg := s.config("a", "127.0.0.1")
+	cfg.Partitions = 64
+	first := New(cfg)
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan struct{})
+	go func() { defer close(ended); assert.NoError(t, first.Run(ctx)) }()
+	s.submit(first, 1)
+	s.moveQueue()
+	require.Eventually(t, func() bool { return first.config.Load().Version == 2 }, 10*time.Second, 10*time.Millisecond)
+	s.submit(first, 2)
+	cancel()
+	<-first.HandedOver()
+	first.Close()
+	<-ended
+	next := s.run("b", "127.0.0.2", s.store)
+	require.Eventually(t, func() bool { return s.ask(next, OpShow, 2).Outcome == Done }, 10*time.Second, 50*time.Millisecond)
+	assert.Equal(t, Done, s.ask(next, OpShow, 1).Outcome)
+}
