Return the tasks of a job that is stored while it is looked for

The shard is read again once the lookup has found the job. Measured: TestTasksOfAJobThatIsBeingStored failed before and passes.

--- a/node/jobhost/requests.go
+++ b/node/jobhost/requests.go
@@ -238,7 +238,11 @@
 			return res
 		}
 	}
-	return h.askShard(ctx, part, r)
+	res := h.askShard(ctx, part, r)
+	if r.Op == OpTasks && res.Outcome == Done {
+		return h.readLocal(ctx, part, r)
+	}
+	return res
 }
 
 // askShard posts a request to a shard that this node owns, and waits for its reply.
