Answer reads at once in a long outage of the store

Found by the review: from 5.5 s on, a read from an owner that cannot know whether it was replaced kept its caller for 0.9 s while the node looked for an owner that it could not learn of. Change: without an answer from the store for that time, the read is answered 503 with a Retry-After at once.

--- a/node/jobhost/requests.go
+++ b/node/jobhost/requests.go
@@ -285,7 +285,7 @@
 			return
 		}
 		if res = readShard(s.core, r); res.maySoonChange() && !s.core.IsCurrent(monotonicMS()) {
-			res = Result{Outcome: notOwner, Reason: "not_owner"}
+			res = h.outdatedResult()
 		}
 		res.By = h.answeredBy(s)
 	})
@@ -295,6 +295,16 @@
 	return res
 }
 
+// outdatedResult is the result of a read from a shard whose owner may have been replaced
+// seconds ago. Without a recent answer from the store, this node won't learn soon who the
+// owner is.
+func (h *Host) outdatedResult() Result {
+	if hb := h.confirmedHeartbeat.Load(); hb != nil && sinceMS(hb.sentAt) > leaseExtensionWindow {
+		return Result{Outcome: Unavailable, RetryAfterMS: unavailableRetryMS, Reason: "ownership_expired"}
+	}
+	return Result{Outcome: notOwner, Reason: "not_owner"}
+}
+
 // readShard executes a read-only request.
 func readShard(core *shard.Core, r Request) Result {
 	switch r.Op {
