Report no wave status after the right to act has ended

Cause: the statuses of waves are written after the calls of a plan, which may take 3 s, and were no longer tied to mayAct, which holds for 1.2 s. Their appends aren't fenced. A replaced fleet controller replaces its successor's "completed" with "running". Change: each status is written only while this node is certainly the owner of the fleet partition (heartbeat in its start window, verified). mayAct would starve statuses beside calls that take over 1.2 s, since only a plan verifies; the heartbeat is renewed meanwhile. Remaining: the store may execute an append without an answer seconds later.

--- a/node/jobhost/acts.go
+++ b/node/jobhost/acts.go
@@ -189,7 +189,12 @@
 	c.storeKeyAsync(fmt.Sprintf("w/%d", n))
 }
 
+// appendWaveStatus writes the status of a wave unless another node may be the fleet
+// controller. The calls of the same plan may have taken longer than mayAct holds.
 func (c *fleetController) appendWaveStatus(ctx context.Context, n int, completed bool) bool {
+	if c.shard.ctx.Err() != nil || !c.host.isSoleOwner(c.shard, monotonicMS()) {
+		return false
+	}
 	rec, err := c.host.cfg.Codec.WaveStatus(n, completed)
 	if err == nil {
 		callCtx, cancel := context.WithTimeout(ctx, storeTimeout)
--- a/node/jobhost/fleet_test.go
+++ b/node/jobhost/fleet_test.go
@@ -151,3 +151,24 @@
 	assert.False(t, a.includes("old"))
 	assert.True(t, a.includes("new"))
 }
+
+// The calls of a plan may take longer than the controller's right to act. Its late
+// status of a wave replaced that of its successor: "running" after "completed".
+func TestFormerFleetControllerReportsNoWaveStatus(t *testing.T) {
+	ctx := context.Background()
+	c, _ := newSuccessorController(t, nil, true)
+	statuses := func() int64 {
+		snapshot, err := c.host.cfg.Store.Newest(ctx, deps.Partition{Topic: deps.TopicStatus})
+		require.NoError(t, err)
+		return snapshot.End
+	}
+	now := monotonicMS()
+	c.host.confirmedHeartbeat.Store(&confirmedHeartbeat{sentAt: now - startWindow.Milliseconds(), chainStart: now - 60_000})
+	c.reportWaveStarted(ctx, 1)
+	c.reportWaveCompleted(ctx, 2)
+	assert.Zero(t, statuses())
+	assert.False(t, c.completedWaves[2])
+	c.host.confirmedHeartbeat.Store(&confirmedHeartbeat{sentAt: monotonicMS(), chainStart: now - 60_000})
+	c.reportWaveStarted(ctx, 1)
+	assert.Equal(t, int64(1), statuses())
+}
