Don't report a completed wave as running

Cause: a fleet controller reports each wave as running once, before it reports those that are done. A successor that took over between the status "completed" and the record of it wrote "running" after it. A wave that was said to be completed is running again until the successor's own "completed" is stored. Change: a wave that the plan finds done is only reported as completed. Remaining: a successor that has not read the record of the last upkeep of the wave takes it for unfinished.

--- a/node/jobhost/acts.go
+++ b/node/jobhost/acts.go
@@ -170,6 +170,19 @@
 	return false
 }
 
+// reportWaves tells the operator which waves are in progress and which are completed.
+// A predecessor may have reported a completed wave already, so that its status must not
+// become that of a wave in progress.
+func (c *fleetController) reportWaves(ctx context.Context, waves []*deps.Wave, done []int) {
+	for _, w := range waves {
+		if slices.Contains(done, w.Number) {
+			c.reportWaveCompleted(ctx, w.Number)
+		} else {
+			c.reportWaveStarted(ctx, w.Number)
+		}
+	}
+}
+
 // reportWaveStarted tells the operator that a wave is in progress.
 func (c *fleetController) reportWaveStarted(ctx context.Context, n int) {
 	if c.reportedWaves[n] || c.completedWaves[n] {
--- a/node/jobhost/fleet.go
+++ b/node/jobhost/fleet.go
@@ -169,12 +169,7 @@
 	}
 	c.startMaintenance(ctx, maintain)
 	c.startMoves(ctx, ready)
-	for _, w := range waves {
-		c.reportWaveStarted(ctx, w.Number)
-	}
-	for _, n := range plan.Done {
-		c.reportWaveCompleted(ctx, n)
-	}
+	c.reportWaves(ctx, waves, plan.Done)
 }
 
 // poolLogInterval is the pause between two log records of the pool loads.
--- a/node/jobhost/fleet_test.go
+++ b/node/jobhost/fleet_test.go
@@ -172,3 +172,17 @@
 	c.reportWaveStarted(ctx, 1)
 	assert.Equal(t, int64(1), statuses())
 }
+
+// A successor that did not know that a wave was reported as completed reported it as
+// running first.
+func TestCompletedWaveIsNotReportedAsRunning(t *testing.T) {
+	ctx := context.Background()
+	c, _ := newSuccessorController(t, []string{}, true)
+	c.markStarted(1, "vm")
+	seenAt := monotonicMS() - 1
+	c.planAndAct(ctx, []*deps.Wave{{Number: 1, VMs: []string{"vm"}, Duration: time.Minute, MaxDown: 1}}, map[int]int64{1: seenAt})
+	require.True(t, c.completedWaves[1])
+	snapshot, err := c.host.cfg.Store.Newest(ctx, deps.Partition{Topic: deps.TopicStatus})
+	require.NoError(t, err)
+	assert.Equal(t, int64(1), snapshot.End, "the one status is that of the completed wave")
+}
