Test that a wave of a sound shard is completed

The checks of reports by ownership and epoch, and of the age of lists, refuse actions. None of their tests showed a whole wave that a real host carries out: cordon, report, maintenance, a later list, completion.

--- a/node/jobhost/cordon_test.go
+++ b/node/jobhost/cordon_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"testing"
 	"time"
 
@@ -61,3 +62,30 @@
 	c.startMoves(ctx, moves())
 	assert.Equal(t, 1, vms.moved)
 }
+
+// oneVM is a fleet of one VM.
+type oneVM struct{ *countingVMs }
+
+func (oneVM) List(context.Context) ([]deps.VM, error) {
+	return []deps.VM{{ID: "vm", Pool: "s", State: deps.VMUp, Worker: "w-0"}}, nil
+}
+
+// The checks of reports and of lists of VMs must not keep a fleet controller from carrying
+// out a wave.
+func TestWaveOfSoundShardIsCompleted(t *testing.T) {
+	cfg := newTestSite(t, time.Minute).config("a", "127.0.0.1")
+	vms := &countingVMs{}
+	cfg.VMs = oneVM{vms}
+	h := runHost(t, cfg)
+	require.NoError(t, h.runOnLoop(context.Background(), func() {
+		h.waves[1] = &deps.Wave{Number: 1, VMs: []string{"vm"}, Duration: time.Minute, MaxDown: 1}
+		h.waveSeenAt[1] = monotonicMS()
+	}))
+	require.Eventually(t, func() bool {
+		snapshot, err := cfg.Store.Newest(context.Background(), fleetPartition)
+		return err == nil && slices.ContainsFunc(snapshot.Records, func(r shard.Record) bool { return r.Key == "w/1" })
+	}, 20*time.Second, 20*time.Millisecond)
+	vms.mu.Lock()
+	defer vms.mu.Unlock()
+	assert.Equal(t, 1, vms.maintained)
+}
