--- a/node/jobhost/acts.go
+++ b/node/jobhost/acts.go
@@ -170,6 +170,19 @@
 	return false
 }
 
+// reportWaves tells the operator which waves are in progress and which are completed.
+// A predecessor may have reported a completed wave already, so that its status must not
+// become that of a wave in progress.
+func (c *fleetController) reportWaves(ctx context.Context, waves []*deps.Wave, done []int) {
+	for _, w := range waves {
+		if slices.Contains(done, w.Number) {
+			c.reportWaveCompleted(ctx, w.Number)
+		} else {
+			c.reportWaveStarted(ctx, w.Number)
+		}
+	}
+}
+
 // reportWaveStarted tells the operator that a wave is in progress.
 func (c *fleetController) reportWaveStarted(ctx context.Context, n int) {
 	if c.reportedWaves[n] || c.completedWaves[n] {
@@ -189,7 +202,12 @@
 	c.storeKeyAsync(fmt.Sprintf("w/%d", n))
 }
 
+// appendWaveStatus writes the status of a wave unless another node may be the fleet
+// controller. The calls of the same plan may have taken longer than mayAct holds.
 func (c *fleetController) appendWaveStatus(ctx context.Context, n int, completed bool) bool {
+	if c.shard.ctx.Err() != nil || !c.host.isSoleOwner(c.shard, monotonicMS()) {
+		return false
+	}
 	rec, err := c.host.cfg.Codec.WaveStatus(n, completed)
 	if err == nil {
 		callCtx, cancel := context.WithTimeout(ctx, storeTimeout)
