Keep a final job until its final state is stored

Cause: final jobs were purged by age, stored or not. Change: the purge stops at the first job whose final state is not stored. Measured: TestFinalJobIsKeptUntilItsStateIsStored failed before and passes.

--- a/jobs/shard/core.go
+++ b/jobs/shard/core.go
@@ -374,7 +374,7 @@
 // submission times.
 func (c *Core) purgeExpired() {
 	keepMS := c.cfg.StatusKeepMS + finalKeepMarginMS
-	for len(c.finalJobs) > 0 && c.now-c.finalJobs[0].finalAt > keepMS {
+	for len(c.finalJobs) > 0 && c.now-c.finalJobs[0].finalAt > keepMS && c.finalJobs[0].storedState.Final() {
 		delete(c.jobs, c.finalJobs[0].spec.ID)
 		c.pendingDeletes = append(c.pendingDeletes, c.finalJobs[0].spec.ID)
 		c.finalJobs = c.finalJobs[1:]
