Decline a job whose cancel came before its submission

What callers saw: a submission was held up in a suspended node, its caller got no answer and cancelled the job at another node, which denied it with proof; the job ran when the first node went on. This is in memory; a takeover in that time forgets it.

--- a/jobs/shard/absence.go
+++ b/jobs/shard/absence.go
@@ -88,6 +88,6 @@
 		c.reply(Reply{Ticket: ticket, Outcome: outcome, Reason: "being_stored"})
 		return
 	}
-	c.yieldedAt[id] = now
+	c.declinedAt[id] = now
 	c.askStore(ticket, func() { c.reply(Reply{Ticket: ticket, Outcome: Unknown}) })
 }
--- a/jobs/shard/core.go
+++ b/jobs/shard/core.go
@@ -33,9 +33,10 @@
 	// maxRememberedTimes is the size from which old entries are dropped from maps of
 	// times.
 	maxRememberedTimes = 4096
-	// yieldKeepMS is how long a job is left to another shard; nodes with an older
-	// configuration forward no submission for that long.
-	yieldKeepMS = 30_000
+	// declineKeepMS is how long a job is declined that was left to another shard or
+	// cancelled before it came: no node with an older configuration, and no suspended
+	// one, holds a submission for that long.
+	declineKeepMS = 30_000
 	// startConfirmMS is how long an unconfirmed start may be missing from the
 	// worker's list before it is stopped: a few round trips between zones.
 	startConfirmMS = 400
@@ -171,8 +172,9 @@
 	workerKinds map[string]Worker
 	pools       map[string]*pool
 	firstSeenAt map[string]int64
-	// yieldedAt is when jobs were left to another shard.
-	yieldedAt map[string]int64
+	// declinedAt is when jobs were left to another shard, or were cancelled before they
+	// came.
+	declinedAt map[string]int64
 	// startsUntil is when the right to start tasks expires, leasesUntil the
 	// right to extend leases.
 	startsUntil, leasesUntil int64
@@ -207,7 +209,7 @@
 	return &Core{
 		cfg: cfg, longestLeaseMS: longestLeaseMS, now: now, takeoverAt: now, wallMS: wallMS, earlierLeasesUntil: now + cfg.EarlierLeaseMS,
 		queues: map[string]Queue{}, jobs: map[string]*job{}, scheduled: map[string]*job{}, workers: map[string]*worker{},
-		workerKinds: map[string]Worker{}, pools: map[string]*pool{}, firstSeenAt: map[string]int64{}, yieldedAt: map[string]int64{},
+		workerKinds: map[string]Worker{}, pools: map[string]*pool{}, firstSeenAt: map[string]int64{}, declinedAt: map[string]int64{},
 	}
 }
 
@@ -380,7 +382,7 @@
 		c.finalJobs = c.finalJobs[1:]
 	}
 	c.forgetOld(c.firstSeenAt, firstSeenKeepMS)
-	c.forgetOld(c.yieldedAt, yieldKeepMS)
+	c.forgetOld(c.declinedAt, declineKeepMS)
 }
 
 // forgetOld drops the entries of a map of times that are older than keepMS, once it
--- a/jobs/shard/submit.go
+++ b/jobs/shard/submit.go
@@ -21,8 +21,8 @@
 		c.reply(Reply{Ticket: ticket, Outcome: Unknown, Reason: "no such queue"})
 		return
 	}
-	if at, ok := c.yieldedAt[s.ID]; ok && now-at <= yieldKeepMS {
-		c.reply(Reply{Ticket: ticket, Outcome: Unavailable, Reason: "left_to_another_shard"})
+	if at, ok := c.declinedAt[s.ID]; ok && now-at <= declineKeepMS {
+		c.reply(Reply{Ticket: ticket, Outcome: Unavailable, Reason: "declined_before"})
 		return
 	}
 	firstSeen, seen := c.firstSeenAt[s.ID]
@@ -251,9 +251,11 @@
 }
 
 // cancelUnlessAbsent cancels a job that was accepted while the owner proved its
-// ownership.
+// ownership. A job that does not exist is declined for a while: its submission may be
+// held up in a suspended node.
 func (c *Core) cancelUnlessAbsent(ticket uint64, id string) {
 	if c.jobs[id] == nil {
+		c.declinedAt[id] = c.now
 		c.reply(Reply{Ticket: ticket, Outcome: Unknown})
 		return
 	}
