--- /dev/null
+++ b/soak/cmd/soak/main.go
@@ -0,0 +1,93 @@
+// Command soak runs the randomised fault soak against the real program.
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"path/filepath"
+	"syscall"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/urfave/cli/v3"
+
+	"wigeonwinch/soak"
+)
+
+// Exit codes.
+const (
+	exitViolation = 1
+	exitFailure   = 2
+)
+
+var errViolation = errors.New("a promise was broken")
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM, syscall.SIGHUP)
+	defer stop()
+	command := &cli.Command{
+		Name:  "soak",
+		Usage: "run entry nodes as processes, inject faults and check what clients and workers see",
+		Description: "Example:\n  go build -ldflags=-linkmode=external -o target/ ./cmd/... ./soak/cmd/... && target/soak --seed 7\n\n" +
+			"Exit codes: 0 all promises were kept; 1 one was broken; 2 the run failed.",
+		Flags: []cli.Flag{
+			&cli.Uint64Flag{Name: "seed", Usage: "seed of all random choices; 0 takes one from the clock"},
+			&cli.IntFlag{Name: "seconds", Value: 30, Usage: "time of the traffic"},
+			&cli.IntFlag{Name: "nodes", Value: 5, Usage: "number of entry nodes"},
+			&cli.IntFlag{Name: "workers", Value: 10, Usage: "number of workers"},
+			&cli.StringFlag{Name: "program", Value: "target/wigeonwinchd", Usage: "path of the program"},
+			&cli.StringFlag{Name: "keep", Usage: "directory that keeps the logs; without it only those of runs that break a promise are kept"},
+		},
+		Action: run,
+	}
+	err := command.Run(ctx, os.Args)
+	switch {
+	case err == nil:
+	case errors.Is(err, errViolation):
+		os.Exit(exitViolation)
+	default:
+		fmt.Fprintln(os.Stderr, "soak: "+err.Error())
+		os.Exit(exitFailure)
+	}
+}
+
+func run(ctx context.Context, cmd *cli.Command) error {
+	seed := cmd.Uint64("seed")
+	if seed == 0 {
+		seed = uint64(time.Now().UnixNano())
+	}
+	if cmd.Int("nodes") < 1 || cmd.Int("workers") < 1 || cmd.Int("seconds") < 1 {
+		return errors.New("--nodes, --workers and --seconds must be at least 1")
+	}
+	dir, err := logDir(cmd.String("keep"), seed)
+	if err != nil {
+		return err
+	}
+	report, err := soak.Run(ctx, soak.Options{
+		Program: cmd.String("program"), Dir: dir, Seed: seed, Nodes: cmd.Int("nodes"), Workers: cmd.Int("workers"),
+		Duration: time.Duration(cmd.Int("seconds")) * time.Second,
+	})
+	if err != nil {
+		return errors.Wrapf(err, "seed %d, logs in %s", seed, dir)
+	}
+	report.Write(os.Stdout)
+	if !report.OK() {
+		return errViolation
+	}
+	if cmd.String("keep") == "" {
+		return errors.Wrap(os.RemoveAll(dir), "remove the logs")
+	}
+	return nil
+}
+
+// logDir creates the directory of one run's logs.
+func logDir(keep string, seed uint64) (string, error) {
+	if keep == "" {
+		dir, err := os.MkdirTemp("", fmt.Sprintf("soak-%d-", seed))
+		return dir, errors.Wrap(err, "create a directory for the logs")
+	}
+	dir := filepath.Join(keep, fmt.Sprintf("seed-%d", seed))
+	return dir, errors.Wrap(os.MkdirAll(dir, 0o700), "create the directory for the logs")
+}
--- /dev/null
+++ b/soak/faults.go
@@ -0,0 +1,235 @@
+package soak
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+)
+
+// FaultKind is what goes wrong.
+type FaultKind string
+
+// The kinds of faults.
+const (
+	// FaultFreezeOwner freezes the owner of a service for longer than its takeover
+	// takes, FaultFreeze any node for any time.
+	FaultFreezeOwner FaultKind = "freeze-owner"
+	FaultFreeze      FaultKind = "freeze"
+	FaultKillOwner   FaultKind = "kill-owner"
+	FaultKill        FaultKind = "kill"
+	FaultTerminate   FaultKind = "terminate"
+	// FaultCutOwner cuts the owner of a service off from the store.
+	FaultCutOwner     FaultKind = "cut-owner"
+	FaultCutStore     FaultKind = "cut-store"
+	FaultSilenceStore FaultKind = "silence-store"
+	FaultResetStore   FaultKind = "reset-store"
+	FaultDelayStore   FaultKind = "delay-store"
+	FaultLoseAnswers  FaultKind = "lose-answers"
+	FaultStoreDown    FaultKind = "store-down"
+	// FaultCutWorker cuts a worker off from all nodes, FaultCutLink from one.
+	FaultCutWorker     FaultKind = "cut-worker"
+	FaultCutLink       FaultKind = "cut-link"
+	FaultSilenceWorker FaultKind = "silence-worker"
+	FaultCrashWorker   FaultKind = "crash-worker"
+)
+
+// Fault is one fault of a plan. What a kind does not need is not used.
+type Fault struct {
+	Kind FaultKind
+	// At is the time since the start of the traffic.
+	At, Duration time.Duration
+	Node, VM     int
+	Service      string
+	// Directions are the directions that are cut.
+	Directions []Direction
+}
+
+func (f Fault) String() string {
+	return fmt.Sprintf("%s at %.1f for %.1f s (node %d, VM %d, service %s, directions %v)", f.Kind, f.At.Seconds(), f.Duration.Seconds(), f.Node+1, f.VM, f.Service, f.Directions)
+}
+
+// faultWeights tells how often each kind is drawn.
+var faultWeights = []struct {
+	kind      FaultKind
+	weight    int
+	low, high time.Duration
+}{
+	{FaultFreezeOwner, 6, 2 * time.Second, 8 * time.Second},
+	{FaultFreeze, 2, 200 * time.Millisecond, 5 * time.Second},
+	{FaultKillOwner, 2, 100 * time.Millisecond, 3 * time.Second},
+	{FaultKill, 1, 100 * time.Millisecond, 3 * time.Second},
+	{FaultTerminate, 2, 100 * time.Millisecond, time.Second},
+	{FaultCutOwner, 3, 2 * time.Second, 7 * time.Second},
+	{FaultCutStore, 2, 500 * time.Millisecond, 5 * time.Second},
+	{FaultSilenceStore, 1, 0, 0},
+	{FaultResetStore, 1, 0, 0},
+	{FaultDelayStore, 1, time.Second, 4 * time.Second},
+	{FaultLoseAnswers, 2, time.Second, 4 * time.Second},
+	{FaultStoreDown, 1, 500 * time.Millisecond, 4 * time.Second},
+	{FaultCutWorker, 2, 500 * time.Millisecond, 5 * time.Second},
+	{FaultCutLink, 1, 500 * time.Millisecond, 5 * time.Second},
+	{FaultSilenceWorker, 1, 0, 0},
+	{FaultCrashWorker, 1, 500 * time.Millisecond, 3 * time.Second},
+}
+
+// Rhythm of faults: series with overlaps, and calm between them.
+const (
+	firstFault     = time.Second
+	maxSeries      = 4
+	seriesGap      = 1500 * time.Millisecond
+	minCalmBetween = time.Second
+	maxCalmBetween = 7 * time.Second
+	storeDelay     = 300 * time.Millisecond
+	lostShare      = 0.3
+)
+
+// Plan returns the faults of a run. They begin in the traffic's time.
+func Plan(random *rand.Rand, o Options) []Fault {
+	var plan []Fault
+	for at := firstFault; at < o.Duration; at += between(random, minCalmBetween, maxCalmBetween) {
+		for range 1 + random.IntN(maxSeries) {
+			f := randomFault(random, o)
+			f.At = at
+			plan = append(plan, f)
+			at += between(random, 0, seriesGap)
+		}
+	}
+	return plan
+}
+
+func randomFault(random *rand.Rand, o Options) Fault {
+	total := 0
+	for _, w := range faultWeights {
+		total += w.weight
+	}
+	n := random.IntN(total)
+	i := 0
+	for n >= faultWeights[i].weight {
+		n -= faultWeights[i].weight
+		i++
+	}
+	w := faultWeights[i]
+	return Fault{
+		Kind: w.kind, Duration: between(random, w.low, w.high), Node: random.IntN(o.Nodes), VM: random.IntN(o.Workers),
+		Service: queues[random.IntN(len(queues))].service, Directions: [][]Direction{{Requests}, {Answers}, {Requests, Answers}}[random.IntN(3)],
+	}
+}
+
+// Inject carries out a plan and returns when all its faults are over.
+func (c *Cluster) Inject(ctx context.Context, plan []Fault) {
+	began := time.Now()
+	var faults sync.WaitGroup
+	defer faults.Wait()
+	for _, f := range plan {
+		sleep(ctx, time.Until(began.Add(f.At)))
+		if ctx.Err() != nil {
+			return
+		}
+		faults.Go(func() { c.inject(ctx, f) })
+	}
+}
+
+// inject carries out one fault.
+func (c *Cluster) inject(ctx context.Context, f Fault) {
+	node := c.nodes[f.Node]
+	if slices.Contains([]FaultKind{FaultFreezeOwner, FaultKillOwner, FaultCutOwner}, f.Kind) {
+		if owner := c.node(c.judge.Owner(f.Service)); owner != nil {
+			node = owner
+		}
+	}
+	worker := c.machines.Worker(f.VM)
+	c.record.Printf("fault: %s; it hits %s or %s", f, node.name, worker)
+	switch f.Kind {
+	case FaultFreezeOwner, FaultFreeze:
+		defer c.calm.Begin(node.name)()
+		thaw := node.Freeze()
+		sleep(ctx, f.Duration)
+		thaw()
+	case FaultKillOwner, FaultKill, FaultTerminate:
+		c.restart(ctx, node, f)
+	case FaultCutOwner, FaultCutStore, FaultDelayStore:
+		defer c.calm.Begin(node.name)()
+		c.disturbStoreLink(ctx, node, f)
+	case FaultSilenceStore:
+		defer c.calm.Begin(node.name)()
+		node.proxy.Silence()
+	case FaultResetStore:
+		defer c.calm.Begin(node.name)()
+		node.proxy.Reset()
+	case FaultLoseAnswers:
+		defer c.calm.Begin(node.name)()
+		node.access.LoseAnswers(lostShare)
+		sleep(ctx, f.Duration)
+		node.access.LoseAnswers(0)
+	case FaultStoreDown:
+		defer c.calm.Begin(everything)()
+		c.store.SetDown(true)
+		sleep(ctx, f.Duration)
+		c.store.SetDown(false)
+	case FaultCutWorker, FaultSilenceWorker:
+		c.disturbLinks(ctx, c.nodes, worker, f)
+	case FaultCutLink:
+		c.disturbLinks(ctx, []*Node{node}, worker, f)
+	case FaultCrashWorker:
+		defer c.calm.Begin(worker)()
+		c.machines.Crash(f.VM, f.Duration)
+	}
+	c.record.Printf("fault: %s is over", f.Kind)
+}
+
+func (c *Cluster) restart(ctx context.Context, node *Node, f Fault) {
+	defer c.calm.Begin(node.name)()
+	if f.Kind == FaultTerminate {
+		node.Terminate()
+	} else {
+		node.Kill()
+	}
+	sleep(ctx, f.Duration)
+	if err := node.Start(); err != nil {
+		c.record.Printf("node %s does not start: %v", node.name, err)
+		return
+	}
+	if err := node.awaitReady(); err != nil {
+		c.record.Printf("node %s: %v", node.name, err)
+	}
+}
+
+func (c *Cluster) disturbStoreLink(ctx context.Context, node *Node, f Fault) {
+	if f.Kind == FaultDelayStore {
+		node.proxy.SetDelay(storeDelay)
+	} else {
+		for _, d := range f.Directions {
+			node.proxy.Cut(d)
+		}
+	}
+	sleep(ctx, f.Duration)
+	node.proxy.Restore()
+}
+
+// disturbLinks cuts or silences the links of some nodes to a worker.
+func (c *Cluster) disturbLinks(ctx context.Context, nodes []*Node, worker string, f Fault) {
+	subjects := []string{worker}
+	var links []*Proxy
+	for _, n := range nodes {
+		if link := n.link(worker); link != nil {
+			links = append(links, link)
+		}
+	}
+	defer c.calm.Begin(subjects...)()
+	for _, link := range links {
+		if f.Kind == FaultSilenceWorker {
+			link.Silence()
+			continue
+		}
+		for _, d := range f.Directions {
+			link.Cut(d)
+		}
+	}
+	sleep(ctx, f.Duration)
+	for _, link := range links {
+		link.Restore()
+	}
+}
--- /dev/null
+++ b/soak/judge.go
@@ -0,0 +1,475 @@
+package soak
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+)
+
+// Bounds of the promises. They are also written into the settings of the nodes.
+const (
+	cancelMS    = 3000
+	visibleMS   = 3000
+	contactMS   = 3000
+	maxAttempts = 4
+	// finalTime is the time after which nothing of a final job may be started.
+	finalTime = time.Second
+	// judgeSlack allows for the scheduling of the processes of one machine.
+	judgeSlack = 250 * time.Millisecond
+
+	cancelTime  = cancelMS * time.Millisecond
+	contactTime = contactMS * time.Millisecond
+	visibleTime = visibleMS * time.Millisecond
+	// cancelledGoneTime is when the tasks of a cancelled job are gone.
+	cancelledGoneTime = cancelTime + stopGraceMS*time.Millisecond + judgeSlack
+)
+
+// Rules that the judge checks.
+const (
+	ruleUnasked  = "UNASKED"
+	ruleTwice    = "TWICE"
+	ruleOrder    = "ORDER"
+	ruleRefused  = "REFUSED"
+	ruleLimit    = "LIMIT"
+	ruleMixed    = "MIXED"
+	ruleLost     = "LOST"
+	ruleAttempts = "BUDGET"
+)
+
+// Violation is a promise that was broken.
+type Violation struct {
+	Rule string
+	Job  string
+	// Seconds is the time since the start of the run.
+	Seconds float64
+	Text    string
+}
+
+func (v Violation) String() string {
+	return fmt.Sprintf("%8.3f %s job %s: %s", v.Seconds, v.Rule, v.Job, v.Text)
+}
+
+// Judge checks the promises from what clients and workers see.
+type Judge struct {
+	record *Record
+	calm   *Calm
+
+	mu         sync.Mutex
+	jobs       map[string]*judgedJob
+	owners     map[string]serviceOwner
+	workers    map[string]map[*judgedRun]struct{}
+	violations []Violation
+}
+
+// serviceOwner is the node that gave the newest orders to a service's workers.
+type serviceOwner struct {
+	node  string
+	token int64
+}
+
+type judgedJob struct {
+	id  string
+	job Job
+	// attempts counts the answers to submissions; open counts those without an
+	// answer that says whether the job was accepted.
+	attempts, refused, open int
+	acceptedAt              time.Time
+	cancelSent              bool
+	cancel                  *cancelAnswer
+	completedAt             time.Time
+	lastState               string
+	started                 bool
+	tasks                   map[string]*judgedTask
+	// overdue reports that the job was found running long after its cancel.
+	overdue bool
+}
+
+type cancelAnswer struct {
+	node     string
+	status   int
+	sent, at time.Time
+	faults   []string
+}
+
+type judgedTask struct {
+	running map[*judgedRun]struct{}
+	// done is the end "done" of the task; noted reports that a node took note of it.
+	done  time.Time
+	noted bool
+	// startAfterDone describes a start after the end.
+	startAfterDone string
+	failed         int
+}
+
+type judgedRun struct {
+	worker, task string
+	run          int
+	cpu, memMB   int
+	job          *judgedJob
+	startedBy    string
+	startedAt    time.Time
+}
+
+// NewJudge returns a judge that knows of no job.
+func NewJudge(record *Record, calm *Calm) *Judge {
+	return &Judge{record: record, calm: calm, jobs: map[string]*judgedJob{}, owners: map[string]serviceOwner{}, workers: map[string]map[*judgedRun]struct{}{}}
+}
+
+// Violations returns the broken promises so far.
+func (j *Judge) Violations() []Violation {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	return slices.Clone(j.violations)
+}
+
+// violate notes a broken promise. The caller holds the lock.
+func (j *Judge) violate(rule, job, format string, args ...any) {
+	text := fmt.Sprintf(format, args...)
+	if faults := j.calm.Active(); len(faults) > 0 {
+		text += "; faults in force on " + strings.Join(faults, ", ")
+	}
+	v := Violation{Rule: rule, Job: job, Seconds: j.record.Seconds(time.Now()), Text: text}
+	j.violations = append(j.violations, v)
+	j.record.Printf("BROKEN %s job %s: %s", rule, job, text)
+}
+
+// Owner returns the node that gives the orders for a service, or "".
+func (j *Judge) Owner(service string) string {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	return j.owners[service].node
+}
+
+// OrderSeen notes that a worker of a service got an order that it does not refuse.
+func (j *Judge) OrderSeen(service, sender string, token int64) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	if o := j.owners[service]; token > o.token {
+		j.owners[service] = serviceOwner{sender, token}
+		j.record.Printf("worker: %s now gives the orders for %s, token %d", sender, service, token)
+	}
+}
+
+// Submitting notes that a client sends a job to a node.
+func (j *Judge) Submitting(id, node string, job Job) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	known := j.jobs[id]
+	if known == nil {
+		known = &judgedJob{id: id, job: job, tasks: map[string]*judgedTask{}}
+		j.jobs[id] = known
+	}
+	known.open++
+	j.record.Printf("client: POST %s to %s", id, node)
+}
+
+// Submitted notes the answer to a submission; status is 0 if there was none.
+func (j *Judge) Submitted(id, node string, status int) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	job := j.jobs[id]
+	j.record.Printf("client: POST %s at %s -> %d", id, node, status)
+	switch {
+	case status/100 == 2:
+		job.attempts++
+		job.open--
+		if job.acceptedAt.IsZero() {
+			job.acceptedAt = time.Now()
+		}
+	case status == 429 || status == 503:
+		job.attempts++
+		job.open--
+		job.refused++
+	}
+}
+
+// Cancelling notes that a client sends a cancel to a node.
+func (j *Judge) Cancelling(id, node string) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.jobs[id].cancelSent = true
+	j.record.Printf("client: DELETE %s to %s", id, node)
+}
+
+// Cancelled notes the answer to a cancel; status is 0 if there was none.
+func (j *Judge) Cancelled(id, node string, status int, sent time.Time) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	job := j.jobs[id]
+	j.record.Printf("client: DELETE %s at %s -> %d, sent at %.3f", id, node, status, j.record.Seconds(sent))
+	acknowledged := status/100 == 2 || status == 410
+	accepted := !job.acceptedAt.IsZero() && job.acceptedAt.Before(sent)
+	if acknowledged && accepted && job.cancel == nil {
+		job.cancel = &cancelAnswer{node: node, status: status, sent: sent, at: time.Now(), faults: j.calm.Active()}
+	}
+}
+
+func (j *Judge) describeCancel(c *cancelAnswer) string {
+	return fmt.Sprintf("cancel sent at %.3f, acknowledged by %s with %d at %.3f, faults then: [%s]",
+		j.record.Seconds(c.sent), c.node, c.status, j.record.Seconds(c.at), strings.Join(c.faults, ", "))
+}
+
+// Shown notes the answer to a question for a job's state.
+func (j *Judge) Shown(id, node string, status int, state string, sent time.Time) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	job := j.jobs[id]
+	j.record.Printf("client: GET %s at %s -> %d %s", id, node, status, state)
+	job.lastState = fmt.Sprintf("%d %s", status, state)
+	if status == 410 && !job.cancelSent && !job.acceptedAt.IsZero() && sent.Sub(job.acceptedAt) > visibleTime && j.calm.For(contactTime+time.Since(sent), node) {
+		j.violate(ruleLost, id, "accepted at %.3f and never cancelled, %s answers a GET with 410", j.record.Seconds(job.acceptedAt), node)
+	}
+	switch state {
+	case "completed":
+		j.checkCompleted(job, node)
+	case "cancelled":
+		if !job.cancelSent {
+			j.violate(ruleLost, id, "%s shows it as cancelled, and nobody cancelled it", node)
+		}
+	case "failed":
+		if !job.mayHaveFailed() {
+			j.violate(ruleLost, id, "%s shows it as failed, and no task has failed %d times", node, maxAttempts)
+		}
+	}
+}
+
+func (j *Judge) checkCompleted(job *judgedJob, node string) {
+	if job.completedAt.IsZero() {
+		job.completedAt = time.Now()
+	}
+	for step := range job.job.Steps {
+		if name := job.openTask(step); name != "" {
+			j.violate(ruleMixed, job.id, "%s shows it as completed, and task %s has not ended done", node, name)
+			return
+		}
+	}
+}
+
+// openTask returns a task of a step that has not ended done, or "".
+func (job *judgedJob) openTask(step int) string {
+	for i := range job.job.Steps[step].Count {
+		name := fmt.Sprintf("%s.0.%d.%d", job.id, step, i)
+		if t := job.tasks[name]; t == nil || t.done.IsZero() {
+			return name
+		}
+	}
+	return ""
+}
+
+func (job *judgedJob) mayHaveFailed() bool {
+	for _, t := range job.tasks {
+		if t.failed >= maxAttempts {
+			return true
+		}
+	}
+	return false
+}
+
+// Start is an order to start a task that a worker carries out.
+type Start struct {
+	Worker, Sender string
+	Token          int64
+	Task           string
+	Run            int
+	Spec           string
+}
+
+// RunStarted checks a start.
+func (j *Judge) RunStarted(s Start) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.record.Printf("worker: %s starts %s run %d by order of %s, token %d", s.Worker, s.Task, s.Run, s.Sender, s.Token)
+	name, err := parseTask(s.Task)
+	job := j.jobs[name.job]
+	if err != nil || job == nil || name.step >= len(job.job.Steps) || name.index >= job.job.Steps[name.step].Count || s.Spec != job.job.Spec {
+		j.violate(ruleUnasked, name.job, "%s starts %s with the spec %q, which no client sent", s.Worker, s.Task, s.Spec)
+		return
+	}
+	job.started = true
+	task := job.tasks[s.Task]
+	if task == nil {
+		task = &judgedTask{running: map[*judgedRun]struct{}{}}
+		job.tasks[s.Task] = task
+	}
+	step := job.job.Steps[name.step]
+	run := &judgedRun{worker: s.Worker, task: s.Task, run: s.Run, cpu: step.CPU, memMB: step.MemMB, job: job, startedBy: s.Sender, startedAt: time.Now()}
+	j.checkTwice(job, task, s)
+	j.checkFinal(job, s)
+	for _, earlier := range step.DependsOn {
+		if open := job.openTask(earlier); open != "" {
+			j.violate(ruleOrder, job.id, "%s starts %s run %d before %s has ended done, by order of %s", s.Worker, s.Task, s.Run, open, s.Sender)
+		}
+	}
+	if task.failed >= maxAttempts {
+		j.violate(ruleAttempts, job.id, "%s starts %s run %d after %d failures, by order of %s", s.Worker, s.Task, s.Run, task.failed, s.Sender)
+	}
+	task.running[run] = struct{}{}
+	j.checkRoom(run)
+}
+
+func (j *Judge) checkTwice(job *judgedJob, task *judgedTask, s Start) {
+	for other := range task.running {
+		j.violate(ruleTwice, job.id, "%s starts %s run %d by order of %s while run %d runs on %s by order of %s",
+			s.Worker, s.Task, s.Run, s.Sender, other.run, other.worker, other.startedBy)
+	}
+	if task.done.IsZero() {
+		return
+	}
+	text := fmt.Sprintf("%s starts %s run %d by order of %s after its end done at %.3f", s.Worker, s.Task, s.Run, s.Sender, j.record.Seconds(task.done))
+	if task.noted {
+		j.violate(ruleTwice, job.id, "%s, which was taken note of", text)
+		return
+	}
+	task.startAfterDone = text
+}
+
+// checkFinal checks that a job that is cancelled or completed starts nothing. Orders
+// that were held up on their way do not count.
+func (j *Judge) checkFinal(job *judgedJob, s Start) {
+	inTouch := j.calm.For(contactTime, s.Sender, s.Worker)
+	if c := job.cancel; c != nil && inTouch && time.Since(c.at) > cancelTime+judgeSlack {
+		j.violate(ruleUnasked, job.id, "%s starts %s run %d by order of %s, token %d; %s", s.Worker, s.Task, s.Run, s.Sender, s.Token, j.describeCancel(c))
+	}
+	if !job.completedAt.IsZero() && inTouch && time.Since(job.completedAt) > finalTime+judgeSlack {
+		j.violate(ruleTwice, job.id, "%s starts %s run %d by order of %s; completed was shown at %.3f", s.Worker, s.Task, s.Run, s.Sender, j.record.Seconds(job.completedAt))
+	}
+}
+
+// checkRoom adds a run to its worker and checks the worker's capacity.
+func (j *Judge) checkRoom(run *judgedRun) {
+	runs := j.workers[run.worker]
+	if runs == nil {
+		runs = map[*judgedRun]struct{}{}
+		j.workers[run.worker] = runs
+	}
+	runs[run] = struct{}{}
+	cpu, mem := 0, 0
+	for r := range runs {
+		cpu += r.cpu
+		mem += r.memMB
+	}
+	if cpu > workerMilliCPU || mem > workerMemMB {
+		j.violate(ruleLimit, run.job.id, "%s starts %s run %d by order of %s and then has %d milli-CPU and %d MB in use", run.worker, run.task, run.run, run.startedBy, cpu, mem)
+	}
+}
+
+// remove removes a run that has ended and returns its task, or nil if the run is
+// not known.
+func (j *Judge) remove(worker, name string, number int) *judgedTask {
+	for run := range j.workers[worker] {
+		if run.task == name && run.run == number {
+			delete(j.workers[worker], run)
+			task := run.job.tasks[name]
+			delete(task.running, run)
+			return task
+		}
+	}
+	return nil
+}
+
+// RunEnded notes the end of a run that a worker lists.
+func (j *Judge) RunEnded(worker, name string, run int, how string) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.record.Printf("worker: %s ends %s run %d %s", worker, name, run, how)
+	task := j.remove(worker, name, run)
+	switch {
+	case task == nil:
+	case how == endDone && task.done.IsZero():
+		task.done = time.Now()
+	case how == endFailed:
+		task.failed++
+	}
+}
+
+// RunLost notes that a run ended with its worker.
+func (j *Judge) RunLost(worker, name string, run int) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.record.Printf("worker: %s ends with %s run %d", worker, name, run)
+	j.remove(worker, name, run)
+}
+
+// EndAcked notes that a node has taken note of an end.
+func (j *Judge) EndAcked(_, name string, _ int, how string) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	parsed, err := parseTask(name)
+	if err != nil || how != endDone || j.jobs[parsed.job] == nil {
+		return
+	}
+	task := j.jobs[parsed.job].tasks[name]
+	if task == nil || task.noted {
+		return
+	}
+	task.noted = true
+	if task.startAfterDone != "" {
+		j.violate(ruleTwice, parsed.job, "%s, which is taken note of now", task.startAfterDone)
+	}
+}
+
+// StopOrdered notes that a worker is told to stop a run.
+func (j *Judge) StopOrdered(worker, sender, name string, run int) {
+	j.record.Printf("worker: %s stops %s run %d by order of %s", worker, name, run, sender)
+}
+
+// CheckRunning checks that nothing of a cancelled job runs on. A task has to be gone
+// after any calm stretch that is long enough for its stop.
+func (j *Judge) CheckRunning() {
+	if !j.calm.AllFor(cancelledGoneTime) {
+		return
+	}
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	for _, job := range j.jobs {
+		if c := job.cancel; c != nil && !job.overdue && time.Since(c.at) > cancelledGoneTime {
+			j.checkGone(job)
+		}
+	}
+}
+
+func (j *Judge) checkGone(job *judgedJob) {
+	for _, task := range job.tasks {
+		for run := range task.running {
+			if time.Since(run.startedAt) < cancelledGoneTime {
+				continue
+			}
+			job.overdue = true
+			j.violate(ruleUnasked, job.id, "%s still runs %s run %d, started at %.3f by order of %s; %s", run.worker, run.task, run.run,
+				j.record.Seconds(run.startedAt), run.startedBy, j.describeCancel(job.cancel))
+			return
+		}
+	}
+}
+
+// Finish checks what can be told only at the end of a run.
+func (j *Judge) Finish() {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	for _, job := range j.jobs {
+		if job.started && job.acceptedAt.IsZero() && job.open == 0 && job.refused == job.attempts {
+			j.violate(ruleRefused, job.id, "all %d submissions were refused, and a task was started", job.attempts)
+		}
+		if !job.acceptedAt.IsZero() && !job.cancelSent && job.completedAt.IsZero() {
+			j.violate(ruleLost, job.id, "accepted at %.3f and not completed; the last answer to a GET was %q", j.record.Seconds(job.acceptedAt), job.lastState)
+		}
+	}
+}
+
+// Counts returns how many jobs were handed in, accepted and cancelled.
+func (j *Judge) Counts() (submitted, accepted, cancelled int) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	for _, job := range j.jobs {
+		submitted++
+		if !job.acceptedAt.IsZero() {
+			accepted++
+		}
+		if job.cancel != nil {
+			cancelled++
+		}
+	}
+	return submitted, accepted, cancelled
+}
--- /dev/null
+++ b/soak/machines.go
@@ -0,0 +1,188 @@
+package soak
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"sync"
+	"time"
+)
+
+// Times of the VM service.
+const (
+	moveTime   = 1500 * time.Millisecond
+	upkeepTime = 2 * time.Second
+	rackSize   = 4
+)
+
+// States of VMs.
+const (
+	vmUp     = "up"
+	vmMoving = "moving"
+	vmUpkeep = "upkeep"
+	vmDown   = "down"
+)
+
+// Machines is the VM service. Each VM that is up has one worker.
+type Machines struct {
+	record *Record
+	// launch starts a worker on a VM.
+	launch func(place WorkerPlace) (*Worker, error)
+
+	mu     sync.Mutex
+	vms    []*vm
+	lives  int
+	closed bool
+}
+
+type vm struct {
+	name, pool, zone, rack, state string
+	worker                        *Worker
+}
+
+// NewMachines returns a VM service without VMs.
+func NewMachines(record *Record, launch func(place WorkerPlace) (*Worker, error)) *Machines {
+	return &Machines{record: record, launch: launch}
+}
+
+// Add starts a VM with a worker of a service.
+func (m *Machines) Add(service string) error {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	i := len(m.vms)
+	v := &vm{name: fmt.Sprintf("m-%02d", i), pool: service, zone: zoneOf(i), rack: fmt.Sprintf("r%d", i/rackSize)}
+	m.vms = append(m.vms, v)
+	return m.boot(v)
+}
+
+// boot starts the next life of a VM. The caller holds the lock.
+func (m *Machines) boot(v *vm) error {
+	if m.closed {
+		return nil
+	}
+	m.lives++
+	w, err := m.launch(WorkerPlace{ID: fmt.Sprintf("i-%04x", m.lives), VM: v.name, Service: v.pool, Zone: v.zone, Rack: v.rack})
+	if err != nil {
+		return err
+	}
+	v.worker, v.state = w, vmUp
+	return nil
+}
+
+// bootLater starts the next life of a VM after a time.
+func (m *Machines) bootLater(v *vm, after time.Duration) {
+	time.AfterFunc(after, func() {
+		m.mu.Lock()
+		defer m.mu.Unlock()
+		if err := m.boot(v); err != nil {
+			m.record.Printf("machine %s does not start: %v", v.name, err)
+		}
+	})
+}
+
+// Worker returns the ID of the worker on a VM, or "" while it has none.
+func (m *Machines) Worker(index int) string {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if v := m.vms[index]; v.worker != nil {
+		return v.worker.id
+	}
+	return ""
+}
+
+// Crash ends the worker of a VM without notice. A new one follows after a time.
+func (m *Machines) Crash(index int, down time.Duration) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	v := m.vms[index]
+	if v.worker == nil {
+		return
+	}
+	old := v.worker
+	v.worker, v.state = nil, vmDown
+	old.End(true)
+	m.bootLater(v, down)
+}
+
+// Close ends all workers; none is started afterwards.
+func (m *Machines) Close() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.closed = true
+	for _, v := range m.vms {
+		if v.worker != nil {
+			v.worker.End(false)
+		}
+	}
+}
+
+// ServeHTTP implements http.Handler.
+func (m *Machines) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	switch r.URL.Path {
+	case "/wigeonwinch/machines":
+		answerJSON(w, http.StatusOK, map[string]any{"machines": m.rows(), "next_page_token": nil})
+	case "/wigeonwinch/machine-move":
+		m.serveChange(w, r, vmMoving)
+	case "/wigeonwinch/machine-upkeep":
+		m.serveChange(w, r, vmUpkeep)
+	default:
+		http.NotFound(w, r)
+	}
+}
+
+// rows returns the list of VMs. The caller holds the lock.
+func (m *Machines) rows() []map[string]any {
+	rows := make([]map[string]any, 0, len(m.vms))
+	for _, v := range m.vms {
+		row := map[string]any{
+			"machine": v.name, "pool": v.pool, "state": v.state, "zone": v.zone, "labels": []string{"a", v.rack}, "capacity": workerCapacity(), "id": "",
+		}
+		if v.worker != nil {
+			row["id"] = v.worker.id
+		}
+		rows = append(rows, row)
+	}
+	return rows
+}
+
+// serveChange moves a VM or takes it down for its upkeep. The caller holds the lock.
+func (m *Machines) serveChange(w http.ResponseWriter, r *http.Request, state string) {
+	var body struct {
+		Machine string `json:"machine"`
+		Pool    string `json:"pool"`
+	}
+	if err := json.NewDecoder(r.Body).Decode(&body); err != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	for _, v := range m.vms {
+		if v.name != body.Machine {
+			continue
+		}
+		if state == vmMoving && v.pool == body.Pool {
+			answerJSON(w, http.StatusOK, struct{}{})
+			return
+		}
+		if v.state != vmUp {
+			answerJSON(w, http.StatusConflict, map[string]string{"reason": "busy"})
+			return
+		}
+		m.change(v, state, body.Pool)
+		answerJSON(w, http.StatusOK, struct{}{})
+		return
+	}
+	w.WriteHeader(http.StatusBadRequest)
+}
+
+func (m *Machines) change(v *vm, state, pool string) {
+	m.record.Printf("machine %s: %s, pool %s", v.name, state, pool)
+	old, after := v.worker, upkeepTime
+	v.worker, v.state = nil, state
+	if state == vmMoving {
+		v.pool, after = pool, moveTime
+	}
+	old.End(false)
+	m.bootLater(v, after)
+}
