Soak: randomised run with faults, clients and a judge

Change: the seeded plan of faults, clients that keep their connections, the judge's checks of what runs, idles and is shown, and the command. A first check of unfinished jobs counted work that went on; it now asks for 3 s without a run while the service has room, as the promise does.

--- a/soak/client.go
+++ b/soak/client.go
@@ -26,7 +26,7 @@
 	lateDelay        = 3 * time.Second
 	minDroppedAnswer = time.Millisecond
 	maxDroppedAnswer = 25 * time.Millisecond
-	cancelShare      = 0.5
+	cancelShare      = 0.6
 	promptShare      = 0.5
 	dropShare        = 0.25
 	repeatShare      = 0.08
@@ -84,27 +84,27 @@
 }
 
 // Submit sends a job once and returns the status.
-func (c *Client) Submit(ctx context.Context, n *Node, path, id string, job Job) (int, http.Header) {
-	c.cluster.judge.Submitting(id, n.name, job)
-	status, _, header := c.call(ctx, n, http.MethodPost, path+id, job, clientTimeout)
+func (c *Client) Submit(ctx context.Context, n *Node, q queue, id string, job Job) (int, http.Header) {
+	c.cluster.judge.Submitting(id, n.name, q.service, job)
+	status, _, header := c.call(ctx, n, http.MethodPost, q.path+id, job, clientTimeout)
 	c.cluster.judge.Submitted(id, n.name, status)
 	return status, header
 }
 
 // Cancel sends a cancel and returns the status. The client gives up after the
 // timeout.
-func (c *Client) Cancel(ctx context.Context, n *Node, path, id string, timeout time.Duration) int {
+func (c *Client) Cancel(ctx context.Context, n *Node, q queue, id string, timeout time.Duration) int {
 	sent := time.Now()
 	c.cluster.judge.Cancelling(id, n.name)
-	status, _, _ := c.call(ctx, n, http.MethodDelete, path+id, nil, timeout)
+	status, _, _ := c.call(ctx, n, http.MethodDelete, q.path+id, nil, timeout)
 	c.cluster.judge.Cancelled(id, n.name, status, sent)
 	return status
 }
 
 // Show asks for a job's state.
-func (c *Client) Show(ctx context.Context, n *Node, path, id string) (status int, state string) {
+func (c *Client) Show(ctx context.Context, n *Node, q queue, id string) (status int, state string) {
 	sent := time.Now()
-	status, data, _ := c.call(ctx, n, http.MethodGet, path+id, nil, clientTimeout)
+	status, data, _ := c.call(ctx, n, http.MethodGet, q.path+id, nil, clientTimeout)
 	var body struct {
 		State string `json:"state"`
 	}
@@ -127,25 +127,25 @@
 
 // runJob lives through one job, from its submission to its end or its cancel.
 func (c *Client) runJob(ctx context.Context) {
-	id, path, job := fmt.Sprintf("%016x", c.random.Uint64()), queues[c.random.IntN(len(queues))].path, randomJob(c.random)
-	if !c.submitUntilAccepted(ctx, path, id, job) {
+	id, q, job := fmt.Sprintf("%016x", c.random.Uint64()), queues[c.random.IntN(len(queues))], randomJob(c.random)
+	if !c.submitUntilAccepted(ctx, q, id, job) {
 		return
 	}
 	if c.random.Float64() < cancelShare {
-		c.cancelLater(ctx, path, id)
+		c.cancelLater(ctx, q, id)
 	} else {
-		c.follow(ctx, path, id)
+		c.follow(ctx, q, id)
 	}
 	if c.random.Float64() < repeatShare {
-		c.Submit(ctx, c.anyNode(), path, id, job)
+		c.Submit(ctx, c.anyNode(), q, id, job)
 	}
 }
 
 // submitUntilAccepted sends a job until it is accepted. Tries after the first go to
 // other nodes.
-func (c *Client) submitUntilAccepted(ctx context.Context, path, id string, job Job) bool {
+func (c *Client) submitUntilAccepted(ctx context.Context, q queue, id string, job Job) bool {
 	for range submitTries {
-		status, header := c.Submit(ctx, c.pick(), path, id, job)
+		status, header := c.Submit(ctx, c.pick(), q, id, job)
 		if status/100 == 2 {
 			return true
 		}
@@ -167,7 +167,7 @@
 
 // cancelLater cancels a job, promptly or while it runs, until the cancel is
 // answered. Some answers are dropped.
-func (c *Client) cancelLater(ctx context.Context, path, id string) {
+func (c *Client) cancelLater(ctx context.Context, q queue, id string) {
 	delay := between(c.random, 0, promptDelay)
 	if c.random.Float64() > promptShare {
 		delay = between(c.random, 0, lateDelay)
@@ -178,7 +178,7 @@
 		if c.random.Float64() < dropShare {
 			timeout = between(c.random, minDroppedAnswer, maxDroppedAnswer)
 		}
-		status := c.Cancel(ctx, c.pickForCancel(), path, id, timeout)
+		status := c.Cancel(ctx, c.pickForCancel(), q, id, timeout)
 		if status/100 == 2 || status == http.StatusGone || ctx.Err() != nil {
 			return
 		}
@@ -187,10 +187,10 @@
 }
 
 // follow asks for a job's state until it is final.
-func (c *Client) follow(ctx context.Context, path, id string) {
+func (c *Client) follow(ctx context.Context, q queue, id string) {
 	for ctx.Err() == nil {
 		sleep(ctx, between(c.random, minPollInterval, maxPollInterval))
-		_, state := c.Show(ctx, c.pick(), path, id)
+		_, state := c.Show(ctx, c.pick(), q, id)
 		if state == "completed" || state == "failed" || state == "cancelled" {
 			return
 		}
--- a/soak/cluster.go
+++ b/soak/cluster.go
@@ -206,11 +206,10 @@
 	go func() {
 		<-w.gone
 		for _, n := range c.nodes {
-			n.removeLink(w.id)
+			n.link(w.id).Close()
 		}
 	}()
 	w.Register(w.id)
-	c.record.Printf("worker: %s of %s starts on %s", w.id, place.Service, place.VM)
 	return w, nil
 }
 
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -175,7 +175,8 @@
 		c.disturbLinks(ctx, []*Node{node}, worker, f)
 	case FaultCrashWorker:
 		defer c.calm.Begin(worker)()
-		c.machines.Crash(f.VM, f.Duration)
+		c.machines.Crash(worker, f.Duration)
+		sleep(ctx, f.Duration)
 	}
 	c.record.Printf("fault: %s is over", f.Kind)
 }
@@ -211,14 +212,13 @@
 
 // disturbLinks cuts or silences the links of some nodes to a worker.
 func (c *Cluster) disturbLinks(ctx context.Context, nodes []*Node, worker string, f Fault) {
-	subjects := []string{worker}
 	var links []*Proxy
 	for _, n := range nodes {
 		if link := n.link(worker); link != nil {
 			links = append(links, link)
 		}
 	}
-	defer c.calm.Begin(subjects...)()
+	defer c.calm.Begin(worker)()
 	for _, link := range links {
 		if f.Kind == FaultSilenceWorker {
 			link.Silence()
--- a/soak/machines.go
+++ b/soak/machines.go
@@ -80,28 +80,32 @@
 	})
 }
 
-// Worker returns the ID of the worker on a VM, or "" while it has none.
+// Worker returns the ID of the worker on a VM, or on the next one that is up.
 func (m *Machines) Worker(index int) string {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if v := m.vms[index]; v.worker != nil {
-		return v.worker.id
+	for i := range m.vms {
+		if v := m.vms[(index+i)%len(m.vms)]; v.worker != nil {
+			return v.worker.id
+		}
 	}
 	return ""
 }
 
-// Crash ends the worker of a VM without notice. A new one follows after a time.
-func (m *Machines) Crash(index int, down time.Duration) {
+// Crash ends a worker without notice. A new one follows on its VM after a time.
+func (m *Machines) Crash(worker string, down time.Duration) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	v := m.vms[index]
-	if v.worker == nil {
+	for _, v := range m.vms {
+		if v.worker == nil || v.worker.id != worker {
+			continue
+		}
+		old := v.worker
+		v.worker, v.state = nil, vmDown
+		old.End(true)
+		m.bootLater(v, down)
 		return
 	}
-	old := v.worker
-	v.worker, v.state = nil, vmDown
-	old.End(true)
-	m.bootLater(v, down)
 }
 
 // Close ends all workers; none is started afterwards.
--- a/soak/node.go
+++ b/soak/node.go
@@ -168,17 +168,6 @@
 	return n.links[worker]
 }
 
-// removeLink closes the node's way to a worker.
-func (n *Node) removeLink(worker string) {
-	n.mu.Lock()
-	p := n.links[worker]
-	delete(n.links, worker)
-	n.mu.Unlock()
-	if p != nil {
-		p.Close()
-	}
-}
-
 // writeSettings writes the settings file. ports are the first two internal ones.
 func (n *Node) writeSettings(zone string, ports [2]int, cloud string) error {
 	zones := map[string]string{}
--- a/soak/run.go
+++ b/soak/run.go
@@ -9,11 +9,11 @@
 )
 
 const (
-	clients = 20
+	clients = 30
 	// finishTime is the time that jobs have after the end of traffic and faults.
 	finishTime = 14 * time.Second
 	// lastCalmTime lets the judge see a calm stretch at the end of each run.
-	lastCalmTime  = cancelledGoneTime + time.Second
+	lastCalmTime  = calmBeforeIdle + idleTime + time.Second
 	judgeInterval = 100 * time.Millisecond
 )
 
@@ -102,7 +102,7 @@
 	for {
 		select {
 		case <-tick.C:
-			c.judge.CheckRunning()
+			c.judge.Check()
 		case <-ctx.Done():
 			return
 		}
--- a/soak/worker.go
+++ b/soak/worker.go
@@ -99,6 +99,7 @@
 	}
 	w.server = &http.Server{Handler: w}
 	w.lapse = time.AfterFunc(time.Hour, w.checkLease)
+	judge.WorkerUp(w.id, w.service)
 	return w
 }
 
@@ -166,9 +167,8 @@
 	w.lapse.Stop()
 	for _, r := range w.runs {
 		r.timer.Stop()
-		w.judge.RunLost(w.id, r.task, r.run)
 	}
-	w.runs = map[string]*taskRun{}
+	w.judge.WorkerDown(w.id)
 	close(w.gone)
 	w.mu.Unlock()
 	_ = w.server.Close()
