--- a/soak/worker.go
+++ b/soak/worker.go
@@ -394,7 +394,7 @@
 	n := 0
 	for n < len(w.ended) && w.ended[n].number <= upTo {
 		if e := w.ended[n]; !e.lapsed {
-			w.judge.EndAcked(w.id, e.task, e.run, e.how)
+			w.judge.EndAcked(w.id, e.task, e.run)
 		}
 		n++
 	}
