--- a/soak/client.go
+++ b/soak/client.go
@@ -131,7 +131,7 @@
 	if !c.submitUntilAccepted(ctx, q, id, job) {
 		return
 	}
-	if c.random.Float64() < cancelShare {
+	if job.lasts() || c.random.Float64() < cancelShare {
 		c.cancelLater(ctx, q, id)
 	} else {
 		c.follow(ctx, q, id)
--- a/soak/cluster.go
+++ b/soak/cluster.go
@@ -64,6 +64,7 @@
 
 	mu       sync.Mutex
 	launched uint64
+	version  int
 	servers  []*http.Server
 }
 
@@ -103,7 +104,7 @@
 			return err
 		}
 	}
-	if err := c.configure(1); err != nil {
+	if err := c.configure(); err != nil {
 		return err
 	}
 	for _, n := range c.nodes {
@@ -192,6 +193,7 @@
 	random := c.options.random(streamWorkers + c.launched)
 	c.mu.Unlock()
 	w := NewWorker(place, c.store, c.judge, random)
+	var links []*Proxy
 	for _, n := range c.nodes {
 		address, err := w.ListenFor(n.name)
 		if err != nil {
@@ -202,19 +204,23 @@
 			return nil, err
 		}
 		n.addLink(w.id, link)
+		links = append(links, link)
 	}
 	go func() {
 		<-w.gone
-		for _, n := range c.nodes {
-			n.link(w.id).Close()
+		for _, link := range links {
+			link.Close()
 		}
 	}()
 	w.Register(w.id)
 	return w, nil
 }
 
-// configure writes a version of the configuration.
-func (c *Cluster) configure(version int) error {
+// configure writes a new version of the configuration.
+func (c *Cluster) configure() error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.version++
 	var routes, services []map[string]any
 	for i, q := range queues {
 		routes = append(routes, map[string]any{
@@ -226,7 +232,7 @@
 		})
 	}
 	return c.store.Put(topicOperator, "config", map[string]any{
-		"version": version, "routes": routes, "services": services,
+		"version": c.version, "routes": routes, "services": services,
 		"limits": map[string]int{"max_header_bytes": 16_384, "max_body_bytes": 262_144, "header_timeout_ms": 3000, "idle_timeout_ms": 15_000},
 	})
 }
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -29,11 +29,19 @@
 	FaultDelayStore   FaultKind = "delay-store"
 	FaultLoseAnswers  FaultKind = "lose-answers"
 	FaultStoreDown    FaultKind = "store-down"
+	// FaultRefuseNode makes the store turn one node away.
+	FaultRefuseNode FaultKind = "refuse-node"
+	// FaultRoll stops and starts all nodes in turn.
+	FaultRoll FaultKind = "roll"
+	// FaultConfigure writes a new version of the configuration.
+	FaultConfigure FaultKind = "configure"
 	// FaultCutWorker cuts a worker off from all nodes, FaultCutLink from one.
 	FaultCutWorker     FaultKind = "cut-worker"
 	FaultCutLink       FaultKind = "cut-link"
 	FaultSilenceWorker FaultKind = "silence-worker"
 	FaultCrashWorker   FaultKind = "crash-worker"
+	// FaultRestartWorker lets a worker start again under its ID.
+	FaultRestartWorker FaultKind = "restart-worker"
 )
 
 // Fault is one fault of a plan. What a kind does not need is not used.
@@ -73,6 +81,10 @@
 	{FaultCutLink, 1, 500 * time.Millisecond, 5 * time.Second},
 	{FaultSilenceWorker, 1, 0, 0},
 	{FaultCrashWorker, 1, 500 * time.Millisecond, 3 * time.Second},
+	{FaultRestartWorker, 1, 300 * time.Millisecond, 3 * time.Second},
+	{FaultRefuseNode, 1, 500 * time.Millisecond, 5 * time.Second},
+	{FaultRoll, 1, 100 * time.Millisecond, time.Second},
+	{FaultConfigure, 2, 0, 0},
 }
 
 // Rhythm of faults: series with overlaps, and calm between them.
@@ -173,9 +185,22 @@
 		c.disturbLinks(ctx, c.nodes, worker, f)
 	case FaultCutLink:
 		c.disturbLinks(ctx, []*Node{node}, worker, f)
-	case FaultCrashWorker:
+	case FaultRefuseNode:
+		defer c.calm.Begin(node.name)()
+		node.access.Refuse(true)
+		sleep(ctx, f.Duration)
+		node.access.Refuse(false)
+	case FaultRoll:
+		for _, n := range c.nodes {
+			c.restart(ctx, n, f)
+		}
+	case FaultConfigure:
+		if err := c.configure(); err != nil {
+			c.record.Printf("the configuration is not written: %v", err)
+		}
+	case FaultCrashWorker, FaultRestartWorker:
 		defer c.calm.Begin(worker)()
-		c.machines.Crash(worker, f.Duration)
+		c.machines.Crash(worker, f.Duration, f.Kind == FaultRestartWorker)
 		sleep(ctx, f.Duration)
 	}
 	c.record.Printf("fault: %s is over", f.Kind)
@@ -183,7 +208,7 @@
 
 func (c *Cluster) restart(ctx context.Context, node *Node, f Fault) {
 	defer c.calm.Begin(node.name)()
-	if f.Kind == FaultTerminate {
+	if f.Kind == FaultTerminate || f.Kind == FaultRoll {
 		node.Terminate()
 	} else {
 		node.Kill()
--- a/soak/job.go
+++ b/soak/job.go
@@ -23,6 +23,8 @@
 	MemMB      int   `json:"mem_mb"`
 	EstimateMS int64 `json:"estimate_ms"`
 	DependsOn  []int `json:"depends_on,omitempty"`
+	// LongRunning means that the tasks last until the job is cancelled.
+	LongRunning bool `json:"long_running,omitempty"`
 }
 
 // Bounds of random jobs.
@@ -38,6 +40,8 @@
 	maxLongWork     = 8 * time.Second
 	longWorkShare   = 0.3
 	failingJobShare = 0.05
+	lastingJobShare = 0.1
+	lastingWork     = 24 * time.Hour
 	chainShare      = 0.8
 )
 
@@ -55,7 +59,19 @@
 	return job
 }
 
+// lasts reports whether the job runs until it is cancelled.
+func (j Job) lasts() bool { return j.Steps[0].LongRunning }
+
+func lastingJob(tasks int) Job {
+	job := NewJob(lastingWork, 0, tasks)
+	job.Steps[0].LongRunning, job.Steps[0].EstimateMS = true, minShortWork.Milliseconds()
+	return job
+}
+
 func randomJob(random *rand.Rand) Job {
+	if random.Float64() < lastingJobShare {
+		return lastingJob(1 + random.IntN(maxTasks))
+	}
 	work := between(random, minShortWork, maxShortWork)
 	if random.Float64() < longWorkShare {
 		work = between(random, minLongWork, maxLongWork)
--- a/soak/machines.go
+++ b/soak/machines.go
@@ -52,16 +52,22 @@
 	i := len(m.vms)
 	v := &vm{name: fmt.Sprintf("m-%02d", i), pool: service, zone: zoneOf(i), rack: fmt.Sprintf("r%d", i/rackSize)}
 	m.vms = append(m.vms, v)
-	return m.boot(v)
+	return m.boot(v, m.newID())
+}
+
+// newID returns the ID of a worker that has not lived before. The caller holds the
+// lock.
+func (m *Machines) newID() string {
+	m.lives++
+	return fmt.Sprintf("i-%04x", m.lives)
 }
 
 // boot starts the next life of a VM. The caller holds the lock.
-func (m *Machines) boot(v *vm) error {
+func (m *Machines) boot(v *vm, id string) error {
 	if m.closed {
 		return nil
 	}
-	m.lives++
-	w, err := m.launch(WorkerPlace{ID: fmt.Sprintf("i-%04x", m.lives), VM: v.name, Service: v.pool, Zone: v.zone, Rack: v.rack})
+	w, err := m.launch(WorkerPlace{ID: id, VM: v.name, Service: v.pool, Zone: v.zone, Rack: v.rack})
 	if err != nil {
 		return err
 	}
@@ -69,12 +75,20 @@
 	return nil
 }
 
-// bootLater starts the next life of a VM after a time.
-func (m *Machines) bootLater(v *vm, after time.Duration) {
+// bootLater starts the next life of a VM after a time, as a new worker or as the one
+// that it had.
+func (m *Machines) bootLater(v *vm, after time.Duration, former *Worker) {
 	time.AfterFunc(after, func() {
 		m.mu.Lock()
 		defer m.mu.Unlock()
-		if err := m.boot(v); err != nil {
+		id := ""
+		if former != nil {
+			former.expiry.Stop()
+			id = former.id
+		} else {
+			id = m.newID()
+		}
+		if err := m.boot(v, id); err != nil {
 			m.record.Printf("machine %s does not start: %v", v.name, err)
 		}
 	})
@@ -92,8 +106,9 @@
 	return ""
 }
 
-// Crash ends a worker without notice. A new one follows on its VM after a time.
-func (m *Machines) Crash(worker string, down time.Duration) {
+// Crash ends a worker without notice. After a time, a new one follows on its VM, or
+// it starts again under its ID.
+func (m *Machines) Crash(worker string, down time.Duration, sameID bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	for _, v := range m.vms {
@@ -103,7 +118,11 @@
 		old := v.worker
 		v.worker, v.state = nil, vmDown
 		old.End(true)
-		m.bootLater(v, down)
+		if !sameID {
+			m.bootLater(v, down, nil)
+			return
+		}
+		m.bootLater(v, down, old)
 		return
 	}
 }
@@ -188,5 +207,5 @@
 		v.pool, after = pool, moveTime
 	}
 	old.End(false)
-	m.bootLater(v, after)
+	m.bootLater(v, after, nil)
 }
--- a/soak/store.go
+++ b/soak/store.go
@@ -168,7 +168,9 @@
 	mu sync.Mutex
 	// lostShare is the share of calls that are carried out and not answered.
 	lostShare float64
-	random    *rand.Rand
+	// refuses makes the store answer the node's calls with 503.
+	refuses bool
+	random  *rand.Rand
 }
 
 // Access returns the way of a node to the store. The node reads the entries of
@@ -185,6 +187,21 @@
 	a.lostShare = share
 }
 
+// Refuse makes the store turn the node away, or serve it again.
+func (a *StoreAccess) Refuse(refuses bool) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.refuses = refuses
+}
+
+func (a *StoreAccess) isRefused() bool {
+	a.store.mu.Lock()
+	defer a.store.mu.Unlock()
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.store.down || a.refuses
+}
+
 func (a *StoreAccess) losesAnswer() bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
@@ -193,10 +210,7 @@
 
 // ServeHTTP implements http.Handler.
 func (a *StoreAccess) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	a.store.mu.Lock()
-	down := a.store.down
-	a.store.mu.Unlock()
-	if down {
+	if a.isRefused() {
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
@@ -210,8 +224,6 @@
 		a.serveRead(w, r)
 	case "/wigeonwinch/log-newest":
 		a.serveNewest(w, r)
-	case "/wigeonwinch/log-trim":
-		a.store.serveTrim(w, r)
 	default:
 		http.NotFound(w, r)
 	}
@@ -342,13 +354,6 @@
 	}
 }
 
-func (s *Store) serveTrim(w http.ResponseWriter, r *http.Request) {
-	s.mu.Lock()
-	s.partition(r.URL.Query().Get("topic"), r.URL.Query().Get("part")).trim(intParameter(r, "before"))
-	s.mu.Unlock()
-	answerJSON(w, http.StatusOK, struct{}{})
-}
-
 func (a *StoreAccess) serveRead(w http.ResponseWriter, r *http.Request) {
 	q := r.URL.Query()
 	from, maxBytes := intParameter(r, "from"), 1024<<10
--- a/soak/store_test.go
+++ b/soak/store_test.go
@@ -124,9 +124,6 @@
 	data := <-answer
 	assert.Equal(t, uint64(1), binary.BigEndian.Uint64(data))
 	assert.Equal(t, "\x01kv", string(data[readHeaderBytes+recordLengthBytes:]))
-	s.call(t, http.MethodPost, "log-trim?topic=keyed.jobs&part=3&before=1", nil)
-	status, _ = s.call(t, http.MethodGet, "log-read?topic=keyed.jobs&part=3&from=0", nil)
-	assert.Equal(t, http.StatusGone, status)
 }
 
 func TestStoreFaults(t *testing.T) {
@@ -137,6 +134,10 @@
 	s.access.LoseAnswers(0)
 	_, answer := s.appendKey(t, "", "k", "v")
 	assert.Equal(t, 2.0, answer["end"], "the append without an answer was carried out")
+	s.access.Refuse(true)
+	status, _ = s.call(t, http.MethodGet, "log-newest?topic=keyed.jobs&part=3", nil)
+	assert.Equal(t, http.StatusServiceUnavailable, status)
+	s.access.Refuse(false)
 	s.SetDown(true)
 	status, _ = s.call(t, http.MethodGet, "log-newest?topic=keyed.jobs&part=3", nil)
 	assert.Equal(t, http.StatusServiceUnavailable, status)
@@ -152,5 +153,7 @@
 	s.mu.Unlock()
 	s.appendKey(t, "", "l", "v")
 	assert.Equal(t, int64(1), p.first)
+	status, _ := s.call(t, http.MethodGet, "log-read?topic=keyed.jobs&part=3&from=0", nil)
+	assert.Equal(t, http.StatusGone, status)
 	assert.Contains(t, p.newest, "k")
 }
--- a/soak/worker.go
+++ b/soak/worker.go
@@ -23,6 +23,7 @@
 	maxHoldMS       = 10_000
 	maxHoldWaitMS   = 2000
 	maxListedEnds   = 500
+	halfDone        = 50
 	// stopGraceMS is the longest time that a stop takes.
 	stopGraceMS = 200
 	// slowestClock is the rate of the slowest clock of a worker.
@@ -53,7 +54,9 @@
 	token    int64
 	leaseMS  int64
 	lapse    *time.Timer
-	runs     map[string]*taskRun
+	// expiry removes the entry of a worker that has crashed.
+	expiry *time.Timer
+	runs   map[string]*taskRun
 	// highest is the highest run that was stopped or ended, by task.
 	highest map[string]int
 	ended   []endedRun
@@ -68,6 +71,9 @@
 	timer *time.Timer
 	// stopping reports that a stop was ordered.
 	stopping bool
+	// percent is the run's progress as the worker reports it; lasting runs that are at
+	// work have 100.
+	percent int
 }
 
 type endedRun struct {
@@ -173,7 +179,7 @@
 	w.mu.Unlock()
 	_ = w.server.Close()
 	if crashed {
-		time.AfterFunc(missedHeartbeats*workerHeartbeat, func() { w.store.Delete(topicWorkers, w.id) })
+		w.expiry = time.AfterFunc(missedHeartbeats*workerHeartbeat, func() { w.store.Delete(topicWorkers, w.id) })
 		return
 	}
 	w.store.Delete(topicWorkers, w.id)
@@ -306,7 +312,10 @@
 	}
 	w.extend(o.Deadline)
 	work, how := parseSpec(o.Spec, o.Run)
-	r := &taskRun{task: o.Task, run: o.Run}
+	r := &taskRun{task: o.Task, run: o.Run, percent: halfDone}
+	if work >= lastingWork {
+		r.percent = 100
+	}
 	w.runs[o.Task] = r
 	r.timer = time.AfterFunc(work, func() {
 		w.mu.Lock()
@@ -405,7 +414,7 @@
 func (w *Worker) lists() any {
 	running, ended := [][]any{}, [][]any{}
 	for _, r := range w.runs {
-		running = append(running, []any{r.task, r.run, "", 50, 0})
+		running = append(running, []any{r.task, r.run, "", r.percent, 0})
 	}
 	for _, e := range w.ended[:min(len(w.ended), maxListedEnds)] {
 		ended = append(ended, []any{e.number, e.task, e.run, e.how, ""})
