Soak: links between nodes

Cause: cuts and silences between nodes were not injected. Change: heartbeats name each node's address; the store shows each node the address of its own proxy to the other one. Faults cut a node off from its peers, or an owner from peers and store, or silence these connections.

--- a/soak/cluster.go
+++ b/soak/cluster.go
@@ -99,6 +99,9 @@
 			return err
 		}
 	}
+	if err := c.linkNodes(); err != nil {
+		return err
+	}
 	for i := range c.options.Workers {
 		if err := c.machines.Add(queues[i%len(queues)].service); err != nil {
 			return err
@@ -154,10 +157,11 @@
 func (c *Cluster) addNode(i int, ports [4]int, cloud string) error {
 	name := fmt.Sprintf("node-%d", i+1)
 	n := &Node{
-		name: name, program: c.options.Program, front: loopback(ports[0]), ready: loopback(ports[1]), record: c.record, links: map[string]*Proxy{},
+		name: name, program: c.options.Program, front: loopback(ports[0]), ready: loopback(ports[1]), peer: loopback(ports[2]),
+		record: c.record, peers: map[*Node]*Proxy{}, links: map[string]*Proxy{},
 		settings: filepath.Join(c.options.Dir, name+".json"), log: filepath.Join(c.options.Dir, name+".log"),
 	}
-	n.access = c.store.Access(n.viewWorker, c.options.random(streamAccess+uint64(i)))
+	n.access = c.store.Access(n.view, c.options.random(streamAccess+uint64(i)))
 	address, err := c.serve(n.access)
 	if err != nil {
 		return err
@@ -169,10 +173,39 @@
 	return n.writeSettings(zoneOf(i), [2]int{ports[2], ports[3]}, cloud)
 }
 
+// linkNodes opens the nodes' ways to one another.
+func (c *Cluster) linkNodes() error {
+	for _, n := range c.nodes {
+		for _, other := range c.nodes {
+			link, err := NewProxy(other.peer)
+			if err != nil {
+				return err
+			}
+			n.peers[other] = link
+		}
+	}
+	return nil
+}
+
 var addressField = []byte(`"address":"`)
 
-// viewWorker returns a worker's entry with the address of the node's own way to it.
-// The entries in the store have the worker's ID as the address.
+// view returns a record with the addresses of the node's own ways to workers and to
+// other nodes.
+func (n *Node) view(topic string, record []byte) []byte {
+	switch topic {
+	case topicWorkers:
+		return n.viewWorker(record)
+	case topicNodes:
+		// All ports have five digits, so that the record keeps its length.
+		for other, link := range n.peers {
+			record = bytes.ReplaceAll(record, []byte(other.peer), []byte(link.Address()))
+		}
+	}
+	return record
+}
+
+// viewWorker translates a worker's entry. Entries in the store have the worker's ID as
+// the address.
 func (n *Node) viewWorker(entry []byte) []byte {
 	before, rest, found := bytes.Cut(entry, addressField)
 	if !found {
--- a/soak/doc.go
+++ b/soak/doc.go
@@ -10,6 +10,6 @@
 // may need a few runs to do so again. The directory of a run has the settings and logs
 // of the nodes and record.log, with all that clients, workers and faults did.
 //
-// Each node reaches the store and each worker through a proxy of its own. Links
-// between nodes and the nodes' clocks are not disturbed other than by freezes.
+// Each node reaches the store, each worker and each other node through a proxy of its
+// own. The nodes' clocks are not disturbed other than by freezes.
 package soak
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -31,6 +31,11 @@
 	FaultStoreDown    FaultKind = "store-down"
 	// FaultRefuseNode makes the store turn one node away.
 	FaultRefuseNode FaultKind = "refuse-node"
+	// FaultCutPeers cuts a node off from the other nodes, FaultCutOwnerOff the owner of
+	// a service from these and the store, so that only clients and workers reach it.
+	FaultCutPeers     FaultKind = "cut-peers"
+	FaultCutOwnerOff  FaultKind = "cut-owner-off"
+	FaultSilencePeers FaultKind = "silence-peers"
 	// FaultRoll stops and starts all nodes in turn.
 	FaultRoll FaultKind = "roll"
 	// FaultConfigure writes a new version of the configuration.
@@ -83,6 +88,9 @@
 	{FaultCrashWorker, 1, 500 * time.Millisecond, 3 * time.Second},
 	{FaultRestartWorker, 1, 300 * time.Millisecond, 3 * time.Second},
 	{FaultRefuseNode, 1, 500 * time.Millisecond, 5 * time.Second},
+	{FaultCutPeers, 1, 500 * time.Millisecond, 5 * time.Second},
+	{FaultCutOwnerOff, 2, 2 * time.Second, 7 * time.Second},
+	{FaultSilencePeers, 1, 0, 0},
 	{FaultRoll, 1, 100 * time.Millisecond, time.Second},
 	{FaultConfigure, 2, 0, 0},
 }
@@ -147,7 +155,7 @@
 // inject carries out one fault.
 func (c *Cluster) inject(ctx context.Context, f Fault) {
 	node := c.nodes[f.Node]
-	if slices.Contains([]FaultKind{FaultFreezeOwner, FaultKillOwner, FaultCutOwner}, f.Kind) {
+	if slices.Contains([]FaultKind{FaultFreezeOwner, FaultKillOwner, FaultCutOwner, FaultCutOwnerOff}, f.Kind) {
 		if owner := c.node(c.judge.Owner(f.Service)); owner != nil {
 			node = owner
 		}
@@ -190,6 +198,20 @@
 		node.access.Refuse(true)
 		sleep(ctx, f.Duration)
 		node.access.Refuse(false)
+	case FaultCutPeers, FaultCutOwnerOff:
+		defer c.calm.Begin(node.name)()
+		links := c.peerLinks(node)
+		if f.Kind == FaultCutOwnerOff {
+			links = append(links, node.proxy)
+		}
+		cut(links, f.Directions)
+		sleep(ctx, f.Duration)
+		restore(links)
+	case FaultSilencePeers:
+		defer c.calm.Begin(node.name)()
+		for _, link := range c.peerLinks(node) {
+			link.Silence()
+		}
 	case FaultRoll:
 		for _, n := range c.nodes {
 			c.restart(ctx, n, f)
@@ -227,9 +249,7 @@
 	if f.Kind == FaultDelayStore {
 		node.proxy.SetDelay(storeDelay)
 	} else {
-		for _, d := range f.Directions {
-			node.proxy.Cut(d)
-		}
+		cut([]*Proxy{node.proxy}, f.Directions)
 	}
 	sleep(ctx, f.Duration)
 	node.proxy.Restore()
@@ -244,16 +264,37 @@
 		}
 	}
 	defer c.calm.Begin(worker)()
-	for _, link := range links {
-		if f.Kind == FaultSilenceWorker {
+	if f.Kind == FaultSilenceWorker {
+		for _, link := range links {
 			link.Silence()
-			continue
 		}
-		for _, d := range f.Directions {
+		return
+	}
+	cut(links, f.Directions)
+	sleep(ctx, f.Duration)
+	restore(links)
+}
+
+// peerLinks returns the links between a node and all others, in both ways.
+func (c *Cluster) peerLinks(node *Node) []*Proxy {
+	var links []*Proxy
+	for _, other := range c.nodes {
+		if other != node {
+			links = append(links, node.peers[other], other.peers[node])
+		}
+	}
+	return links
+}
+
+func cut(links []*Proxy, directions []Direction) {
+	for _, link := range links {
+		for _, d := range directions {
 			link.Cut(d)
 		}
 	}
-	sleep(ctx, f.Duration)
+}
+
+func restore(links []*Proxy) {
 	for _, link := range links {
 		link.Restore()
 	}
--- a/soak/node.go
+++ b/soak/node.go
@@ -27,12 +27,16 @@
 	program string
 	front   string
 	ready   string
+	// peer is the address for other nodes.
+	peer string
 	// settings is the path of the settings file, log that of the process's output.
 	settings, log string
 	record        *Record
-	// access and proxy are the node's way to the store, links its ways to workers.
+	// access and proxy are the node's way to the store, links its ways to workers and
+	// peers, by ID and by name, those to other nodes.
 	access *StoreAccess
 	proxy  *Proxy
+	peers  map[*Node]*Proxy
 
 	mu      sync.Mutex
 	links   map[string]*Proxy
@@ -135,7 +139,12 @@
 		_ = p.cmd.Process.Kill()
 		<-p.exited
 	}
-	n.proxy.Close()
+	if n.proxy != nil {
+		n.proxy.Close()
+	}
+	for _, p := range n.peers {
+		p.Close()
+	}
 }
 
 // awaitReady waits until the node reports that it is ready.
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -211,6 +211,21 @@
 	return n.proxy.Restore
 }
 
+// A former owner that only clients and workers reach learns of the takeover from
+// neither the store nor its successor.
+func TestCancelAtFormerOwnerCutOff(t *testing.T) {
+	o, restore := takeOver(t, func(c *Cluster, owner *Node) func() {
+		links := append(c.peerLinks(owner), owner.proxy)
+		cut(links, []Direction{Requests, Answers})
+		return func() { restore(links) }
+	})
+	answers := o.cancelAll(t, o.former)
+	time.Sleep(frozenTime)
+	o.log(t, o.former, answers())
+	restore()
+	o.requireGone(t)
+}
+
 // A node forwards cancels to the new owner, and to none that was frozen.
 func TestCancelAtBystander(t *testing.T) {
 	o, restore := takeOver(t, freeze)
--- a/soak/store.go
+++ b/soak/store.go
@@ -37,7 +37,9 @@
 const (
 	topicOperator = "keyed.op"
 	topicWorkers  = "keyed.servers"
-	keyedPrefix   = "keyed."
+	// topicNodes is where the nodes write their heartbeats, with their addresses.
+	topicNodes  = "keyed.nodes"
+	keyedPrefix = "keyed."
 )
 
 // Store is the metadata store: partitions of a log with the newest record of each
@@ -162,8 +164,8 @@
 // StoreAccess is the way of one node to the store.
 type StoreAccess struct {
 	store *Store
-	// view translates a worker's entry for the node.
-	view func(entry []byte) []byte
+	// view translates a record of a topic for the node.
+	view func(topic string, record []byte) []byte
 
 	mu sync.Mutex
 	// lostShare is the share of calls that are carried out and not answered.
@@ -173,9 +175,9 @@
 	random  *rand.Rand
 }
 
-// Access returns the way of a node to the store. The node reads the entries of
-// workers as view returns them.
-func (s *Store) Access(view func(entry []byte) []byte, random *rand.Rand) *StoreAccess {
+// Access returns the way of a node to the store. The node reads records as view
+// returns them.
+func (s *Store) Access(view func(topic string, record []byte) []byte, random *rand.Rand) *StoreAccess {
 	return &StoreAccess{store: s, view: view, random: random}
 }
 
@@ -395,7 +397,7 @@
 	out := binary.BigEndian.AppendUint64(nil, uint64(p.end()))
 	out = binary.BigEndian.AppendUint64(out, uint64(p.first))
 	for i := from - p.first; i < int64(len(p.records)); i++ {
-		data := a.translate(topic, p.records[i].data)
+		data := a.view(topic, p.records[i].data)
 		if len(out) > readHeaderBytes && len(out)+recordLengthBytes+len(data) > maxBytes {
 			break
 		}
@@ -405,14 +407,6 @@
 	return out
 }
 
-// translate returns a record as the node sees it.
-func (a *StoreAccess) translate(topic string, data []byte) []byte {
-	if topic != topicWorkers {
-		return data
-	}
-	return a.view(data)
-}
-
 func (a *StoreAccess) serveNewest(w http.ResponseWriter, r *http.Request) {
 	q := r.URL.Query()
 	topic, after := q.Get("topic"), q.Get("depends_on")
@@ -437,7 +431,7 @@
 			break
 		}
 		size += len(n.value)
-		items = append(items, item{key, base64.StdEncoding.EncodeToString(a.translate(topic, n.value)), n.offset})
+		items = append(items, item{key, base64.StdEncoding.EncodeToString(a.view(topic, n.value)), n.offset})
 	}
 	end := p.end()
 	a.store.mu.Unlock()
--- a/soak/store_test.go
+++ b/soak/store_test.go
@@ -26,12 +26,19 @@
 func newTestStore(t *testing.T) *testStore {
 	t.Helper()
 	s := NewStore()
-	access := s.Access(func(entry []byte) []byte { return bytes.ToUpper(entry) }, rand.New(rand.NewPCG(1, 1)))
+	access := s.Access(upperWorkers, rand.New(rand.NewPCG(1, 1)))
 	server := httptest.NewServer(access)
 	t.Cleanup(server.Close)
 	return &testStore{Store: s, access: access, url: server.URL + "/wigeonwinch/"}
 }
 
+func upperWorkers(topic string, record []byte) []byte {
+	if topic == topicWorkers {
+		return bytes.ToUpper(record)
+	}
+	return record
+}
+
 // call sends a request. Status 0 means that there was no answer.
 func (s *testStore) call(t *testing.T, method, call string, body []byte) (int, []byte) {
 	t.Helper()
