--- a/node/jobhost/shardrun.go
+++ b/node/jobhost/shardrun.go
@@ -25,7 +25,7 @@
 		go h.requestAdvice(s, a)
 	}
 	for _, r := range o.Replies {
-		h.pending.deliver(r)
+		h.pending.deliver(r, h.answeredBy(s))
 	}
 	for _, e := range o.Events {
 		h.logDecision(s, e)
@@ -82,10 +82,18 @@
 	if !ok {
 		return
 	}
-	if len(batch.Records) == 0 {
+	if len(batch.Records) == 0 && !batch.NeedsAppend {
 		s.core.HandleCommit(monotonicMS(), batch)
 		return
 	}
+	if len(batch.Records) == 0 {
+		rec, err := h.ownerRecord(s.partition, s.epoch)
+		if err != nil {
+			h.dropShard(s, err.Error())
+			return
+		}
+		batch.Records = []shard.Record{rec}
+	}
 	s.appendInFlight = true
 	s.sequence++
 	go h.append(s, s.sequence, batch.Records, func() {
@@ -103,10 +111,12 @@
 }
 
 // append appends records and retries until the store has them or a newer owner
-// exists. Retries carry the same sequence number, so a repeat changes nothing.
+// exists. Retries carry the same sequence number, so a repeat changes nothing. The
+// answer to a repeat proves only that nobody had taken the shard over when the append
+// was sent first.
 func (h *Host) append(s *ownedShard, sequence int64, records []shard.Record, done func()) {
+	sentAt := monotonicMS()
 	for s.ctx.Err() == nil {
-		sentAt := monotonicMS()
 		err := h.appendOnce(s, sequence, records)
 		if err == nil {
 			h.post(func() { h.handleAppended(s, sentAt, done) })
