Soak: cancels that wait for their acknowledgement, delays of the judge

Cause: a cancel that is refused again and again was not checked: the promise counts it as acknowledged after 4 s of calm. Change: the judge does so, and reports ACKS if more than a tenth of the cancels wait that long; clients ask up to 40 times. The report names the largest delay of the judge.

--- a/soak/client.go
+++ b/soak/client.go
@@ -17,7 +17,7 @@
 const (
 	clientTimeout    = 3 * time.Second
 	submitTries      = 6
-	cancelTries      = 12
+	cancelTries      = 40
 	minRetryDelay    = 50 * time.Millisecond
 	maxRetryDelay    = 500 * time.Millisecond
 	minPollInterval  = 200 * time.Millisecond
--- a/soak/judge.go
+++ b/soak/judge.go
@@ -13,6 +13,7 @@
 	cancelMS    = 3000
 	visibleMS   = 3000
 	contactMS   = 3000
+	ackMS       = 4000
 	maxAttempts = 4
 	// idleTime is how long a job may have nothing running although there is room for
 	// it, after a calm time of calmBeforeIdle.
@@ -20,11 +21,16 @@
 	calmBeforeIdle = 4 * time.Second
 	// finalTime is the time after which nothing of a final job may be started.
 	finalTime = time.Second
+	// A run breaks a promise if minLateCancels cancels and one in maxLateShare get no
+	// acknowledgement in time.
+	minLateCancels = 3
+	maxLateShare   = 10
 	// judgeSlack allows for the scheduling of the processes of one machine.
 	judgeSlack = 250 * time.Millisecond
 
 	cancelTime  = cancelMS * time.Millisecond
 	contactTime = contactMS * time.Millisecond
+	ackTime     = ackMS * time.Millisecond
 	visibleTime = visibleMS * time.Millisecond
 	// cancelledGoneTime is when the tasks of a cancelled job are gone.
 	cancelledGoneTime = cancelTime + stopGraceMS*time.Millisecond + judgeSlack
@@ -40,6 +46,7 @@
 	ruleMixed    = "MIXED"
 	ruleLost     = "LOST"
 	ruleAttempts = "BUDGET"
+	ruleAcks     = "ACKS"
 )
 
 // Violation is a promise that was broken.
@@ -81,6 +88,8 @@
 	attempts, refused, open int
 	acceptedAt              time.Time
 	cancelSent              bool
+	// firstCancel and lastCancel are when a client has asked for the cancel.
+	firstCancel, lastCancel time.Time
 	cancel                  *cancelAnswer
 	completedAt             time.Time
 	lastState               string
@@ -110,6 +119,7 @@
 }
 
 type cancelAnswer struct {
+	// node is empty if the cancel had waited too long for its acknowledgement.
 	node     string
 	status   int
 	sent, at time.Time
@@ -241,7 +251,11 @@
 func (j *Judge) Cancelling(id, node string) {
 	j.mu.Lock()
 	defer j.mu.Unlock()
-	j.jobs[id].cancelSent = true
+	job := j.jobs[id]
+	job.lastCancel = time.Now()
+	if !job.cancelSent {
+		job.cancelSent, job.firstCancel = true, job.lastCancel
+	}
 	j.record.Printf("client: DELETE %s to %s", id, node)
 }
 
@@ -259,6 +273,9 @@
 }
 
 func (j *Judge) describeCancel(c *cancelAnswer) string {
+	if c.node == "" {
+		return fmt.Sprintf("cancel sent at %.3f and not acknowledged by %.3f", j.record.Seconds(c.sent), j.record.Seconds(c.at))
+	}
 	return fmt.Sprintf("cancel sent at %.3f, acknowledged by %s with %d at %.3f, faults then: [%s]",
 		j.record.Seconds(c.sent), c.node, c.status, j.record.Seconds(c.at), strings.Join(c.faults, ", "))
 }
@@ -451,10 +468,14 @@
 // Check checks that nothing of a cancelled job runs on and that no other job is left
 // without a run. Both promises hold after a calm stretch.
 func (j *Judge) Check() {
-	cancelledGone, idle := j.calm.AllFor(cancelledGoneTime), j.calm.AllFor(calmBeforeIdle+idleTime)
+	acked, cancelledGone, idle := j.calm.AllFor(ackTime), j.calm.AllFor(cancelledGoneTime), j.calm.AllFor(calmBeforeIdle+idleTime)
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	for _, job := range j.jobs {
+		if acked && job.waitsForAck() {
+			job.cancel = &cancelAnswer{sent: job.firstCancel, at: time.Now()}
+			j.record.Printf("judge: the cancel of %s, sent at %.3f, counts as acknowledged now", job.id, j.record.Seconds(job.firstCancel))
+		}
 		if c := job.cancel; c != nil && cancelledGone && !job.overdue && time.Since(c.at) > cancelledGoneTime {
 			j.checkGone(job)
 		}
@@ -464,6 +485,12 @@
 	}
 }
 
+// waitsForAck reports whether a client that still asks for a job's cancel has had no
+// acknowledgement in the time for it.
+func (job *judgedJob) waitsForAck() bool {
+	return job.cancel == nil && job.cancelSent && !job.acceptedAt.IsZero() && time.Since(job.firstCancel) > ackTime && time.Since(job.lastCancel) < ackTime
+}
+
 // waits reports whether an accepted job has nothing running, though it has not ended.
 func (job *judgedJob) waits() bool {
 	if job.idle || job.acceptedAt.IsZero() || job.cancelSent || job.mayHaveFailed() {
@@ -514,10 +541,20 @@
 func (j *Judge) Finish() {
 	j.mu.Lock()
 	defer j.mu.Unlock()
+	cancels, late := 0, 0
 	for _, job := range j.jobs {
 		if job.started && job.acceptedAt.IsZero() && job.open == 0 && job.refused == job.attempts {
 			j.violate(ruleRefused, job.id, "all %d submissions were refused, and a task was started", job.attempts)
 		}
+		if job.cancel != nil {
+			cancels++
+			if job.cancel.node == "" {
+				late++
+			}
+		}
+	}
+	if late >= minLateCancels && late*maxLateShare > cancels {
+		j.violate(ruleAcks, "", "%d of %d cancels were not acknowledged within %s without faults", late, cancels, ackTime)
 	}
 }
 
--- a/soak/judge_test.go
+++ b/soak/judge_test.go
@@ -62,6 +62,16 @@
 			time.Sleep(2 * cancelTime)
 			start(j, "w1", testTask, 1)
 		}},
+		{"a cancel that waits too long for its acknowledgement", ruleUnasked, func(j *Judge) {
+			start(j, "w1", testTask, 1)
+			for range 4 {
+				cancel(j, 503)
+				time.Sleep(ackTime/3 + time.Millisecond)
+			}
+			j.Check()
+			time.Sleep(2 * cancelTime)
+			j.Check()
+		}},
 		{"a late start by a node that was frozen", "", func(j *Judge) {
 			cancel(j, 200)
 			end := j.calm.Begin("node-1")
--- a/soak/regressions.go
+++ b/soak/regressions.go
@@ -18,6 +18,7 @@
 		return Regression{Options{Seed: seed, Nodes: 5, Workers: 10, Duration: duration}, cause}
 	}
 	return []Regression{
-		run(203, "issue 37: a former owner, frozen and cut off from the store, answered a cancel from memory"),
+		run(403, "issue 37: a former owner that was frozen answered a cancel from memory"),
+		run(405, "issue 37: the same, asked by a client that kept its connection"),
 	}
 }
--- a/soak/run.go
+++ b/soak/run.go
@@ -26,6 +26,9 @@
 	Cancelled  int
 	Faults     int
 	Violations []Violation
+	// Delay is the largest delay of the judge's look at the run: a hint that the machine
+	// was overloaded.
+	Delay time.Duration
 	// Exits lists nodes whose process ended by itself.
 	Exits []string
 }
@@ -35,8 +38,8 @@
 
 // Write writes the report as text.
 func (r Report) Write(w io.Writer) {
-	_, _ = fmt.Fprintf(w, "seed %d: %d jobs submitted, %d accepted, %d cancelled; %d faults; %d violations\n",
-		r.Seed, r.Submitted, r.Accepted, r.Cancelled, r.Faults, len(r.Violations))
+	_, _ = fmt.Fprintf(w, "seed %d: %d jobs submitted, %d accepted, %d cancelled; %d faults; %d violations; largest delay %s\n",
+		r.Seed, r.Submitted, r.Accepted, r.Cancelled, r.Faults, len(r.Violations), r.Delay.Round(time.Millisecond))
 	for _, v := range r.Violations {
 		_, _ = fmt.Fprintf(w, "  %s\n", v)
 	}
@@ -57,9 +60,9 @@
 	}
 	defer c.Close()
 	plan := Plan(o.random(streamPlan), o)
-	c.play(ctx, plan)
+	delay := c.play(ctx, plan)
 	c.judge.Finish()
-	report := Report{Seed: o.Seed, Dir: o.Dir, Faults: len(plan), Violations: c.judge.Violations()}
+	report := Report{Seed: o.Seed, Dir: o.Dir, Faults: len(plan), Delay: delay, Violations: c.judge.Violations()}
 	report.Submitted, report.Accepted, report.Cancelled = c.judge.Counts()
 	for _, n := range c.nodes {
 		if n.current().hasExited() {
@@ -70,14 +73,12 @@
 }
 
 // play lets clients and faults loose and returns when the jobs have finished or
-// their time is up.
-func (c *Cluster) play(ctx context.Context, plan []Fault) {
+// their time is up. It returns the largest delay of the judge.
+func (c *Cluster) play(ctx context.Context, plan []Fault) (delay time.Duration) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	var judging sync.WaitGroup
-	defer judging.Wait()
-	judging.Go(func() { c.watch(ctx) })
-	defer cancel()
+	judging.Go(func() { delay = c.watch(ctx) })
 
 	trafficEnds := time.Now().Add(c.options.Duration)
 	var faults, traffic sync.WaitGroup
@@ -93,18 +94,18 @@
 	defer timeout.Stop()
 	sleep(ctx, lastCalmTime)
 	traffic.Wait()
+	cancel()
+	judging.Wait()
+	return delay
 }
 
-// watch lets the judge look at what runs.
-func (c *Cluster) watch(ctx context.Context) {
-	tick := time.NewTicker(judgeInterval)
-	defer tick.Stop()
-	for {
-		select {
-		case <-tick.C:
-			c.judge.Check()
-		case <-ctx.Done():
-			return
-		}
+// watch lets the judge look at what runs, and returns its largest delay.
+func (c *Cluster) watch(ctx context.Context) (delay time.Duration) {
+	for ctx.Err() == nil {
+		began := time.Now()
+		sleep(ctx, judgeInterval)
+		delay = max(delay, time.Since(began)-judgeInterval)
+		c.judge.Check()
 	}
+	return delay
 }
