--- a/soak/machines.go
+++ b/soak/machines.go
@@ -4,22 +4,21 @@
 	"encoding/json"
 	"fmt"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 )
 
 // Times of the VM service.
 const (
-	moveTime   = 1500 * time.Millisecond
-	upkeepTime = 2 * time.Second
-	rackSize   = 4
+	moveTime = 1500 * time.Millisecond
+	rackSize = 4
 )
 
 // States of VMs.
 const (
 	vmUp     = "up"
 	vmMoving = "moving"
-	vmUpkeep = "upkeep"
 	vmDown   = "down"
 )
 
@@ -118,11 +117,11 @@
 		old := v.worker
 		v.worker, v.state = nil, vmDown
 		old.End(true)
-		if !sameID {
+		if sameID {
+			m.bootLater(v, down, old)
+		} else {
 			m.bootLater(v, down, nil)
-			return
 		}
-		m.bootLater(v, down, old)
 		return
 	}
 }
@@ -147,9 +146,7 @@
 	case "/wigeonwinch/machines":
 		answerJSON(w, http.StatusOK, map[string]any{"machines": m.rows(), "next_page_token": nil})
 	case "/wigeonwinch/machine-move":
-		m.serveChange(w, r, vmMoving)
-	case "/wigeonwinch/machine-upkeep":
-		m.serveChange(w, r, vmUpkeep)
+		m.serveMove(w, r)
 	default:
 		http.NotFound(w, r)
 	}
@@ -170,8 +167,8 @@
 	return rows
 }
 
-// serveChange moves a VM or takes it down for its upkeep. The caller holds the lock.
-func (m *Machines) serveChange(w http.ResponseWriter, r *http.Request, state string) {
+// serveMove moves a VM to another pool. The caller holds the lock.
+func (m *Machines) serveMove(w http.ResponseWriter, r *http.Request) {
 	var body struct {
 		Machine string `json:"machine"`
 		Pool    string `json:"pool"`
@@ -180,32 +177,26 @@
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
-	for _, v := range m.vms {
-		if v.name != body.Machine {
-			continue
-		}
-		if state == vmMoving && v.pool == body.Pool {
-			answerJSON(w, http.StatusOK, struct{}{})
-			return
-		}
-		if v.state != vmUp {
-			answerJSON(w, http.StatusConflict, map[string]string{"reason": "busy"})
-			return
-		}
-		m.change(v, state, body.Pool)
-		answerJSON(w, http.StatusOK, struct{}{})
+	i := slices.IndexFunc(m.vms, func(v *vm) bool { return v.name == body.Machine })
+	if i < 0 {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	v := m.vms[i]
+	if v.pool != body.Pool && v.state != vmUp {
+		answerJSON(w, http.StatusConflict, map[string]string{"reason": "busy"})
 		return
 	}
-	w.WriteHeader(http.StatusBadRequest)
+	if v.pool != body.Pool {
+		m.move(v, body.Pool)
+	}
+	answerJSON(w, http.StatusOK, struct{}{})
 }
 
-func (m *Machines) change(v *vm, state, pool string) {
-	m.record.Printf("machine %s: %s, pool %s", v.name, state, pool)
-	old, after := v.worker, upkeepTime
-	v.worker, v.state = nil, state
-	if state == vmMoving {
-		v.pool, after = pool, moveTime
-	}
+func (m *Machines) move(v *vm, pool string) {
+	m.record.Printf("machine %s: moves to %s", v.name, pool)
+	old := v.worker
+	v.worker, v.state, v.pool = nil, vmMoving, pool
 	old.End(false)
-	m.bootLater(v, after, nil)
+	m.bootLater(v, moveTime, nil)
 }
--- a/soak/node.go
+++ b/soak/node.go
@@ -191,7 +191,7 @@
 		"discovery": "platform", "entry": "vip", "heartbeat_ms": workerHeartbeat.Milliseconds(), "orders": "request", "advice": "",
 		"bounds": map[string]any{
 			"contact_ms": contactMS, "grace_s": graceS, "max_hold_ms": maxHoldMS, "stop_grace_ms": stopGraceMS, "cancel_ms": cancelMS,
-			"visible_ms": visibleMS, "finish_s": finishTime.Seconds(), "status_s": 120, "move_s": moveTime.Seconds(), "upkeep_s": upkeepTime.Seconds(), "lease_ms": 3000,
+			"visible_ms": visibleMS, "finish_s": finishTime.Seconds(), "status_s": 120, "move_s": moveTime.Seconds(), "lease_ms": 3000,
 		},
 		"platform": map[string]any{
 			"address": n.proxy.Address(), "form": "log", "parts": storeParts, "record_bytes": storeRecordBytes, "call_bytes": storeCallBytes, "keep_s": storeKeepS,
