--- a/node/jobhost/cordon.go
+++ b/node/jobhost/cordon.go
@@ -29,11 +29,14 @@
 type cordonResponse struct {
 	Workers []shard.WorkerStat `cbor:"1,keyasint,omitempty"`
 	Pools   []shard.PoolStats  `cbor:"2,keyasint,omitempty"`
+	// Epoch is the owner's epoch.
+	Epoch int64 `cbor:"3,keyasint,omitempty"`
 }
 
+// workerReport is what the owner with the given epoch reported on a worker.
 type workerReport struct {
 	shard.WorkerStat
-	at int64
+	at, epoch int64
 }
 
 type poolReport struct {
@@ -101,7 +104,7 @@
 func (c *fleetController) applyReports(a cordonResponse) {
 	now := monotonicMS()
 	for _, w := range a.Workers {
-		c.workerReports[w.ID] = workerReport{w, now}
+		c.workerReports[w.ID] = workerReport{w, now, a.Epoch}
 	}
 	for _, p := range a.Pools {
 		c.poolReports[p.Service] = poolReport{p, now}
@@ -146,7 +149,8 @@
 }
 
 // applyCordons sets the cordons of a shard that this node owns and returns a
-// report on the shard. It rejects cordons of an older fleet controller.
+// report on the shard, unless another node may have taken it over. It rejects
+// cordons of an older fleet controller.
 func (h *Host) applyCordons(ctx context.Context, p deps.Partition, m cordonMessage) (cordonResponse, error) {
 	var response cordonResponse
 	var rejection error
@@ -156,8 +160,8 @@
 			rejection = errors.New("this node does not own the shard")
 			return
 		}
-		if m.Epoch < s.cordonEpoch {
-			rejection = errors.New("a newer fleet duty has set cordons")
+		if m.Epoch < max(s.cordonEpoch, h.newestKnownEpoch(fleetPartition)) {
+			rejection = errors.New("there is a newer fleet controller")
 			return
 		}
 		now := monotonicMS()
@@ -165,10 +169,15 @@
 		s.core.SetCordons(now, m.Workers)
 		s.core.SetIncomingCapacity(m.IncomingMilliCPU)
 		h.expectingVMs.Store(len(m.IncomingMilliCPU) > 0)
-		response = cordonResponse{Workers: s.core.WorkerStats(), Pools: s.core.PoolStats()}
+		if !h.isSoleOwner(s, now) {
+			rejection = errors.New("another node may own the shard")
+			return
+		}
+		response = cordonResponse{Workers: s.core.WorkerStats(), Pools: s.core.PoolStats(), Epoch: s.epoch}
 	})
 	if err != nil {
-		return response, err
+		// The control loop may still write the response.
+		return cordonResponse{}, err
 	}
 	return response, rejection
 }
