Let the model's deposed owners keep their window; count denials as violations

The review showed that no randomised test reached the proof by append: the model closed the window of a replaced owner at once, and the test of whole hosts let a denial pass if the job ended in time; its seeds 1 and 2 pass on the unfixed code. Change: half of the model's replaced owners may decide for a second more.

--- a/jobs/model/cancels_test.go
+++ b/jobs/model/cancels_test.go
@@ -24,7 +24,7 @@
 	r := rand.New(rand.NewPCG(seed, 5))
 	o := Options{Seed: seed, Workers: 4 + r.IntN(8), MilliCPU: 16_000, MemoryMB: 64_000, FailShare: 0.02,
 		FaultsUntilMS: cancelFaultsMS, BurstMS: 1_000 + r.Int64N(5_000), CalmMS: 4_000 + r.Int64N(3_000),
-		TakeoverIntervalMS: 1_000 + r.Int64N(4_000), DeposedShare: 0.5 * r.Float64(), LostReplyShare: 0.3 * r.Float64(), CutOffShare: r.Float64()}
+		TakeoverIntervalMS: 1_000 + r.Int64N(4_000), DeposedShare: 0.5 * r.Float64(), LostReplyShare: 0.3 * r.Float64(), CutOffShare: r.Float64(), OpenWindowShare: 0.5}
 	o.RunTime = func(_ shard.Key, st *spec.Step) int64 { return st.EstimateMS/2 + r.Int64N(st.EstimateMS) }
 	if r.IntN(2) == 0 {
 		o.LostAnswerShare, o.LostRequestShare, o.DelayedShare = 0.1*r.Float64(), 0.1*r.Float64(), 0.1*r.Float64()
--- a/jobs/model/owner.go
+++ b/jobs/model/owner.go
@@ -32,6 +32,9 @@
 	if old := w.owner; old != nil {
 		old.startsUntil = w.now
 		old.leasesUntil = w.now + deposedLeaseMS
+		if w.opts.OpenWindowShare > 0 && w.rng.Float64() < w.opts.OpenWindowShare {
+			old.startsUntil = w.now + openWindowMS
+		}
 		if w.opts.CutOffShare > 0 && w.rng.Float64() < w.opts.CutOffShare {
 			old.cutOffUntil = w.now + minCutOffMS + w.rng.Int64N(maxCutOffMS-minCutOffMS)
 		}
@@ -55,10 +58,12 @@
 	o.pump()
 }
 
-// How long a replaced owner is cut off, shorter than runDeposed keeps it.
+// How long a replaced owner is cut off, shorter than runDeposed keeps it, and how long its
+// window for decisions may stay open.
 const (
-	minCutOffMS = 500
-	maxCutOffMS = 4_200
+	openWindowMS = 1_000
+	minCutOffMS  = 500
+	maxCutOffMS  = 4_200
 )
 
 func (w *World) runDeposed(o *owner) {
--- a/jobs/model/world.go
+++ b/jobs/model/world.go
@@ -57,6 +57,9 @@
 	// CutOffShare of the replaced owners are cut off from the store and the
 	// workers for some seconds, so that they do not learn that they are deposed.
 	CutOffShare float64
+	// OpenWindowShare of the replaced owners believe for openWindowMS more that they may
+	// decide, as after a takeover that they could not observe.
+	OpenWindowShare float64
 	// DeposedShare of the callers' requests reach a deposed owner while there is
 	// one, LostReplyShare of the replies to callers are lost during the faults.
 	DeposedShare, LostReplyShare float64
--- a/node/jobhost/lostcancel_test.go
+++ b/node/jobhost/lostcancel_test.go
@@ -16,11 +16,11 @@
 )
 
 var (
-	cancelSeeds = flag.Int("cancel-seeds", 2, "number of random seeds of TestAcknowledgedCancelsTakeEffect")
+	cancelSeeds = flag.Int("cancel-seeds", 4, "number of random seeds of TestAcknowledgedCancelsTakeEffect")
 	cancelChaos = flag.Duration("cancel-chaos", 4*time.Second, "how long TestAcknowledgedCancelsTakeEffect applies faults")
 	// A caller whose submission got no answer may cancel the job all the same.
 	cancelUnanswered = flag.Bool("cancel-unanswered", false, "cancel jobs also after submissions without an answer")
-	cancelFirstSeed  = flag.Uint64("cancel-first-seed", 1, "first random seed of TestAcknowledgedCancelsTakeEffect")
+	cancelFirstSeed  = flag.Uint64("cancel-first-seed", 11, "first random seed of TestAcknowledgedCancelsTakeEffect")
 )
 
 // The load and the faults of one seed.
@@ -115,6 +115,9 @@
 		if j.ack.outcome == "" {
 			continue
 		}
+		if j.ack.outcome == Missing {
+			list = append(list, fmt.Sprintf("%s was accepted and its cancel was answered %s by %s (faults %s)", id, j.ack.outcome, j.ack.by, j.ack.faults))
+		}
 		late := j.lastRun.at.Sub(j.ack.at)
 		if late > startBound || j.accepted && j.state.Outcome == Done && !j.state.State.Final() {
 			list = append(list, fmt.Sprintf("%s in %s, accepted %v: cancel %s by %s (asked %s, faults %s), owner then %s since %s before; state %q, last start %s after by %s",
