--- a/node/jobhost/homes.go
+++ b/node/jobhost/homes.go
@@ -22,6 +22,10 @@
 	// homesRetryDelay is how long submissions are answered at once after the book
 	// of homes could not be read or written.
 	homesRetryDelay = 250 * time.Millisecond
+	// refreshAttempts reads of the book, refreshRetryDelay apart, outlast the usual
+	// outages of the store. The next configuration or takeover begins anew.
+	refreshAttempts   = 10
+	refreshRetryDelay = time.Second
 )
 
 var (
@@ -82,23 +86,34 @@
 }
 
 // refresh reads the book after a takeover or a change of the configuration, before
-// requests need it.
+// requests need it and to learn which shards need an owner. It tries again while the
+// store does not answer.
 func (q *queueHomes) refresh() {
+	for range refreshAttempts {
+		err := q.readAhead()
+		if err == nil {
+			return
+		}
+		q.host.record(events.QueueHomeUnknown, events.Fields{Detail: "read ahead", Err: err})
+		time.Sleep(refreshRetryDelay)
+	}
+}
+
+func (q *queueHomes) readAhead() error {
 	ctx, cancel := context.WithTimeout(context.Background(), storeTimeout)
 	defer cancel()
 	select {
 	case q.turn <- struct{}{}:
 		defer func() { <-q.turn }()
 	case <-ctx.Done():
-		return
+		return ctx.Err()
 	}
 	basis := q.currentBasis()
 	book, err := q.read(ctx)
-	if err != nil {
-		q.host.record(events.QueueHomeUnknown, events.Fields{Detail: "read ahead", Err: err})
-		return
+	if err == nil {
+		q.keep(book, basis)
 	}
-	q.keep(book, basis)
+	return err
 }
 
 // keep replaces the copy of the book by the one that was read last.
--- a/node/jobhost/queuemove_test.go
+++ b/node/jobhost/queuemove_test.go
@@ -237,3 +237,18 @@
 		assert.Len(t, res.Jobs, 1)
 	}
 }
+
+// A cancel of a job in another configured shard had no effect while the book of homes could
+// not be read, although that shard could be asked.
+func TestJobInAnotherConfiguredShardIsFoundWithoutTheBook(t *testing.T) {
+	s := newMovedQueueSite(t)
+	var away atomic.Bool
+	h := s.run("a", "127.0.0.1", storeWithoutHomes{s.store, &away})
+	s.submit(h, 1)
+	s.moveQueue(deps.Pool{Service: "s"})
+	require.Eventually(t, func() bool { return h.config.Load().Version == 2 && s.ask(h, OpSubmit, 2).Outcome == Done }, 10*time.Second, 20*time.Millisecond)
+	require.Equal(t, Done, s.ask(h, OpShow, 1).Outcome)
+	away.Store(true)
+	res := s.ask(h, OpCancel, 1)
+	assert.Equal(t, Done, res.Outcome, res.Reason)
+}
--- a/node/jobhost/superseded_test.go
+++ b/node/jobhost/superseded_test.go
@@ -190,3 +190,17 @@
 	res := doJob(former, OpSubmit, 2)
 	assert.NotEqual(t, Refused, res.Outcome, res.Reason)
 }
+
+// A node that could not find the owner of a shard said of a job that the owner had accepted
+// that it was not accepted and would never run (503).
+func TestNodeWithoutAnOwnerDoesNotSayThatAJobNeverRuns(t *testing.T) {
+	former, owner, _ := supersededOwner(t, newTestSite(t, time.Minute))
+	require.NoError(t, former.runOnLoop(context.Background(), func() {
+		for _, s := range former.sortedOwned() {
+			former.dropShard(s, "a worker reported a newer owner")
+		}
+	}))
+	require.Equal(t, Done, doJob(owner, OpShow, 2).Outcome)
+	res := doJob(former, OpSubmit, 2)
+	assert.Equal(t, Unknown, res.Outcome, res.Reason)
+}
