Refuse messages without a handler in the peers of the forwarder's tests

A node joins the network of the test before it registers its handlers, and another node's cast may arrive in between. The mesh refuses such a message (RefusalUnknownMethod); the double called nil. Change: it answers like the mesh. No check changes.

--- a/node/forward/fake_test.go
+++ b/node/forward/fake_test.go
@@ -88,6 +88,9 @@
 	to.lock.Lock()
 	h := to.handlers[method]
 	to.lock.Unlock()
+	if h == nil {
+		return nil, errUnreachable // like the mesh, which refuses a message that it has no handler for
+	}
 	reply, err := h(ctx, p.member.Node, bytes.Clone(body))
 	p.net.waitWhilePaused(ctx, node)
 	p.net.waitWhilePaused(ctx, p.member.Node)
