--- a/node/jobhost/requests.go
+++ b/node/jobhost/requests.go
@@ -49,6 +49,9 @@
 // readOnly reports whether the operation changes nothing.
 func (o Operation) readOnly() bool { return o != OpSubmit && o != OpCancel }
 
+// reportsShard reports whether the operation asks about all jobs of a queue.
+func (o Operation) reportsShard() bool { return o == OpWaiting || o == OpList }
+
 // Outcome is the outcome of a request as reported to the caller.
 type Outcome string
 
@@ -81,6 +84,8 @@
 	// the tasks of that job.
 	Jobs []shard.JobSummary `cbor:"6,keyasint,omitempty"`
 	Runs []shard.RunSummary `cbor:"7,keyasint,omitempty"`
+	// By is the owner that answered; zero if none did.
+	By answeredBy `cbor:"8,keyasint,omitzero"`
 }
 
 // unavailableRetryMS is about the duration of a takeover.
@@ -94,7 +99,7 @@
 	res := h.doAcrossShards(ctx, r)
 	h.stats.countRequest(r.Op, res.Outcome, time.Since(began))
 	if !r.Op.readOnly() || r.Op == OpShow && res.Outcome != Done {
-		h.record(events.RequestAnswered, events.Fields{Request: r.ID, Outcome: string(res.Outcome), Detail: opNames[r.Op] + " " + res.Reason, AgeMS: time.Since(began).Milliseconds()})
+		h.recordAnswer(r, res, time.Since(began))
 	}
 	return res
 }
@@ -224,22 +229,31 @@
 
 // doLocal executes a request on a shard that this node owns.
 func (h *Host) doLocal(ctx context.Context, part deps.Partition, r Request) Result {
-	if r.Op.readOnly() {
+	switch r.Op {
+	case OpWaiting, OpList:
 		res := h.readLocal(ctx, part, r)
-		if (r.Op == OpWaiting || r.Op == OpList) && res.Outcome == Done && !r.ShardOnly {
+		if res.Outcome == Done && !r.ShardOnly {
 			return h.addEarlierHomes(ctx, part, r, res)
 		}
 		return res
-	}
-	if r.Op == OpSubmit {
+	case OpShow, OpTasks:
+		if res := h.readLocal(ctx, part, r); res.Outcome != Missing {
+			return res
+		}
+	case OpSubmit:
 		if res, answered := h.askEarlierHomes(ctx, part, r); answered {
 			return res
 		}
 	}
+	return h.askShard(ctx, part, r)
+}
+
+// askShard posts a request to a shard that this node owns, and waits for its reply.
+func (h *Host) askShard(ctx context.Context, part deps.Partition, r Request) Result {
 	ticket := h.ticket.Add(1)
 	answer := h.pending.register(ticket)
 	defer h.pending.unregister(ticket)
-	h.post(func() { h.submitOrCancel(part, ticket, r) })
+	h.post(func() { h.postToShard(part, ticket, r) })
 	select {
 	case a := <-answer:
 		return a.result()
@@ -248,15 +262,19 @@
 	}
 }
 
-func (h *Host) submitOrCancel(part deps.Partition, ticket uint64, r Request) {
+func (h *Host) postToShard(part deps.Partition, ticket uint64, r Request) {
 	s := h.owned[part]
 	switch {
 	case s == nil || s.core == nil:
-		h.pending.complete(ticket, reply{notOwner: true})
+		h.pending.complete(ticket, reply{Reply: shard.Reply{Outcome: shard.Superseded}})
 	case r.Op == OpCancel:
 		s.core.Cancel(monotonicMS(), ticket, r.ID)
+	case r.Op == OpYield:
+		s.core.Yield(monotonicMS(), ticket, r.ID)
+	case r.Op != OpSubmit:
+		s.core.Lookup(monotonicMS(), ticket, r.ID)
 	case r.Job == nil:
-		h.pending.complete(ticket, reply{Reply: shard.Reply{Outcome: shard.Refused, Reason: "no_job"}})
+		h.pending.complete(ticket, reply{Reply: shard.Reply{Outcome: shard.Refused, Reason: "no_job"}, by: h.answeredBy(s)})
 	default:
 		s.core.Submit(monotonicMS(), ticket, *r.Job)
 	}
@@ -266,14 +284,11 @@
 	res := Result{Outcome: notOwner, Reason: "not_owner"}
 	err := h.runOnLoop(ctx, func() {
 		s := h.owned[part]
-		if s == nil || s.core == nil {
-			return
-		}
-		if r.Op == OpYield {
-			res = yieldJob(s.core, r.ID)
+		if s == nil || s.core == nil || r.Op.reportsShard() && !s.core.IsCurrent(monotonicMS()) {
 			return
 		}
 		res = readShard(s.core, r)
+		res.By = h.answeredBy(s)
 	})
 	if err != nil {
 		return Result{Outcome: Unknown, Reason: err.Error()}
@@ -281,18 +296,6 @@
 	return res
 }
 
-// yieldJob leaves a job to another shard unless this one has it. A job that is being
-// stored may be in either, so its caller has to ask again.
-func yieldJob(core *shard.Core, id string) Result {
-	if core.Yield(monotonicMS(), id) {
-		return Result{Outcome: Missing}
-	}
-	if !core.JobStatus(id).Known {
-		return Result{Outcome: Unknown, Reason: "being_stored"}
-	}
-	return Result{Outcome: Done}
-}
-
 // readShard executes a read-only request.
 func readShard(core *shard.Core, r Request) Result {
 	switch r.Op {
@@ -317,15 +320,14 @@
 // reply is a shard's answer to the request with one ticket.
 type reply struct {
 	shard.Reply
-	notOwner bool
+	by answeredBy
 }
 
 func (r reply) result() Result {
-	if r.notOwner {
-		return Result{Outcome: notOwner, Reason: "not_owner"}
-	}
-	res := Result{RetryAfterMS: r.RetryAfterMS, Reason: r.Reason}
+	res := Result{RetryAfterMS: r.RetryAfterMS, Reason: r.Reason, State: r.State, By: r.by}
 	switch r.Outcome {
+	case shard.Superseded:
+		res.Outcome, res.Reason = notOwner, "not_owner"
 	case shard.Accepted:
 		res.Outcome = Done
 	case shard.Refused:
@@ -359,7 +361,9 @@
 	p.mu.Unlock()
 }
 
-func (p *pendingReplies) deliver(r shard.Reply) { p.complete(r.Ticket, reply{Reply: r}) }
+func (p *pendingReplies) deliver(r shard.Reply, by answeredBy) {
+	p.complete(r.Ticket, reply{Reply: r, by: by})
+}
 
 func (p *pendingReplies) complete(ticket uint64, r reply) {
 	p.mu.Lock()
