--- a/node/jobhost/superseded_test.go
+++ b/node/jobhost/superseded_test.go
@@ -113,6 +113,19 @@
 	assert.Equal(t, spec.Cancelled, doJob(owner, OpShow, 2).State)
 }
 
+// A former owner denied the jobs of its successor to the nodes that forwarded requests to it.
+// They read the book of homes, so that its being cut off does not hide the denial.
+func TestFormerOwnerDeniesNoJobsToOtherNodes(t *testing.T) {
+	former, owner, _ := supersededOwner(t, newTestSite(t, time.Minute))
+	ctx, cancel := context.WithTimeout(context.Background(), requestTimeout)
+	defer cancel()
+	for name, op := range map[string]Operation{"show": OpShow, "tasks": OpTasks, "yield": OpYield, "cancel": OpCancel} {
+		r := Request{Op: op, Service: "s", Queue: "q", ID: testJob(2).ID}
+		require.Equal(t, Done, owner.doLocal(ctx, owner.partitionOf("s"), r).Outcome, name)
+		assert.NotEqual(t, Missing, former.doLocal(ctx, former.partitionOf("s"), r).Outcome, name)
+	}
+}
+
 // The proof of ownership must not cost an owner its right to say that a job is unknown.
 func TestOwnerDeniesUnknownJobs(t *testing.T) {
 	s := newTestSite(t, time.Minute)
@@ -135,3 +148,37 @@
 		assert.NotEqual(t, Done, doJob(former, op, 2).Outcome, name)
 	}
 }
+
+// A reply that was decided in the same pass in which the shard was lost never reached its
+// caller, who waited until its deadline.
+func TestDecidedReplyIsDeliveredWhenTheShardIsLost(t *testing.T) {
+	s := newTestSite(t, time.Minute)
+	h := runHost(t, s.config("a", "127.0.0.1"))
+	require.Eventually(t, func() bool { return doJob(h, OpSubmit, 1).Outcome == Done }, 20*time.Second, 20*time.Millisecond)
+	answer := h.pending.register(h.ticket.Add(1))
+	ticket := h.ticket.Load()
+	h.post(func() {
+		owned := h.owned[h.partitionOf("s")]
+		owned.core.Submit(monotonicMS(), ticket, *testJob(1))
+		h.dropShard(owned, "the test takes it away")
+	})
+	select {
+	case a := <-answer:
+		assert.Equal(t, Done, a.result().Outcome)
+	case <-time.After(5 * time.Second):
+		t.Fatal("the caller gets no answer")
+	}
+}
+
+// A former owner that was cut off for long showed a job as running that its successor had
+// cancelled.
+func TestFormerOwnerShowsNoOldState(t *testing.T) {
+	former, owner, _ := supersededOwner(t, newTestSite(t, time.Minute))
+	require.Equal(t, Done, doJob(owner, OpCancel, 1).Outcome)
+	require.Eventually(t, func() bool { return sinceMS(former.confirmedHeartbeat.Load().sentAt) > leaseExtensionWindow }, 2*leaseExtensionWindow, 20*time.Millisecond)
+	for name, op := range map[string]Operation{"show": OpShow, "tasks": OpTasks} {
+		if res := doJob(former, op, 1); res.Outcome == Done {
+			assert.Equal(t, spec.Cancelled, res.State, name)
+		}
+	}
+}
