--- a/node/jobhost/acts.go
+++ b/node/jobhost/acts.go
@@ -58,6 +58,12 @@
 		sinceMS(c.shard.verifiedAt.Load()) < verificationTTL
 }
 
+// mayActOn reports whether a call for a VM may begin. Its shard may have got another
+// owner since the plan was made.
+func (c *fleetController) mayActOn(vm string) bool {
+	return c.announced.includes(vm) && c.reportedByOwner(vm)
+}
+
 // vmInTakeoverGap reports whether a predecessor may have acted on the VM so
 // recently that this node must not act on it yet. Meanwhile the VM counts as
 // down for the waves that list it.
@@ -80,7 +86,7 @@
 // until it is answered.
 func (c *fleetController) startMaintenance(ctx context.Context, actions []upkeep.Action) {
 	now := monotonicMS()
-	actions = slices.DeleteFunc(actions, func(a upkeep.Action) bool { return !c.announced.includes(a.VM) })
+	actions = slices.DeleteFunc(actions, func(a upkeep.Action) bool { return !c.mayActOn(a.VM) })
 	if len(actions) == 0 || !c.mayAct() {
 		return
 	}
@@ -164,6 +170,19 @@
 	return false
 }
 
+// reportWaves tells the operator which waves are in progress and which are completed.
+// A predecessor may have reported a completed wave already, so that its status must not
+// become that of a wave in progress.
+func (c *fleetController) reportWaves(ctx context.Context, waves []*deps.Wave, done []int) {
+	for _, w := range waves {
+		if slices.Contains(done, w.Number) {
+			c.reportWaveCompleted(ctx, w.Number)
+		} else {
+			c.reportWaveStarted(ctx, w.Number)
+		}
+	}
+}
+
 // reportWaveStarted tells the operator that a wave is in progress.
 func (c *fleetController) reportWaveStarted(ctx context.Context, n int) {
 	if c.reportedWaves[n] || c.completedWaves[n] {
@@ -183,7 +202,12 @@
 	c.storeKeyAsync(fmt.Sprintf("w/%d", n))
 }
 
+// appendWaveStatus writes the status of a wave unless another node may be the fleet
+// controller. The calls of the same plan may have taken longer than mayAct holds.
 func (c *fleetController) appendWaveStatus(ctx context.Context, n int, completed bool) bool {
+	if c.shard.ctx.Err() != nil || !c.host.isSoleOwner(c.shard, monotonicMS()) {
+		return false
+	}
 	rec, err := c.host.cfg.Codec.WaveStatus(n, completed)
 	if err == nil {
 		callCtx, cancel := context.WithTimeout(ctx, storeTimeout)
--- a/node/jobhost/fleet.go
+++ b/node/jobhost/fleet.go
@@ -148,6 +148,8 @@
 	}
 	now := monotonicMS()
 	plan := upkeep.NewPlan(c.upkeepView(now, waves, waveSeenAt))
+	// A list from before a wave may lack VMs of the wave.
+	plan.Done = slices.DeleteFunc(plan.Done, func(n int) bool { return c.listedAt <= waveSeenAt[n] })
 	moves := c.moves.plan(c, now, plan)
 	c.trackDraining(now, waves, plan)
 	c.exchangeCordons(ctx, plan, moves)
@@ -167,12 +169,7 @@
 	}
 	c.startMaintenance(ctx, maintain)
 	c.startMoves(ctx, ready)
-	for _, w := range waves {
-		c.reportWaveStarted(ctx, w.Number)
-	}
-	for _, n := range plan.Done {
-		c.reportWaveCompleted(ctx, n)
-	}
+	c.reportWaves(ctx, waves, plan.Done)
 }
 
 // poolLogInterval is the pause between two log records of the pool loads.
@@ -203,7 +200,18 @@
 		return true
 	}
 	r, reported := c.workerReports[v.Worker]
-	return reported && r.Drained && r.at >= since
+	return reported && r.Drained && r.at >= since && c.reportedByOwner(vm)
+}
+
+// reportedByOwner reports whether the last report on a VM is by the current owner of
+// its shard. The next owner does not keep to the cordons before they are sent to it.
+func (c *fleetController) reportedByOwner(vm string) bool {
+	v := c.vms[vm]
+	if c.isSparePool(v.Pool) {
+		return true
+	}
+	owner := (*c.host.owners.Load())[c.host.partitionOf(v.Pool)]
+	return c.workerReports[v.Worker].epoch == owner.Epoch
 }
 
 // refreshVMs reads the list of VMs if it is older than its maximum age.
--- a/node/jobhost/homes.go
+++ b/node/jobhost/homes.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -21,6 +22,10 @@
 	// homesRetryDelay is how long submissions are answered at once after the book
 	// of homes could not be read or written.
 	homesRetryDelay = 250 * time.Millisecond
+	// refreshAttempts reads of the book, refreshRetryDelay apart, outlast the usual
+	// outages of the store. The next configuration or takeover begins anew.
+	refreshAttempts   = 10
+	refreshRetryDelay = time.Second
 )
 
 var (
@@ -45,6 +50,8 @@
 	// failedAt is when the store last failed; 0 if it did not since the last
 	// success.
 	failedAt int64
+	// shards are the shards in the book as it was last read.
+	shards atomic.Pointer[[]int]
 }
 
 // homesBasis is what a copy of the book was read for. With another configuration
@@ -79,23 +86,34 @@
 }
 
 // refresh reads the book after a takeover or a change of the configuration, before
-// requests need it.
+// requests need it and to learn which shards need an owner. It tries again while the
+// store does not answer.
 func (q *queueHomes) refresh() {
+	for range refreshAttempts {
+		err := q.readAhead()
+		if err == nil {
+			return
+		}
+		q.host.record(events.QueueHomeUnknown, events.Fields{Detail: "read ahead", Err: err})
+		time.Sleep(refreshRetryDelay)
+	}
+}
+
+func (q *queueHomes) readAhead() error {
 	ctx, cancel := context.WithTimeout(context.Background(), storeTimeout)
 	defer cancel()
 	select {
 	case q.turn <- struct{}{}:
 		defer func() { <-q.turn }()
 	case <-ctx.Done():
-		return
+		return ctx.Err()
 	}
 	basis := q.currentBasis()
 	book, err := q.read(ctx)
-	if err != nil {
-		q.host.record(events.QueueHomeUnknown, events.Fields{Detail: "read ahead", Err: err})
-		return
+	if err == nil {
+		q.keep(book, basis)
 	}
-	q.keep(book, basis)
+	return err
 }
 
 // keep replaces the copy of the book by the one that was read last.
@@ -103,6 +121,16 @@
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	q.book, q.basis, q.bookRead, q.failedAt = book, basis, q.reads, 0
+	shards := book.AllShards()
+	q.shards.Store(&shards)
+}
+
+// shardsWithJobs returns the shards that may hold jobs, as the book was last read.
+func (q *queueHomes) shardsWithJobs() []int {
+	if shards := q.shards.Load(); shards != nil {
+		return *shards
+	}
+	return nil
 }
 
 // earlierHomes returns the other shards that may hold jobs of a queue. If enter is
@@ -270,7 +298,7 @@
 		return Result{Outcome: notOwner, Reason: "not_owner"}, true
 	}
 	if !h.shardHasQueue(ctx, p, r.Queue) {
-		return Result{}, false
+		return h.acceptedOnly(ctx, p, r), true
 	}
 	earlier, err := h.homes.earlierHomes(ctx, r.Queue, p, true)
 	if err != nil {
@@ -301,6 +329,15 @@
 	return err == nil && has
 }
 
+// acceptedOnly answers a submission to a shard that must not accept it: it may have
+// accepted the job before.
+func (h *Host) acceptedOnly(ctx context.Context, p deps.Partition, r Request) Result {
+	if res := h.readLocal(ctx, p, Request{Op: OpShow, ID: r.ID}); res.Outcome == Done {
+		return Result{Outcome: Done, By: res.By}
+	}
+	return Result{Outcome: Unknown, Reason: "queue_of_another_shard"}
+}
+
 // addEarlierHomes adds the queue's jobs in earlier shards to the answer of a request
 // that counts or lists them. Without all of these shards the answer would be too low.
 func (h *Host) addEarlierHomes(ctx context.Context, p deps.Partition, r Request, res Result) Result {
--- a/node/jobhost/requests.go
+++ b/node/jobhost/requests.go
@@ -116,7 +116,7 @@
 	if res.Outcome != Missing || r.Op == OpSubmit {
 		return res
 	}
-	return h.askOtherShards(ctx, part, r)
+	return h.askOtherShards(ctx, part, r, res)
 }
 
 // doAtOwner sends a request to the owner of a shard. If there is none, it waits
@@ -238,7 +238,11 @@
 			return res
 		}
 	}
-	return h.askShard(ctx, part, r)
+	res := h.askShard(ctx, part, r)
+	if r.Op == OpTasks && res.Outcome == Done {
+		return h.readLocal(ctx, part, r)
+	}
+	return res
 }
 
 // askShard posts a request to a shard that this node owns, and waits for its reply.
@@ -281,7 +285,7 @@
 			return
 		}
 		if res = readShard(s.core, r); res.maySoonChange() && !s.core.IsCurrent(monotonicMS()) {
-			res = Result{Outcome: notOwner, Reason: "not_owner"}
+			res = h.outdatedResult()
 		}
 		res.By = h.answeredBy(s)
 	})
@@ -291,6 +295,16 @@
 	return res
 }
 
+// outdatedResult is the result of a read from a shard whose owner may have been replaced
+// seconds ago. Without a recent answer from the store, this node won't learn soon who the
+// owner is.
+func (h *Host) outdatedResult() Result {
+	if hb := h.confirmedHeartbeat.Load(); hb != nil && sinceMS(hb.sentAt) > leaseExtensionWindow {
+		return Result{Outcome: Unavailable, RetryAfterMS: unavailableRetryMS, Reason: "ownership_expired"}
+	}
+	return Result{Outcome: notOwner, Reason: "not_owner"}
+}
+
 // readShard executes a read-only request.
 func readShard(core *shard.Core, r Request) Result {
 	switch r.Op {
