--- a/jobs/homes/homes.go
+++ b/jobs/homes/homes.go
@@ -65,8 +65,8 @@
 	b.byQueue[h.Queue] = append(b.byQueue[h.Queue], h)
 }
 
-// Shards returns all shards that may hold jobs of the queue. Jobs that run, and those that
-// last, outlive the time in which callers submit them once more.
+// Shards returns all shards that have ever accepted jobs of the queue. Jobs that run, and
+// those that last, outlive the time in which callers submit them once more.
 func (b *Book) Shards(queue string) []int {
 	var shards []int
 	for _, h := range b.byQueue[queue] {
@@ -75,7 +75,8 @@
 	return shards
 }
 
-// AllShards returns the shards that may hold jobs of any queue, in ascending order.
+// AllShards returns the shards that have ever accepted jobs of any queue, in ascending
+// order.
 func (b *Book) AllShards() []int {
 	shards := map[int]bool{}
 	for _, list := range b.byQueue {
--- a/node/jobhost/deposed_test.go
+++ b/node/jobhost/deposed_test.go
@@ -61,7 +61,7 @@
 // that its successor had accepted was unknown. Callers take that for an
 // acknowledgement of their cancel, or for the loss of the job; an earlier home that
 // yields such a job lets a second shard accept it.
-func TestDeposedOwnerReportsJobOfItsSuccessorAsUnknown(t *testing.T) {
+func TestDeposedOwnerDoesNotDenyJobOfItsSuccessor(t *testing.T) {
 	for _, op := range []Operation{OpCancel, OpShow, OpYield} {
 		t.Run(opNames[op], func(t *testing.T) {
 			o := newOwnerSite(t)
--- a/node/jobhost/requests.go
+++ b/node/jobhost/requests.go
@@ -46,7 +46,8 @@
 	ShardOnly bool `cbor:"7,keyasint,omitempty"`
 }
 
-// readOnly reports whether the operation changes nothing.
+// readOnly reports whether the operation leaves jobs as they are, so that it can be sent
+// once more.
 func (o Operation) readOnly() bool { return o != OpSubmit && o != OpCancel }
 
 // Outcome is the outcome of a request as reported to the caller.
