--- a/jobs/shard/shard_test.go
+++ b/jobs/shard/shard_test.go
@@ -277,7 +277,8 @@
 	h.step(1)
 	o := h.core.TakeOrders()
 	assert.Empty(t, o.Starts)
-	assert.Equal(t, []Reply{{Ticket: 1, Outcome: Unavailable, Reason: "ownership_expired"}}, o.Replies)
+	require.Len(t, o.Replies, 1)
+	assert.Equal(t, Reply{Ticket: 1, Outcome: Unavailable, Reason: "ownership_expired"}, o.Replies[0])
 	assert.Empty(t, h.core.jobs, "nothing is accepted")
 }
 
