--- /dev/null
+++ b/review/standin2/cases.go
@@ -0,0 +1,175 @@
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"strings"
+	"sync"
+	"time"
+)
+
+// timedJobs hands in jobs with a due time: with the disruption all are due at the same
+// moment, without it one after the other.
+func timedJobs(w *world) int {
+	const jobs, workers, cpu, taskCPU = 450, 8, 32000, 8000
+	w.addWorkers(workers, cpu)
+	w.putConfig()
+	if err := w.startNodes(3); err != nil || !w.awaitReady(15*time.Second) {
+		return unable
+	}
+	time.Sleep(5 * time.Second)
+	dueAt := time.Now().Add(20 * time.Second)
+	spec := "ms=300 " + strings.Repeat("x", 3990)
+	steps := []any{}
+	for i := range 5 {
+		s := map[string]any{"count": 32, "cpu": taskCPU, "mem_mb": 1000, "estimate_ms": 300}
+		if i > 0 {
+			s["depends_on"] = []int{i - 1}
+		}
+		steps = append(steps, s)
+	}
+	ids := make([]string, jobs)
+	accepted := make([]bool, jobs)
+	due := make([]time.Time, jobs)
+	var group sync.WaitGroup
+	slots := make(chan struct{}, 16)
+	for i := range jobs {
+		ids[i] = fmt.Sprintf("%016x", 0xabc0000000000000+uint64(i)*0x1000193)
+		due[i] = dueAt
+		if !w.trouble {
+			due[i] = dueAt.Add(time.Duration(i) * 50 * time.Millisecond)
+		}
+		body, _ := json.Marshal(map[string]any{"spec": spec, "steps": steps, "repeat_count": 1, "first_run_ms": due[i].UnixMilli(), "interval_ms": 60000})
+		group.Add(1)
+		slots <- struct{}{}
+		go func() {
+			defer group.Done()
+			defer func() { <-slots }()
+			accepted[i], _ = w.submit(ids[i], body)
+		}()
+		time.Sleep(25 * time.Millisecond)
+	}
+	group.Wait()
+	n := 0
+	for _, ok := range accepted {
+		if ok {
+			n++
+		}
+	}
+	w.log("accepted %d of %d timed jobs", n, jobs)
+	if n < jobs*9/10 || time.Now().After(dueAt) {
+		return unable
+	}
+	// Ordinary jobs after the due time show whether the service works at all. The traffic
+	// ends with them. finish_s after it, the service is watched for 3 s.
+	time.Sleep(time.Until(dueAt.Add(3 * time.Second)))
+	plain, _ := json.Marshal(map[string]any{"spec": "ms=300", "steps": []any{map[string]any{"count": 1, "cpu": 1000, "mem_mb": 100, "estimate_ms": 300}}})
+	var plainIDs []string
+	for i := range 3 {
+		id := fmt.Sprintf("9a1a00000000000%x", i)
+		if ok, _ := w.submit(id, plain); ok {
+			plainIDs = append(plainIDs, id)
+		}
+	}
+	watchFrom := time.Now().Add(14 * time.Second)
+	time.Sleep(time.Until(watchFrom))
+	idle := true
+	for until := time.Now().Add(3 * time.Second); time.Now().Before(until); time.Sleep(50 * time.Millisecond) {
+		running := 0
+		for _, wk := range w.workers {
+			running += wk.running()
+		}
+		if running*taskCPU*2 >= workers*cpu {
+			idle = false
+		}
+	}
+	notBegun, begun := 0, 0
+	for i, id := range ids {
+		if accepted[i] && w.starts(id) == 0 {
+			notBegun++
+		} else {
+			begun++
+		}
+	}
+	for _, id := range plainIDs {
+		w.log("ordinary job %s: %d starts", id, w.starts(id))
+	}
+	status, text := w.get(w.nodes[0], ids[0])
+	w.log("at the end: %d jobs have begun, %d accepted jobs whose time has come have not; under half of the capacity in use for 3 s: %v; first job: %d %s", begun, notBegun, idle, status, text)
+	if idle && notBegun > 0 {
+		return broken
+	}
+	return held
+}
+
+// waitingCount asks for the number of waiting jobs while the only worker with room is
+// unhealthy.
+func waitingCount(w *world) int {
+	const workers, cpu = 7, 32000
+	w.addWorkers(workers, cpu)
+	w.putConfig()
+	if err := w.startNodes(3); err != nil || !w.awaitReady(15*time.Second) {
+		return unable
+	}
+	time.Sleep(6 * time.Second)
+	// Lasting tasks fill six workers.
+	lasting, _ := json.Marshal(map[string]any{"spec": "last", "steps": []any{map[string]any{"count": workers - 1, "cpu": 30000, "mem_mb": 1000, "estimate_ms": 500, "long_running": true, "anti_affinity": 1}}})
+	if ok, _ := w.submit("1a57000000000001", lasting); !ok {
+		return unable
+	}
+	time.Sleep(4 * time.Second)
+	var free *worker
+	for _, wk := range w.workers {
+		if wk.running() == 0 {
+			free = wk
+		}
+	}
+	if free == nil {
+		return unable
+	}
+	if w.trouble {
+		free.mu.Lock()
+		free.unhealthy = true
+		free.mu.Unlock()
+		w.log("worker %s is unhealthy from now on", free.id)
+	}
+	began := time.Now()
+	body, _ := json.Marshal(map[string]any{"spec": "ms=400", "steps": []any{map[string]any{"count": 1, "cpu": 4000, "mem_mb": 1000, "estimate_ms": 400}}})
+	var ids []string
+	for i := range 4 {
+		id := fmt.Sprintf("c0de00000000000%x", i)
+		if ok, _ := w.submit(id, body); ok {
+			ids = append(ids, id)
+		}
+	}
+	acceptedAt := time.Now()
+	if len(ids) == 0 || acceptedAt.Sub(began) > time.Second {
+		return unable
+	}
+	// visible_ms + 2 s after the last acceptance, while the worker is still unhealthy.
+	time.Sleep(5200 * time.Millisecond)
+	waiting := 0
+	for _, id := range ids {
+		if w.starts(id) == 0 {
+			waiting++
+		}
+	}
+	code := held
+	for _, n := range w.nodes {
+		status, text := w.get(n, "")
+		var out struct {
+			Waiting int `json:"waiting"`
+		}
+		if status == 200 && json.Unmarshal([]byte(text), &out) == nil && 2*out.Waiting < waiting {
+			w.log("%s gives %d as waiting, but %d accepted jobs have not begun", n.name, out.Waiting, waiting)
+			code = broken
+		}
+	}
+	w.log("the check ended %.1f s after the worker became unhealthy; %d of %d jobs had not begun", time.Since(began).Seconds(), waiting, len(ids))
+	if w.trouble {
+		free.mu.Lock()
+		free.unhealthy = false
+		free.mu.Unlock()
+	}
+	return code
+}
