--- a/review/standin2/cases.go
+++ b/review/standin2/cases.go
@@ -173,3 +173,51 @@
 	}
 	return code
 }
+
+// gangCheckpoints crashes a worker on which members of gangs work that save checkpoints.
+func gangCheckpoints(w *world) int {
+	const workers, cpu, gangJobs = 7, 32000, 12
+	w.addWorkers(workers, cpu)
+	w.putConfig()
+	if err := w.startNodes(3); err != nil || !w.awaitReady(15*time.Second) {
+		return unable
+	}
+	time.Sleep(6 * time.Second)
+	body, _ := json.Marshal(map[string]any{"spec": "gang=6 ms=14000", "steps": []any{map[string]any{"count": 6, "cpu": 2000, "mem_mb": 1000, "estimate_ms": 14000,
+		"gang": true, "checkpointing": true, "anti_affinity": 1}}})
+	ids := []string{}
+	for i := range gangJobs {
+		id := fmt.Sprintf("6a1600000000000%x", i)
+		if ok, _ := w.submit(id, body); !ok {
+			return unable
+		}
+		ids = append(ids, id)
+		time.Sleep(370 * time.Millisecond)
+	}
+	time.Sleep(4 * time.Second)
+	crashedAt := time.Now()
+	if w.trouble {
+		w.log("worker %s crashes", w.workers[0].id)
+		if w.workers[0].running() == 0 {
+			return unable
+		}
+		w.workers[0].crash()
+	}
+	// A lease lapses within 6 s, and the work takes 14 s.
+	time.Sleep(45 * time.Second)
+	open := 0
+	for _, id := range ids {
+		if status, text := w.get(w.nodes[0], id); status != 200 || !strings.Contains(text, "completed") {
+			open++
+		}
+	}
+	alone := 0
+	for _, wk := range w.workers {
+		alone += wk.countAlone(crashedAt.Add(7 * time.Second))
+	}
+	w.log("%d runs have ended alone more than 10 s after the crash; %d of %d jobs are not completed", alone, open, gangJobs)
+	if alone > 0 {
+		return broken
+	}
+	return held
+}
--- a/review/standin2/worker.go
+++ b/review/standin2/worker.go
@@ -24,10 +24,10 @@
 }
 
 type runEnd struct {
-	n      int
-	task   string
-	number int
-	how    string
+	n          int
+	task       string
+	number     int
+	how, saved string
 }
 
 // worker is a stand-in for one worker. A task's duration stands in its spec: "ms=850",
@@ -54,11 +54,14 @@
 	unhealthy bool
 	// begun counts the starts of each job.
 	begun func(job string)
+	gangs *gangs
+	// aloneAt is when runs have ended alone.
+	aloneAt []time.Time
 }
 
-func startWorker(s *store, id, service, zone, rack string, cpu int, log func(string, ...any), begun func(job string)) *worker {
+func startWorker(s *store, id, service, zone, rack string, cpu int, log func(string, ...any), begun func(job string), g *gangs) *worker {
 	w := &worker{id: id, machine: "m-" + id, service: service, zone: zone, rack: rack, cpu: cpu, store: s, log: log, born: time.Now(),
-		runs: map[string]*run{}, highest: map[string]int{}, changed: make(chan struct{}), begun: begun}
+		runs: map[string]*run{}, highest: map[string]int{}, changed: make(chan struct{}), begun: begun, gangs: g}
 	w.server = httptest.NewServer(w)
 	go w.report()
 	go w.watchLease()
@@ -96,6 +99,7 @@
 			r.stop.Stop()
 		}
 		w.log("worker %s: %s run %d is lost with the worker", w.id, r.task, r.number)
+		go w.gangs.leave(r.task, r.number)
 	}
 	w.runs = map[string]*run{}
 	w.mu.Unlock()
@@ -114,8 +118,9 @@
 			return
 		}
 		if w.clockMS() > w.leaseMS {
-			for task := range w.runs {
-				w.end(task, "lapsed")
+			for task, r := range w.runs {
+				w.end(task, "lapsed", "")
+				go w.gangs.leave(task, r.number)
 			}
 		}
 		w.mu.Unlock()
@@ -123,7 +128,7 @@
 }
 
 // end ends a run. The caller holds w.mu.
-func (w *worker) end(task, how string) {
+func (w *worker) end(task, how, saved string) {
 	r := w.runs[task]
 	if r == nil {
 		return
@@ -133,12 +138,37 @@
 	}
 	delete(w.runs, task)
 	w.lastEnd++
-	w.ends = append(w.ends, runEnd{w.lastEnd, task, r.number, how})
-	w.log("worker %s: %s run %d ended %s", w.id, task, r.number, how)
+	w.ends = append(w.ends, runEnd{w.lastEnd, task, r.number, how, saved})
+	w.log("worker %s: %s run %d ended %s %s", w.id, task, r.number, how, saved)
+	if how == "alone" {
+		w.aloneAt = append(w.aloneAt, time.Now())
+	}
 	close(w.changed)
 	w.changed = make(chan struct{})
 }
 
+// countAlone counts the runs that have ended alone more than contact_ms after a time.
+func (w *worker) countAlone(after time.Time) int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	n := 0
+	for _, at := range w.aloneAt {
+		if at.Sub(after) > 3*time.Second {
+			n++
+		}
+	}
+	return n
+}
+
+// endRun ends one run of a task, if it is still there.
+func (w *worker) endRun(task string, number int, how, saved string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if r := w.runs[task]; r != nil && r.number == number {
+		w.end(task, how, saved)
+	}
+}
+
 type order struct {
 	Task       string `json:"task"`
 	Run        int    `json:"run"`
@@ -147,6 +177,7 @@
 	Fence      int64  `json:"fencing_token"`
 	AckedUpto  int    `json:"acked_upto"`
 	WaitMS     int64  `json:"wait_ms"`
+	Checkpoint string `json:"checkpoint"`
 }
 
 func (w *worker) ServeHTTP(rw http.ResponseWriter, r *http.Request) {
@@ -184,7 +215,9 @@
 	case "/wigeonwinch/run-stop":
 		w.highest[o.Task] = max(w.highest[o.Task], o.Run)
 		if running := w.runs[o.Task]; running != nil && running.number <= o.Run {
-			w.end(o.Task, "stopped")
+			saved := w.gangs.checkpoint(o.Task, running.number)
+			w.end(o.Task, "stopped", saved)
+			go w.gangs.leave(o.Task, running.number)
 		}
 		w.answer(rw, http.StatusOK, "")
 	case "/wigeonwinch/pace":
@@ -219,18 +252,20 @@
 	r := &run{task: o.Task, number: o.Run, started: time.Now(), lasting: strings.HasPrefix(o.Spec, "last")}
 	w.runs[o.Task] = r
 	w.highest[o.Task] = o.Run
-	if !r.lasting {
+	if strings.HasPrefix(o.Spec, "gang=") {
+		go w.gangs.join(w, o)
+	} else if !r.lasting {
 		ms := 850
 		_, _ = fmt.Sscanf(o.Spec, "ms=%d", &ms)
 		r.stop = time.AfterFunc(time.Duration(ms)*time.Millisecond, func() {
 			w.mu.Lock()
 			defer w.mu.Unlock()
 			if w.runs[o.Task] == r {
-				w.end(o.Task, "done")
+				w.end(o.Task, "done", "")
 			}
 		})
 	}
-	w.log("worker %s: %s run %d starts", w.id, o.Task, o.Run)
+	w.log("worker %s: %s run %d starts %s", w.id, o.Task, o.Run, o.Checkpoint)
 	w.begun(strings.SplitN(o.Task, ".", 2)[0])
 	w.answer(rw, http.StatusOK, "")
 }
@@ -264,13 +299,13 @@
 		if r.lasting {
 			percent = 100
 		}
-		running = append(running, []any{r.task, r.number, "", percent, 0})
+		running = append(running, []any{r.task, r.number, w.gangs.checkpoint(r.task, r.number), percent, 0})
 	}
 	for i, e := range w.ends {
 		if i >= 500 {
 			break
 		}
-		ended = append(ended, []any{e.n, e.task, e.number, e.how, ""})
+		ended = append(ended, []any{e.n, e.task, e.number, e.how, e.saved})
 	}
 	w.write(rw, http.StatusOK, map[string]any{"clock_ms": w.clockMS(), "born": w.born.UnixMilli(), "running": running, "ended": ended})
 }
--- a/review/standin2/world.go
+++ b/review/standin2/world.go
@@ -47,6 +47,7 @@
 	begun   map[string]int
 	client  *http.Client
 	trouble bool
+	gangs   *gangs
 }
 
 func newWorld(recordPath string) (*world, error) {
@@ -58,7 +59,7 @@
 	if err != nil {
 		return nil, err
 	}
-	w := &world{began: time.Now(), rec: rec, dir: dir, store: newStore(), begun: map[string]int{}, trouble: os.Getenv("TROUBLE") != "0",
+	w := &world{began: time.Now(), rec: rec, dir: dir, store: newStore(), begun: map[string]int{}, gangs: &gangs{runs: map[string]*gangRun{}}, trouble: os.Getenv("TROUBLE") != "0",
 		client: &http.Client{Timeout: 3 * time.Second, Transport: &http.Transport{MaxIdleConnsPerHost: 32}}}
 	w.store.refused = func(topic, part string, n int) {
 		w.log("store: append of %d bytes to %s/%s is over the limit of a call or a record, answered 413", n, topic, part)
@@ -82,7 +83,7 @@
 			w.begunMu.Lock()
 			w.begun[job]++
 			w.begunMu.Unlock()
-		}))
+		}, w.gangs))
 	}
 }
 
