--- a/review/standin2/cases.go
+++ b/review/standin2/cases.go
@@ -12,8 +12,8 @@
 // moment, without it one after the other.
 func timedJobs(w *world) int {
 	const jobs, workers, cpu, taskCPU = 450, 8, 32000, 8000
-	w.addWorkers(workers, cpu)
-	w.putConfig()
+	w.addWorkers(service, workers, cpu)
+	w.putConfig(3, service, false)
 	if err := w.startNodes(3); err != nil || !w.awaitReady(15*time.Second) {
 		return unable
 	}
@@ -106,8 +106,8 @@
 // unhealthy.
 func waitingCount(w *world) int {
 	const workers, cpu = 7, 32000
-	w.addWorkers(workers, cpu)
-	w.putConfig()
+	w.addWorkers(service, workers, cpu)
+	w.putConfig(3, service, false)
 	if err := w.startNodes(3); err != nil || !w.awaitReady(15*time.Second) {
 		return unable
 	}
@@ -177,8 +177,8 @@
 // gangCheckpoints crashes a worker on which members of gangs work that save checkpoints.
 func gangCheckpoints(w *world) int {
 	const workers, cpu, gangJobs = 7, 32000, 12
-	w.addWorkers(workers, cpu)
-	w.putConfig()
+	w.addWorkers(service, workers, cpu)
+	w.putConfig(3, service, false)
 	if err := w.startNodes(3); err != nil || !w.awaitReady(15*time.Second) {
 		return unable
 	}
@@ -221,3 +221,62 @@
 	}
 	return held
 }
+
+// adviceQueueMoves gives a queue whose starts need tickets to another service while it has
+// jobs.
+func adviceQueueMoves(w *world) int {
+	const workers, cpu, jobs = 4, 32000, 5
+	w.addWorkers(service, workers, cpu)
+	w.addWorkers("water", workers, cpu)
+	for _, wk := range w.workers {
+		wk.permits = w.permits
+	}
+	w.putConfig(3, service, true)
+	if err := w.startNodes(3); err != nil || !w.awaitReady(15*time.Second) {
+		return unable
+	}
+	time.Sleep(6 * time.Second)
+	step := func(count int) map[string]any {
+		return map[string]any{"count": count, "cpu": 2000, "mem_mb": 1000, "estimate_ms": 1500}
+	}
+	second := step(4)
+	second["depends_on"] = []int{0}
+	body, _ := json.Marshal(map[string]any{"spec": "ms=1500", "steps": []any{step(1), second}})
+	ids := []string{}
+	for i := range jobs {
+		id := fmt.Sprintf("adc1ce000000000%x", i)
+		if ok, _ := w.submit(id, body); !ok {
+			return unable
+		}
+		ids = append(ids, id)
+	}
+	time.Sleep(500 * time.Millisecond)
+	if w.trouble {
+		w.putConfig(4, "water", true)
+	}
+	// The traffic ends here. finish_s after it, the jobs are asked for and watched for 3 s.
+	time.Sleep(14 * time.Second)
+	idle := map[string]bool{}
+	for _, id := range ids {
+		status, text := w.get(w.nodes[0], id)
+		idle[id] = status == 200 && !strings.Contains(text, "completed")
+	}
+	for until := time.Now().Add(3 * time.Second); time.Now().Before(until); time.Sleep(50 * time.Millisecond) {
+		for _, wk := range w.workers {
+			for job := range wk.jobs() {
+				idle[job] = false
+			}
+		}
+	}
+	n := 0
+	for id, is := range idle {
+		if is {
+			n++
+			w.log("job %s: not completed, nothing running for 3 s, %d starts in all", id, w.starts(id))
+		}
+	}
+	if n > 0 {
+		return broken
+	}
+	return held
+}
--- a/review/standin2/worker.go
+++ b/review/standin2/worker.go
@@ -55,6 +55,8 @@
 	// begun counts the starts of each job.
 	begun func(job string)
 	gangs *gangs
+	// permits checks the ticket of a start; nil on workers of queues without advice.
+	permits func(task, worker, ticket string) bool
 	// aloneAt is when runs have ended alone.
 	aloneAt []time.Time
 }
@@ -178,6 +180,7 @@
 	AckedUpto  int    `json:"acked_upto"`
 	WaitMS     int64  `json:"wait_ms"`
 	Checkpoint string `json:"checkpoint"`
+	Ticket     string `json:"ticket"`
 }
 
 func (w *worker) ServeHTTP(rw http.ResponseWriter, r *http.Request) {
@@ -248,6 +251,11 @@
 		w.answer(rw, http.StatusConflict, "late")
 		return
 	}
+	if w.permits != nil && !w.permits(o.Task, w.id, o.Ticket) {
+		w.log("worker %s: start of %s run %d with ticket %q is rejected", w.id, o.Task, o.Run, o.Ticket)
+		w.answer(rw, http.StatusConflict, "ticket")
+		return
+	}
 	w.extend(o.DeadlineMS)
 	r := &run{task: o.Task, number: o.Run, started: time.Now(), lasting: strings.HasPrefix(o.Spec, "last")}
 	w.runs[o.Task] = r
@@ -324,9 +332,20 @@
 	_ = json.NewEncoder(rw).Encode(body)
 }
 
-// coresInUse returns the cores of the runs, given those of one task.
+// running returns the number of runs.
 func (w *worker) running() int {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	return len(w.runs)
 }
+
+// jobs returns the jobs that have a run.
+func (w *worker) jobs() map[string]bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	out := map[string]bool{}
+	for task := range w.runs {
+		out[strings.SplitN(task, ".", 2)[0]] = true
+	}
+	return out
+}
--- a/review/standin2/world.go
+++ b/review/standin2/world.go
@@ -41,6 +41,11 @@
 	store   *store
 	storeAt string
 	cloudAt string
+	// adviceAt is the address of the service that gives tickets.
+	adviceAt string
+	ticketMu sync.Mutex
+	// tickets holds until when a ticket is valid.
+	tickets map[string]time.Time
 	workers []*worker
 	nodes   []*node
 	begunMu sync.Mutex
@@ -59,13 +64,14 @@
 	if err != nil {
 		return nil, err
 	}
-	w := &world{began: time.Now(), rec: rec, dir: dir, store: newStore(), begun: map[string]int{}, gangs: &gangs{runs: map[string]*gangRun{}}, trouble: os.Getenv("TROUBLE") != "0",
+	w := &world{began: time.Now(), rec: rec, dir: dir, store: newStore(), begun: map[string]int{}, tickets: map[string]time.Time{}, gangs: &gangs{runs: map[string]*gangRun{}}, trouble: os.Getenv("TROUBLE") != "0",
 		client: &http.Client{Timeout: 3 * time.Second, Transport: &http.Transport{MaxIdleConnsPerHost: 32}}}
 	w.store.refused = func(topic, part string, n int) {
 		w.log("store: append of %d bytes to %s/%s is over the limit of a call or a record, answered 413", n, topic, part)
 	}
 	w.storeAt = strings.TrimPrefix(httptest.NewServer(w.store).URL, "http://")
 	w.cloudAt = strings.TrimPrefix(httptest.NewServer(http.HandlerFunc(w.serveCloud)).URL, "http://")
+	w.adviceAt = strings.TrimPrefix(httptest.NewServer(http.HandlerFunc(w.serveAdvice)).URL, "http://")
 	w.log("trouble=%v", w.trouble)
 	return w, nil
 }
@@ -76,8 +82,9 @@
 	fmt.Fprintf(w.rec, "%8.3f "+format+"\n", append([]any{time.Since(w.began).Seconds()}, args...)...)
 }
 
-func (w *world) addWorkers(n, cpu int) {
-	for i := range n {
+func (w *world) addWorkers(service string, n, cpu int) {
+	for range n {
+		i := len(w.workers)
 		id := fmt.Sprintf("i-%08x", 0x10+i)
 		w.workers = append(w.workers, startWorker(w.store, id, service, []string{"z1", "z2", "z3"}[i%3], fmt.Sprintf("r%d-1", i%3+1), cpu, w.log, func(job string) {
 			w.begunMu.Lock()
@@ -93,6 +100,46 @@
 	return w.begun[job]
 }
 
+const (
+	adviceTime = 5 * time.Millisecond
+	ticketTime = 3 * time.Second
+)
+
+// stepOf returns the step of a task.
+func stepOf(task string) string { return task[:strings.LastIndexByte(task, '.')] }
+
+// serveAdvice permits each step on all workers.
+func (w *world) serveAdvice(rw http.ResponseWriter, r *http.Request) {
+	var in struct {
+		Step    string   `json:"step"`
+		Workers []string `json:"workers"`
+	}
+	if json.NewDecoder(r.Body).Decode(&in) != nil {
+		rw.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	time.Sleep(adviceTime + time.Duration(len(in.Workers))*time.Millisecond)
+	w.ticketMu.Lock()
+	defer w.ticketMu.Unlock()
+	good := [][]string{}
+	for _, id := range in.Workers {
+		ticket := fmt.Sprintf("%s-%s-%x", in.Step, id, len(w.tickets))
+		w.tickets[ticket] = time.Now().Add(ticketTime)
+		good = append(good, []string{id, ticket})
+	}
+	w.log("advice: %s on %d workers", in.Step, len(in.Workers))
+	rw.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(rw).Encode(map[string]any{"good": good, "valid_ms": ticketTime.Milliseconds()})
+}
+
+// permits reports whether a ticket allows a task to start on a worker now.
+func (w *world) permits(task, worker, ticket string) bool {
+	w.ticketMu.Lock()
+	defer w.ticketMu.Unlock()
+	until, known := w.tickets[ticket]
+	return known && time.Now().Before(until) && strings.HasPrefix(ticket, stepOf(task)+"-"+worker+"-")
+}
+
 // serveCloud lists the machines. They stay where they are: there is one pool.
 func (w *world) serveCloud(rw http.ResponseWriter, r *http.Request) {
 	if r.Method != http.MethodGet || r.URL.Path != "/wigeonwinch/machines" {
@@ -109,13 +156,21 @@
 	_ = json.NewEncoder(rw).Encode(map[string]any{"machines": list, "next_page_token": nil})
 }
 
-// putConfig writes the operator's configuration: one queue.
-func (w *world) putConfig() {
-	cfg := map[string]any{"version": 3,
-		"routes": []any{map[string]any{"name": "r-fire", "host": host, "path_prefix": prefix, "type": "unsafe", "timeout_ms": 3000, "target_latency_ms": 600,
-			"priority": 0, "service": service, "max_attempts": 3, "stretch": 1.6}},
-		"services": []any{map[string]any{"name": service, "health_path": "/health", "max_connections": 64, "protocol": "h1", "tls": false, "admission_check": false, "spare": false}},
-		"limits":   map[string]int{"max_header_bytes": 16384, "max_body_bytes": 262144, "header_timeout_ms": 3000, "idle_timeout_ms": 15000}}
+// putConfig writes the operator's configuration: one queue, whose tasks the given service
+// runs, with advice or without.
+func (w *world) putConfig(version int, service string, advice bool) {
+	route := map[string]any{"name": "r-fire", "host": host, "path_prefix": prefix, "type": "unsafe", "timeout_ms": 3000, "target_latency_ms": 600,
+		"priority": 0, "service": service, "max_attempts": 3, "stretch": 1.6}
+	if advice {
+		route["advice"] = map[string]any{"decide_ms": adviceTime.Milliseconds(), "each_ms": 1, "valid_ms": ticketTime.Milliseconds()}
+	}
+	services := []any{}
+	for _, name := range []string{"fire", "water"} {
+		services = append(services, map[string]any{"name": name, "health_path": "/health", "max_connections": 64, "protocol": "h1", "tls": false, "admission_check": false, "spare": false})
+	}
+	w.log("operator: configuration %d sends the queue to %s", version, service)
+	cfg := map[string]any{"version": version, "routes": []any{route}, "services": services,
+		"limits": map[string]int{"max_header_bytes": 16384, "max_body_bytes": 262144, "header_timeout_ms": 3000, "idle_timeout_ms": 15000}}
 	data, _ := json.Marshal(cfg)
 	w.store.put("keyed.op", "config", data)
 }
@@ -165,7 +220,7 @@
 				"config_apply_ms": 2000, "rollback_slack_ms": 250, "max_stretch_ms": 5000, "recover_s": 12, "max_hold_ms": maxHoldMS, "stop_grace_ms": 400, "gang_timeout_ms": 3000,
 				"cancel_ms": 3000, "visible_ms": 3000, "early_ms": 250, "finish_s": 14, "status_s": 120, "remote_factor": 3, "checkpoint_s": 1, "restore_ms": 100, "notice_ms": 4500,
 				"move_s": 1.5, "upkeep_s": 2, "enforce_fencing": false, "lease_ms": 3000, "thaw_ms": 300, "pace_ms": 100, "harm_ms": 4000},
-			"orders": "request", "advice": "",
+			"orders": "request", "advice": w.adviceAt,
 			"platform": map[string]any{"address": w.storeAt, "form": "log", "writes_per_s": 600, "reads_per_s": 2000, "parts": 12, "append_ms": 2.0, "part_mb_s": 20.0,
 				"read_mb_s": 80.0, "record_bytes": recordBytes, "call_bytes": callBytes, "keep_s": 20, "part_mb": 200, "ttl_min_ms": 1000},
 			"cloud": map[string]any{"address": w.cloudAt, "rate_per_s": 64.0, "duties": []string{}, "duty_per_s": 64.0},
