--- a/review/standin2/worker.go
+++ b/review/standin2/worker.go
@@ -57,6 +57,8 @@
 	gangs *gangs
 	// permits checks the ticket of a start; nil on workers of queues without advice.
 	permits func(task, worker, ticket string) bool
+	// rejected counts the starts rejected for want of a ticket.
+	rejected int
 	// aloneAt is when runs have ended alone.
 	aloneAt []time.Time
 }
@@ -252,7 +254,7 @@
 		return
 	}
 	if w.permits != nil && !w.permits(o.Task, w.id, o.Ticket) {
-		w.log("worker %s: start of %s run %d with ticket %q is rejected", w.id, o.Task, o.Run, o.Ticket)
+		w.logRejected(o)
 		w.answer(rw, http.StatusConflict, "ticket")
 		return
 	}
@@ -278,6 +280,15 @@
 	w.answer(rw, http.StatusOK, "")
 }
 
+// logRejected records a start that is rejected for want of a ticket: the first ones, and
+// then every thousandth.
+func (w *worker) logRejected(o order) {
+	w.rejected++
+	if w.rejected <= 20 || w.rejected%1000 == 0 {
+		w.log("worker %s: start of %s run %d with ticket %q is rejected, the %dth one", w.id, o.Task, o.Run, o.Ticket, w.rejected)
+	}
+}
+
 func (w *worker) hold(rw http.ResponseWriter, r *http.Request, o order) {
 	if o.DeadlineMS > 0 {
 		w.extend(o.DeadlineMS)
--- a/review/standin2/world.go
+++ b/review/standin2/world.go
@@ -247,7 +247,7 @@
 	}
 	n.cmd = exec.Command("target/wigeonwinchd", "platform")
 	n.cmd.Env = []string{"WIGEONWINCH_NODE_FILE=" + filepath.Join(w.dir, n.name+".json"), "WIGEONWINCH_PEER_KEY=entry-nodes-of-one-deployment",
-		"PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME"), "GOMAXPROCS=1"}
+		"PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME")}
 	n.cmd.Stdout, n.cmd.Stderr = out, out
 	n.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	w.log("%s starts", n.name)
