--- a/review/8/run.sh
+++ b/review/8/run.sh
@@ -3,4 +3,4 @@
 # TROUBLE=0 leaves the disruption out. Build first: the deploy file's line and review/build-2.sh.
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/wigeonwinchd ] && [ -x target/review-standin2 ] || exit 2
-exec target/review-standin2 gang-checkpoints review/8
+exec target/review-standin2 many-occurrences review/8
--- a/review/standin2/cases.go
+++ b/review/standin2/cases.go
@@ -280,3 +280,52 @@
 	}
 	return held
 }
+
+// manyOccurrences kills the owner of a timed job with many open occurrences.
+func manyOccurrences(w *world) int {
+	const workers, cpu, occurrences = 8, 32000, 9000
+	w.addWorkers(service, workers, cpu)
+	w.putConfig(3, service, false)
+	if err := w.startNodes(3); err != nil || !w.awaitReady(15*time.Second) {
+		return unable
+	}
+	time.Sleep(6 * time.Second)
+	// Each second for the last two and a half hours. Sixteen tasks find room at a time.
+	body, _ := json.Marshal(map[string]any{"spec": "ms=30000", "steps": []any{map[string]any{"count": 1, "cpu": 16000, "mem_mb": 1000, "estimate_ms": 30000}},
+		"repeat_count": occurrences, "first_run_ms": time.Now().UnixMilli() - occurrences*1000, "interval_ms": 1000})
+	const id = "0cc0000000000001"
+	if ok, _ := w.submit(id, body); !ok {
+		return unable
+	}
+	acceptedAt := time.Now()
+	time.Sleep(5 * time.Second)
+	for _, n := range w.nodes {
+		if status, _ := w.get(n, id); status != 200 {
+			return unable
+		}
+	}
+	w.log("%d tasks of the job have started", w.starts(id))
+	if w.trouble {
+		owner := w.ownerOf(service)
+		if owner == nil {
+			return unable
+		}
+		w.log("%s is killed", owner.name)
+		_ = owner.cmd.Process.Kill()
+		_ = owner.cmd.Wait()
+		time.Sleep(500 * time.Millisecond)
+		if err := w.startNode(owner); err != nil {
+			return unable
+		}
+	}
+	// The nodes are in touch again contact_ms after the kill.
+	time.Sleep(8 * time.Second)
+	code := held
+	for _, n := range w.nodes {
+		if status, _ := w.get(n, id); status == 410 {
+			w.log("%s denies a job that was accepted %.1f s before", n.name, time.Since(acceptedAt).Seconds())
+			code = broken
+		}
+	}
+	return code
+}
--- a/review/standin2/main.go
+++ b/review/standin2/main.go
@@ -14,7 +14,8 @@
 	unable = 2
 )
 
-var cases = map[string]func(w *world) int{"timed-jobs": timedJobs, "waiting-count": waitingCount, "gang-checkpoints": gangCheckpoints, "advice-queue-moves": adviceQueueMoves}
+var cases = map[string]func(w *world) int{"timed-jobs": timedJobs, "waiting-count": waitingCount, "gang-checkpoints": gangCheckpoints, "advice-queue-moves": adviceQueueMoves,
+	"many-occurrences": manyOccurrences}
 
 func main() {
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
--- a/review/standin2/world.go
+++ b/review/standin2/world.go
@@ -7,6 +7,7 @@
 	"bytes"
 	"encoding/json"
 	"fmt"
+	"hash/fnv"
 	"io"
 	"net"
 	"net/http"
@@ -254,6 +255,32 @@
 	return n.cmd.Start()
 }
 
+// ownerOf returns the node that took the shard of a service over last, by the nodes' logs.
+// It only decides which process the disruption hits.
+func (w *world) ownerOf(service string) *node {
+	h := fnv.New32a()
+	_, _ = h.Write([]byte(service))
+	mark := fmt.Sprintf("topic=4 partition=%d ", h.Sum32()%12)
+	var owner *node
+	var epoch int64
+	for _, n := range w.nodes {
+		data, _ := os.ReadFile(filepath.Join(w.dir, n.name+".log"))
+		for _, line := range strings.Split(string(data), "\n") {
+			var e struct {
+				Name, Detail string
+			}
+			var taken int64
+			if json.Unmarshal([]byte(line), &e) != nil || e.Name != "shard_taken" || !strings.HasPrefix(e.Detail, mark) {
+				continue
+			}
+			if _, err := fmt.Sscanf(e.Detail[len(mark):], "epoch=%d", &taken); err == nil && taken > epoch {
+				owner, epoch = n, taken
+			}
+		}
+	}
+	return owner
+}
+
 // awaitReady waits until all nodes are ready for work.
 func (w *world) awaitReady(limit time.Duration) bool {
 	deadline := time.Now().Add(limit)
