A job has begun once a worker has begun a task, not once it is placed

Cause: recordPlacement marked the job as begun, and its state as running, when a worker had been chosen. Its start was then refused with 503, seven times in a row, and nothing took the mark back.

Change: a job has begun once a worker has accepted a start, or lists a run or the end of one. The fact is stored, so that it outlives a takeover; the worker's list makes up for a lost answer. This also covers placements that are dropped before their start is sent, and those of an earlier owner. JobSummary.Running leaves out placements that were not sent.

The judge of TestRandomisedCrashes is corrected. It lets a sound job be given up after five workers have crashed under one of its tasks, but counted a crash only if the run was at work.

--- a/jobs/model/callers.go
+++ b/jobs/model/callers.go
@@ -85,6 +85,7 @@
 // is an acknowledgement to its caller as well.
 func (w *World) cancelAt(o *owner, id string) {
 	t := w.groundTruth[id]
+	t.cancelSent = true
 	accepted := t.accepted
 	ticket := o.await(func(r shard.Reply) {
 		unknown := r.Outcome == shard.Unknown && accepted
--- a/jobs/model/crash.go
+++ b/jobs/model/crash.go
@@ -25,6 +25,11 @@
 	for key := range k.running {
 		k.world.groundTruth[key.Job].lost[key]++
 	}
+	for _, e := range k.ended {
+		if e.End > k.reportedEnd {
+			k.world.groundTruth[e.Key.Job].lost[e.Key]++
+		}
+	}
 	k.loseRuns()
 	polls := k.waitingPolls
 	k.waitingPolls = nil
--- a/jobs/model/worker.go
+++ b/jobs/model/worker.go
@@ -25,6 +25,8 @@
 	ended        []shard.ListedEnd
 	lastEnd      int
 	acked        int
+	// reportedEnd is the highest number of an end in an answer to a poll.
+	reportedEnd int
 	// closedRuns holds the highest run number of each task that ended or was
 	// stopped; the worker starts only higher ones.
 	closedRuns map[shard.Key]int
@@ -68,7 +70,7 @@
 	if k.world.opts.NewIDs {
 		k.id = fmt.Sprintf("%s-%d", k.vm, k.incarnation)
 	}
-	k.highestEpoch, k.leaseUntil, k.lastEnd, k.acked = 0, 0, 0, 0
+	k.highestEpoch, k.leaseUntil, k.lastEnd, k.acked, k.reportedEnd = 0, 0, 0, 0, 0
 	k.running = map[shard.Key]*run{}
 	k.ended = nil
 	k.closedRuns = map[shard.Key]int{}
@@ -195,6 +197,7 @@
 		l.Running = append(l.Running, shard.ListedRun{RunRef: r.ref, Percent: 100})
 	}
 	l.Ended = append(l.Ended, k.ended...)
+	k.reportedEnd = k.lastEnd
 	return l, ""
 }
 
@@ -287,10 +290,13 @@
 		return shard.StartAccepted
 	case s.LeaseUntil <= k.clock():
 		return shard.StartLeaseExpired
+	case k.refusesStart():
+		return shard.StartWorkerUnhealthy
 	}
 	k.highestEpoch = s.Epoch
 	k.extendLease(s.LeaseUntil)
 	t := k.world.groundTruth[s.Key.Job]
+	t.begun = true
 	st := &t.job.Steps[s.Key.Step]
 	r := &run{ref: s.RunRef, need: st.Need}
 	if k.carryingOutLate {
--- a/jobs/model/world.go
+++ b/jobs/model/world.go
@@ -60,6 +60,8 @@
 	// OpenWindowShare of the replaced owners believe for openWindowMS more that they may
 	// decide, as after a takeover that they could not observe.
 	OpenWindowShare float64
+	// RefusedStartShare of the starts are refused by workers that seem healthy.
+	RefusedStartShare float64
 	// DeposedShare of the callers' requests reach a deposed owner while there is
 	// one, LostReplyShare of the replies to callers are lost during the faults.
 	DeposedShare, LostReplyShare float64
@@ -127,6 +129,9 @@
 	// afterAcceptance is called when a caller learns that its job is accepted.
 	afterAcceptance func(id string)
 
+	// waitingMiscounted reports whether an owner has left out waiting jobs.
+	waitingMiscounted bool
+
 	// Violations lists the invariant violations.
 	Violations []string
 	// StartedRuns counts the starts that workers carried out, StoppedRuns the
@@ -146,12 +151,15 @@
 	// cancelledAt is when a cancel was acknowledged to its caller; 0 if none was.
 	cancelledAt int64
 	completedAt int64
+	// begun reports whether a worker has begun a task, cancelSent whether a caller has
+	// asked for the job to be cancelled.
+	begun, cancelSent bool
 	// done holds the tasks that completed, acked those whose completion was
 	// acknowledged; ackedFailures counts acknowledged failures.
 	done, acked   map[shard.Key]bool
 	ackedFailures map[shard.Key]int
 	// crashes counts the workers that a task crashed, lost those that crashed
-	// while they ran it, startsAfterCrashes its starts after it has crashed
+	// while they ran it or before they could report its end, startsAfterCrashes its starts after it has crashed
 	// crashesUntilLimit.
 	crashes, lost, startsAfterCrashes map[shard.Key]int
 }
@@ -212,6 +220,7 @@
 func (w *World) tick() {
 	w.owner.pump()
 	w.checkCancelledRuns()
+	w.checkWaiting()
 	w.after(tickMS, w.tick)
 }
 
--- a/jobs/shard/job.go
+++ b/jobs/shard/job.go
@@ -31,9 +31,10 @@
 	// state is the current state, storedState the last one that the store has.
 	state, storedState spec.State
 	stored             bool
-	started            bool
-	nextOccurrence     int
-	occurrences        map[int]*occurrence
+	// begun reports whether a worker has begun a task.
+	begun          bool
+	nextOccurrence int
+	occurrences    map[int]*occurrence
 	// submitWaiters and cancelWaiters are the tickets of callers that wait for
 	// the store.
 	submitWaiters, cancelWaiters []uint64
--- a/jobs/shard/polls.go
+++ b/jobs/shard/polls.go
@@ -194,6 +194,7 @@
 }
 
 func (c *Core) confirmRun(r *run, row ListedRun) {
+	c.recordBegun(r.job)
 	r.unconfirmed, r.listed, r.doubt = false, true, nil
 	r.percent, r.tailMS = row.Percent, row.Metric
 	if r.phase == phaseStartSent {
@@ -222,7 +223,7 @@
 	r := &run{job: j, key: row.Key, number: row.Number, worker: w, phase: phaseRunning, reserved: st.Reservation(), phaseSince: c.now, confirmedAt: c.now, pacePercent: 100, percent: row.Percent, listed: true}
 	tk.current = r
 	w.addRun(r)
-	j.started = true
+	c.recordBegun(j)
 	c.markDirty(j)
 	c.event(Event{Name: EventAdopted, Job: j.spec.ID, Run: row.RunRef, Worker: w.info.ID})
 	return true
--- a/jobs/shard/record.go
+++ b/jobs/shard/record.go
@@ -23,14 +23,15 @@
 }
 
 type jobRecord struct {
-	Version        int                `cbor:"0,keyasint"`
-	Job            spec.Job           `cbor:"1,keyasint"`
-	Service        string             `cbor:"2,keyasint"`
-	Priority       int                `cbor:"3,keyasint,omitempty"`
-	MaxAttempts    int                `cbor:"4,keyasint,omitempty"`
-	AcceptedMS     int64              `cbor:"5,keyasint"`
-	State          spec.State         `cbor:"6,keyasint"`
-	Started        bool               `cbor:"7,keyasint,omitempty"`
+	Version     int        `cbor:"0,keyasint"`
+	Job         spec.Job   `cbor:"1,keyasint"`
+	Service     string     `cbor:"2,keyasint"`
+	Priority    int        `cbor:"3,keyasint,omitempty"`
+	MaxAttempts int        `cbor:"4,keyasint,omitempty"`
+	AcceptedMS  int64      `cbor:"5,keyasint"`
+	State       spec.State `cbor:"6,keyasint"`
+	// Begun reports whether a worker has begun a task.
+	Begun          bool               `cbor:"7,keyasint,omitempty"`
 	NextOccurrence int                `cbor:"8,keyasint,omitempty"`
 	Occurrences    []occurrenceRecord `cbor:"9,keyasint,omitempty"`
 	SlackMS        int64              `cbor:"10,keyasint,omitempty"`
@@ -86,7 +87,7 @@
 func (c *Core) encodeJob(j *job) (Record, error) {
 	r := jobRecord{
 		Version: recordVersion, Job: j.spec, Service: j.service, Priority: j.priority,
-		MaxAttempts: j.maxAttempts, AcceptedMS: j.acceptedMS, State: j.state, Started: j.started,
+		MaxAttempts: j.maxAttempts, AcceptedMS: j.acceptedMS, State: j.state, Begun: j.begun,
 		NextOccurrence: j.nextOccurrence, SlackMS: j.deadline - j.firstSeenAt,
 	}
 	if j.state.Final() {
@@ -171,7 +172,7 @@
 	j := &job{
 		spec: rec.Job, service: rec.Service, priority: rec.Priority, maxAttempts: rec.MaxAttempts,
 		acceptedMS: rec.AcceptedMS, state: rec.State, storedState: rec.State, stored: true,
-		started: rec.Started, nextOccurrence: rec.NextOccurrence, occurrences: map[int]*occurrence{},
+		begun: rec.Begun, nextOccurrence: rec.NextOccurrence, occurrences: map[int]*occurrence{},
 	}
 	age := min(max(c.wallMS-rec.AcceptedMS, 0), maxRestoredAgeMS)
 	j.firstSeenAt = c.now - age
--- a/jobs/shard/runs.go
+++ b/jobs/shard/runs.go
@@ -81,6 +81,7 @@
 
 // acceptStart records that a worker has accepted a start.
 func (c *Core) acceptStart(w *worker, s Start, r *run, by incarnationKind) {
+	c.recordBegun(r.job)
 	if by == targetIncarnation && w.incarnation != s.Incarnation {
 		c.settleRun(r, reasonWorkerReborn)
 		return
@@ -93,6 +94,18 @@
 	r.unconfirmed = false
 }
 
+// recordBegun records that a worker has begun a task of the job: it has accepted a start,
+// or lists a run or its end. A placement doesn't begin a job, as its start may be refused
+// or never be sent.
+func (c *Core) recordBegun(j *job) {
+	if j.begun || j.state.Final() {
+		return
+	}
+	j.begun = true
+	j.state = spec.Running
+	c.markDirty(j)
+}
+
 // HandleStopResult applies the result of a stop order.
 func (c *Core) HandleStopResult(now int64, s Stop, answered, fenced bool) {
 	c.now = now
@@ -217,6 +230,7 @@
 	if tk == nil || tk.done || e.Number <= tk.lastEnded {
 		return
 	}
+	c.recordBegun(j)
 	if e.Number > tk.lastRun {
 		tk.lastRun = e.Number
 	}
--- a/jobs/shard/schedule.go
+++ b/jobs/shard/schedule.go
@@ -345,10 +345,6 @@
 	tk.lastRun = r.number
 	c.event(Event{Name: EventPlaced, Job: r.key.Job, Run: RunRef{r.key, r.number}, Worker: r.worker.info.ID,
 		AgeMS: c.now - r.worker.listedAt, Detail: fmt.Sprintf("used=%d of=%d slack=%d", r.worker.used.MilliCPU, r.worker.info.Capacity.MilliCPU, r.job.deadline-c.now-r.job.remainingPathMS())})
-	if !r.job.started {
-		r.job.started = true
-		r.job.state = spec.Running
-	}
 	c.markDirty(r.job)
 	c.afterCommit(func() { c.sendStart(r) })
 }
--- a/jobs/shard/submit.go
+++ b/jobs/shard/submit.go
@@ -277,11 +277,11 @@
 	return JobStatus{State: j.storedState, Known: true}
 }
 
-// WaitingJobs counts the queue's accepted jobs of which no task was started.
+// WaitingJobs counts the queue's accepted jobs of which no worker has begun a task.
 func (c *Core) WaitingJobs(queue string) int {
 	n := 0
 	for _, j := range c.jobs {
-		if j.spec.Queue == queue && !j.state.Final() && !j.started {
+		if j.spec.Queue == queue && !j.state.Final() && !j.begun {
 			n++
 		}
 	}
--- a/jobs/shard/summary.go
+++ b/jobs/shard/summary.go
@@ -15,8 +15,8 @@
 	Priority int        `cbor:"4,keyasint,omitempty" json:"priority"`
 	// AcceptedMS is the Unix time of the acceptance.
 	AcceptedMS int64 `cbor:"5,keyasint,omitempty" json:"accepted_ms"`
-	// Tasks and Done count the tasks of the open occurrences, Running those
-	// that may be on a worker.
+	// Tasks and Done count the tasks of the open occurrences, Running those that may
+	// be on a worker, because a start was sent.
 	Tasks   int `cbor:"6,keyasint,omitempty" json:"tasks"`
 	Done    int `cbor:"7,keyasint,omitempty" json:"done"`
 	Running int `cbor:"8,keyasint,omitempty" json:"running"`
@@ -91,7 +91,11 @@
 			out.Done += len(o.steps[s].tasks) - o.steps[s].openTasks
 		}
 	}
-	j.eachRun(func(*run) { out.Running++ })
+	j.eachRun(func(r *run) {
+		if r.phase != phasePlaced {
+			out.Running++
+		}
+	})
 	return out
 }
 
