Open as many due occurrences of a job as its record has room for

Cause: all 9,000 due occurrences were opened at once, each with an entry in the job's record, and the reader of records admits 8,192 elements in an array. Evidence: the successor logged record_unreadable "exceeded max number of elements 8192 for CBOR array" for this job and went on without it.

Change: a job has as many open occurrences as its record has room for, at least one, and the next ones open as tasks are done. The reader admits whatever fits into a record of the store, also the records of earlier versions. Jobs are refused with 400 whose lists of dependencies, or names of labels, racks and images, could make their record too long. This works because the longest valid record, with all tasks at work, checkpointed and suspected, has 244,674 bytes of 262,144 (TestLongestRecordsCanBeStoredAndRead).

The tests failed before: TestJobWithManyDueOccurrencesOutlivesTakeover on the code before ("cbor: exceeded max number of elements 8192 for CBOR array"); the others of jobs/shard/occurrences_test.go and TestValidateBoundsTheRecord on a copy of this code with the bounds taken out (for example "401799 is not less than or equal to 262144").

--- a/jobs/shard/job.go
+++ b/jobs/shard/job.go
@@ -32,8 +32,11 @@
 	state, storedState spec.State
 	stored             bool
 	// begun reports whether a worker has begun a task.
-	begun          bool
+	begun bool
+	// nextOccurrence is the number of the first occurrence that was not opened yet.
+	// behind reports whether it is overdue because of the open ones.
 	nextOccurrence int
+	behind         bool
 	occurrences    map[int]*occurrence
 	// submitWaiters and cancelWaiters are the tickets of callers that wait for
 	// the store.
--- a/jobs/shard/record.go
+++ b/jobs/shard/record.go
@@ -11,11 +11,30 @@
 // recordVersion is incremented when the stored format changes incompatibly.
 const recordVersion = 1
 
+// The reader admits whatever fits into a record of the store.
 var (
 	encMode = codec.Encoder()
-	decMode = codec.Decoder(codec.Limits{ArrayElements: 1 << 13, MapPairs: 1 << 8, NestedLevels: 12})
+	decMode = codec.Decoder(codec.Limits{ArrayElements: maxRecordBytes, MapPairs: 1 << 8, NestedLevels: 12})
 )
 
+const (
+	// maxRecordBytes is the store's limit for one record.
+	maxRecordBytes = 1 << 18
+	// The bytes that an open occurrence, each of its steps and each of its tasks add to
+	// their job's record at most. Checkpoints are taken as 16 bytes long.
+	occurrenceBytes, stepBytes   = 8, 6
+	openTaskBytes, doneTaskBytes = 72, 8
+	// maxOpenBytes bounds the open occurrences in a record, beside the job itself.
+	maxOpenBytes = 200_000
+)
+
+// recordBytes returns what an occurrence with the given number of open tasks adds to the
+// job's record at most.
+func (j *job) recordBytes(openTasks int) int {
+	done := j.spec.Tasks() - openTasks
+	return occurrenceBytes + len(j.spec.Steps)*stepBytes + openTasks*openTaskBytes + done*doneTaskBytes
+}
+
 // Record is one keyed record of the shard; an empty value deletes the key.
 type Record struct {
 	Key   string
--- a/jobs/shard/submit.go
+++ b/jobs/shard/submit.go
@@ -288,34 +288,6 @@
 	return n
 }
 
-// openOccurrence starts an occurrence of a job.
-func (c *Core) openOccurrence(j *job, number int) {
-	o := newOccurrence(&j.spec, number)
-	j.occurrences[number] = o
-	j.nextOccurrence = number + 1
-	work := j.spec.Work()
-	j.remainingWork += work
-	c.ensurePool(j.service).remainingWork += work
-	c.enqueue(j)
-}
-
-// openDueOccurrences starts the occurrences that are due.
-func (c *Core) openDueOccurrences() {
-	for _, id := range sortedKeys(c.scheduled) {
-		j := c.scheduled[id]
-		if j.state.Final() {
-			delete(c.scheduled, id)
-			continue
-		}
-		for j.nextOccurrence < j.occurrenceCount() && c.wallMS >= j.dueMS(j.nextOccurrence) {
-			c.openOccurrence(j, j.nextOccurrence)
-			j.deadline = c.now + (j.deadline - j.firstSeenAt)
-			j.firstSeenAt = c.now
-			c.markDirty(j)
-		}
-	}
-}
-
 // enqueueRestored adds the remaining work of a restored job to its pool and
 // queues the job.
 func (c *Core) enqueueRestored(j *job) {
--- a/jobs/spec/spec.go
+++ b/jobs/spec/spec.go
@@ -8,7 +8,8 @@
 	"github.com/pkg/errors"
 )
 
-// Limits of one job. They bound the memory that a single submission can use.
+// Limits of one job. They bound the memory that a single submission can use, and its
+// record in the store.
 const (
 	// MaxBodyBytes bounds the body of a submission on every port.
 	MaxBodyBytes = 1 << 20
@@ -20,7 +21,9 @@
 	MaxTasksPerStep = 1000
 	// MaxTasks bounds the number of tasks of one occurrence.
 	MaxTasks = 2000
-	idLength = 16
+	// MaxNameBytes bounds the labels, racks and images of all steps together.
+	MaxNameBytes = 16_384
+	idLength     = 16
 )
 
 // Resources is an amount of worker resources.
@@ -136,16 +139,19 @@
 	if len(j.Steps) == 0 || len(j.Steps) > MaxSteps {
 		return errors.Errorf("the job has %d steps: give 1 to %d", len(j.Steps), MaxSteps)
 	}
-	total := 0
+	names := 0
 	for i := range j.Steps {
 		if err := j.Steps[i].validate(i); err != nil {
 			return err
 		}
-		total += j.Steps[i].Count
+		names += len(j.Steps[i].Label) + len(j.Steps[i].DataRack) + len(j.Steps[i].Image)
 	}
-	if total > MaxTasks {
+	if total := j.Tasks(); total > MaxTasks {
 		return errors.Errorf("the job has %d tasks: at most %d are allowed", total, MaxTasks)
 	}
+	if names > MaxNameBytes {
+		return errors.Errorf("the labels, racks and images have %d bytes: at most %d are allowed", names, MaxNameBytes)
+	}
 	if j.Repeat < 0 || j.Repeat > 0 && j.IntervalMS < 0 {
 		return errors.New("repeat and interval must not be negative")
 	}
@@ -159,6 +165,9 @@
 	if s.Need.MilliCPU < 0 || s.Need.MemoryMB < 0 || s.Need.GPUs < 0 || s.EstimateMS < 0 || s.MaxPerWorker < 0 {
 		return errors.Errorf("step %d asks for a negative amount", index)
 	}
+	if len(s.After) > index {
+		return errors.Errorf("step %d names %d steps that it depends on: name each of the %d earlier steps at most once", index, len(s.After), index)
+	}
 	for _, d := range s.After {
 		if d < 0 || d >= index {
 			return errors.Errorf("step %d depends on step %d: only earlier steps are allowed", index, d)
@@ -167,6 +176,15 @@
 	return nil
 }
 
+// Tasks returns the number of tasks of one occurrence.
+func (j *Job) Tasks() int {
+	total := 0
+	for i := range j.Steps {
+		total += j.Steps[i].Count
+	}
+	return total
+}
+
 // HasLastingStep reports whether the job runs until it is cancelled.
 func (j *Job) HasLastingStep() bool {
 	for i := range j.Steps {
