Don't deny a job whose record can't be read

Callers were answered 410 for an accepted job whose record the owner of its shard could not read, and a submission of it that was sent once more was accepted as a new job.

Cause: a record that can't be decoded at a takeover was logged and skipped, so that the job was unknown to the owner, and its absence then proved by an append that says nothing about it.

Change: the core keeps the IDs of such records. Requests about them are answered Unavailable (504) until an owner can read them; they are neither denied nor accepted once more, and the records stay. Other records (book of homes, announced VM actions, owner) were already taken as "may be anything".

The tests failed before: TestUnreadableJobIsNotDenied (expected unavailable, actual unknown; accepted for the submission), TestUnreadableRecordIsKept (the record was overwritten) and TestJobWithAnUnreadableRecordIsNotDenied in node/jobhost (expected unknown, actual missing). After: all pass.

--- a/jobs/shard/absence.go
+++ b/jobs/shard/absence.go
@@ -66,6 +66,9 @@
 // stored meanwhile, or else says that it is unknown.
 func (c *Core) Lookup(now int64, ticket uint64, id string) {
 	c.now = now
+	if c.replyUnreadable(ticket, id) {
+		return
+	}
 	c.askStore(ticket, func() {
 		if s := c.JobStatus(id); s.Known {
 			c.reply(Reply{Ticket: ticket, Outcome: Accepted, State: s.State})
@@ -77,9 +80,13 @@
 
 // Yield leaves a job to the shard that asks, unless this one has it: for a while it
 // accepts no submission of the job. The reply is Unknown if the job is left,
-// Accepted if this shard has it, and Unavailable while it is being stored.
+// Accepted if this shard has it, and Unavailable while it is being stored or if its record
+// can't be read.
 func (c *Core) Yield(now int64, ticket uint64, id string) {
 	c.now = now
+	if c.replyUnreadable(ticket, id) {
+		return
+	}
 	if j := c.jobs[id]; j != nil {
 		outcome := Accepted
 		if !j.stored {
--- a/jobs/shard/core.go
+++ b/jobs/shard/core.go
@@ -15,6 +15,7 @@
 	"cmp"
 	"maps"
 	"slices"
+	"strings"
 
 	"wigeonwinch/jobs/spec"
 )
@@ -153,6 +154,8 @@
 	queues     map[string]Queue
 	jobs       map[string]*job
 	finalJobs  []*job
+	// unreadable holds the IDs of jobs whose records this program can't read.
+	unreadable map[string]bool
 	// pendingDeletes are the IDs of purged jobs whose records are still
 	// stored.
 	pendingDeletes []string
@@ -208,17 +211,22 @@
 	}
 	return &Core{
 		cfg: cfg, longestLeaseMS: longestLeaseMS, now: now, takeoverAt: now, wallMS: wallMS, earlierLeasesUntil: now + cfg.EarlierLeaseMS,
-		queues: map[string]Queue{}, jobs: map[string]*job{}, scheduled: map[string]*job{}, workers: map[string]*worker{},
+		queues: map[string]Queue{}, jobs: map[string]*job{}, unreadable: map[string]bool{}, scheduled: map[string]*job{}, workers: map[string]*worker{},
 		workerKinds: map[string]Worker{}, pools: map[string]*pool{}, firstSeenAt: map[string]int64{}, declinedAt: map[string]int64{},
 	}
 }
 
-// Restore loads one stored record of the shard.
+// Restore loads one stored record of the shard. After an error the requests about the
+// record's job are answered Unavailable.
 func (c *Core) Restore(r Record) error {
-	if len(r.Key) < 2 || r.Key[:2] != "j/" || len(r.Value) == 0 {
+	if !strings.HasPrefix(r.Key, jobKeyPrefix) || len(r.Value) == 0 {
 		return nil
 	}
-	return c.restoreJob(r.Value)
+	err := c.restoreJob(r.Value)
+	if err != nil {
+		c.unreadable[strings.TrimPrefix(r.Key, jobKeyPrefix)] = true
+	}
+	return err
 }
 
 // SetQueues replaces the queues of the shard's services.
--- a/jobs/shard/record.go
+++ b/jobs/shard/record.go
@@ -175,7 +175,10 @@
 	return rec
 }
 
-func jobKey(id string) string { return "j/" + id }
+// jobKeyPrefix precedes the ID in the key of a job's record.
+const jobKeyPrefix = "j/"
+
+func jobKey(id string) string { return jobKeyPrefix + id }
 
 // restoreJob rebuilds a job from its record. Runs with a worker stay
 // unconfirmed until the worker's lists or the expiry of its leases settle
--- a/jobs/shard/submit.go
+++ b/jobs/shard/submit.go
@@ -16,6 +16,9 @@
 		c.resubmit(j, ticket)
 		return
 	}
+	if c.replyUnreadable(ticket, s.ID) {
+		return
+	}
 	q, ok := c.queues[s.Queue]
 	if !ok {
 		c.reply(Reply{Ticket: ticket, Outcome: Unknown, Reason: "no such queue"})
@@ -233,6 +236,9 @@
 // has proven that there is no such job.
 func (c *Core) Cancel(now int64, ticket uint64, id string) {
 	c.now = now
+	if c.replyUnreadable(ticket, id) {
+		return
+	}
 	j, ok := c.jobs[id]
 	if !ok {
 		c.askStore(ticket, func() { c.cancelUnlessAbsent(ticket, id) })
--- a/node/events/jobs.go
+++ b/node/events/jobs.go
@@ -76,7 +76,7 @@
 	{ShardLost, "shard_lost", SeverityWarning, "This node no longer owns the shard.", ""},
 	{ShardReleased, "shard_released", SeverityInfo, "This node released the shard because it is stopping.", ""},
 	{TakeoverFailed, "takeover_failed", SeverityWarning, "The takeover of a shard failed and will be retried.", "Check the error."},
-	{RecordUnreadable, "record_unreadable", SeverityWarning, "A record in the store is invalid or cannot be decoded.", "Find out which program wrote the record."},
+	{RecordUnreadable, "record_unreadable", SeverityWarning, "A record in the store is invalid or cannot be decoded.", "Find out which program wrote the record; requests about its job get no answer until a program takes over that can read it."},
 	{JobConfigInForce, "job_config_in_force", SeverityInfo, "A newer configuration of queues is in force on this node.", ""},
 	{WaveSeen, "wave_seen", SeverityInfo, "The operator requested a maintenance wave.", ""},
 	{WaveDone, "wave_done", SeverityInfo, "Maintenance of all VMs of a wave has started.", ""},
