Jobs keep asking for permits after their queue has moved

Cause: the owner looked up by the queue's name, among the queues that the newest configuration sends to its shard, whether a placement needs a permit. The job stays in the shard that accepted it, which has the queue no longer; not found was taken for "needs none".

Change: a shard knows the policies of the queues that go to other shards, a job's record has the policy of its queue for the time after the route's removal, and a start without permit that is rejected shows that the queue needs one (jobs of earlier versions). It works for moved and removed queues, and for queues that get or lose their policy, also after a takeover.

--- a/jobs/model/owner.go
+++ b/jobs/model/owner.go
@@ -52,7 +52,7 @@
 			w.addViolation("restore failed: %v", err)
 		}
 	}
-	o.core.SetQueues([]shard.Queue{{Name: Queue, Service: serviceName, MaxAttempts: w.opts.MaxAttempts, Stretch: Stretch, TargetMS: TargetMS}})
+	w.applyQueues(o)
 	w.owner = o
 	o.refreshWorkers()
 	o.pump()
@@ -119,6 +119,9 @@
 	for _, s := range orders.Stops {
 		w.sendStop(o, s)
 	}
+	for _, req := range orders.AdviceRequests {
+		w.sendAdvice(o, req)
+	}
 	for _, r := range orders.Replies {
 		if f := o.replyHandlers[r.Ticket]; f != nil {
 			delete(o.replyHandlers, r.Ticket)
--- a/jobs/model/worker.go
+++ b/jobs/model/worker.go
@@ -290,6 +290,8 @@
 		return shard.StartAccepted
 	case s.LeaseUntil <= k.clock():
 		return shard.StartLeaseExpired
+	case k.lacksPermit(s):
+		return shard.StartNoPermit
 	case k.refusesStart():
 		return shard.StartWorkerUnhealthy
 	}
--- a/jobs/shard/advice.go
+++ b/jobs/shard/advice.go
@@ -28,6 +28,7 @@
 // milliseconds: the time for a request, the additional time for each worker in
 // it, and how long a permit is valid.
 type AdviceTiming struct {
+	_                         struct{} `cbor:",toarray"`
 	DecideMS, EachMS, ValidMS int64
 }
 
@@ -57,12 +58,27 @@
 	validUntil int64
 }
 
+// adviceTiming returns the timing of the service that must permit each placement of a job; nil
+// if none must. The configuration in force decides, wherever it sends the job's queue. The
+// job's own timing holds once the queue has left the configuration.
+func (c *Core) adviceTiming(j *job) *AdviceTiming {
+	timing := j.advice
+	if q, ok := c.queues[j.spec.Queue]; ok {
+		timing = q.AdviceTiming
+	} else if q, ok := c.otherQueues[j.spec.Queue]; ok {
+		timing = q.AdviceTiming
+	}
+	if timing == nil && j.permitDemanded {
+		return &AdviceTiming{}
+	}
+	return timing
+}
+
 // permitFor reports whether a task of the step may be placed on a worker now,
 // and returns the permit's token. If there is no valid answer yet, the worker
 // is added to the next request.
 func (c *Core) permitFor(j *job, o *occurrence, s int, w *worker) (token string, ok bool) {
-	advice := c.queues[j.spec.Queue].AdviceTiming
-	if advice == nil {
+	if c.adviceTiming(j) == nil {
 		return "", true
 	}
 	p, known := o.steps[s].permits[w.info.ID]
@@ -98,7 +114,7 @@
 	if len(workers) == 0 || j == nil || c.deposed {
 		return
 	}
-	advice := c.queues[j.spec.Queue].AdviceTiming
+	advice := c.adviceTiming(j)
 	so := j.findStep(c.adviceStep)
 	if advice == nil || so == nil {
 		return
@@ -152,6 +168,16 @@
 	}
 }
 
+// rejectPermit handles the rejection of a start for want of a valid permit.
+func (c *Core) rejectPermit(r *run) {
+	if r.permit == "" {
+		r.job.permitDemanded = true
+	}
+	if so := r.job.findStep(r.key); so != nil {
+		delete(so.permits, r.worker.info.ID)
+	}
+}
+
 // findStep returns the step of a key, or nil if the step no longer exists.
 func (j *job) findStep(k Key) *step {
 	o := j.occurrences[k.Occurrence]
--- a/jobs/shard/core.go
+++ b/jobs/shard/core.go
@@ -152,8 +152,11 @@
 	// takeoverAt is when the shard was taken over.
 	takeoverAt int64
 	queues     map[string]Queue
-	jobs       map[string]*job
-	finalJobs  []*job
+	// otherQueues are the queues of the configuration that go to other shards. Jobs that
+	// were accepted before their queue moved are still here.
+	otherQueues map[string]Queue
+	jobs        map[string]*job
+	finalJobs   []*job
 	// unreadable holds the IDs of jobs whose records this program can't read.
 	unreadable map[string]bool
 	// pendingDeletes are the IDs of purged jobs whose records are still
@@ -238,6 +241,14 @@
 	}
 }
 
+// SetOtherQueues replaces the queues that the configuration sends to other shards.
+func (c *Core) SetOtherQueues(queues []Queue) {
+	c.otherQueues = make(map[string]Queue, len(queues))
+	for _, q := range queues {
+		c.otherQueues[q.Name] = q
+	}
+}
+
 // HasQueue reports whether the shard accepts jobs of a queue.
 func (c *Core) HasQueue(name string) bool {
 	_, ok := c.queues[name]
--- a/jobs/shard/job.go
+++ b/jobs/shard/job.go
@@ -21,6 +21,11 @@
 	// maxAttempts is the number of failed runs of one task after which the job
 	// fails.
 	maxAttempts int
+	// advice is the timing of the service that permitted the queue's placements when the
+	// job was accepted; nil if none did. permitDemanded reports whether a worker has
+	// rejected a start because it carried no permit.
+	advice         *AdviceTiming
+	permitDemanded bool
 	// firstSeenAt is the monotonic time of the first submission or, for
 	// scheduled jobs, of the newest occurrence.
 	firstSeenAt int64
--- a/jobs/shard/record.go
+++ b/jobs/shard/record.go
@@ -58,6 +58,9 @@
 	Crashes []crashRecord `cbor:"11,keyasint,omitempty"`
 	// VMs lists the VMs of the workers that the tasks name.
 	VMs []workerVM `cbor:"12,keyasint,omitempty"`
+	// Advice is the timing of the service that permits the queue's placements; nil if none
+	// does.
+	Advice *AdviceTiming `cbor:"13,keyasint,omitempty"`
 }
 
 // workerVM is a worker and the VM on which it runs.
@@ -107,7 +110,7 @@
 	r := jobRecord{
 		Version: recordVersion, Job: j.spec, Service: j.service, Priority: j.priority,
 		MaxAttempts: j.maxAttempts, AcceptedMS: j.acceptedMS, State: j.state, Begun: j.begun,
-		NextOccurrence: j.nextOccurrence, SlackMS: j.deadline - j.firstSeenAt,
+		NextOccurrence: j.nextOccurrence, SlackMS: j.deadline - j.firstSeenAt, Advice: j.advice,
 	}
 	if j.state.Final() {
 		r.Job = spec.Job{ID: j.spec.ID, Queue: j.spec.Queue}
@@ -192,7 +195,7 @@
 		return errors.Errorf("unsupported job record version %d: this program reads version %d", rec.Version, recordVersion)
 	}
 	j := &job{
-		spec: rec.Job, service: rec.Service, priority: rec.Priority, maxAttempts: rec.MaxAttempts,
+		spec: rec.Job, service: rec.Service, priority: rec.Priority, maxAttempts: rec.MaxAttempts, advice: rec.Advice,
 		acceptedMS: rec.AcceptedMS, state: rec.State, storedState: rec.State, stored: true,
 		begun: rec.Begun, nextOccurrence: rec.NextOccurrence, occurrences: map[int]*occurrence{},
 	}
--- a/jobs/shard/runs.go
+++ b/jobs/shard/runs.go
@@ -62,9 +62,7 @@
 	case StartFenced:
 		c.depose(w.info.ID)
 	case StartNoPermit:
-		if so := r.job.findStep(r.key); so != nil {
-			delete(so.permits, w.info.ID)
-		}
+		c.rejectPermit(r)
 		c.rejectRun(r, outcome)
 	default:
 		w.backoffUntil = now + workerBackoffMS
--- a/jobs/shard/schedule.go
+++ b/jobs/shard/schedule.go
@@ -160,7 +160,7 @@
 			continue
 		}
 		remaining = append(remaining, j)
-		if unplaced == 0 || c.queues[j.spec.Queue].AdviceTiming != nil {
+		if unplaced == 0 || c.adviceTiming(j) != nil {
 			// The job lacks isolation, or may lack permits, rather than capacity.
 			continue
 		}
--- a/jobs/shard/submit.go
+++ b/jobs/shard/submit.go
@@ -53,7 +53,7 @@
 func (c *Core) newJob(s spec.Job, q Queue, firstSeen int64) *job {
 	pathMS := s.CriticalPathMS(nil)
 	return &job{
-		spec: s, service: q.Service, priority: q.Priority, maxAttempts: q.MaxAttempts,
+		spec: s, service: q.Service, priority: q.Priority, maxAttempts: q.MaxAttempts, advice: q.AdviceTiming,
 		firstSeenAt: firstSeen, deadline: firstSeen + q.TargetMS + int64(q.Stretch*float64(pathMS)),
 		acceptedMS: c.wallMS, state: spec.Pending, storedState: spec.Pending,
 		occurrences: map[int]*occurrence{},
--- a/node/jobhost/feeds.go
+++ b/node/jobhost/feeds.go
@@ -203,19 +203,23 @@
 	s.core.ConfirmWorkers(h.workersReadAt)
 }
 
-// updateShardQueues sets the queues of a shard to those of its services.
+// updateShardQueues tells a shard which queues of the configuration are its own, and which go
+// to other shards.
 func (h *Host) updateShardQueues(s *ownedShard) {
 	cfg := h.config.Load()
 	if s.core == nil || cfg == nil {
 		return
 	}
-	var queues []shard.Queue
+	var own, other []shard.Queue
 	for _, r := range cfg.Routes {
 		if h.partitionOf(r.Queue.Service) == s.partition {
-			queues = append(queues, r.Queue)
+			own = append(own, r.Queue)
+		} else {
+			other = append(other, r.Queue)
 		}
 	}
-	s.core.SetQueues(queues)
+	s.core.SetQueues(own)
+	s.core.SetOtherQueues(other)
 }
 
 // sinceMS returns the time elapsed since a monotonic time in milliseconds.
