Pause before a step asks again for a permit that was rejected

Cause: of all refusals of a start, the one for want of a valid permit was the only one that no pause followed.

The first rejection is still followed by a request at once: a permit may have run out on its way. Starts that were sent before the rejection don't count as repeated.

--- a/jobs/shard/advice.go
+++ b/jobs/shard/advice.go
@@ -97,7 +97,7 @@
 // first step that lacks permits.
 func (c *Core) collectAdviceWorker(j *job, o *occurrence, s int, w *worker) {
 	key := Key{j.spec.ID, o.number, s, 0}
-	if c.adviceInFlight || c.now < c.nextAdviceAt || len(c.adviceWorkers) > 0 && c.adviceStep != key {
+	if c.adviceInFlight || c.now < c.nextAdviceAt || c.now < o.steps[s].nextAdviceAt || len(c.adviceWorkers) > 0 && c.adviceStep != key {
 		return
 	}
 	c.adviceStep = key
@@ -168,14 +168,21 @@
 	}
 }
 
-// rejectPermit handles the rejection of a start for want of a valid permit.
+// rejectPermit handles the rejection of a start for want of a valid permit. A step whose
+// newly requested permit is rejected as well waits before it asks once more.
 func (c *Core) rejectPermit(r *run) {
 	if r.permit == "" {
 		r.job.permitDemanded = true
 	}
-	if so := r.job.findStep(r.key); so != nil {
-		delete(so.permits, r.worker.info.ID)
+	so := r.job.findStep(r.key)
+	if so == nil {
+		return
+	}
+	delete(so.permits, r.worker.info.ID)
+	if so.permitRejectedAt != 0 && r.startSentAt > so.permitRejectedAt {
+		so.nextAdviceAt = c.now + adviceRetryMS
 	}
+	so.permitRejectedAt = c.now
 }
 
 // findStep returns the step of a key, or nil if the step no longer exists.
--- a/jobs/shard/job.go
+++ b/jobs/shard/job.go
@@ -72,6 +72,9 @@
 	// permits are the answers of the service that permits placements, by
 	// worker ID.
 	permits map[string]permit
+	// permitRejectedAt is when a worker last rejected a permit; 0 if none did. No permit is
+	// requested before nextAdviceAt.
+	permitRejectedAt, nextAdviceAt int64
 }
 
 // task is the state of one task.
--- a/jobs/shard/moved_advice_test.go
+++ b/jobs/shard/moved_advice_test.go
@@ -128,6 +128,33 @@
 	h.requireBegun(j.ID)
 }
 
+// Workers that reject each permit are not sent starts as fast as they answer: some 1,500 a
+// second were sent. Two rounds of starts may follow each other at once, then there is a
+// pause of adviceRetryMS before each round.
+func TestStartsAreNotRepeatedWithoutPause(t *testing.T) {
+	const tasks, workers, watchMS = 4, 2, 3_000
+	const mostStarts = (2 + watchMS/adviceRetryMS) * tasks * workers
+	for name, h := range map[string]*harness{"with permits": newAdvisedHarness(t, workers), "without": newHarness(t, workers)} {
+		t.Run(name, func(t *testing.T) {
+			o := h.submit(testJob(1, smallStep(tasks)))
+			rejected := 0
+			for began := h.now; h.now < began+watchMS; {
+				for _, s := range o.Starts {
+					rejected++
+					h.core.HandleStartResult(h.now, s, StartResult{Outcome: StartNoPermit})
+				}
+				for _, req := range o.AdviceRequests {
+					h.permitAll(req)
+				}
+				h.step(1)
+				o = h.core.TakeOrders()
+			}
+			assert.LessOrEqual(t, rejected, mostStarts, "rejected starts")
+			assert.Positive(t, rejected)
+		})
+	}
+}
+
 // Jobs of a moved queue that lack permits were taken for a sign of a full pool, which ended the
 // placement pass before the jobs after them.
 func TestOtherQueuesDoNotWaitForPermitsOfAMovedQueue(t *testing.T) {
