--- a/jobs/model/world.go
+++ b/jobs/model/world.go
@@ -166,8 +166,8 @@
 	done, acked   map[shard.Key]bool
 	ackedFailures map[shard.Key]int
 	// crashes counts the workers that a task crashed, lost those that crashed
-	// while they ran it or before they could report its end, startsAfterCrashes its starts after it has crashed
-	// crashesUntilLimit.
+	// while they ran it or before they could report its end, startsAfterCrashes its
+	// starts after it has crashed crashesUntilLimit.
 	crashes, lost, startsAfterCrashes map[shard.Key]int
 }
 
