Leave the done tasks of very wide jobs out when a job is shown

Operators who asked one node for a job of many tasks whose owner is another node got no answer.

Cause: the owner listed all tasks of all open occurrences; the node that asked reads at most 8,192 elements in an array. Jobs whose occurrences overlap have more, for example 24 occurrences of 1,000 tasks each with one still at work.

Change: with more than 4,000 tasks those that are done are left out; the summary still counts them. The others are below 2,800 by the bound of a record.

TestTasksOfAWideJobCanBeShown failed before (all tasks of the occurrences listed) and passes.

--- a/jobs/shard/summary.go
+++ b/jobs/shard/summary.go
@@ -62,21 +62,31 @@
 	return out
 }
 
-// Job returns a stored job and its tasks.
+// maxShownTasks is how many tasks of a job are shown with those that are done. Nodes read
+// the answers of other nodes up to twice as many; the tasks that are not done are fewer.
+const maxShownTasks = 4_000
+
+// Job returns a stored job and its tasks. If there are more than maxShownTasks, those that
+// are done are left out.
 func (c *Core) Job(id string) (JobSummary, []RunSummary, bool) {
 	j, ok := c.jobs[id]
 	if !ok || !j.stored {
 		return JobSummary{}, nil, false
 	}
+	summary := c.summary(j)
 	var runs []RunSummary
 	for _, number := range sortedKeys(j.occurrences) {
 		for s := range j.occurrences[number].steps {
-			for t := range j.occurrences[number].steps[s].tasks {
-				runs = append(runs, c.runSummary(Key{id, number, s, t}, &j.occurrences[number].steps[s].tasks[t]))
+			tasks := j.occurrences[number].steps[s].tasks
+			for t := range tasks {
+				if tasks[t].done && summary.Tasks > maxShownTasks {
+					continue
+				}
+				runs = append(runs, c.runSummary(Key{id, number, s, t}, &tasks[t]))
 			}
 		}
 	}
-	return c.summary(j), runs, true
+	return summary, runs, true
 }
 
 func (c *Core) summary(j *job) JobSummary {
--- a/jobs/shard/summary_test.go
+++ b/jobs/shard/summary_test.go
@@ -32,3 +32,29 @@
 	_, _, ok = h.core.Job("none")
 	assert.False(t, ok)
 }
+
+// The tasks of a job are shown through other nodes, which read a bounded number of them. With
+// many occurrences whose last task is at work, the tasks that are done are left out.
+func TestTasksOfAWideJobCanBeShown(t *testing.T) {
+	h := newHarness(t, 1)
+	j := h.core.newJob(overdueJob(1, 1<<40, smallStep(1_000)), h.core.queues["q"], h.now)
+	j.stored = true
+	h.core.jobs[j.spec.ID] = j
+	for range 40 {
+		h.core.openNextOccurrences(j)
+		for _, o := range j.occurrences {
+			for t := 1; t < len(o.steps[0].tasks); t++ {
+				o.steps[0].tasks[t].done = true
+			}
+			o.steps[0].openTasks, o.openTasks = 1, 1
+		}
+	}
+	require.Greater(t, len(j.occurrences), 10)
+	summary, runs, ok := h.core.Job(j.spec.ID)
+	require.True(t, ok)
+	assert.Equal(t, len(j.occurrences)*1_000, summary.Tasks)
+	assert.Len(t, runs, len(j.occurrences))
+	for _, r := range runs {
+		assert.Equal(t, "waiting", r.State)
+	}
+}
--- a/node/jobapi/jobapi.go
+++ b/node/jobapi/jobapi.go
@@ -57,7 +57,7 @@
 		{"GET", "/v1/queues", "The queues in force, with their waiting jobs.", "", (*API).queues},
 		{"GET", "/v1/queues/{queue}/jobs", "A queue's jobs, the newest first.", "`limit` (default 100, at most 1000)", (*API).list},
 		{"POST", "/v1/queues/{queue}/jobs", "Submits a job. Safe to send again: the same id is the same job.", "", (*API).submit},
-		{"GET", "/v1/queues/{queue}/jobs/{id}", "A job with its tasks: state, worker, runs and failures of each.", "", (*API).show},
+		{"GET", "/v1/queues/{queue}/jobs/{id}", "A job with its tasks: state, worker, runs and failures of each; with more than 4,000 tasks without those that are done.", "", (*API).show},
 		{"DELETE", "/v1/queues/{queue}/jobs/{id}", "Cancels a job.", "", (*API).cancel},
 		{"GET", "/v1/timeline", "Events of this node, oldest first; all nodes' make one line.", "`since` (RFC 3339), `request`, `vm`, `limit` (default 1000)", (*API).timeline},
 	}
