Add customers to the configuration, jobs and requests

The operator's configuration names customers with keys, caps and weights, and marks routes that need no key. Nothing read them.

The adapter decodes them; a job and a request carry the customer's name, and an owner is told the customers of the configuration. Nothing acts on them yet: a configuration without customers is served as before.

--- a/jobs/shard/core.go
+++ b/jobs/shard/core.go
@@ -17,6 +17,7 @@
 	"slices"
 	"strings"
 
+	"wigeonwinch/jobs/customer"
 	"wigeonwinch/jobs/spec"
 )
 
@@ -140,8 +141,11 @@
 	// otherQueues are the queues of the configuration that go to other shards. Jobs that
 	// were accepted before their queue moved are still here.
 	otherQueues map[string]Queue
-	jobs        map[string]*job
-	finalJobs   []*job
+	// customers are the customers of the configuration by name; empty if jobs belong to
+	// none.
+	customers map[string]customer.Customer
+	jobs      map[string]*job
+	finalJobs []*job
 	// unreadable holds the IDs of jobs whose records this program can't read.
 	unreadable map[string]bool
 	// pendingDeletes are the IDs of purged jobs whose records are still
--- a/jobs/shard/record.go
+++ b/jobs/shard/record.go
@@ -113,7 +113,7 @@
 		NextOccurrence: j.nextOccurrence, SlackMS: j.deadline - j.firstSeenAt, Advice: j.advice,
 	}
 	if j.state.Final() {
-		r.Job = spec.Job{ID: j.spec.ID, Queue: j.spec.Queue}
+		r.Job = spec.Job{ID: j.spec.ID, Queue: j.spec.Queue, Customer: j.spec.Customer}
 	}
 	for _, number := range sortedKeys(j.occurrences) {
 		r.Occurrences = append(r.Occurrences, encodeOccurrence(j.occurrences[number]))
--- a/jobs/spec/spec.go
+++ b/jobs/spec/spec.go
@@ -113,6 +113,9 @@
 	FirstRunMS int64 `cbor:"6,keyasint,omitempty" json:"first_run_ms,omitempty"`
 	// IntervalMS is the time between two occurrences.
 	IntervalMS int64 `cbor:"7,keyasint,omitempty" json:"interval_ms,omitempty"`
+	// Customer is the name of the customer whose job it is; empty if it belongs to none.
+	// Callers can't set it: it follows from their key.
+	Customer string `cbor:"8,keyasint,omitempty" json:"customer,omitempty"`
 }
 
 // ValidateID returns an error if the job ID is malformed.
--- a/node/deps/deps.go
+++ b/node/deps/deps.go
@@ -10,6 +10,7 @@
 
 	"github.com/pkg/errors"
 
+	"wigeonwinch/jobs/customer"
 	"wigeonwinch/jobs/shard"
 	"wigeonwinch/jobs/spec"
 )
@@ -221,6 +222,15 @@
 type Route struct {
 	Host, PathPrefix string
 	Queue            shard.Queue
+	// Public reports whether calls need no customer's key although the configuration
+	// has customers.
+	Public bool
+}
+
+// Customer is a customer of the configuration and the keys of its callers.
+type Customer struct {
+	customer.Customer
+	Keys []customer.KeyDigest
 }
 
 // Pool is the VM pool of one service of the configuration.
@@ -235,6 +245,8 @@
 	Version int64
 	Routes  []Route
 	Pools   []Pool
+	// Customers is empty if calls need no key.
+	Customers []Customer
 }
 
 // Wave is a request to maintain a list of VMs.
--- a/node/jobhost/feeds.go
+++ b/node/jobhost/feeds.go
@@ -9,6 +9,7 @@
 	"strings"
 	"time"
 
+	"wigeonwinch/jobs/customer"
 	"wigeonwinch/jobs/relay"
 	"wigeonwinch/jobs/shard"
 	"wigeonwinch/node/deps"
@@ -218,6 +219,11 @@
 			other = append(other, r.Queue)
 		}
 	}
+	customers := make([]customer.Customer, 0, len(cfg.Customers))
+	for _, cu := range cfg.Customers {
+		customers = append(customers, cu.Customer)
+	}
+	s.core.SetCustomers(customers)
 	s.core.SetQueues(own)
 	s.core.SetOtherQueues(other)
 }
--- a/node/jobhost/requests.go
+++ b/node/jobhost/requests.go
@@ -44,6 +44,9 @@
 	// ShardOnly restricts OpWaiting and OpList to the shard that is asked; otherwise
 	// its owner adds the queue's jobs in earlier shards.
 	ShardOnly bool `cbor:"7,keyasint,omitempty"`
+	// Customer is the customer that the caller's key names; empty on public queues, and
+	// for operators.
+	Customer string `cbor:"8,keyasint,omitempty"`
 }
 
 // readOnly reports whether the operation leaves jobs as they are, so that it can be sent
