Bound the appends of a shard in bytes

After an outage of the store an owner appended the records of 400 jobs in one call.

NextBatch now ends a batch at 1 MiB of keys and values, and always takes one record.

--- a/jobs/shard/core.go
+++ b/jobs/shard/core.go
@@ -64,9 +64,10 @@
 	// The platform lets the capacity of a worker that has shrunk count three
 	// seconds after the list shows it.
 	maxListAgeMS = 2_800
-	// maxBatchRecords bounds the records of one append, well below the store's
-	// byte limit for a call.
+	// maxBatchRecords bounds the records of one append, maxBatchBytes their keys and
+	// values: half of what the store admits in one call.
 	maxBatchRecords = 400
+	maxBatchBytes   = 1 << 20
 	// maxPendingDeletes purged jobs cause a batch of their own if no other
 	// record is waiting.
 	maxPendingDeletes = 50
@@ -278,30 +279,42 @@
 		return Batch{}, false
 	}
 	var b Batch
-	jobs := c.dirty
-	if len(jobs) > maxBatchRecords {
-		// Callbacks that wait for these records run only after the rest of the
-		// dirty jobs is stored too.
-		jobs = jobs[:maxBatchRecords]
-	} else {
-		b.onCommit = c.onCommit
+	c.appendDirty(&b)
+	if len(c.dirty) == 0 {
+		// Callbacks run only after all records that they wait for are stored.
+		b.onCommit = append(c.onCommit, b.onCommit...)
 		c.onCommit = nil
 	}
-	for _, j := range jobs {
-		j.dirty = false
+	c.appendDeletes(&b)
+	c.takeQuestions(&b)
+	return b, true
+}
+
+// appendDirty adds the records of dirty jobs to a batch, as many as its bounds allow and
+// one at least.
+func (c *Core) appendDirty(b *Batch) {
+	taken, bytes := 0, 0
+	for _, j := range c.dirty {
+		if len(b.Records) >= maxBatchRecords {
+			break
+		}
 		rec, err := c.encodeJob(j)
 		if err != nil {
 			c.event(Event{Name: EventRecordFailed, Job: j.spec.ID, Detail: err.Error()})
+			j.dirty = false
+			taken++
 			continue
 		}
+		if bytes += rec.bytes(); bytes > maxBatchBytes && len(b.Records) > 0 {
+			break
+		}
+		j.dirty = false
+		taken++
 		b.Records = append(b.Records, rec)
 		state := j.state
 		b.onCommit = append(b.onCommit, func() { c.markStored(j, state) })
 	}
-	c.dirty = append([]*job(nil), c.dirty[len(jobs):]...)
-	c.appendDeletes(&b)
-	c.takeQuestions(&b)
-	return b, true
+	c.dirty = append([]*job(nil), c.dirty[taken:]...)
 }
 
 // appendDeletes adds the deletes of purged jobs to a batch, as many as its bound
--- a/jobs/shard/record.go
+++ b/jobs/shard/record.go
@@ -41,6 +41,9 @@
 	Value []byte
 }
 
+// bytes returns what the record adds to an append.
+func (r Record) bytes() int { return len(r.Key) + len(r.Value) }
+
 type jobRecord struct {
 	Version     int        `cbor:"0,keyasint"`
 	Job         spec.Job   `cbor:"1,keyasint"`
