Resume all members of a gang from one checkpoint

Each member of a gang kept the checkpoint that its own worker had reported.

A gang's step now keeps one checkpoint, the last that any member reported, and every member's start and record carry it.

--- a/jobs/shard/job.go
+++ b/jobs/shard/job.go
@@ -69,6 +69,10 @@
 	// gangRun is the run number of the gang that is placed; 0 means none.
 	gangRun  int
 	failures int
+	// gangCheckpoint is the checkpoint from which all members of the gang resume. isGang
+	// reports whether the step is one.
+	gangCheckpoint string
+	isGang         bool
 	// permits are the answers of the service that permits placements, by
 	// worker ID.
 	permits map[string]permit
@@ -170,6 +174,7 @@
 	for i := range j.Steps {
 		o.steps[i].tasks = make([]task, j.Steps[i].Count)
 		o.steps[i].openTasks = j.Steps[i].Count
+		o.steps[i].isGang = j.Steps[i].Gang
 		o.openTasks += j.Steps[i].Count
 	}
 	return o
--- a/jobs/shard/polls.go
+++ b/jobs/shard/polls.go
@@ -203,7 +203,7 @@
 	}
 	r.confirmedAt = c.now
 	if tk := r.task(); tk != nil && row.Checkpoint != "" {
-		tk.checkpoint = row.Checkpoint
+		r.job.saveCheckpoint(r.key, row.Checkpoint)
 	}
 }
 
--- a/jobs/shard/record.go
+++ b/jobs/shard/record.go
@@ -135,7 +135,7 @@
 	for s := range o.steps {
 		st := stepRecord{Failures: o.steps[s].failures}
 		for t := range o.steps[s].tasks {
-			st.Tasks = append(st.Tasks, encodeTask(&o.steps[s].tasks[t]))
+			st.Tasks = append(st.Tasks, encodeTask(&o.steps[s].tasks[t], o.steps[s].checkpoint(t)))
 		}
 		out.Steps = append(out.Steps, st)
 	}
@@ -169,12 +169,12 @@
 	return out
 }
 
-func encodeTask(t *task) taskRecord {
+func encodeTask(t *task, checkpoint string) taskRecord {
 	rec := taskRecord{LastRun: t.lastRun, LastEnded: t.lastEnded, Failures: t.failures, Done: t.done}
 	if t.done {
 		return rec
 	}
-	rec.Checkpoint = t.checkpoint
+	rec.Checkpoint = checkpoint
 	if t.current != nil {
 		rec.Worker, rec.Incarnation = t.current.worker.info.ID, t.current.worker.incarnation
 	}
@@ -256,12 +256,15 @@
 
 func (c *Core) restoreTask(j *job, o *occurrence, s, t int, rec *taskRecord) {
 	tk := &o.steps[s].tasks[t]
-	tk.lastRun, tk.lastEnded, tk.failures, tk.done, tk.checkpoint = rec.LastRun, rec.LastEnded, rec.Failures, rec.Done, rec.Checkpoint
+	tk.lastRun, tk.lastEnded, tk.failures, tk.done = rec.LastRun, rec.LastEnded, rec.Failures, rec.Done
 	if tk.done {
 		o.steps[s].openTasks--
 		o.openTasks--
 		return
 	}
+	if rec.Checkpoint != "" {
+		j.saveCheckpoint(Key{j.spec.ID, o.number, s, t}, rec.Checkpoint)
+	}
 	j.remainingWork += j.spec.Steps[s].Work()
 	if rec.Worker == "" {
 		return
--- a/jobs/shard/runs.go
+++ b/jobs/shard/runs.go
@@ -234,7 +234,7 @@
 	}
 	tk.lastEnded = e.Number
 	if e.Checkpoint != "" {
-		tk.checkpoint = e.Checkpoint
+		j.saveCheckpoint(e.Key, e.Checkpoint)
 	}
 	c.markDirty(j)
 	if tk.current != nil && (r == tk.current || tk.current.number <= e.Number) {
--- a/jobs/shard/schedule.go
+++ b/jobs/shard/schedule.go
@@ -363,7 +363,7 @@
 	r.minClockMS = r.worker.minClock(c.now)
 	c.orders.Starts = append(c.orders.Starts, Start{
 		Target: c.target(r.worker), RunRef: RunRef{r.key, r.number}, Payload: r.job.spec.Payload,
-		LeaseUntil: c.grantLease(r.worker), Checkpoint: tk.checkpoint, PermitToken: r.permit,
+		LeaseUntil: c.grantLease(r.worker), Checkpoint: r.job.checkpoint(r.key), PermitToken: r.permit,
 	})
 }
 
