Hand the leases of silent workers on to the next owner

An owner that stops in order now leaves a record, after its last order and fenced by its epoch: the silent workers with runs, and for how long their leases may still hold. Its successor waits for these only.

--- /dev/null
+++ b/jobs/shard/handover.go
@@ -0,0 +1,34 @@
+package shard
+
+// SilentWorker is a worker that does not answer its owner and may still run tasks.
+type SilentWorker struct {
+	_           struct{} `cbor:",toarray"`
+	Worker      string
+	Incarnation int64
+	// LeaseMS is how long the leases on the worker may still hold.
+	LeaseMS int64
+}
+
+// SilentWorkers lists the silent workers for the next owner, which can't learn from them
+// until when their leases hold. The owner must send no orders any more.
+func (c *Core) SilentWorkers(now int64) []SilentWorker {
+	c.now = now
+	var list []SilentWorker
+	for _, w := range c.sortedWorkers() {
+		if len(w.runs) > 0 && w.silent() {
+			list = append(list, SilentWorker{Worker: w.info.ID, Incarnation: w.incarnation, LeaseMS: max(w.leasesUntil()-now, 0)})
+		}
+	}
+	return list
+}
+
+// RestoreSilentWorkers sets until when the leases of earlier owners hold on the workers
+// that were silent when the previous owner stopped. It is called after the records are
+// restored.
+func (c *Core) RestoreSilentWorkers(list []SilentWorker) {
+	for _, s := range list {
+		if w := c.workers[s.Worker]; w != nil && w.incarnation == s.Incarnation {
+			w.earlierLeasesUntil = c.now + s.LeaseMS
+		}
+	}
+}
--- a/jobs/shard/worker.go
+++ b/jobs/shard/worker.go
@@ -161,17 +161,22 @@
 
 // leasesExpired reports whether every lease on the worker has certainly
 // expired.
-func (w *worker) leasesExpired(now int64) bool {
-	if now < w.earlierLeasesUntil || now < w.laterLeasesUntil {
-		return false
-	}
+func (w *worker) leasesExpired(now int64) bool { return now >= w.leasesUntil() }
+
+// leasesUntil returns the time from which on every lease on the worker has certainly
+// expired.
+func (w *worker) leasesUntil() int64 {
+	until := max(w.earlierLeasesUntil, w.laterLeasesUntil)
 	if w.leaseUntil == 0 {
-		return true
+		return until
 	}
 	remaining := float64(w.leaseUntil-w.clockMS) / (1 - maxClockDrift)
-	return now > w.clockReadAt+int64(remaining)+leaseMarginMS
+	return max(until, w.clockReadAt+int64(remaining)+leaseMarginMS+1)
 }
 
+// silent reports whether the worker does not answer this owner.
+func (w *worker) silent() bool { return w.failedPolls > 0 || !w.reached }
+
 // grantLease returns the end of a new lease in the worker's clock; 0 means
 // that no lease may be granted.
 func (c *Core) grantLease(w *worker) int64 {
@@ -274,8 +279,7 @@
 		if len(w.runs) == 0 {
 			continue
 		}
-		silent := w.failedPolls > 0 || !w.reached
-		if silent && w.leasesExpired(c.now) {
+		if w.silent() && w.leasesExpired(c.now) {
 			c.loseWorker(w, reasonLeaseLapsed, w.silenceEvidence())
 			continue
 		}
--- a/node/jobhost/leave.go
+++ b/node/jobhost/leave.go
@@ -20,10 +20,12 @@
 	if h.fleet != nil {
 		h.actionIdleMS.Store(max(sinceMS(h.fleet.lastActionStart.Load()).Milliseconds(), 1))
 	}
-	for _, s := range h.sortedOwned() {
+	owned := h.sortedOwned()
+	for _, s := range owned {
 		h.stopShard(s)
 		h.record(events.ShardReleased, events.Fields{Detail: describe(s.partition), Epoch: s.epoch, Shard: s.partition.Index})
 	}
+	h.handOver(owned)
 	h.ownedView.Store(&[]ownership{})
 	h.publishOwners(monotonicMS())
 	ctx, cancel := context.WithTimeout(context.Background(), storeTimeout)
--- a/node/jobhost/owners.go
+++ b/node/jobhost/owners.go
@@ -17,6 +17,9 @@
 // ownerKey is the key of the record that names the owner of a partition.
 const ownerKey = "owner"
 
+// handoverKey is the key of the record that an owner leaves to its successor.
+const handoverKey = "handover"
+
 // ownedShard is a partition that this node owns.
 type ownedShard struct {
 	partition deps.Partition
--- a/node/jobhost/takeover.go
+++ b/node/jobhost/takeover.go
@@ -50,6 +50,8 @@
 	// partition.
 	sequence int64
 	records  []shard.Record
+	// handover is what the previous owner left; nil if it did not hand over.
+	handover *handoverRecord
 	// previous is the previous owner.
 	previous ownership
 	// previousMayBeAlive reports that the previous owner's process may still
@@ -81,13 +83,20 @@
 	}
 	t := takenPartition{partition: p, epoch: max(knownEpoch+1, newEpoch()), sequence: rand.Int64N(maxFirstSequence) + 1, startedAt: startedAt}
 	var previous ownership
+	var handover handoverRecord
 	for _, r := range snapshot.Records {
-		if r.Key != ownerKey {
+		switch r.Key {
+		case ownerKey:
+			if err := decMode.Unmarshal(r.Value, &previous); err != nil {
+				return takenPartition{}, errors.Wrap(err, "cannot decode the owner record")
+			}
+		case handoverKey:
+			if err := decMode.Unmarshal(r.Value, &handover); err != nil {
+				h.record(events.RecordUnreadable, events.Fields{Detail: describe(p) + " " + handoverKey, Err: err})
+				handover = handoverRecord{}
+			}
+		default:
 			t.records = append(t.records, r)
-			continue
-		}
-		if err := decMode.Unmarshal(r.Value, &previous); err != nil {
-			return takenPartition{}, errors.Wrap(err, "cannot decode the owner record")
 		}
 	}
 	if previous.Epoch > knownEpoch && previous.Node != h.cfg.Node && !deadNodes[previous.Node] && incarnations[previous.Node] == previous.Incarnation {
@@ -97,6 +106,9 @@
 	t.epoch = max(t.epoch, previous.Epoch+1)
 	t.previous = previous
 	t.previousMayBeAlive = previous.Node != "" && deadNodes[previous.Node] && incarnations[previous.Node] == previous.Incarnation
+	if handover.Epoch != 0 && handover.Epoch == previous.Epoch {
+		t.handover, t.previousMayBeAlive = &handover, false
+	}
 	rec, err := h.ownerRecord(p, t.epoch)
 	if err != nil {
 		return takenPartition{}, err
@@ -173,6 +185,9 @@
 			h.record(events.RecordUnreadable, events.Fields{Detail: describe(s.partition) + " " + r.Key, Err: err})
 		}
 	}
+	if t.handover != nil {
+		s.core.RestoreSilentWorkers(t.handover.SilentWorkers)
+	}
 	h.updateShardQueues(s)
 	h.needWorkers.Store(true)
 	select {
