--- a/soak/cluster.go
+++ b/soak/cluster.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"fmt"
 	"math/rand/v2"
 	"net"
@@ -39,6 +40,20 @@
 	Nodes, Workers int
 	// Duration is how long clients hand in jobs.
 	Duration time.Duration
+	// MemoryMB and MaxFDs are the limits in the nodes' settings; 0 stands for those of a
+	// common VM.
+	MemoryMB, MaxFDs int
+}
+
+// Limits of a common VM.
+const (
+	commonMemoryMB = 284
+	commonMaxFDs   = 4100
+)
+
+// limits returns the limits in the nodes' settings.
+func (o Options) limits() map[string]any {
+	return map[string]any{"cpu_share": 0.4, "cores": 1, "memory_mb": cmp.Or(o.MemoryMB, commonMemoryMB), "max_fds": cmp.Or(o.MaxFDs, commonMaxFDs)}
 }
 
 // Streams of random numbers; clients and workers have one each.
@@ -157,7 +172,7 @@
 func (c *Cluster) addNode(i int, ports [4]int, cloud string) error {
 	name := fmt.Sprintf("node-%d", i+1)
 	n := &Node{
-		name: name, program: c.options.Program, front: loopback(ports[0]), ready: loopback(ports[1]), peer: loopback(ports[2]),
+		name: name, program: c.options.Program, front: loopback(ports[0]), ready: loopback(ports[1]), peer: loopback(ports[2]), operator: loopback(ports[3]),
 		record: c.record, peers: map[*Node]*Proxy{}, links: map[string]*Proxy{},
 		settings: filepath.Join(c.options.Dir, name+".json"), log: filepath.Join(c.options.Dir, name+".log"),
 	}
@@ -170,7 +185,7 @@
 		return err
 	}
 	c.nodes = append(c.nodes, n)
-	return n.writeSettings(zoneOf(i), [2]int{ports[2], ports[3]}, cloud)
+	return n.writeSettings(zoneOf(i), [2]int{ports[2], ports[3]}, cloud, c.options.limits())
 }
 
 // linkNodes opens the nodes' ways to one another.
--- a/soak/node.go
+++ b/soak/node.go
@@ -29,6 +29,8 @@
 	ready   string
 	// peer is the address for other nodes.
 	peer string
+	// operator is the address for metrics and the operator API.
+	operator string
 	// settings is the path of the settings file, log that of the process's output.
 	settings, log string
 	record        *Record
@@ -177,8 +179,9 @@
 	return n.links[worker]
 }
 
-// writeSettings writes the settings file. ports are the first two internal ones.
-func (n *Node) writeSettings(zone string, ports [2]int, cloud string) error {
+// writeSettings writes the settings file. ports are the first two internal ones, limits
+// those of the VM.
+func (n *Node) writeSettings(zone string, ports [2]int, cloud string, limits map[string]any) error {
 	zones := map[string]string{}
 	for _, z := range zoneNames {
 		zones[z] = regionName
@@ -187,7 +190,7 @@
 		"node": n.name, "role": "entry", "machine_class": "edge", "serves": []string{"edge"}, "ip": "127.0.0.1",
 		"zone": zone, "region": regionName, "zones": zones,
 		"listen": map[string]string{"front": n.front, "ready": n.ready}, "internal_ports": ports, "seeds": []string{}, "bootstrap": true,
-		"limits":    map[string]any{"cpu_share": 0.4, "cores": 1, "memory_mb": 284, "max_fds": 4100},
+		"limits":    limits,
 		"discovery": "platform", "entry": "vip", "heartbeat_ms": workerHeartbeat.Milliseconds(), "orders": "request", "advice": "",
 		"bounds": map[string]any{
 			"contact_ms": contactMS, "grace_s": graceS, "max_hold_ms": maxHoldMS, "stop_grace_ms": stopGraceMS, "cancel_ms": cancelMS,
