Bound what clients can make a node hold

A node kept whole bodies without a budget or deadline, decoded lists of any length, accepted headers of 1 MiB and any number of connections, waited for the rest of refused bodies, and left the size of unread data to the kernel. node/intake gives all ports one budget: bodies take it up for what has arrived, the first part of each has always room, the oldest incomplete bodies and connections make room for others, and refused bodies are not read. The JSON of a job is checked for its shape before it is decoded.

--- /dev/null
+++ b/node/intake/gate.go
@@ -0,0 +1,108 @@
+package intake
+
+import (
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"wigeonwinch/node/events"
+)
+
+// Reasons for which clients are refused or let go.
+const (
+	ReasonTooLong       = "too_long"
+	ReasonCutOff        = "cut_off"
+	ReasonTooSlow       = "too_slow"
+	ReasonNoRoom        = "no_room"
+	ReasonHeader        = "header"
+	ReasonConnections   = "connections"
+	ReasonMadeRoom      = "made_room"
+	ReasonUnreadAnswers = "unread_answers"
+)
+
+var reasons = []string{ReasonTooLong, ReasonCutOff, ReasonTooSlow, ReasonNoRoom, ReasonHeader, ReasonConnections, ReasonMadeRoom, ReasonUnreadAnswers}
+
+// Gate is the budget of a process for its clients. Its methods are safe for concurrent
+// use.
+type Gate struct {
+	limits Limits
+	events events.Recorder
+	// small are the bytes of the first Limits.SmallBytes of each body, large those beyond
+	// and those of headers.
+	small, large atomic.Int64
+	// counts are the clients refused or let go, by reason.
+	counts map[string]*atomic.Int64
+	// reportedAt is when the last event was recorded, in nanoseconds since 1970.
+	reportedAt atomic.Int64
+
+	mu      sync.Mutex
+	ports   []*Port
+	reading bodyList
+}
+
+// NewGate returns a gate.
+func NewGate(limits Limits, recorder events.Recorder) *Gate {
+	g := &Gate{limits: limits, events: recorder, counts: map[string]*atomic.Int64{}}
+	for _, r := range reasons {
+		g.counts[r] = &atomic.Int64{}
+	}
+	return g
+}
+
+// Limits returns the limits of the gate.
+func (g *Gate) Limits() Limits { return g.limits }
+
+// CallerPort returns a port for callers.
+func (g *Gate) CallerPort() *Port {
+	return g.NewPort("callers", g.limits.Callers, g.limits.ReceiveBytes)
+}
+
+// PeerPort returns a port for other nodes.
+func (g *Gate) PeerPort() *Port {
+	return g.NewPort("peers", g.limits.Peers, g.limits.PeerReceiveBytes)
+}
+
+// OperatorPort returns a port for operators and metrics.
+func (g *Gate) OperatorPort() *Port {
+	return g.NewPort("operators", g.limits.Operators, g.limits.ReceiveBytes)
+}
+
+// HealthCheckPort returns a port for the health checks of a load balancer.
+func (g *Gate) HealthCheckPort() *Port {
+	return g.NewPort("health_checks", g.limits.HealthChecks, g.limits.ReceiveBytes)
+}
+
+// reportInterval is the time between two events of one gate.
+const reportInterval = 10 * time.Second
+
+// count counts a client that is refused or let go. It records an event at most once per
+// reportInterval.
+func (g *Gate) count(reason, port string) {
+	g.counts[reason].Add(1)
+	last, now := g.reportedAt.Load(), time.Now().UnixNano()
+	if now-last < int64(reportInterval) || !g.reportedAt.CompareAndSwap(last, now) {
+		return
+	}
+	g.events.Record(events.ClientsLetGo, events.Fields{Outcome: reason, Detail: g.report(port)})
+}
+
+// reserve takes n bytes of the budget, of which smallPart are among the first bytes of a
+// body. It reports false, and takes nothing, if there is no room.
+func (g *Gate) reserve(smallPart, largePart int64) bool {
+	half := g.limits.HeldBytes / 2
+	if largePart > 0 && g.large.Add(largePart) > half {
+		g.large.Add(-largePart)
+		return false
+	}
+	if smallPart > 0 && g.small.Add(smallPart) > g.limits.HeldBytes-half {
+		g.small.Add(-smallPart)
+		g.large.Add(-largePart)
+		return false
+	}
+	return true
+}
+
+func (g *Gate) free(smallPart, largePart int64) {
+	g.small.Add(-smallPart)
+	g.large.Add(-largePart)
+}
--- a/node/jobapi/jobapi.go
+++ b/node/jobapi/jobapi.go
@@ -1,14 +1,14 @@
 // Package jobapi serves the HTTP interface for jobs that operators and their
 // tools use. Any node answers for all shards.
 //
-//	mux.Handle("/v1/", jobapi.New(host, events, tokens).Handler())
+//	mux.Handle("/v1/", jobapi.New(host, events, tokens, gate).Handler())
 package jobapi
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"fmt"
-	"io"
 	"net/http"
 	"strconv"
 	"strings"
@@ -16,6 +16,7 @@
 	"wigeonwinch/jobs/shard"
 	"wigeonwinch/jobs/spec"
 	"wigeonwinch/node/admin"
+	"wigeonwinch/node/intake"
 	"wigeonwinch/node/jobhost"
 	"wigeonwinch/node/retryafter"
 )
@@ -38,12 +39,13 @@
 	jobs   Jobs
 	events admin.Timeline
 	tokens []string
+	gate   *intake.Gate
 }
 
 // New returns an API for callers that send one of the tokens. Without tokens it
-// rejects all calls.
-func New(jobs Jobs, events admin.Timeline, tokens []string) *API {
-	return &API{jobs, events, tokens}
+// rejects all calls. It reads bodies through gate.
+func New(jobs Jobs, events admin.Timeline, tokens []string, gate *intake.Gate) *API {
+	return &API{jobs, events, tokens, gate}
 }
 
 // route is one route of the interface and its row on the docs page.
@@ -87,6 +89,7 @@
 | 200 | Done, and stored. |
 | 400 | The job has the fault that ` + "`detail`" + ` names; nothing is left behind. |
 | 404 | No such queue or job. |
+| 413 | The body is over 1 MiB. |
 | 429 | Not accepted, and does not run: come back after ` + "`Retry-After`" + ` seconds. |
 | 503 | Nothing was done; try again. |
 | 504 | It may have been done: ask again with the same id. |
@@ -240,7 +243,16 @@
 	if !ok {
 		return
 	}
-	job, err := decodeJob(http.MaxBytesReader(w, r.Body, spec.MaxBodyBytes))
+	body, refusal := a.gate.Read(w, r, 0)
+	if refusal != nil {
+		if refusal.RetryAfterMS > 0 {
+			retryafter.SetMS(w.Header(), refusal.RetryAfterMS)
+		}
+		writeProblem(w, refusal.Status, "the body was not taken", refusal.Remedy)
+		return
+	}
+	defer body.Release()
+	job, err := decodeJob(body.Bytes)
 	if err == nil {
 		job.Queue = req.Queue
 		err = job.Validate()
@@ -255,8 +267,11 @@
 
 // decodeJob reads one job. It rejects unknown fields, because a misspelled
 // field would otherwise be ignored silently.
-func decodeJob(body io.Reader) (*spec.Job, error) {
-	decoder := json.NewDecoder(body)
+func decodeJob(body []byte) (*spec.Job, error) {
+	if err := intake.JobShape.Check(body); err != nil {
+		return nil, err
+	}
+	decoder := json.NewDecoder(bytes.NewReader(body))
 	decoder.DisallowUnknownFields()
 	job := &spec.Job{}
 	if err := decoder.Decode(job); err != nil {
--- a/node/jobhost/config.go
+++ b/node/jobhost/config.go
@@ -12,6 +12,7 @@
 	"wigeonwinch/jobs/shard"
 	"wigeonwinch/node/deps"
 	"wigeonwinch/node/events"
+	"wigeonwinch/node/intake"
 	"wigeonwinch/node/peer"
 )
 
@@ -51,6 +52,9 @@
 	Advisor deps.PlacementAdvisor
 	Codec   deps.Codec
 	Events  events.Recorder
+	// PeerConnections bounds the connections of other nodes. If it is nil the host
+	// creates a port with default limits.
+	PeerConnections *intake.Port
 	// Peers is the peer mesh. If it is nil the host creates one.
 	Peers *peer.Mesh
 }
--- a/node/jobhost/host.go
+++ b/node/jobhost/host.go
@@ -13,6 +13,7 @@
 
 	"wigeonwinch/node/deps"
 	"wigeonwinch/node/events"
+	"wigeonwinch/node/intake"
 	"wigeonwinch/node/peer"
 	"wigeonwinch/node/timeline"
 )
@@ -87,6 +88,9 @@
 	if cfg.Incarnation == 0 {
 		cfg.Incarnation = time.Now().UnixNano()
 	}
+	if cfg.PeerConnections == nil {
+		cfg.PeerConnections = intake.NewGate(intake.LimitsFor(0, 0), cfg.Events).PeerPort()
+	}
 	h := &Host{
 		cfg: cfg, incarnation: cfg.Incarnation,
 		inbox: make(chan func(), inboxSize), nodes: map[string]*nodeState{},
@@ -126,14 +130,15 @@
 // forwards requests until Close. If it returns an error, the host never owned a
 // shard and Close is not needed.
 func (h *Host) Run(ctx context.Context) error {
-	listener, err := net.Listen("tcp", h.address())
+	port := h.cfg.PeerConnections
+	listener, err := port.Listen(h.address())
 	if err != nil {
 		close(h.handedOver)
 		return errors.Wrapf(err, "cannot listen for connections from other nodes: check ip and internal ports")
 	}
 	mux := http.NewServeMux()
 	mux.Handle(peer.Path, h.mesh.Handler())
-	h.peerServer = &http.Server{Handler: mux, ReadHeaderTimeout: requestTimeout}
+	h.peerServer = port.Server(mux)
 	go func() { _ = h.peerServer.Serve(listener) }()
 	inner, cancel := context.WithCancel(context.Background())
 	defer cancel()
--- a/node/telemetry/jobinstruments.go
+++ b/node/telemetry/jobinstruments.go
@@ -14,6 +14,10 @@
 	MetricShardsOwned   = "wigeonwinch_shards_owned"
 	MetricConfigVersion = "wigeonwinch_job_config_version"
 	MetricHeartbeatAge  = "wigeonwinch_heartbeat_age_ms"
+
+	MetricHeldBytes         = "wigeonwinch_client_bytes"
+	MetricClientsLetGo      = "wigeonwinch_clients_let_go"
+	MetricClientConnections = "wigeonwinch_client_connections"
 )
 
 // JobInstruments returns the metrics for jobs, except the histograms.
@@ -32,6 +36,15 @@
 	}
 }
 
+// ClientInstruments returns the metrics of what clients make a node hold.
+func ClientInstruments() []Instrument {
+	return []Instrument{
+		{MetricHeldBytes, "By", "gauge", "part", "Bytes held for bodies and long headers: small are the first bytes of each body, large the rest.", "large stays at its bound for a minute"},
+		{MetricClientsLetGo, "", "counter", "reason", "Clients refused or let go, by reason.", "grows for 5 minutes: docs/OPERATIONS.md, Crowds"},
+		{MetricClientConnections, "", "gauge", "port", "Open connections of clients.", "at its bound for a minute"},
+	}
+}
+
 // JobLatency measures how long requests of callers take, and StoreLatency how
 // long appending the records of a shard to the store takes.
 var (
