Bound the clients of the product's own ports the same way

The own interface reserved up to 1 MiB for a body by its announced length and counted a body only once it was whole; its ports took any number of connections. A body has to arrive by its request's deadline.

--- a/node/entry/entry.go
+++ b/node/entry/entry.go
@@ -25,6 +25,7 @@
 	"wigeonwinch/node/control"
 	"wigeonwinch/node/events"
 	"wigeonwinch/node/forward"
+	"wigeonwinch/node/intake"
 	"wigeonwinch/node/peer"
 	"wigeonwinch/node/probe"
 	"wigeonwinch/node/settings"
@@ -55,6 +56,7 @@
 	mesh     *peer.Mesh
 	control  *control.Loop
 	forward  *forward.Server
+	gate     *intake.Gate
 	ports    ports
 	stopping atomic.Bool
 }
@@ -65,17 +67,21 @@
 	n := &Node{settings: cfg.Settings}
 	n.rings.Fleet = timeline.NewRing(fleetTimelineCapacity)
 	n.rings.Requests = timeline.NewRing(requestTimelineCapacity)
-	if err := n.ports.bind(cfg.Settings); err != nil {
+	if err := n.assembleTelemetry(cfg); err != nil {
 		return nil, err
 	}
-	if err := n.assemble(cfg); err != nil {
+	n.gate = intake.NewGate(intakeLimits(cfg.Settings.Limits), n.recorder)
+	if err := n.ports.bind(cfg.Settings, n.gate); err != nil {
+		return nil, err
+	}
+	if err := n.assemble(); err != nil {
 		n.ports.close()
 		return nil, err
 	}
 	return n, nil
 }
 
-func (n *Node) assemble(cfg Config) error {
+func (n *Node) assembleTelemetry(cfg Config) error {
 	metrics, err := telemetry.NewMetrics()
 	if err != nil {
 		return err
@@ -84,6 +90,10 @@
 	identity := telemetry.Identity{Node: n.settings.Node, Zone: n.settings.Zone}
 	n.clock = timeline.NewClock(time.Now)
 	n.recorder = telemetry.NewRecorder(identity, newLogger(cfg), n.rings, n.clock, metrics)
+	return nil
+}
+
+func (n *Node) assemble() error {
 	platformClient, err := n.newPlatformClient()
 	if err != nil {
 		return err
@@ -159,6 +169,7 @@
 		PeerKey:          []byte(s.PeerKeys[0].Value()),
 		SecondaryPeerKey: n.secondaryPeerKey(),
 		Limits:           limits,
+		Gate:             n.gate,
 		Fleet:            n,
 		Peers:            n.mesh,
 		Events:           n.recorder,
@@ -294,8 +305,7 @@
 	peerMux := http.NewServeMux()
 	peerMux.Handle(peer.Path, n.mesh.Handler())
 	peerMux.Handle("/v1/relay/", n.forward.RelayHandler())
-	limits := n.settings.Limits
-	n.ports.serve(failed, limits, n.forward.Handler(), peerMux, n.newAdmin().Handler())
+	n.ports.serve(failed, n.forward.Handler(), peerMux, n.newAdmin().Handler())
 }
 
 func (n *Node) newAdmin() *admin.API {
--- a/node/entry/metrics.go
+++ b/node/entry/metrics.go
@@ -14,6 +14,9 @@
 			instruments = append(instruments, in)
 		}
 	}
+	if err := n.metrics.Observe(telemetry.ClientInstruments(), n.gate.Readings); err != nil {
+		return err
+	}
 	return n.metrics.Observe(instruments, n.readMetrics)
 }
 
--- a/node/forward/body.go
+++ b/node/forward/body.go
@@ -1,15 +1,20 @@
 package forward
 
 import (
-	"io"
 	"net/http"
 	"strconv"
 	"time"
+
+	"wigeonwinch/node/intake"
 )
 
-// readChunkBytes is the size of one read, in bytes, when the length of a body
-// is not known.
-const readChunkBytes = 16 << 10
+// bodyGate returns the gate for bodies within the limits, for a server that gets none.
+func (l Limits) bodyGate(cfg Config) *intake.Gate {
+	limits := intake.LimitsFor(0, 0)
+	limits.BodyBytes, limits.HeldBytes = int(l.BodyBytes), l.BodyBytesTotal
+	limits.BodyTimeout, limits.ProgressTimeout = 0, l.ProgressTimeout
+	return intake.NewGate(limits, cfg.Events)
+}
 
 // setBodyReadDeadline sets the first read deadline for a body. The deadline
 // also covers a request that is rejected before its body is read, because the
@@ -23,56 +28,22 @@
 // readBody reads the whole body before the request waits for a worker, so
 // that a slow sender never occupies a slot and the body can be sent again.
 func (s *Server) readBody(w http.ResponseWriter, r *request) *result {
-	httpReq := r.http
-	if httpReq.Body == nil || httpReq.Body == http.NoBody || httpReq.ContentLength == 0 {
+	if r.http.ContentLength == 0 {
 		return nil
 	}
-	if httpReq.ContentLength > s.cfg.Limits.BodyBytes {
-		return s.bodyTooLargeResult()
-	}
-	rc := http.NewResponseController(w)
-	body := make([]byte, 0, bodyBufferBytes(httpReq.ContentLength))
-	for {
-		_ = rc.SetReadDeadline(time.Now().Add(s.cfg.Limits.ProgressTimeout))
-		if len(body) == cap(body) {
-			body = append(body, make([]byte, readChunkBytes)...)[:len(body)]
-		}
-		n, err := httpReq.Body.Read(body[len(body):cap(body)])
-		body = body[:len(body)+n]
-		if int64(len(body)) > s.cfg.Limits.BodyBytes {
-			return s.bodyTooLargeResult()
-		}
-		if err == io.EOF {
-			_ = rc.SetReadDeadline(time.Time{})
-			return s.holdBody(r, body)
-		}
-		if err != nil {
-			res := notRunResult(http.StatusRequestTimeout, ReasonBodyIncomplete, "the body did not arrive whole; send it again")
-			return &res
-		}
-	}
-}
-
-// bodyBufferBytes returns the initial size of the read buffer, in bytes. It
-// includes one byte for the read that returns io.EOF.
-func bodyBufferBytes(length int64) int64 {
-	if length < 0 {
-		return readChunkBytes
+	body, refusal := s.cfg.Gate.Read(w, r.http, max(r.Deadline.Sub(s.cfg.Clock()), 1))
+	if refusal == nil {
+		r.body, r.held = body.Bytes, body
+		return nil
 	}
-	return min(length+1, 1<<20)
-}
-
-func (s *Server) holdBody(r *request, body []byte) *result {
-	if s.bodyBytes.Add(int64(len(body))) > s.cfg.Limits.BodyBytesTotal {
-		s.bodyBytes.Add(-int64(len(body)))
-		res := notRunResult(http.StatusServiceUnavailable, ReasonOverloaded, "the entry node holds too many bodies; send again later").withRetryAfter(time.Second)
-		return &res
+	var res result
+	switch refusal.Reason {
+	case intake.ReasonTooLong:
+		res = notRunResult(http.StatusRequestEntityTooLarge, ReasonBodyTooLarge, "the body is over "+strconv.FormatInt(s.cfg.Limits.BodyBytes, 10)+" bytes; send a smaller one")
+	case intake.ReasonCutOff, intake.ReasonTooSlow:
+		res = notRunResult(http.StatusRequestTimeout, ReasonBodyIncomplete, "the body did not arrive whole; send it again")
+	default:
+		res = notRunResult(http.StatusServiceUnavailable, ReasonOverloaded, "the entry node holds too many bodies; send again later").withRetryAfter(time.Duration(refusal.RetryAfterMS) * time.Millisecond)
 	}
-	r.body = body
-	return nil
-}
-
-func (s *Server) bodyTooLargeResult() *result {
-	res := notRunResult(http.StatusRequestEntityTooLarge, ReasonBodyTooLarge, "the body is over "+strconv.FormatInt(s.cfg.Limits.BodyBytes, 10)+" bytes; send a smaller one")
 	return &res
 }
--- a/node/forward/bounds_test.go
+++ b/node/forward/bounds_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"net"
 	"net/http"
 	"strconv"
 	"strings"
@@ -94,3 +95,23 @@
 	}
 	require.Eventually(t, func() bool { return s.InProgress("w1") == 0 && s.Stats().InFlight == 0 }, 5*time.Second, time.Millisecond)
 }
+
+// TestBodiesCountAgainstTheBudgetAsTheyArrive checks that an announced length reserves
+// nothing and that bodies which are not whole yet count.
+func TestBodiesCountAgainstTheBudgetAsTheyArrive(t *testing.T) {
+	fleet := &fakeFleet{}
+	fleet.view.Store(newView([]string{"a"}, newWorker("w1", "a", newTestBackend(t, replyHello).address())))
+	s, _ := startServer(t, fleet, newFakeNet(), "a", Limits{BodyBytes: 1 << 20, BodyBytesTotal: 8 << 20})
+	caller := newTestBackend(t, s.Handler().ServeHTTP)
+	const sent = 200_000
+	for range 16 {
+		conn, err := net.Dial("tcp", caller.address())
+		require.NoError(t, err)
+		defer func() { _ = conn.Close() }()
+		_, err = io.WriteString(conn, "POST /fire HTTP/1.1\r\nHost: x\r\nContent-Length: 1000000\r\n\r\n"+strings.Repeat("x", sent))
+		require.NoError(t, err)
+	}
+	require.Eventually(t, func() bool { return s.Stats().BodyBytes >= 16*sent }, 5*time.Second, time.Millisecond)
+	require.Less(t, s.Stats().BodyBytes, int64(16*(sent+64<<10)))
+	require.Equal(t, http.StatusOK, sendRequest(s.Handler(), http.MethodPost, "/fire", "small", nil).Code)
+}
--- a/node/forward/config.go
+++ b/node/forward/config.go
@@ -8,6 +8,7 @@
 
 	"wigeonwinch/fleet/structs"
 	"wigeonwinch/node/events"
+	"wigeonwinch/node/intake"
 )
 
 // Fleet provides the latest immutable view of the control state.
@@ -51,8 +52,10 @@
 	SecondaryPeerKey []byte
 	// Limits bounds the resources that callers, peers and workers may use.
 	Limits Limits
-	Fleet  Fleet
-	Peers  Peers
+	// Gate reads the bodies. Default: one with a budget of Limits.BodyBytesTotal.
+	Gate  *intake.Gate
+	Fleet Fleet
+	Peers Peers
 	// Events records numbered events. Default: events are discarded.
 	Events events.Recorder
 	// Transport sends requests to workers and peers. Default: transports that
@@ -72,5 +75,8 @@
 		c.Clock = time.Now
 	}
 	c.Limits = c.Limits.withDefaults()
+	if c.Gate == nil {
+		c.Gate = c.Limits.bodyGate(c)
+	}
 	return c
 }
--- a/node/forward/exchange.go
+++ b/node/forward/exchange.go
@@ -219,6 +219,9 @@
 	return slices.Contains(resp.TransferEncoding, "chunked")
 }
 
+// readChunkBytes is the size of one read of an answer, in bytes.
+const readChunkBytes = 16 << 10
+
 // drain reads the rest of a small answer so that its connection can be
 // reused.
 func (in *incoming) drain() {
--- a/node/forward/limits.go
+++ b/node/forward/limits.go
@@ -14,7 +14,7 @@
 	// BodyBytes is the maximum size of one request body.
 	BodyBytes int64
 	// BodyBytesTotal is the maximum total size of the request bodies in
-	// memory.
+	// memory, unless Config.Gate bounds it.
 	BodyBytesTotal int64
 	// AnswerBytes is the maximum size of an answer that is read completely
 	// before its first byte is sent to the caller. Longer answers are
--- a/node/forward/parse.go
+++ b/node/forward/parse.go
@@ -8,6 +8,7 @@
 	"github.com/google/uuid"
 
 	"wigeonwinch/dispatch"
+	"wigeonwinch/node/intake"
 )
 
 // maxDeadlineMS is the maximum deadline that a caller may set, in
@@ -30,8 +31,10 @@
 	// waiting.
 	immediate bool
 	body      []byte
-	phase     phase
-	claim     claim
+	// held returns the body to the budget.
+	held  *intake.Body
+	phase phase
+	claim claim
 	// workersLost counts the workers whose connection ended without an answer
 	// while they ran the request.
 	workersLost int
--- a/node/forward/serve.go
+++ b/node/forward/serve.go
@@ -100,7 +100,9 @@
 // finishRequest reverts admit. It must be called exactly once per admitted
 // request.
 func (s *Server) finishRequest(r *request) {
-	s.bodyBytes.Add(-int64(len(r.body)))
+	if r.held != nil {
+		r.held.Release()
+	}
 	if !r.relayed {
 		s.teams.finishRequest(r.Team)
 	}
--- a/node/forward/server.go
+++ b/node/forward/server.go
@@ -47,9 +47,8 @@
 	remoteSlots remoteSlots
 	counts      counters
 
-	inFlight  atomic.Int64
-	bodyBytes atomic.Int64
-	stopping  atomic.Bool
+	inFlight atomic.Int64
+	stopping atomic.Bool
 	// detached counts the executions that may continue without their handler.
 	detached sync.WaitGroup
 	wake     chan struct{}
--- a/node/forward/stats.go
+++ b/node/forward/stats.go
@@ -75,7 +75,7 @@
 		RefusedByWorker: s.counts.refusedByWorker.Load(),
 		Violations:      s.counts.violations.Load(),
 		InFlight:        int(s.inFlight.Load()),
-		BodyBytes:       s.bodyBytes.Load(),
+		BodyBytes:       s.cfg.Gate.HeldBytes(),
 		Pools:           make(map[string]scheduler.Stats),
 	}
 	stats.Claims, stats.Executions, stats.AnswerBytes = s.claims.sizes()
--- a/node/intake/body.go
+++ b/node/intake/body.go
@@ -61,10 +61,11 @@
 		return &Body{}, nil
 	}
 	in := &incoming{gate: g, control: http.NewResponseController(w), since: time.Now(), body: Body{gate: g}}
-	if within <= 0 || within > g.limits.BodyTimeout {
+	if limit := g.limits.BodyTimeout; limit > 0 && (within <= 0 || within > limit) {
 		within = g.limits.BodyTimeout
 	}
-	_ = in.control.SetReadDeadline(in.since.Add(within))
+	in.deadline = in.since.Add(within)
+	_ = in.control.SetReadDeadline(in.deadline)
 	g.reading.enter(g, in)
 	reason := in.read(r)
 	if !g.reading.leave(g, in) && reason != "" {
@@ -86,7 +87,9 @@
 	gate    *Gate
 	control *http.ResponseController
 	since   time.Time
-	body    Body
+	// deadline is when the whole body must have arrived.
+	deadline time.Time
+	body     Body
 	// held are the reserved bytes, for makeRoom.
 	held  atomic.Int64
 	parts [][]byte
@@ -105,7 +108,7 @@
 		if !ok {
 			return ReasonNoRoom
 		}
-		n, err := io.ReadFull(r.Body, part)
+		n, err := in.fill(r.Body, part)
 		in.total += n
 		in.parts = append(in.parts, part[:n])
 		switch {
@@ -113,7 +116,7 @@
 			return ReasonTooLong
 		case int64(in.total) == r.ContentLength:
 			return ""
-		case err == io.EOF || err == io.ErrUnexpectedEOF && r.ContentLength < 0 && atEnd(r.Body):
+		case err == io.EOF:
 			return ""
 		case errors.Is(err, os.ErrDeadlineExceeded):
 			return ReasonTooSlow
@@ -124,19 +127,35 @@
 	}
 }
 
-// atEnd reports whether a body that ended within a part ended as announced: after a
-// body that was cut off, reading goes on to fail with another error.
-func atEnd(body io.Reader) bool {
-	var one [1]byte
-	_, err := body.Read(one[:])
-	return err == io.EOF
+// fill reads until a part is full or reading fails.
+func (in *incoming) fill(body io.Reader, part []byte) (n int, err error) {
+	for n < len(part) && err == nil {
+		if progress := in.gate.limits.ProgressTimeout; progress > 0 {
+			in.extend(progress)
+		}
+		var more int
+		more, err = body.Read(part[n:])
+		n += more
+	}
+	return n, err
+}
+
+// extend allows more time until something arrives, unless the body has to make room.
+func (in *incoming) extend(progress time.Duration) {
+	in.gate.mu.Lock()
+	defer in.gate.mu.Unlock()
+	if until := time.Now().Add(progress); !in.evicted && until.Before(in.deadline) {
+		_ = in.control.SetReadDeadline(until)
+	}
 }
 
 // nextPart returns an empty part, reserved in the budget.
 func (in *incoming) nextPart(size int, announced int64) ([]byte, bool) {
-	if announced >= 0 {
-		size = min(size, int(announced)-in.total)
+	if announced < 0 {
+		// One byte more shows that the body is too long.
+		announced = int64(in.gate.limits.BodyBytes) + 1
 	}
+	size = min(size, int(announced)-in.total)
 	small := min(size, max(in.gate.limits.SmallBytes-in.total, 0))
 	if !in.gate.reserve(int64(small), int64(size-small)) {
 		in.gate.makeRoom(int64(size))
--- a/node/intake/gate.go
+++ b/node/intake/gate.go
@@ -27,9 +27,9 @@
 type Gate struct {
 	limits Limits
 	events events.Recorder
-	// small are the bytes of the first Limits.SmallBytes of each body, large those beyond
-	// and those of headers.
-	small, large atomic.Int64
+	// held are the bytes of the budget that are taken, large those of them that are not
+	// among the first Limits.SmallBytes of a body.
+	held, large atomic.Int64
 	// counts are the clients refused or let go, by reason.
 	counts map[string]*atomic.Int64
 	// reportedAt is when the last event was recorded, in nanoseconds since 1970.
@@ -86,23 +86,22 @@
 	g.events.Record(events.ClientsLetGo, events.Fields{Outcome: reason, Detail: g.report(port)})
 }
 
-// reserve takes n bytes of the budget, of which smallPart are among the first bytes of a
-// body. It reports false, and takes nothing, if there is no room.
+// reserve takes bytes of the budget: smallPart among the first bytes of a body, and
+// largePart, which may take up half of the budget at most. It reports false, and takes
+// nothing, if there is no room.
 func (g *Gate) reserve(smallPart, largePart int64) bool {
-	half := g.limits.HeldBytes / 2
-	if largePart > 0 && g.large.Add(largePart) > half {
-		g.large.Add(-largePart)
-		return false
+	large := g.large.Add(largePart)
+	if held := g.held.Add(smallPart + largePart); held <= g.limits.HeldBytes && (largePart == 0 || large <= g.limits.HeldBytes/2) {
+		return true
 	}
-	if smallPart > 0 && g.small.Add(smallPart) > g.limits.HeldBytes-half {
-		g.small.Add(-smallPart)
-		g.large.Add(-largePart)
-		return false
-	}
-	return true
+	g.free(smallPart, largePart)
+	return false
 }
 
 func (g *Gate) free(smallPart, largePart int64) {
-	g.small.Add(-smallPart)
+	g.held.Add(-smallPart - largePart)
 	g.large.Add(-largePart)
 }
+
+// HeldBytes returns how many bytes of the budget are taken.
+func (g *Gate) HeldBytes() int64 { return g.held.Load() }
--- a/node/intake/intake_test.go
+++ b/node/intake/intake_test.go
@@ -87,7 +87,7 @@
 			assert.Equal(t, fmt.Sprint(n), text)
 		}
 	}
-	assert.Zero(t, gate.small.Load()+gate.large.Load(), "bytes of the budget left behind")
+	assert.Zero(t, gate.HeldBytes(), "bytes of the budget left behind")
 }
 
 // A body over the limit is refused before it is read, and a refusal does not wait for the
@@ -171,7 +171,7 @@
 	for _, vm := range []struct {
 		memoryMB    int64
 		descriptors int
-	}{{0, 0}, {96, 600}, {184, 4100}, {284, 4100}, {4096, 65_536}} {
+	}{{0, 0}, {96, 600}, {184, 4100}, {284, 4100}, {8, 400}, {4096, 65_536}} {
 		l := LimitsFor(vm.memoryMB<<20, vm.descriptors)
 		assert.LessOrEqual(t, int64(l.Callers*l.SmallBytes), l.HeldBytes/2, "%+v", vm)
 		assert.GreaterOrEqual(t, l.HeldBytes/2, int64(l.BodyBytes), "%+v", vm)
--- a/node/intake/limits.go
+++ b/node/intake/limits.go
@@ -20,6 +20,9 @@
 	HeaderBytes int
 	// Callers, Peers, Operators and HealthChecks are the connections of each port.
 	Callers, Peers, Operators, HealthChecks int
+	// DrainBytes is the longest rest of a body that is read after an answer, to keep the
+	// connection.
+	DrainBytes int64
 	// ReceiveBytes is the size of the kernel's receive buffer of a connection, and
 	// PeerReceiveBytes that of a connection from another node. The kernel stores up to
 	// twice as many unread bytes.
@@ -28,20 +31,26 @@
 	// HeaderTimeout, BodyTimeout and IdleTimeout bound the time for a header, for a body
 	// as a whole and between two requests.
 	HeaderTimeout, BodyTimeout, IdleTimeout time.Duration
+	// ProgressTimeout, if set, bounds the time in which nothing of a body arrives.
+	ProgressTimeout time.Duration
 	// WriteTimeout bounds the time in which a client takes one part of its answer.
 	WriteTimeout time.Duration
 }
 
 // Values that do not depend on the VM.
 const (
-	bodyBytes     = spec.MaxBodyBytes
-	headerBytes   = 16 << 10
-	receiveBytes  = 16 << 10
-	peerBytes     = 32 << 10
-	headerTimeout = 5 * time.Second
-	bodyTimeout   = 30 * time.Second
-	idleTimeout   = time.Minute
-	writeTimeout  = 10 * time.Second
+	bodyBytes    = spec.MaxBodyBytes
+	headerBytes  = 16 << 10
+	drainBytes   = 4 << 10
+	receiveBytes = 16 << 10
+	peerBytes    = 32 << 10
+	// largeReceiveBytes is the buffer on VMs with largeMemory or more.
+	largeReceiveBytes = 64 << 10
+	largeMemory       = 1 << 30
+	headerTimeout     = 5 * time.Second
+	bodyTimeout       = 30 * time.Second
+	idleTimeout       = time.Minute
+	writeTimeout      = 10 * time.Second
 )
 
 // The share of a VM that clients may use.
@@ -79,12 +88,16 @@
 		descriptors = unknownDescriptors
 	}
 	sockets := float64(max(descriptors-fileDescriptors, 0))
-	callers := min(sockets*callerSocketShare, float64(memory)*connectionShare/(connectionBytes+2*receiveBytes))
+	receive := receiveBytes
+	if memory >= largeMemory {
+		receive = largeReceiveBytes
+	}
+	callers := min(sockets*callerSocketShare, float64(memory)*connectionShare/float64(connectionBytes+2*receive))
 	others := min(max(int(sockets*otherPortSocketShare), minConnections), maxOthers)
 	l := Limits{
-		BodyBytes: bodyBytes, HeldBytes: int64(float64(memory) * bodyShare), HeaderBytes: headerBytes,
+		BodyBytes: bodyBytes, HeldBytes: max(int64(float64(memory)*bodyShare), 2*bodyBytes), HeaderBytes: headerBytes,
 		Callers: max(int(callers), minConnections), Peers: max(int(sockets*peerSocketShare), minConnections),
-		Operators: others, HealthChecks: others, ReceiveBytes: receiveBytes, PeerReceiveBytes: peerBytes,
+		Operators: others, HealthChecks: others, DrainBytes: drainBytes, ReceiveBytes: receive, PeerReceiveBytes: peerBytes,
 		HeaderTimeout: headerTimeout, BodyTimeout: bodyTimeout, IdleTimeout: idleTimeout, WriteTimeout: writeTimeout,
 	}
 	l.SmallBytes = min(max(int(l.HeldBytes/2)/l.Callers, minSmallBodyPart), maxSmallBodyPart)
--- a/node/intake/metrics.go
+++ b/node/intake/metrics.go
@@ -11,7 +11,7 @@
 func (g *Gate) Readings() telemetry.Readings {
 	label := func(key, value string) telemetry.Labels { return telemetry.Labels{telemetry.Label(key, value)} }
 	out := telemetry.Readings{telemetry.MetricHeldBytes: {
-		{Labels: label("part", "small"), Value: float64(g.small.Load())},
+		{Labels: label("part", "small"), Value: float64(g.held.Load() - g.large.Load())},
 		{Labels: label("part", "large"), Value: float64(g.large.Load())},
 	}}
 	for _, r := range reasons {
--- a/node/intake/port.go
+++ b/node/intake/port.go
@@ -82,12 +82,8 @@
 	})
 }
 
-// drainBytes is the longest body that the server reads after an answer to keep the
-// connection.
-const drainBytes = firstPartBytes
-
 func (p *Port) expectBody(w http.ResponseWriter, r *http.Request) {
-	if r.ContentLength < 0 || r.ContentLength > drainBytes {
+	if r.ContentLength < 0 || r.ContentLength > p.gate.limits.DrainBytes {
 		// Gate.Read takes this back once the body is complete.
 		w.Header().Set("Connection", "close")
 	}
--- a/node/settings/check.go
+++ b/node/settings/check.go
@@ -9,6 +9,7 @@
 	"strings"
 
 	"wigeonwinch/fleet/strictjson"
+	"wigeonwinch/node/intake"
 )
 
 const (
@@ -145,6 +146,9 @@
 	if s.Timing.LeaseTTLMS <= 3*s.Timing.PlanMS {
 		c.report("timing.lease_ttl_ms", fmt.Sprint(s.Timing.LeaseTTLMS), "write more than three times timing.plan_ms; otherwise leases expire between planning rounds")
 	}
+	if most := intake.LimitsFor(int64(s.Limits.MemoryMB)<<20, s.Limits.Descriptors).HeldBytes / 2; int64(s.Limits.BodyBytes) > most {
+		c.report("limits.body_bytes", fmt.Sprint(s.Limits.BodyBytes), fmt.Sprintf("write at most %d, a sixteenth of limits.memory_mb, or raise that", most))
+	}
 	if s.Limits.AnswerBytes > 64<<20 {
 		c.report("limits.answer_bytes", fmt.Sprint(s.Limits.AnswerBytes), "write at most 67108864; answers up to this size are held in memory")
 	}
--- a/node/telemetry/page.go
+++ b/node/telemetry/page.go
@@ -18,6 +18,9 @@
 	b.WriteString("Served on the second of the internal ports, at `/metrics`; `wigeonwinch_events` counts decisions by name.\n\n")
 	b.WriteString("| name | kind | unit | labels | meaning | tell an operator when |\n| --- | --- | --- | --- | --- | --- |\n")
 	writeRows(&b, append(JobInstruments(), JobLatency, StoreLatency))
+	b.WriteString("\n## Clients\n\n")
+	b.WriteString("Served on both addresses: what clients make the node hold.\n\n")
+	b.WriteString("| name | kind | unit | labels | meaning | tell an operator when |\n| --- | --- | --- | --- | --- | --- |\n")
 	writeRows(&b, ClientInstruments())
 	return b.String()
 }
--- a/soak/crowd_test.go
+++ b/soak/crowd_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 )
@@ -193,3 +194,25 @@
 	c.send(t, c.target.ready, silentCrowdSize, func(conn net.Conn) { writeText(conn, request) })
 	c.check(t)
 }
+
+// largestJob returns the body of a valid job of the largest kind, as long as a body may be.
+func largestJob() string {
+	const steps, count = 64, 31
+	names := strings.Repeat("x", 16_000/steps)
+	var text strings.Builder
+	for range steps {
+		fmt.Fprintf(&text, `{"count":%d,"cpu":10,"mem_mb":1,"estimate_ms":1,"image":"%s"},`, count, names)
+	}
+	return wholeBody(`{"spec":"`+strings.Repeat("x", 4000)+`","steps":[`+strings.TrimSuffix(text.String(), ",")+`]}`, " ", "")
+}
+
+// Valid jobs are decoded, accepted or refused, and kept.
+func TestCrowdOfLargestJobs(t *testing.T) {
+	c := startCrowdCluster(t)
+	body := largestJob()
+	var ids atomic.Int64
+	c.send(t, c.target.front, crowdSize, func(conn net.Conn) {
+		writeText(conn, post(fmt.Sprintf("%s%016x", queues[0].path, 0x1000+ids.Add(1)), bodyLimit)+body)
+	})
+	c.check(t)
+}
