Hide a customer's jobs from other customers' callers

Jobs carry their customer, but any caller could see and cancel any job of the shard by its ID, and a submission with another customer's ID was told that it was accepted.

An owner compares the caller's customer with the job's. To another customer the job does not exist, and the answer takes the same append as that for an unknown ID, so that it is no oracle; a submission with the ID is told that the ID is taken. Callers that name no customer are served as before.

--- a/jobs/shard/absence.go
+++ b/jobs/shard/absence.go
@@ -64,19 +64,7 @@
 
 // Lookup looks for a job that JobStatus does not know. The reply has its state if it was
 // stored meanwhile, or else says that it is unknown.
-func (c *Core) Lookup(now int64, ticket uint64, id string) {
-	c.now = now
-	if c.replyUnreadable(ticket, id) {
-		return
-	}
-	c.askStore(ticket, func() {
-		if s := c.JobStatus(id); s.Known {
-			c.reply(Reply{Ticket: ticket, Outcome: Accepted, State: s.State})
-			return
-		}
-		c.reply(Reply{Ticket: ticket, Outcome: Unknown})
-	})
-}
+func (c *Core) Lookup(now int64, ticket uint64, id string) { c.LookupAs(operator, now, ticket, id) }
 
 // Yield leaves a job to the shard that asks, unless this one has it: for a while it
 // accepts no submission of the job. The reply is Unknown if the job is left,
--- a/jobs/shard/orders.go
+++ b/jobs/shard/orders.go
@@ -79,6 +79,9 @@
 	// Superseded means that nothing was done, because this owner can't prove that it is
 	// still the owner. The caller has to ask the owner of the shard again.
 	Superseded Outcome = "superseded"
+	// Taken means that the ID of a submitted job is that of another customer's job.
+	// The submitted job was not accepted and never runs.
+	Taken Outcome = "taken"
 )
 
 // Reply answers one caller.
--- a/jobs/shard/submit.go
+++ b/jobs/shard/submit.go
@@ -5,6 +5,7 @@
 	"math"
 
 	"wigeonwinch/jobs/admit"
+	"wigeonwinch/jobs/customer"
 	"wigeonwinch/jobs/spec"
 )
 
@@ -13,6 +14,10 @@
 func (c *Core) Submit(now int64, ticket uint64, s spec.Job) {
 	c.now = now
 	if j, ok := c.jobs[s.ID]; ok {
+		if !c.MayAccess(submitterOf(s), s.ID) {
+			c.reply(Reply{Ticket: ticket, Outcome: Taken, Reason: "id_taken"})
+			return
+		}
 		c.resubmit(j, ticket)
 		return
 	}
@@ -234,14 +239,17 @@
 
 // Cancel cancels a job. The reply follows after the cancel is stored, or after an append
 // has proven that there is no such job.
-func (c *Core) Cancel(now int64, ticket uint64, id string) {
+func (c *Core) Cancel(now int64, ticket uint64, id string) { c.CancelAs(operator, now, ticket, id) }
+
+// CancelAs is Cancel on behalf of a caller, to whom another customer's job does not exist.
+func (c *Core) CancelAs(caller customer.Caller, now int64, ticket uint64, id string) {
 	c.now = now
-	if c.replyUnreadable(ticket, id) {
+	if c.replyUnreadable(ticket, id) || c.replyHidden(caller, ticket, id) {
 		return
 	}
 	j, ok := c.jobs[id]
 	if !ok {
-		c.askStore(ticket, func() { c.cancelUnlessAbsent(ticket, id) })
+		c.askStore(ticket, func() { c.cancelUnlessAbsent(caller, ticket, id) })
 		return
 	}
 	if j.storedState.Final() {
@@ -259,13 +267,13 @@
 // cancelUnlessAbsent cancels a job that was accepted while the owner proved its
 // ownership. A job that does not exist is declined for a while: its submission may be
 // held up in a suspended node.
-func (c *Core) cancelUnlessAbsent(ticket uint64, id string) {
+func (c *Core) cancelUnlessAbsent(caller customer.Caller, ticket uint64, id string) {
 	if c.jobs[id] == nil {
 		c.declinedAt[id] = c.now
 		c.reply(Reply{Ticket: ticket, Outcome: Unknown})
 		return
 	}
-	c.Cancel(c.now, ticket, id)
+	c.CancelAs(caller, c.now, ticket, id)
 }
 
 // JobStatus is the state of a job as reported to callers.
