Check the keys of customers

Each call is checked against the configuration in force before its body is read, when the body is there, and again by the shard's owner if its configuration is newer; the digest of the key goes along with the request. An owner with an older configuration trusts the node's. Without a valid key the answer is 401, sent before the rest of the body has come; refusals are counted and logged by reason, without the key.

--- a/node/deps/deps.go
+++ b/node/deps/deps.go
@@ -247,6 +247,8 @@
 	Pools   []Pool
 	// Customers is empty if calls need no key.
 	Customers []Customer
+	// keys is the index of the customers' keys; see IndexKeys.
+	keys customer.KeyIndex
 }
 
 // Wave is a request to maintain a list of VMs.
--- a/node/jobapi/jobapi.go
+++ b/node/jobapi/jobapi.go
@@ -169,6 +169,8 @@
 	case jobhost.Refused:
 		retryafter.SetMS(w.Header(), res.RetryAfterMS)
 		writeProblem(w, http.StatusTooManyRequests, "not accepted: "+res.Reason, "the job does not run; come back after the time in Retry-After")
+	case jobhost.Taken:
+		writeProblem(w, http.StatusConflict, "the id is that of another customer's job", "choose another id; the job does not run")
 	case jobhost.Unavailable:
 		retryafter.SetMS(w.Header(), res.RetryAfterMS)
 		writeProblem(w, http.StatusServiceUnavailable, "nothing was done: "+res.Reason, "try again after the time in Retry-After")
--- a/node/jobhost/answeredby.go
+++ b/node/jobhost/answeredby.go
@@ -31,6 +31,9 @@
 		version = cfg.Version
 	}
 	detail := fmt.Sprintf("%s %s config=%d", opNames[r.Op], res.Reason, version)
+	if r.Customer != "" {
+		detail += " customer=" + r.Customer
+	}
 	if res.By.Node != "" {
 		detail += fmt.Sprintf(" proof_age_ms=%d", res.By.ProofAgeMS)
 	}
--- a/node/jobhost/feeds.go
+++ b/node/jobhost/feeds.go
@@ -52,8 +52,10 @@
 		return
 	}
 	sort.SliceStable(cfg.Routes, func(i, j int) bool { return len(cfg.Routes[i].PathPrefix) > len(cfg.Routes[j].PathPrefix) })
+	cfg.IndexKeys()
 	h.config.Store(cfg)
-	h.record(events.JobConfigInForce, events.Fields{Detail: fmt.Sprintf("version=%d routes=%d pools=%d", cfg.Version, len(cfg.Routes), len(cfg.Pools))})
+	h.record(events.JobConfigInForce, events.Fields{Detail: fmt.Sprintf("version=%d routes=%d pools=%d customers=%d keys=%d",
+		cfg.Version, len(cfg.Routes), len(cfg.Pools), len(cfg.Customers), cfg.Keys())})
 	for _, s := range h.sortedOwned() {
 		h.updateShardQueues(s)
 	}
--- a/node/jobhost/homes.go
+++ b/node/jobhost/homes.go
@@ -305,9 +305,11 @@
 		return h.unlessOwn(ctx, p, r, "queue_home_unknown")
 	}
 	for _, other := range earlier {
-		res := h.doAtOwner(ctx, other, Request{Op: OpYield, Queue: r.Queue, ID: r.ID})
+		res := h.doAtOwner(ctx, other, Request{Op: OpYield, Queue: r.Queue, ID: r.ID, Customer: r.submittedFor()})
 		switch res.Outcome {
 		case Missing:
+		case Taken:
+			return res, true
 		case Done:
 			return Result{Outcome: Done, Reason: "accepted_before_the_queue_moved"}, true
 		default:
@@ -332,7 +334,7 @@
 // acceptedOnly answers a submission to a shard that must not accept it: it may have
 // accepted the job before.
 func (h *Host) acceptedOnly(ctx context.Context, p deps.Partition, r Request) Result {
-	if res := h.readLocal(ctx, p, Request{Op: OpShow, ID: r.ID}); res.Outcome == Done {
+	if res := h.readLocal(ctx, p, Request{Op: OpShow, Queue: r.Queue, ID: r.ID, Customer: r.Customer, Credential: r.Credential}); res.Outcome == Done {
 		return Result{Outcome: Done, By: res.By}
 	}
 	return Result{Outcome: Unknown, Reason: "queue_of_another_shard"}
@@ -348,6 +350,9 @@
 	r.ShardOnly = true
 	for _, other := range earlier {
 		more := h.tryOwner(ctx, other, r)
+		if more.Outcome == Unauthorized {
+			return more
+		}
 		if more.Outcome != Done {
 			h.record(events.RequestPassedOn, events.Fields{Detail: opNames[r.Op] + " in an earlier shard: " + more.Reason, Shard: other.Index})
 			return Result{Outcome: Unavailable, RetryAfterMS: unavailableRetryMS, Reason: "earlier_service_" + more.Reason}
--- a/node/jobhost/metrics.go
+++ b/node/jobhost/metrics.go
@@ -25,6 +25,9 @@
 		r[telemetry.MetricHeartbeatAge] = []telemetry.Reading{{Value: float64(monotonicMS() - hb.sentAt)}}
 	}
 	h.stats.requestReadings(r)
+	for reason, n := range h.stats.refusals.snapshot() {
+		r[telemetry.MetricAccessRefusals] = append(r[telemetry.MetricAccessRefusals], telemetry.Reading{Labels: label("reason", reason), Value: float64(n)})
+	}
 	return r
 }
 
--- a/node/jobhost/requests.go
+++ b/node/jobhost/requests.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"sync"
 	"time"
 
 	"github.com/pkg/errors"
@@ -47,6 +46,8 @@
 	// Customer is the customer that the caller's key names; empty on public queues, and
 	// for operators.
 	Customer string `cbor:"8,keyasint,omitempty"`
+	// Credential is what the caller has shown; nil for operators.
+	Credential *Credential `cbor:"9,keyasint,omitempty"`
 }
 
 // readOnly reports whether the operation leaves jobs as they are, so that it can be sent
@@ -70,6 +71,12 @@
 	// Unknown means that the request may have taken effect. The caller should
 	// repeat it with the same id.
 	Unknown Outcome = "unknown"
+	// Unauthorized means that nothing was done, because the configuration does not
+	// have the caller's key.
+	Unauthorized Outcome = "unauthorized"
+	// Taken means that the job was not accepted and does not run, because its ID is that
+	// of another customer's job.
+	Taken Outcome = "taken"
 	// notOwner means that the node does not own the shard.
 	notOwner Outcome = "not_owner"
 )
@@ -101,8 +108,15 @@
 	ctx, cancel := context.WithTimeout(ctx, requestTimeout)
 	defer cancel()
 	began := time.Now()
-	res := h.doAcrossShards(ctx, r)
+	res := Result{Outcome: Unauthorized, Reason: reasonKeyRemoved}
+	r, ok := h.recheck(r)
+	if ok {
+		res = h.doAcrossShards(ctx, r)
+	}
 	h.stats.countRequest(r.Op, res.Outcome, time.Since(began))
+	if res.Outcome == Taken {
+		h.refuseAccess(r, reasonIDTaken)
+	}
 	if !r.Op.readOnly() || r.Op == OpShow && res.Outcome != Done {
 		h.recordAnswer(r, res, time.Since(began))
 	}
@@ -226,6 +240,10 @@
 
 // doLocal executes a request on a shard that this node owns.
 func (h *Host) doLocal(ctx context.Context, part deps.Partition, r Request) Result {
+	r, ok := h.recheck(r)
+	if !ok {
+		return Result{Outcome: Unauthorized, Reason: reasonKeyRemoved}
+	}
 	switch r.Op {
 	case OpWaiting, OpList:
 		res := h.readLocal(ctx, part, r)
@@ -269,15 +287,21 @@
 	case s == nil || s.core == nil:
 		h.pending.complete(ticket, reply{Reply: shard.Reply{Outcome: shard.Superseded}})
 	case r.Op == OpCancel:
-		s.core.Cancel(monotonicMS(), ticket, r.ID)
+		h.noteHidden(s.core, r)
+		s.core.CancelAs(r.caller(), monotonicMS(), ticket, r.ID)
 	case r.Op == OpYield:
-		s.core.Yield(monotonicMS(), ticket, r.ID)
+		s.core.YieldAs(r.submitter(), monotonicMS(), ticket, r.ID)
 	case r.Op != OpSubmit:
-		s.core.Lookup(monotonicMS(), ticket, r.ID)
+		h.noteHidden(s.core, r)
+		s.core.LookupAs(r.caller(), monotonicMS(), ticket, r.ID)
 	case r.Job == nil:
 		h.pending.complete(ticket, reply{Reply: shard.Reply{Outcome: shard.Refused, Reason: "no_job"}, by: h.answeredBy(s)})
 	default:
-		s.core.Submit(monotonicMS(), ticket, *r.Job)
+		job := *r.Job
+		if r.Credential != nil {
+			job.Customer = r.Customer
+		}
+		s.core.Submit(monotonicMS(), ticket, job)
 	}
 }
 
@@ -318,72 +342,14 @@
 		return Result{Outcome: Done, Jobs: core.Jobs(r.Queue, r.Limit), Waiting: core.WaitingJobs(r.Queue)}
 	case OpTasks:
 		j, runs, ok := core.Job(r.ID)
-		if !ok {
+		if !ok || !core.MayAccess(r.caller(), r.ID) {
 			return Result{Outcome: Missing}
 		}
 		return Result{Outcome: Done, State: j.State, Jobs: []shard.JobSummary{j}, Runs: runs}
 	}
 	view := core.JobStatus(r.ID)
-	if !view.Known {
+	if !view.Known || !core.MayAccess(r.caller(), r.ID) {
 		return Result{Outcome: Missing}
 	}
 	return Result{Outcome: Done, State: view.State}
 }
-
-// reply is a shard's answer to the request with one ticket.
-type reply struct {
-	shard.Reply
-	by answeredBy
-}
-
-func (r reply) result() Result {
-	res := Result{RetryAfterMS: r.RetryAfterMS, Reason: r.Reason, State: r.State, By: r.by}
-	switch r.Outcome {
-	case shard.Superseded:
-		res.Outcome, res.Reason = notOwner, "not_owner"
-	case shard.Accepted:
-		res.Outcome = Done
-	case shard.Refused:
-		res.Outcome = Refused
-	case shard.Unknown:
-		res.Outcome = Missing
-	default:
-		res.Outcome = Unknown
-	}
-	return res
-}
-
-// pendingReplies holds the callers that wait for the answer of a shard, by
-// ticket.
-type pendingReplies struct {
-	mu      sync.Mutex
-	waiting map[uint64]chan reply
-}
-
-func (p *pendingReplies) register(ticket uint64) <-chan reply {
-	c := make(chan reply, 1)
-	p.mu.Lock()
-	p.waiting[ticket] = c
-	p.mu.Unlock()
-	return c
-}
-
-func (p *pendingReplies) unregister(ticket uint64) {
-	p.mu.Lock()
-	delete(p.waiting, ticket)
-	p.mu.Unlock()
-}
-
-func (p *pendingReplies) deliver(r shard.Reply, by answeredBy) {
-	p.complete(r.Ticket, reply{Reply: r, by: by})
-}
-
-func (p *pendingReplies) complete(ticket uint64, r reply) {
-	p.mu.Lock()
-	c := p.waiting[ticket]
-	delete(p.waiting, ticket)
-	p.mu.Unlock()
-	if c != nil {
-		c <- r
-	}
-}
--- a/node/jobhost/stats.go
+++ b/node/jobhost/stats.go
@@ -18,6 +18,8 @@
 	// appendLatency and requestLatency are nil if metrics are not registered.
 	appendLatency, requestLatency *telemetry.Histogram
 
+	refusals refusalCount
+
 	mu       sync.Mutex
 	requests map[requestLabel]int64
 	// runsLost counts the runs that ended with their worker, by cause.
--- a/node/telemetry/jobinstruments.go
+++ b/node/telemetry/jobinstruments.go
@@ -14,6 +14,8 @@
 	MetricShardsOwned   = "wigeonwinch_shards_owned"
 	MetricConfigVersion = "wigeonwinch_job_config_version"
 	MetricHeartbeatAge  = "wigeonwinch_heartbeat_age_ms"
+	// MetricAccessRefusals has five reasons at most; it has no label for customers.
+	MetricAccessRefusals = "wigeonwinch_access_refusals"
 )
 
 // JobInstruments returns the metrics for jobs, except the histograms.
@@ -27,6 +29,7 @@
 		{MetricTasksGivenUp, "", "counter", "", "Tasks given up because they crash the workers that start them.", "above 0: look for task_given_up in the log"},
 		{MetricRelayedOrders, "", "counter", "result", "Orders for workers that this node sent through relays: answered, or given up.", "given_up is more than 1 % over 5 minutes: look for relay_suspended in the log"},
 		{MetricShardsOwned, "", "gauge", "", "Shards that this node owns.", "the sum over all nodes is not the number of pools and one for a minute"},
+		{MetricAccessRefusals, "", "counter", "reason", "Calls refused because of their key, or because the job is another customer's.", "key_unknown or key_removed grows: look for access_refused in the log"},
 		{MetricConfigVersion, "", "gauge", "", "Version of the queues' configuration in force.", "two nodes differ for more than 14 s"},
 		{MetricHeartbeatAge, "ms", "gauge", "", "Time since the store last took a heartbeat of this node.", "above 2,000: the node may start nothing"},
 	}
