--- a/node/jobapi/jobapi.go
+++ b/node/jobapi/jobapi.go
@@ -87,6 +87,7 @@
 | 200 | Done, and stored. |
 | 400 | The job has the fault that ` + "`detail`" + ` names; nothing is left behind. |
 | 404 | No such queue or job. |
+| 409 | Not accepted, and does not run: the id is that of another customer's job; choose another. |
 | 429 | Not accepted, and does not run: come back after ` + "`Retry-After`" + ` seconds. |
 | 503 | Nothing was done; try again. |
 | 504 | It may have been done: ask again with the same id. |
