--- a/dispatch/scheduler/options.go
+++ b/dispatch/scheduler/options.go
@@ -5,7 +5,7 @@
 
 	"wigeonwinch/dispatch/eject"
 	"wigeonwinch/dispatch/retry"
-	"wigeonwinch/dispatch/runtimes"
+	"wigeonwinch/runtimes"
 )
 
 // The defaults of Options.
--- a/dispatch/scheduler/policy.go
+++ b/dispatch/scheduler/policy.go
@@ -5,7 +5,7 @@
 	"time"
 
 	"wigeonwinch/dispatch"
-	"wigeonwinch/dispatch/runtimes"
+	"wigeonwinch/runtimes"
 )
 
 // The classification of requests as long.
