Expect run times from finished steps when jobs are admitted and ordered

The owner of a shard now learns from finished steps what to expect of a queue's steps by what they declare, weighted to the recent, and uses it for the work ahead, the critical path, the deadline and the order. A step that is half done says what its other tasks take.

--- a/jobs/lab/lab.go
+++ b/jobs/lab/lab.go
@@ -30,6 +30,13 @@
 	// capacity.
 	Peak      float64
 	MeanShare float64
+	// EstimateDeviation is the deviation of the logarithm of the factor by which
+	// declared run times are off; the tasks of a step share it. 0 means that each
+	// run differs by itself from what was declared, by up to half. Stragglers is
+	// the share of tasks that take many times as long, if EstimateDeviation is
+	// set. TakeoverMS is the time between two changes of the owner; 0 means none.
+	EstimateDeviation, Stragglers float64
+	TakeoverMS                    int64
 }
 
 // The shape of the loads: the phases, job sizes and job values of the users'
@@ -111,6 +118,7 @@
 func Run(l Load, p Policy) Result {
 	arrivals := l.generateArrivals()
 	w := model.New(model.Options{Seed: l.Seed, Workers: l.Workers, MilliCPU: workerMilliCPU, MemoryMB: workerMemoryMB, FailShare: failShare, Policy: p.shardPolicy,
+		TakeoverIntervalMS: l.TakeoverMS, FaultsUntilMS: int64(l.Seconds) * 1000,
 		RunTime: func(k shard.Key, st *spec.Step) int64 { return l.runTime(k, st.EstimateMS) }})
 	for _, a := range arrivals {
 		w.Schedule(a.atMS, func() { w.Submit(a.job) })
@@ -142,6 +150,9 @@
 			return list
 		}
 		a := arrival{atMS: int64(at) + firstArrivalMS, job: randomJob(r, len(list))}
+		if l.EstimateDeviation > 0 {
+			l.misdeclare(&a.job)
+		}
 		pathMS, work := l.actualCost(&a.job)
 		a.work, a.objectiveMS = work, int64(model.Stretch*float64(pathMS))+model.TargetMS
 		list = append(list, a)
@@ -164,6 +175,9 @@
 // runTime returns how long a task runs; it is the same for every run of the
 // task.
 func (l Load) runTime(k shard.Key, estimateMS int64) int64 {
+	if l.EstimateDeviation > 0 {
+		return int64(l.runTimeOfStep(k))
+	}
 	h := fnv.New64a()
 	_, _ = fmt.Fprintf(h, "%d/%s/%d/%d", l.Seed, k.Job, k.Step, k.Index)
 	r := rand.New(rand.NewPCG(h.Sum64(), 7))
--- a/jobs/shard/core.go
+++ b/jobs/shard/core.go
@@ -18,6 +18,7 @@
 	"strings"
 
 	"wigeonwinch/jobs/customer"
+	"wigeonwinch/jobs/expect"
 	"wigeonwinch/jobs/spec"
 )
 
@@ -95,6 +96,10 @@
 	Order Order
 	// AdmitAll accepts every job that some worker could ever hold.
 	AdmitAll bool
+	// RunTimes is where the run times come from. TrueTimes, if set, replaces
+	// them by the true ones of a step's mean and longest task.
+	RunTimes  RunTimes
+	TrueTimes func(j *spec.Job, step int) (taskMS, longestMS int64)
 }
 
 // Order ranks jobs of the same priority.
@@ -193,6 +198,8 @@
 	nextAdviceAt   int64
 	// incomingMilliCPU is the capacity on its way to each service.
 	incomingMilliCPU map[string]int64
+	// learner learns the run times of finished steps.
+	learner *expect.Learner
 }
 
 // New returns the core of a shard that has just been taken over.
@@ -204,7 +211,7 @@
 	return &Core{
 		cfg: cfg, longestLeaseMS: longestLeaseMS, now: now, takeoverAt: now, wallMS: wallMS, earlierLeasesUntil: now + cfg.EarlierLeaseMS,
 		queues: map[string]Queue{}, jobs: map[string]*job{}, unreadable: map[string]bool{}, scheduled: map[string]*job{}, workers: map[string]*worker{},
-		workerKinds: map[string]Worker{}, pools: map[string]*pool{}, firstSeenAt: map[string]int64{}, declinedAt: map[string]int64{},
+		learner: expect.New(), workerKinds: map[string]Worker{}, pools: map[string]*pool{}, firstSeenAt: map[string]int64{}, declinedAt: map[string]int64{},
 	}
 }
 
--- a/jobs/shard/job.go
+++ b/jobs/shard/job.go
@@ -51,8 +51,13 @@
 	queued bool
 	// finalAt is the monotonic time at which the state became final.
 	finalAt int64
-	// remainingWork is the estimated work of the tasks that are not done.
+	// remainingWork is the expected work of the tasks that are not done.
 	remainingWork int64
+	// times are the run times expected of the steps; nil for jobs of earlier
+	// versions, of which the declared ones are expected. stretch is the part of the
+	// critical path in the deadline.
+	times   []stepTimes
+	stretch float64
 }
 
 // occurrence is one execution of all steps of a job.
@@ -69,6 +74,8 @@
 	// gangRun is the run number of the gang that is placed; 0 means none.
 	gangRun  int
 	failures int
+	// seen are the run times of the finished runs.
+	seen seenRuns
 	// permits are the answers of the service that permits placements, by
 	// worker ID.
 	permits map[string]permit
@@ -123,6 +130,11 @@
 	phaseSince int64
 	// startSentAt is when the start order was sent.
 	startSentAt int64
+	// startClockMS is the worker's clock when it accepted the start of a task
+	// without a checkpoint; 0 if it is not known or the task has one. work is the
+	// expected work.
+	startClockMS int64
+	work         int64
 	// minClockMS is the lowest clock that the incarnation to which the start was
 	// sent can show in its answer.
 	minClockMS int64
@@ -201,12 +213,12 @@
 	return j.spec.FirstRunMS + int64(number)*j.spec.IntervalMS
 }
 
-// remainingPathMS returns the longest chain of estimates of steps that are not
+// remainingPathMS returns the longest chain of expected run times of steps that are not
 // done, over all open occurrences.
 func (j *job) remainingPathMS() int64 {
 	longest := int64(0)
 	for _, o := range j.occurrences {
-		longest = max(longest, j.spec.CriticalPathMS(func(s int) bool { return o.steps[s].openTasks > 0 }))
+		longest = max(longest, j.criticalPathMS(func(s int) bool { return o.steps[s].openTasks > 0 }))
 	}
 	return longest
 }
--- a/jobs/shard/occurrences.go
+++ b/jobs/shard/occurrences.go
@@ -5,7 +5,7 @@
 	o := newOccurrence(&j.spec, number)
 	j.occurrences[number] = o
 	j.nextOccurrence = number + 1
-	work := j.spec.Work()
+	work := j.work()
 	j.remainingWork += work
 	c.ensurePool(j.service).remainingWork += work
 	c.enqueue(j)
--- a/jobs/shard/polls.go
+++ b/jobs/shard/polls.go
@@ -142,6 +142,7 @@
 		return
 	}
 	w.clockMS, w.clockReadAt = l.ClockMS, now
+	w.sightMS = sentAt - w.listedAt
 	w.listedAt = now
 	w.failedPolls, w.contactLostAt, w.connectionLost = 0, 0, false
 	if w.inDoubt() && sentAt >= w.doubtedAt {
--- a/jobs/shard/pool.go
+++ b/jobs/shard/pool.go
@@ -9,13 +9,13 @@
 	// with lasting steps.
 	queue        []*job
 	lastingQueue []*job
-	// remainingWork is the estimated work of all accepted tasks that are not
+	// remainingWork is the expected work of all accepted tasks that are not
 	// done.
 	remainingWork int64
 	// blockedSince is when a lasting task first found no capacity; 0 if none
 	// is waiting.
 	blockedSince int64
-	// submittedWork is the estimated work of all jobs submitted since the
+	// submittedWork is the expected work of all jobs submitted since the
 	// takeover.
 	submittedWork int64
 	// isolationWaiting counts the tasks of the current pass that found no worker
--- a/jobs/shard/record.go
+++ b/jobs/shard/record.go
@@ -61,6 +61,10 @@
 	// Advice is the timing of the service that permits the queue's placements; nil if none
 	// does.
 	Advice *AdviceTiming `cbor:"13,keyasint,omitempty"`
+	// Times are the run times expected of the steps, Stretch the part of the critical
+	// path in SlackMS; empty in records of earlier versions.
+	Times   []stepTimes `cbor:"14,keyasint,omitempty"`
+	Stretch float64     `cbor:"15,keyasint,omitempty"`
 }
 
 // workerVM is a worker and the VM on which it runs.
@@ -112,7 +116,9 @@
 		MaxAttempts: j.maxAttempts, AcceptedMS: j.acceptedMS, State: j.state, Begun: j.begun,
 		NextOccurrence: j.nextOccurrence, SlackMS: j.deadline - j.firstSeenAt, Advice: j.advice,
 	}
-	if j.state.Final() {
+	if !j.state.Final() {
+		r.Times, r.Stretch = j.times, j.stretch
+	} else {
 		r.Job = spec.Job{ID: j.spec.ID, Queue: j.spec.Queue, Customer: j.spec.Customer}
 	}
 	for _, number := range sortedKeys(j.occurrences) {
@@ -197,10 +203,13 @@
 	j := &job{
 		spec: rec.Job, service: rec.Service, priority: rec.Priority, maxAttempts: rec.MaxAttempts, advice: rec.Advice,
 		acceptedMS: rec.AcceptedMS, state: rec.State, storedState: rec.State, stored: true,
-		begun: rec.Begun, nextOccurrence: rec.NextOccurrence, occurrences: map[int]*occurrence{},
+		begun: rec.Begun, stretch: rec.Stretch, nextOccurrence: rec.NextOccurrence, occurrences: map[int]*occurrence{},
 	}
 	age := min(max(c.wallMS-rec.AcceptedMS, 0), maxRestoredAgeMS)
 	j.firstSeenAt = c.now - age
+	if len(rec.Times) == len(rec.Job.Steps) {
+		j.times = rec.Times
+	}
 	j.deadline = j.firstSeenAt + rec.SlackMS
 	c.jobs[j.spec.ID] = j
 	if j.state.Final() {
@@ -259,7 +268,7 @@
 		o.openTasks--
 		return
 	}
-	j.remainingWork += j.spec.Steps[s].Work()
+	j.remainingWork += j.stepWork(s)
 	if rec.Worker == "" {
 		return
 	}
--- a/jobs/shard/runs.go
+++ b/jobs/shard/runs.go
@@ -52,7 +52,7 @@
 	}
 	switch outcome {
 	case StartAccepted:
-		c.acceptStart(w, s, r, by)
+		c.acceptStart(w, s, r, by, result.ClockMS)
 	case StartUnanswered:
 		r.unconfirmed = true
 		w.backoffUntil = now + workerBackoffMS
@@ -78,8 +78,11 @@
 }
 
 // acceptStart records that a worker has accepted a start.
-func (c *Core) acceptStart(w *worker, s Start, r *run, by incarnationKind) {
+func (c *Core) acceptStart(w *worker, s Start, r *run, by incarnationKind, clockMS int64) {
 	c.recordBegun(r.job)
+	if s.Checkpoint == "" {
+		r.startClockMS = clockMS
+	}
 	if by == targetIncarnation && w.incarnation != s.Incarnation {
 		c.settleRun(r, reasonWorkerReborn)
 		return
@@ -215,7 +218,7 @@
 }
 
 func (c *Core) recordEnd(w *worker, e ListedEnd) {
-	c.event(Event{Name: EventEnd, Job: e.Key.Job, Run: e.RunRef, Worker: w.info.ID, Outcome: string(e.Kind), Detail: fmt.Sprintf("end=%d", e.End)})
+	c.event(Event{Name: EventEnd, Job: e.Key.Job, Run: e.RunRef, Worker: w.info.ID, Outcome: string(e.Kind), Detail: fmt.Sprintf("end=%d", e.End) + w.runs[runID{e.Key, e.Number}].runDetail(c.now)})
 	r := w.runs[runID{e.Key, e.Number}]
 	if r != nil {
 		w.removeRun(r)
@@ -237,6 +240,7 @@
 		tk.checkpoint = e.Checkpoint
 	}
 	c.markDirty(j)
+	c.noteRunTime(j, r, e)
 	if tk.current != nil && (r == tk.current || tk.current.number <= e.Number) {
 		tk.current.worker.removeRun(tk.current)
 		tk.current = nil
@@ -302,9 +306,10 @@
 	}
 	so.openTasks--
 	o.openTasks--
-	work := j.spec.Steps[index].Work()
+	work := j.stepWork(index)
 	j.remainingWork -= work
 	c.ensurePool(j.service).remainingWork -= work
+	c.learnFrom(j, so, index)
 }
 
 // failTask counts a failed run and fails the job after too many.
--- a/jobs/shard/schedule.go
+++ b/jobs/shard/schedule.go
@@ -75,6 +75,7 @@
 	if c.now-p.fullPassAt >= fullPassIntervalMS {
 		maxUnplaced = math.MaxInt
 		p.fullPassAt = c.now
+		c.refreshExpectations(p.queue)
 	}
 	p.queue = c.placeJobs(p.queue, workers, maxUnplaced, nil)
 }
@@ -124,7 +125,7 @@
 	case OrderArrival:
 		return false, j.firstSeenAt
 	case OrderShortestPath:
-		return false, j.spec.CriticalPathMS(nil)
+		return false, j.criticalPathMS(nil)
 	}
 	pathMS := j.remainingPathMS()
 	if c.now+int64(minPathShare*float64(pathMS)) > j.deadline {
--- a/jobs/shard/submit.go
+++ b/jobs/shard/submit.go
@@ -32,17 +32,19 @@
 	if !seen {
 		firstSeen = now
 		c.firstSeenAt[s.ID] = now
-		c.ensurePool(q.Service).submittedWork += s.Work()
+	}
+	j := c.newJob(s, q, firstSeen)
+	if !seen {
+		c.ensurePool(q.Service).submittedWork += j.work()
 	}
 	if c.now >= c.startsUntil {
 		// A successor may have accepted the job, so that a refusal may be false.
 		c.reply(Reply{Ticket: ticket, Outcome: Unavailable, Reason: "ownership_expired"})
 		return
 	}
-	j := c.newJob(s, q, firstSeen)
 	if refusal, refused := c.checkAdmission(j, q); refused {
 		c.event(Event{Name: EventRefused, Job: s.ID, Outcome: refusal.Reason, AgeMS: now - firstSeen,
-			Detail: fmt.Sprintf("work=%d left=%d retry_ms=%d", s.Work(), c.ensurePool(q.Service).remainingWork, refusal.RetryAfterMS)})
+			Detail: fmt.Sprintf("work=%d left=%d retry_ms=%d", j.work(), c.ensurePool(q.Service).remainingWork, refusal.RetryAfterMS)})
 		refusal.Ticket, refusal.Outcome = ticket, Refused
 		c.reply(refusal)
 		return
@@ -51,20 +53,21 @@
 }
 
 func (c *Core) newJob(s spec.Job, q Queue, firstSeen int64) *job {
-	pathMS := s.CriticalPathMS(nil)
-	return &job{
+	j := &job{
 		spec: s, service: q.Service, priority: q.Priority, maxAttempts: q.MaxAttempts, advice: q.AdviceTiming,
-		firstSeenAt: firstSeen, deadline: firstSeen + q.TargetMS + int64(q.Stretch*float64(pathMS)),
+		firstSeenAt: firstSeen, deadline: firstSeen + q.TargetMS, stretch: q.Stretch,
 		acceptedMS: c.wallMS, state: spec.Pending, storedState: spec.Pending,
 		occurrences: map[int]*occurrence{},
 	}
+	c.expectJob(j)
+	return j
 }
 
 func (c *Core) acceptJob(j *job, ticket uint64) {
 	j.submitWaiters = append(j.submitWaiters, ticket)
 	c.jobs[j.spec.ID] = j
 	c.event(Event{Name: EventAccepted, Job: j.spec.ID, AgeMS: c.now - j.firstSeenAt,
-		Detail: fmt.Sprintf("queue=%s work=%d left=%d deadline_in_ms=%d", j.spec.Queue, j.spec.Work(), c.ensurePool(j.service).remainingWork, j.deadline-c.now)})
+		Detail: fmt.Sprintf("queue=%s work=%d left=%d deadline_in_ms=%d", j.spec.Queue, j.work(), c.ensurePool(j.service).remainingWork, j.deadline-c.now)})
 	c.markDirty(j)
 	if j.spec.Repeat == 0 {
 		c.openOccurrence(j, 0)
@@ -93,8 +96,8 @@
 		return Reply{}, false
 	}
 	p := c.ensurePool(q.Service)
-	d := admit.Decide(c.poolLoadAhead(p, j.spec.Work()), admit.Request{
-		Work: j.spec.Work(), InitialMilliCPU: initialMilliCPU(&j.spec), CriticalPathMS: j.spec.CriticalPathMS(nil), SlackMS: j.deadline - c.now,
+	d := admit.Decide(c.poolLoadAhead(p, j.work()), admit.Request{
+		Work: j.work(), InitialMilliCPU: initialMilliCPU(&j.spec), CriticalPathMS: j.criticalPathMS(nil), SlackMS: j.deadline - c.now,
 		Lasting: j.spec.HasLastingStep(), Scheduled: j.spec.Repeat > 0,
 	})
 	if d.Accept {
@@ -173,7 +176,7 @@
 	for _, o := range j.occurrences {
 		for s := range o.steps {
 			if o.steps[s].openTasks > 0 && o.stepReady(&j.spec, s) {
-				sum += o.steps[s].pendingTasks() * j.spec.Steps[s].Work()
+				sum += o.steps[s].pendingTasks() * j.stepWork(s)
 			}
 		}
 	}
--- a/jobs/shard/worker.go
+++ b/jobs/shard/worker.go
@@ -19,7 +19,7 @@
 	reached bool
 	runs    map[runID]*run
 	used    spec.Resources
-	// placedWork is the estimated work of the runs.
+	// placedWork is the expected work of the runs.
 	placedWork int64
 	// lastingRuns, servingRuns and fillerRuns count the runs of each kind.
 	lastingRuns, servingRuns, fillerRuns int
@@ -57,6 +57,9 @@
 	// listedAt is when the last lists arrived, pacedAt when fillers were last
 	// paced.
 	listedAt, pacedAt int64
+	// sightMS bounds how long before the last answer the ends may lie that it has
+	// brought.
+	sightMS int64
 	// contactLostAt is when the first poll failed after the last answered one;
 	// 0 while polls are answered. connectionLost reports whether a connection was
 	// closed or rejected since.
@@ -89,6 +92,8 @@
 func (w *worker) addRun(r *run) {
 	w.runs[runID{r.key, r.number}] = r
 	w.used = w.used.Add(r.reserved)
+	r.work = r.job.stepWork(r.key.Step)
+	w.placedWork += r.work
 	w.countRun(r.step(), 1)
 }
 
@@ -104,13 +109,13 @@
 		w.stoppingRuns--
 	}
 	w.used = w.used.Sub(r.reserved)
+	w.placedWork -= r.work
 	w.countRun(r.step(), -1)
 }
 
 // countRun adds (delta 1) or removes (delta -1) a run of a step in the
 // worker's counters.
 func (w *worker) countRun(st *spec.Step, delta int) {
-	w.placedWork += int64(delta) * st.Work()
 	if st.Lasting {
 		w.lastingRuns += delta
 		w.lastingMilliCPU += delta * st.Reservation().MilliCPU
--- a/jobs/spec/spec.go
+++ b/jobs/spec/spec.go
@@ -201,6 +201,17 @@
 // CriticalPathMS returns the longest chain of estimated run times over the
 // steps for which pending returns true; a nil pending selects all steps.
 func (j *Job) CriticalPathMS(pending func(step int) bool) int64 {
+	return j.LongestChainMS(func(step int) int64 {
+		if pending != nil && !pending(step) {
+			return 0
+		}
+		return j.Steps[step].EstimateMS
+	})
+}
+
+// LongestChainMS returns the longest chain of steps, each as long as stepMS
+// returns.
+func (j *Job) LongestChainMS(stepMS func(step int) int64) int64 {
 	finishes := make([]int64, len(j.Steps))
 	longest := int64(0)
 	for i := range j.Steps {
@@ -208,10 +219,7 @@
 		for _, d := range j.Steps[i].After {
 			start = max(start, finishes[d])
 		}
-		finishes[i] = start
-		if pending == nil || pending(i) {
-			finishes[i] += j.Steps[i].EstimateMS
-		}
+		finishes[i] = start + stepMS(i)
 		longest = max(longest, finishes[i])
 	}
 	return longest
--- a/runtimes/histogram.go
+++ b/runtimes/histogram.go
@@ -43,10 +43,13 @@
 }
 
 // Add records one run time.
-func (h *Histogram) Add(now time.Time, halfLife, d time.Duration) {
+func (h *Histogram) Add(now time.Time, halfLife, d time.Duration) { h.AddWeighted(now, halfLife, d, 1) }
+
+// AddWeighted records a run time that counts as the given number of run times.
+func (h *Histogram) AddWeighted(now time.Time, halfLife, d time.Duration, weight float64) {
 	h.decay(now, halfLife)
-	h.buckets[bucketIndex(d)]++
-	h.weight++
+	h.buckets[bucketIndex(d)] += float32(weight)
+	h.weight += weight
 }
 
 // decay scales the counts down according to the time since the last decay.
--- a/runtimes/runtimes.go
+++ b/runtimes/runtimes.go
@@ -47,6 +47,8 @@
 	// HasHistory reports whether the route has a history. Without one, the
 	// prediction is the declared run time.
 	HasHistory bool
+	// Weight is the decayed number of run times that the route's history holds.
+	Weight float64
 	// Mean, Median and P90 are statistics of the predicted run time.
 	Mean, Median, P90 time.Duration
 	// CappedMean is the mean with each run time capped at the threshold.
@@ -95,8 +97,14 @@
 // Observe records the run time of a finished request. A declared run time of
 // zero means that the request declared none.
 func (l *Predictor) Observe(now time.Time, key Key, declared, actual time.Duration) {
+	l.ObserveWeighted(now, key, declared, actual, 1)
+}
+
+// ObserveWeighted records a run time that counts as the given number of run
+// times; it may be a fraction.
+func (l *Predictor) ObserveWeighted(now time.Time, key Key, declared, actual time.Duration, weight float64) {
 	r := l.routeFor(key)
-	r.all.Add(now, l.opts.HalfLife, actual)
+	r.all.AddWeighted(now, l.opts.HalfLife, actual, weight)
 	if declared <= 0 {
 		return
 	}
@@ -104,7 +112,7 @@
 	if r.byDeclared[bin] == nil {
 		r.byDeclared[bin] = &Histogram{}
 	}
-	r.byDeclared[bin].Add(now, l.opts.HalfLife, actual)
+	r.byDeclared[bin].AddWeighted(now, l.opts.HalfLife, actual, weight)
 }
 
 // routeFor returns the history of a route and marks the route as the most
@@ -142,7 +150,7 @@
 		m = mixture{specific: r.byDeclared[declaredBin(declared)]}.withPrior(&r.all, declared)
 	}
 	p := m.summarize(threshold)
-	p.HasHistory = true
+	p.HasHistory, p.Weight = true, r.all.weight
 	return p
 }
 
