--- a/jobs/shard/expect.go
+++ b/jobs/shard/expect.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 
 	"wigeonwinch/jobs/expect"
 	"wigeonwinch/jobs/spec"
@@ -44,6 +45,15 @@
 	TaskMS, LongestMS int64
 }
 
+// finishedStep is what was learned from a finished step of a job. Successors learn it
+// from the job's record.
+type finishedStep struct {
+	_                 struct{} `cbor:",toarray"`
+	Step, Count       int
+	DeclaredMS        int64
+	MeanMS, LongestMS int64
+}
+
 // seenRuns are the run times of a step's finished runs, as far as they are known.
 type seenRuns struct {
 	count          int
@@ -223,9 +233,24 @@
 		return
 	}
 	c.learner.Observe(c.now, expectedStep(j, s), expect.Outcome{MeanMS: meanMS, LongestMS: seen.maxMS})
+	st := &j.spec.Steps[s]
+	f := finishedStep{Step: s, Count: st.Count, DeclaredMS: st.EstimateMS, MeanMS: meanMS, LongestMS: seen.maxMS}
+	j.finished = append(slices.DeleteFunc(j.finished, func(o finishedStep) bool { return o.Step == s }), f)
 	c.setStepTimes(j, s, stepTimes{TaskMS: meanMS, LongestMS: seen.maxMS})
 }
 
+// learnFromRecord learns from the finished steps of a restored job. The images of
+// jobs that are final are not in their records.
+func (c *Core) learnFromRecord(j *job) {
+	for _, f := range j.finished {
+		step := expect.Step{Queue: j.spec.Queue, Customer: j.spec.Customer, Count: f.Count, DeclaredMS: f.DeclaredMS}
+		if f.Step >= 0 && f.Step < len(j.spec.Steps) {
+			step.Image = j.spec.Steps[f.Step].Image
+		}
+		c.learner.Observe(c.now, step, expect.Outcome{MeanMS: f.MeanMS, LongestMS: f.LongestMS})
+	}
+}
+
 // RunTimes returns what has been learned of the queues' run times, and the number
 // of histories.
 func (c *Core) RunTimes() ([]expect.QueueStats, int) { return c.learner.Stats(), c.learner.Histories() }
--- a/jobs/shard/job.go
+++ b/jobs/shard/job.go
@@ -58,6 +58,8 @@
 	// critical path in the deadline.
 	times   []stepTimes
 	stretch float64
+	// finished is what was learned from the job's steps.
+	finished []finishedStep
 }
 
 // occurrence is one execution of all steps of a job.
--- a/jobs/shard/record.go
+++ b/jobs/shard/record.go
@@ -65,6 +65,9 @@
 	// path in SlackMS; empty in records of earlier versions.
 	Times   []stepTimes `cbor:"14,keyasint,omitempty"`
 	Stretch float64     `cbor:"15,keyasint,omitempty"`
+	// Finished is what was learned from the job's finished steps; also kept for
+	// final jobs, so that a successor knows what this owner has learned lately.
+	Finished []finishedStep `cbor:"16,keyasint,omitempty"`
 }
 
 // workerVM is a worker and the VM on which it runs.
@@ -115,6 +118,7 @@
 		Version: recordVersion, Job: j.spec, Service: j.service, Priority: j.priority,
 		MaxAttempts: j.maxAttempts, AcceptedMS: j.acceptedMS, State: j.state, Begun: j.begun,
 		NextOccurrence: j.nextOccurrence, SlackMS: j.deadline - j.firstSeenAt, Advice: j.advice,
+		Finished: j.finished,
 	}
 	if !j.state.Final() {
 		r.Times, r.Stretch = j.times, j.stretch
@@ -203,7 +207,7 @@
 	j := &job{
 		spec: rec.Job, service: rec.Service, priority: rec.Priority, maxAttempts: rec.MaxAttempts, advice: rec.Advice,
 		acceptedMS: rec.AcceptedMS, state: rec.State, storedState: rec.State, stored: true,
-		begun: rec.Begun, stretch: rec.Stretch, nextOccurrence: rec.NextOccurrence, occurrences: map[int]*occurrence{},
+		begun: rec.Begun, stretch: rec.Stretch, finished: rec.Finished, nextOccurrence: rec.NextOccurrence, occurrences: map[int]*occurrence{},
 	}
 	age := min(max(c.wallMS-rec.AcceptedMS, 0), maxRestoredAgeMS)
 	j.firstSeenAt = c.now - age
@@ -212,6 +216,7 @@
 	}
 	j.deadline = j.firstSeenAt + rec.SlackMS
 	c.jobs[j.spec.ID] = j
+	c.learnFromRecord(j)
 	if j.state.Final() {
 		j.finalAt = c.now
 		c.finalJobs = append(c.finalJobs, j)
