--- a/cmd/internal/cli/jobs.go
+++ b/cmd/internal/cli/jobs.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
 	"net/url"
 	"strconv"
@@ -20,7 +21,7 @@
 
 func queuesCommand() *cli.Command {
 	return &cli.Command{
-		Name: "queues", Usage: "show the queues and their numbers of waiting jobs",
+		Name: "queues", Usage: "show the queues, their numbers of waiting jobs and the run times learned",
 		Description: "Example:\n  wigeonwinch --nodes 10.0.0.5:7061 queues" + jobsAddressHelp,
 		Action: func(ctx context.Context, cmd *cli.Command) error {
 			var queues []jobapi.Queue
@@ -28,13 +29,17 @@
 				return err
 			}
 			return printOutput(cmd, queues, func() table {
-				t := table{header: []string{"queue", "service", "priority", "attempts", "waiting"}}
+				t := table{header: []string{"queue", "service", "priority", "attempts", "waiting", "run_time_ms"}}
 				for _, q := range queues {
 					waiting := "not known"
 					if q.Waiting != nil {
 						waiting = strconv.Itoa(*q.Waiting)
 					}
-					t.add(q.Name, q.Service, q.Priority, q.MaxAttempts, waiting)
+					runTime := "as declared"
+					if q.RunTimes != nil {
+						runTime = fmt.Sprintf("%d, p90 %d", q.RunTimes.MeanMS, q.RunTimes.P90MS)
+					}
+					t.add(q.Name, q.Service, q.Priority, q.MaxAttempts, waiting, runTime)
 				}
 				return t
 			})
--- a/jobs/expect/accuracy.go
+++ b/jobs/expect/accuracy.go
@@ -1,6 +1,7 @@
 package expect
 
 import (
+	"maps"
 	"math"
 	"slices"
 )
@@ -53,22 +54,27 @@
 // Stats returns what is known of the queues for which run times are expected,
 // by name.
 func (l *Learner) Stats() []QueueStats {
-	names := make([]string, 0, len(l.accuracy))
-	for name := range l.accuracy {
-		names = append(names, name)
-	}
-	slices.Sort(names)
-	stats := make([]QueueStats, 0, len(names))
-	for _, name := range names {
-		p, a := l.queues.Predict(queueKey(name), 0, 0), l.accuracy[name]
-		stats = append(stats, QueueStats{
-			Queue: name, Steps: p.Weight, MeanMS: p.Mean.Milliseconds(), P90MS: p.P90.Milliseconds(),
-			DeclaredFactor: math.Exp(a.declared), ExpectedFactor: math.Exp(a.expected),
-		})
+	stats := make([]QueueStats, 0, len(l.accuracy))
+	for _, name := range slices.Sorted(maps.Keys(l.accuracy)) {
+		s, _ := l.QueueStats(name)
+		stats = append(stats, s)
 	}
 	return stats
 }
 
+// QueueStats returns what is known of a queue. It reports false if the declared
+// run times are used.
+func (l *Learner) QueueStats(queue string) (QueueStats, bool) {
+	p, a := l.queues.Predict(queueKey(queue), 0, 0), l.accuracy[queue]
+	if a == nil {
+		return QueueStats{}, false
+	}
+	return QueueStats{
+		Queue: queue, Steps: p.Weight, MeanMS: p.Mean.Milliseconds(), P90MS: p.P90.Milliseconds(),
+		DeclaredFactor: math.Exp(a.declared), ExpectedFactor: math.Exp(a.expected),
+	}, true
+}
+
 // Histories returns the number of histories that the learner holds.
 func (l *Learner) Histories() int {
 	n := l.queues.Routes()
--- a/jobs/expect/expect.go
+++ b/jobs/expect/expect.go
@@ -26,9 +26,9 @@
 	// maxQueues bounds the queues with a history, maxCustomers the customers
 	// and maxHistories the histories of one customer: its queues and its images.
 	maxQueues, maxCustomers, maxHistories = 64, 32, 8
-	// ownSteps is the decayed number of a customer's finished steps from which
-	// each further one counts less in the history that all customers of the
-	// queue share.
+	// ownSteps is the decayed number of a customer's finished steps at which a
+	// further one counts half in the history that all customers of the queue
+	// share; all of them count for no more than 1.6 times as many there.
 	ownSteps = 32
 	// spreadUnit is the time that stands for the ratio 1 in the histories of
 	// ratios.
@@ -123,18 +123,21 @@
 	return widths - 1
 }
 
-// Observe records a finished step. nowMS is any clock that doesn't go back.
-func (l *Learner) Observe(nowMS int64, s Step, o Outcome) {
+// Observe records a finished step. nowMS is any clock that doesn't go back. It
+// reports whether run times of the queue are expected from now on.
+func (l *Learner) Observe(nowMS int64, s Step, o Outcome) (first bool) {
 	if o.MeanMS <= 0 {
-		return
+		return false
 	}
+	known := l.knows(s.Queue)
 	l.noteAccuracy(&s, o)
 	now, declared, actual := time.UnixMilli(nowMS), milliseconds(s.DeclaredMS), milliseconds(o.MeanMS)
 	weight := 1.0
 	if s.Customer != "" || s.Image != "" {
 		own := l.historiesOf(s.Customer)
 		if s.Customer != "" {
-			weight = ownSteps / (ownSteps + own.Predict(queueKey(s.Queue), 0, 0).Weight)
+			share := own.Predict(queueKey(s.Queue), 0, 0).Weight / ownSteps
+			weight = 1 / (1 + share*share)
 			own.Observe(now, queueKey(s.Queue), declared, actual)
 		}
 		if s.Image != "" {
@@ -146,6 +149,12 @@
 		ratio := float64(o.LongestMS) / float64(o.MeanMS)
 		l.spreads.Observe(now, spreadKey(&s), 0, time.Duration(ratio*float64(spreadUnit)))
 	}
+	return !known && l.knows(s.Queue)
+}
+
+// knows reports whether the queue's history is long enough to be used.
+func (l *Learner) knows(queue string) bool {
+	return l.queues.Predict(queueKey(queue), 0, 0).Weight >= minSteps
 }
 
 // historiesOf returns a customer's histories and marks the customer as seen
--- a/jobs/shard/expect.go
+++ b/jobs/shard/expect.go
@@ -232,7 +232,9 @@
 	if float64(seen.count) < minSeenShare*float64(len(so.tasks)) && !j.spec.Steps[s].Gang {
 		return
 	}
-	c.learner.Observe(c.now, expectedStep(j, s), expect.Outcome{MeanMS: meanMS, LongestMS: seen.maxMS})
+	if c.learner.Observe(c.now, expectedStep(j, s), expect.Outcome{MeanMS: meanMS, LongestMS: seen.maxMS}) {
+		c.event(Event{Name: EventLearned, Job: j.spec.ID, Detail: "queue=" + j.spec.Queue})
+	}
 	st := &j.spec.Steps[s]
 	f := finishedStep{Step: s, Count: st.Count, DeclaredMS: st.EstimateMS, MeanMS: meanMS, LongestMS: seen.maxMS}
 	j.finished = append(slices.DeleteFunc(j.finished, func(o finishedStep) bool { return o.Step == s }), f)
@@ -255,6 +257,16 @@
 // of histories.
 func (c *Core) RunTimes() ([]expect.QueueStats, int) { return c.learner.Stats(), c.learner.Histories() }
 
+// QueueRunTimes returns what has been learned of a queue; nil if the declared run
+// times are used.
+func (c *Core) QueueRunTimes(queue string) *expect.QueueStats {
+	s, ok := c.learner.QueueStats(queue)
+	if !ok {
+		return nil
+	}
+	return &s
+}
+
 // runDetail describes a run's time for the event log.
 func (r *run) runDetail(now int64) string {
 	if r == nil {
--- a/jobs/shard/orders.go
+++ b/jobs/shard/orders.go
@@ -127,6 +127,7 @@
 	EventSuspected    EventName = "task_suspected"
 	EventGivenUp      EventName = "task_given_up"
 	EventUntried      EventName = "jobs_untried"
+	EventLearned      EventName = "run_times_learned"
 )
 
 // Event is one decision, for the log.
--- a/node/events/jobs.go
+++ b/node/events/jobs.go
@@ -48,6 +48,7 @@
 	QueueHomeStored
 	QueueHomeUnknown
 	JobsUntried
+	RunTimesLearned
 )
 
 var jobEvents = []Definition{
@@ -96,5 +97,6 @@
 	{QueueHomeStored, "queue_home_stored", SeverityInfo, "A shard is recorded as a home of a queue, before it accepts the queue's first job.", ""},
 	{QueueHomeUnknown, "queue_home_unknown", SeverityWarning, "The shards that may hold jobs of a queue could not be read or written; submissions of unknown jobs are not decided until they can.", "Check the store."},
 	{JobsUntried, "jobs_untried", SeverityInfo, "A pass over the waiting jobs of a pool ended after this job, because too many tasks in a row found no worker; the detail has how many jobs were not tried.", ""},
+	{RunTimesLearned, "run_times_learned", SeverityInfo, "The owner of a shard has seen enough finished steps of a queue to expect run times by them in place of the declared ones.", ""},
 	{AdviceFailed, "advice_failed", SeverityWarning, "The placement advisor did not answer; it is asked again.", "Check the placement advisor; queues that need its permits wait."},
 }
--- a/node/jobapi/jobapi.go
+++ b/node/jobapi/jobapi.go
@@ -13,6 +13,7 @@
 	"strconv"
 	"strings"
 
+	"wigeonwinch/jobs/expect"
 	"wigeonwinch/jobs/shard"
 	"wigeonwinch/jobs/spec"
 	"wigeonwinch/node/admin"
@@ -130,6 +131,9 @@
 	// Waiting counts the accepted jobs without a started task. It is nil if the
 	// queue's shard did not answer.
 	Waiting *int `json:"waiting"`
+	// RunTimes is what the queue's shard has learned of its run times. It is nil
+	// if the declared ones are used.
+	RunTimes *expect.QueueStats `json:"run_times,omitempty"`
 }
 
 func (a *API) queues(w http.ResponseWriter, r *http.Request) {
@@ -138,7 +142,7 @@
 		out := Queue{Name: q.Name, Service: q.Service, Priority: q.Priority, MaxAttempts: q.MaxAttempts}
 		res := a.jobs.Do(r.Context(), jobhost.Request{Op: jobhost.OpWaiting, Service: q.Service, Queue: q.Name})
 		if res.Outcome == jobhost.Done {
-			out.Waiting = &res.Waiting
+			out.Waiting, out.RunTimes = &res.Waiting, res.RunTimes
 		}
 		list = append(list, out)
 	}
--- a/node/jobhost/host.go
+++ b/node/jobhost/host.go
@@ -54,6 +54,7 @@
 	owners             atomic.Pointer[map[deps.Partition]ownership]
 	confirmedHeartbeat atomic.Pointer[confirmedHeartbeat]
 	ownedView          atomic.Pointer[[]ownership]
+	runTimesView       atomic.Pointer[runTimesView]
 	heartbeatTrigger   chan struct{}
 	leaving            atomic.Bool
 	// heartbeatMode is the current heartbeat mode. largeFleet reports that the
@@ -256,6 +257,7 @@
 		h.updateHeartbeatMode(now)
 		h.takeOverVacantShards(now)
 		h.relays.expire(now)
+		h.viewRunTimes()
 	}
 	h.relays.plan(now)
 	h.expireCordons(now)
--- a/node/jobhost/metrics.go
+++ b/node/jobhost/metrics.go
@@ -18,6 +18,15 @@
 		},
 		telemetry.MetricShardsOwned: {{Value: float64(len(*h.ownedView.Load()))}},
 	}
+	if v := h.runTimesView.Load(); v != nil {
+		r[telemetry.MetricRunTimeHistories] = []telemetry.Reading{{Value: float64(v.histories)}}
+		if v.queues > 0 {
+			r[telemetry.MetricRunTimeFactor] = []telemetry.Reading{
+				{Labels: label("estimate", "declared"), Value: v.declared / float64(v.queues)},
+				{Labels: label("estimate", "expected"), Value: v.expected / float64(v.queues)},
+			}
+		}
+	}
 	if cfg := h.config.Load(); cfg != nil {
 		r[telemetry.MetricConfigVersion] = []telemetry.Reading{{Value: float64(cfg.Version)}}
 	}
--- a/node/jobhost/requests.go
+++ b/node/jobhost/requests.go
@@ -7,6 +7,7 @@
 
 	"github.com/pkg/errors"
 
+	"wigeonwinch/jobs/expect"
 	"wigeonwinch/jobs/shard"
 	"wigeonwinch/jobs/spec"
 	"wigeonwinch/node/deps"
@@ -87,6 +88,9 @@
 	Runs []shard.RunSummary `cbor:"7,keyasint,omitempty"`
 	// By is the owner that answered; zero if none did.
 	By answeredBy `cbor:"8,keyasint,omitzero"`
+	// RunTimes is part of the answer to OpWaiting: what the owner has learned of the
+	// queue's run times; nil if it uses the declared ones.
+	RunTimes *expect.QueueStats `cbor:"9,keyasint,omitempty"`
 }
 
 // maySoonChange reports whether a successor of the owner that gave the result may give
@@ -313,7 +317,7 @@
 func readShard(core *shard.Core, r Request) Result {
 	switch r.Op {
 	case OpWaiting:
-		return Result{Outcome: Done, Waiting: core.WaitingJobs(r.Queue)}
+		return Result{Outcome: Done, Waiting: core.WaitingJobs(r.Queue), RunTimes: core.QueueRunTimes(r.Queue)}
 	case OpList:
 		return Result{Outcome: Done, Jobs: core.Jobs(r.Queue, r.Limit), Waiting: core.WaitingJobs(r.Queue)}
 	case OpTasks:
--- a/node/telemetry/jobinstruments.go
+++ b/node/telemetry/jobinstruments.go
@@ -14,6 +14,9 @@
 	MetricShardsOwned   = "wigeonwinch_shards_owned"
 	MetricConfigVersion = "wigeonwinch_job_config_version"
 	MetricHeartbeatAge  = "wigeonwinch_heartbeat_age_ms"
+
+	MetricRunTimeFactor    = "wigeonwinch_run_time_factor"
+	MetricRunTimeHistories = "wigeonwinch_run_time_histories"
 )
 
 // JobInstruments returns the metrics for jobs, except the histograms.
@@ -29,6 +32,8 @@
 		{MetricShardsOwned, "", "gauge", "", "Shards that this node owns.", "the sum over all nodes is not the number of pools and one for a minute"},
 		{MetricConfigVersion, "", "gauge", "", "Version of the queues' configuration in force.", "two nodes differ for more than 14 s"},
 		{MetricHeartbeatAge, "ms", "gauge", "", "Time since the store last took a heartbeat of this node.", "above 2,000: the node may start nothing"},
+		{MetricRunTimeFactor, "", "gauge", "estimate", "Factor by which declared and expected run times are off, on average over the queues of this node's shards; only where run times are learned.", "expected is above declared for an hour"},
+		{MetricRunTimeHistories, "", "gauge", "", "Histories of run times that this node holds: of queues, customers and images.", ""},
 	}
 }
 
