--- a/node/jobhost/host.go
+++ b/node/jobhost/host.go
@@ -55,6 +55,7 @@
 	owners             atomic.Pointer[map[deps.Partition]ownership]
 	confirmedHeartbeat atomic.Pointer[confirmedHeartbeat]
 	ownedView          atomic.Pointer[[]ownership]
+	runTimesView       atomic.Pointer[runTimesView]
 	heartbeatTrigger   chan struct{}
 	leaving            atomic.Bool
 	// heartbeatMode is the current heartbeat mode. largeFleet reports that the
@@ -261,6 +262,7 @@
 		h.updateHeartbeatMode(now)
 		h.takeOverVacantShards(now)
 		h.relays.expire(now)
+		h.viewRunTimes()
 	}
 	h.relays.plan(now)
 	h.expireCordons(now)
--- a/node/telemetry/jobinstruments.go
+++ b/node/telemetry/jobinstruments.go
@@ -19,7 +19,9 @@
 	MetricClientsLetGo      = "wigeonwinch_clients_let_go"
 	MetricClientConnections = "wigeonwinch_client_connections"
 	// MetricAccessRefusals has five reasons at most; it has no label for customers.
-	MetricAccessRefusals = "wigeonwinch_access_refusals"
+	MetricAccessRefusals   = "wigeonwinch_access_refusals"
+	MetricRunTimeFactor    = "wigeonwinch_run_time_factor"
+	MetricRunTimeHistories = "wigeonwinch_run_time_histories"
 )
 
 // JobInstruments returns the metrics for jobs, except the histograms.
@@ -36,6 +38,8 @@
 		{MetricAccessRefusals, "", "counter", "reason", "Calls refused because of their key, or because the job is another customer's.", "key_unknown or key_removed grows: look for access_refused in the log"},
 		{MetricConfigVersion, "", "gauge", "", "Version of the queues' configuration in force.", "two nodes differ for more than 14 s"},
 		{MetricHeartbeatAge, "ms", "gauge", "", "Time since the store last took a heartbeat of this node.", "above 2,000: the node may start nothing"},
+		{MetricRunTimeFactor, "", "gauge", "estimate", "Factor by which declared and expected run times are off, on average over the queues of this node's shards; only where run times are learned.", "expected is above declared for an hour"},
+		{MetricRunTimeHistories, "", "gauge", "", "Histories of run times that this node holds: of queues, customers and images.", ""},
 	}
 }
 
