Look for overdue polls and starts while calls get lost

A worker answers a poll as soon as one of its runs ends. When one call in twenty gets no answer, a lost poll hid all ends of its worker for 2.3 s, in which nothing was started there, and a lost start held up every second job for a second. While calls have been lost within 10 s, the owner now looks again as soon as a run should have ended, or a start been answered, and a worker that has answered a later call is not paused for a lost start.

--- a/jobs/model/crash.go
+++ b/jobs/model/crash.go
@@ -76,7 +76,7 @@
 		wait.settled = true
 		w.after(networkDelayMS, func() {
 			if !o.stopped {
-				o.core.HandlePollError(w.now, p.Target, shard.PollConnectionClosed)
+				o.core.HandlePollError(w.now, sent, p.Target, shard.PollConnectionClosed)
 			}
 		})
 	}
@@ -84,7 +84,7 @@
 		wait.settled = true
 		w.after(p.WaitMS+pollMarginMS, func() {
 			if !o.stopped {
-				o.core.HandlePollError(w.now, p.Target, shard.PollUnanswered)
+				o.core.HandlePollError(w.now, sent, p.Target, shard.PollUnanswered)
 			}
 		})
 	}
--- a/jobs/model/worker.go
+++ b/jobs/model/worker.go
@@ -172,7 +172,7 @@
 				return
 			}
 			if failure != "" {
-				o.core.HandlePollError(w.now, p.Target, failure)
+				o.core.HandlePollError(w.now, sent, p.Target, failure)
 			} else {
 				o.core.HandlePollResponse(w.now, sent, p.Target, response)
 			}
@@ -180,7 +180,7 @@
 		}
 	}, func(reason shard.PollError) {
 		if !o.stopped {
-			o.core.HandlePollError(w.now, p.Target, reason)
+			o.core.HandlePollError(w.now, sent, p.Target, reason)
 		}
 	})
 }
--- a/jobs/shard/cancel_random_test.go
+++ b/jobs/shard/cancel_random_test.go
@@ -173,7 +173,7 @@
 
 func (w *cancelWorld) answerPoll(p Poll) {
 	if w.random.IntN(20) == 0 {
-		w.core.HandlePollError(w.now, p.Target, PollUnanswered)
+		w.core.HandlePollError(w.now, w.now, p.Target, PollUnanswered)
 		return
 	}
 	ends := w.ends[p.Worker]
--- a/jobs/shard/cancel_test.go
+++ b/jobs/shard/cancel_test.go
@@ -190,7 +190,7 @@
 	j := testJob(1, smallStep(1))
 	starts := h.submit(j).Starts
 	h.acceptStarts(starts)
-	h.core.HandlePollError(h.now, starts[0].Target, PollUnanswered)
+	h.core.HandlePollError(h.now, h.now, starts[0].Target, PollUnanswered)
 	require.True(t, cancelAcknowledged(h.cancel(j)))
 	h.step(20_000)
 	require.Empty(t, h.core.workers[starts[0].Worker].runs)
--- a/jobs/shard/core.go
+++ b/jobs/shard/core.go
@@ -95,6 +95,8 @@
 	Order Order
 	// AdmitAll accepts every job that some worker could ever hold.
 	AdmitAll bool
+	// TrustPolls waits for the time-out of every call that gets no answer.
+	TrustPolls bool
 }
 
 // Order ranks jobs of the same priority.
@@ -178,8 +180,10 @@
 	earlierLeasesUntil int64
 	storeDown          bool
 	deposed            bool
-	dirty              []*job
-	onCommit           []func()
+	// lostCallAt is when a worker last left a call unanswered; 0 if none did.
+	lostCallAt int64
+	dirty      []*job
+	onCommit   []func()
 	// questions wait for an append to be sent, askedStore for the answer of the one
 	// in flight.
 	questions, askedStore []question
--- a/jobs/shard/crash_test.go
+++ b/jobs/shard/crash_test.go
@@ -24,8 +24,8 @@
 // crash closes the connections to a worker and lets it come back.
 func (h *harness) crash(target Target) {
 	h.now += 10
-	h.core.HandlePollError(h.now, target, PollConnectionClosed)
-	h.core.HandlePollError(h.now+300, target, PollConnectionRejected)
+	h.core.HandlePollError(h.now, h.now, target, PollConnectionClosed)
+	h.core.HandlePollError(h.now+300, h.now+300, target, PollConnectionRejected)
 	h.now += 3_000
 	w := h.core.workers[target.Worker].info
 	w.Incarnation = target.Incarnation + 1
@@ -94,7 +94,7 @@
 	again := h.core.TakeOrders().Starts
 	require.Len(t, again, 1)
 	h.acceptStarts(again)
-	h.core.HandlePollError(h.now, again[0].Target, PollConnectionClosed)
+	h.core.HandlePollError(h.now, h.now, again[0].Target, PollConnectionClosed)
 	h.step(1_000)
 	assert.NotNil(t, h.core.workers["w0"].probation)
 }
@@ -160,7 +160,7 @@
 func TestCutOffWorkerCountsAsCrashed(t *testing.T) {
 	for name, lose := range map[string]func(h *harness, target Target){
 		"cut off": func(h *harness, target Target) {
-			h.core.HandlePollError(h.now, target, PollUnanswered)
+			h.core.HandlePollError(h.now, h.now, target, PollUnanswered)
 			h.step(7_000)
 		},
 		"draining": func(h *harness, target Target) {
@@ -210,7 +210,7 @@
 	h.core.SetWorkers(h.now, []Worker{next, other})
 	h.step(1)
 	require.Empty(t, h.core.TakeOrders().Starts, "a worker that answers is there, whatever is listed")
-	h.core.HandlePollError(h.now, dead, PollConnectionClosed)
+	h.core.HandlePollError(h.now, h.now, dead, PollConnectionClosed)
 	h.core.SetWorkers(h.now, []Worker{next, other})
 	h.step(1)
 	starts := h.core.TakeOrders().Starts
--- a/jobs/shard/polls.go
+++ b/jobs/shard/polls.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+
+	"wigeonwinch/jobs/overdue"
 )
 
 // pollWorkers orders the next poll of each worker that is due.
@@ -13,10 +15,14 @@
 			c.workersByID = nil
 			continue
 		}
-		if w.pollInFlight || c.now < w.nextPollAt || w.seenEnd > w.ackedEnd || w.info.Address == "" {
+		if w.pollInFlight {
+			c.checkPoll(w)
+			continue
+		}
+		if c.now < w.nextPollAt || w.seenEnd > w.ackedEnd || w.info.Address == "" {
 			continue
 		}
-		w.pollInFlight = true
+		w.pollInFlight, w.watch.orderedAt = true, c.now
 		p := Poll{Target: c.target(w)}
 		if w.failedPolls == 0 && !w.inDoubt() {
 			// A later incarnation would forget ends of its own that have these
@@ -34,7 +40,7 @@
 		if w.reached && w.servingRuns > 0 && w.fillerRuns > 0 {
 			p.WaitMS = sharedPollWaitMS
 		}
-		if c.needsPollNow(w) {
+		if c.needsPollNow(w) || w.failedPolls > 0 && c.losesCalls() {
 			p.WaitMS = 0
 		}
 		c.orders.Polls = append(c.orders.Polls, p)
@@ -89,13 +95,20 @@
 // PollError is the reason why a poll failed.
 type PollError string
 
-// HandlePollError records a failed poll.
-func (c *Core) HandlePollError(now int64, t Target, reason PollError) {
+// HandlePollError records a failed poll. sentAt is when the poll was sent.
+func (c *Core) HandlePollError(now, sentAt int64, t Target, reason PollError) {
 	c.now = now
 	w := c.workers[t.Worker]
 	if w == nil || w.incarnation != t.Incarnation {
 		return
 	}
+	if w.watch.replaced(sentAt) {
+		return
+	}
+	w.watch.checking = false
+	if reason == PollUnanswered {
+		c.noteLostCall()
+	}
 	w.pollInFlight = false
 	w.nextPollAt = now + pollRetryMS
 	w.failedPolls++
@@ -131,8 +144,8 @@
 	if w == nil {
 		return
 	}
-	if t.Incarnation == w.incarnation {
-		w.pollInFlight = false
+	if t.Incarnation == w.incarnation && !w.watch.replaced(sentAt) {
+		w.pollInFlight, w.watch.checking = false, false
 	}
 	if l.Incarnation > w.incarnation {
 		c.resetIncarnation(w, l.Incarnation)
@@ -266,7 +279,7 @@
 			c.settleRun(r, reason)
 			return
 		}
-		if c.now-r.startSentAt > startConfirmMS && r.unconfirmed {
+		if c.now-r.startSentAt > startConfirmMS && r.unconfirmed || c.startOverdue(r) && sentAt-r.startSentAt >= overdue.StartMS {
 			c.stopRun(r, "start_unconfirmed")
 		}
 	}
--- a/jobs/shard/reborn_test.go
+++ b/jobs/shard/reborn_test.go
@@ -70,7 +70,7 @@
 	tasks := h.core.jobs[testJob(1).ID].occurrences[0].steps[0].tasks
 	assert.Equal(t, suspect.History{}, tasks[0].history, "it was not on the incarnation that was lost")
 
-	h.core.HandlePollError(h.now, starts[0].Target, PollUnanswered)
+	h.core.HandlePollError(h.now, h.now, starts[0].Target, PollUnanswered)
 	assert.Zero(t, h.core.workers[later.Worker].failedPolls, "the poll of the earlier incarnation says nothing about the later one")
 }
 
@@ -130,7 +130,7 @@
 	w := h.core.workers[starts[0].Worker]
 	require.True(t, w.inDoubt())
 	assert.False(t, w.schedulable(h.now), "nothing more is started on an incarnation that is not known")
-	h.core.HandlePollError(h.now, starts[0].Target, PollUnanswered)
+	h.core.HandlePollError(h.now, h.now, starts[0].Target, PollUnanswered)
 	for h.now < acceptedAt+10_000 {
 		h.step(500)
 		o := h.core.TakeOrders()
@@ -142,7 +142,7 @@
 			}
 			assert.Zero(t, p.LeaseUntil)
 			assert.Zero(t, p.AckedUpto, "the later incarnation would forget ends of its own")
-			h.core.HandlePollError(h.now, p.Target, PollUnanswered)
+			h.core.HandlePollError(h.now, h.now, p.Target, PollUnanswered)
 		}
 	}
 	h.step(1_000)
@@ -161,7 +161,7 @@
 	starts := h.submit(testJob(1, smallStep(1))).Starts
 	require.Len(t, starts, 1)
 	h.acceptStarts(starts)
-	h.core.HandlePollError(h.now, p.Target, PollUnanswered)
+	h.core.HandlePollError(h.now, h.now, p.Target, PollUnanswered)
 	w := h.core.workers["w0"]
 	assert.False(t, w.leasesExpired(rebornAt+10_000))
 	assert.True(t, w.leasesExpired(rebornAt+10_500))
--- a/jobs/shard/runs.go
+++ b/jobs/shard/runs.go
@@ -55,7 +55,8 @@
 		c.acceptStart(w, s, r, by)
 	case StartUnanswered:
 		r.unconfirmed = true
-		w.backoffUntil = now + workerBackoffMS
+		c.noteLostCall()
+		c.pauseUnanswered(w, r)
 		if r.phase == phaseStartSent {
 			c.stopRun(r, "start_unanswered")
 		}
--- a/jobs/shard/shard_test.go
+++ b/jobs/shard/shard_test.go
@@ -130,7 +130,7 @@
 	answer := func(polls []Poll) {
 		for _, p := range polls {
 			if p.Worker == dead.Worker {
-				h.core.HandlePollError(h.now, p.Target, PollUnanswered)
+				h.core.HandlePollError(h.now, h.now, p.Target, PollUnanswered)
 			} else {
 				h.core.HandlePollResponse(h.now, h.now, p.Target, PollResponse{ClockMS: h.now, Incarnation: 1})
 			}
--- a/jobs/shard/worker.go
+++ b/jobs/shard/worker.go
@@ -46,6 +46,7 @@
 	// that is stored.
 	seenEnd, ackedEnd int
 	pollInFlight      bool
+	watch             pollWatch
 	nextPollAt        int64
 	failedPolls       int
 	backoffUntil      int64
@@ -236,7 +237,7 @@
 		c.loseIncarnation(w)
 	}
 	w.incarnation = incarnation
-	w.pollInFlight, w.doubtedAt = false, 0
+	w.pollInFlight, w.doubtedAt, w.watch = false, 0, pollWatch{}
 	w.seenEnd, w.ackedEnd, w.clockMS, w.clockReadAt, w.leaseUntil = 0, 0, 0, 0, 0
 	w.reached, w.failStreak, w.failedPolls, w.contactLostAt, w.connectionLost = false, 0, 0, 0, false
 	w.held = false
--- a/node/jobhost/formerowner_test.go
+++ b/node/jobhost/formerowner_test.go
@@ -119,7 +119,7 @@
 	h.owned[part] = &ownedShard{partition: part, epoch: 5, core: core, ctx: ctx, cancel: cancel}
 	answer := h.pending.register(1)
 	h.postToShard(part, 1, Request{Op: OpSubmit, Service: "s", Queue: "q", ID: testJob(1).ID, Job: testJob(1)})
-	core.HandlePollError(now, shard.Target{Worker: "w-0", Incarnation: 1, Epoch: 5}, shard.PollFenced)
+	core.HandlePollError(now, now, shard.Target{Worker: "w-0", Incarnation: 1, Epoch: 5}, shard.PollFenced)
 	h.advance()
 	require.NotContains(t, h.owned, part)
 	select {
--- a/node/jobhost/relays.go
+++ b/node/jobhost/relays.go
@@ -334,7 +334,7 @@
 	switch c.order.Kind {
 	case orderPoll:
 		if res.Outcome != "" {
-			core.HandlePollError(now, c.order.target(), shard.PollError(res.Outcome))
+			core.HandlePollError(now, c.sentAt, c.order.target(), shard.PollError(res.Outcome))
 			return
 		}
 		core.HandlePollResponse(now, c.sentAt, c.order.target(), res.response())
--- a/node/jobhost/shardrun.go
+++ b/node/jobhost/shardrun.go
@@ -178,7 +178,7 @@
 			s.core.HandlePollResponse(now, sentAt, p.Target, lists)
 			return
 		}
-		s.core.HandlePollError(now, p.Target, shardPollError(err))
+		s.core.HandlePollError(now, sentAt, p.Target, shardPollError(err))
 	})
 }
 
