--- a/jobs/shard/core.go
+++ b/jobs/shard/core.go
@@ -101,6 +101,8 @@
 	// them by the true ones of a step's mean and longest task.
 	RunTimes  RunTimes
 	TrueTimes func(j *spec.Job, step int) (taskMS, longestMS int64)
+	// TrustPolls waits for the time-out of every call that gets no answer.
+	TrustPolls bool
 }
 
 // Order ranks jobs of the same priority.
@@ -184,8 +186,10 @@
 	earlierLeasesUntil int64
 	storeDown          bool
 	deposed            bool
-	dirty              []*job
-	onCommit           []func()
+	// lostCallAt is when a worker last left a call unanswered; 0 if none did.
+	lostCallAt int64
+	dirty      []*job
+	onCommit   []func()
 	// questions wait for an append to be sent, askedStore for the answer of the one
 	// in flight.
 	questions, askedStore []question
--- a/jobs/shard/handover_test.go
+++ b/jobs/shard/handover_test.go
@@ -16,7 +16,7 @@
 	require.Len(t, starts, 1)
 	h.acceptStarts(starts)
 	lost := starts[0].Target
-	h.core.HandlePollError(h.now, lost, PollUnanswered)
+	h.core.HandlePollError(h.now, h.now, lost, PollUnanswered)
 	require.False(t, h.core.workers["w0"].leasesExpired(h.now))
 	end := h.core.workers["w0"].leasesUntil()
 	for epoch := int64(6); h.now+1_500 < end; epoch++ {
