--- a/jobs/shard/orders.go
+++ b/jobs/shard/orders.go
@@ -131,6 +131,8 @@
 	EventGivenUp      EventName = "task_given_up"
 	EventUntried      EventName = "jobs_untried"
 	EventLearned      EventName = "run_times_learned"
+	// EventCustomerRefused is a refusal for the sake of the other customers.
+	EventCustomerRefused EventName = "customer_refused"
 )
 
 // Event is one decision, for the log.
--- a/jobs/shard/submit.go
+++ b/jobs/shard/submit.go
@@ -48,6 +48,7 @@
 		return
 	}
 	if refusal, refused := c.checkAdmission(j, q); refused {
+		c.countRefusal(j)
 		c.event(Event{Name: EventRefused, Job: s.ID, Outcome: refusal.Reason, AgeMS: now - firstSeen,
 			Detail: fmt.Sprintf("work=%d left=%d retry_ms=%d", j.work(), c.ensurePool(q.Service).remainingWork, refusal.RetryAfterMS)})
 		refusal.Ticket, refusal.Outcome = ticket, Refused
@@ -97,11 +98,14 @@
 	if reason, ok := c.unplaceable(j); ok {
 		return Reply{Reason: reason, RetryAfterMS: admit.UnplaceableRetryMS}, true
 	}
+	if c.gangAboveCap(j) {
+		return Reply{Reason: "gang_above_cap", RetryAfterMS: admit.UnplaceableRetryMS}, true
+	}
 	if c.cfg.Policy.AdmitAll || c.workersUnknown() {
 		return Reply{}, false
 	}
 	p := c.ensurePool(q.Service)
-	d := admit.Decide(c.poolLoadAhead(p, j.work()), admit.Request{
+	d := c.admission(p, j, admit.Request{
 		Work: j.work(), InitialMilliCPU: initialMilliCPU(&j.spec), CriticalPathMS: j.criticalPathMS(nil), SlackMS: j.deadline - c.now,
 		Lasting: j.spec.HasLastingStep(), Scheduled: j.spec.Repeat > 0,
 	})
--- a/jobs/shard/worker.go
+++ b/jobs/shard/worker.go
@@ -72,6 +72,8 @@
 	// reports whether the worker is being emptied for a task that must run alone.
 	probation *run
 	held      bool
+	// customers counts the runs by customer.
+	customers *customers
 }
 
 // runID identifies a run on one worker.
@@ -83,7 +85,7 @@
 func (c *Core) ensureWorker(id string, incarnation int64) *worker {
 	w := c.workers[id]
 	if w == nil {
-		w = &worker{info: Worker{ID: id}, incarnation: incarnation, runs: map[runID]*run{}, strays: map[RunRef]int64{}, earlierLeasesUntil: c.earlierLeasesUntil}
+		w = &worker{info: Worker{ID: id}, incarnation: incarnation, customers: &c.customers, runs: map[runID]*run{}, strays: map[RunRef]int64{}, earlierLeasesUntil: c.earlierLeasesUntil}
 		c.workers[id] = w
 		c.workersByID = nil
 	}
@@ -96,6 +98,7 @@
 	r.work = r.job.stepWork(r.key.Step)
 	w.placedWork += r.work
 	w.countRun(r.step(), 1)
+	w.customers.countRun(r, 1)
 }
 
 func (w *worker) removeRun(r *run) {
@@ -112,6 +115,7 @@
 	w.used = w.used.Sub(r.reserved)
 	w.placedWork -= r.work
 	w.countRun(r.step(), -1)
+	w.customers.countRun(r, -1)
 }
 
 // countRun adds (delta 1) or removes (delta -1) a run of a step in the
--- a/node/events/jobs.go
+++ b/node/events/jobs.go
@@ -50,6 +50,8 @@
 	JobsUntried
 	AccessRefused
 	RunTimesLearned
+	RoomUnanswered
+	CustomerRefused
 )
 
 var jobEvents = []Definition{
@@ -100,5 +102,7 @@
 	{JobsUntried, "jobs_untried", SeverityInfo, "A pass over the waiting jobs of a pool ended after this job, because too many tasks in a row found no worker; the detail has how many jobs were not tried.", ""},
 	{AccessRefused, "access_refused", SeverityInfo, "A call was refused because of its key, or because the job is another customer's; the outcome is the reason. At most 20 a second are logged.", "key_missing, key_unknown: compare the caller's key with the configuration; key_removed: a newer configuration took the key away; other_customer, id_taken: the caller uses another customer's job ID."},
 	{RunTimesLearned, "run_times_learned", SeverityInfo, "The owner of a shard has seen enough finished steps of a queue to expect run times by them in place of the declared ones.", ""},
+	{RoomUnanswered, "room_unanswered", SeverityWarning, "The owner of the fleet partition did not answer what a shard may run of the customers' caps; the shard keeps what it had, and asks again.", "Check the links between the nodes; customers with a cap get no more room on this shard meanwhile."},
+	{CustomerRefused, "customer_refused", SeverityInfo, "A job was refused because its customer is at its share of the pool or at its cap; the detail has the customer's share, what it runs and what waits.", ""},
 	{AdviceFailed, "advice_failed", SeverityWarning, "The placement advisor did not answer; it is asked again.", "Check the placement advisor; queues that need its permits wait."},
 }
--- a/node/jobhost/host.go
+++ b/node/jobhost/host.go
@@ -11,6 +11,8 @@
 
 	"github.com/pkg/errors"
 
+	"wigeonwinch/jobs/room"
+	"wigeonwinch/jobs/shard"
 	"wigeonwinch/node/deps"
 	"wigeonwinch/node/events"
 	"wigeonwinch/node/intake"
@@ -48,12 +50,18 @@
 	readsUnbrokenSince int64
 	stopping           bool
 	fleet              *fleetController
-	relays             *relayedOrders
+	// arbiter hands out the room below the customers' caps while this node owns the
+	// fleet partition; else nil.
+	arbiter *room.Arbiter
+	// customersViewedAt is when customerView was last updated.
+	customersViewedAt int64
+	relays            *relayedOrders
 
 	homes              *queueHomes
 	config             atomic.Pointer[deps.Configuration]
 	owners             atomic.Pointer[map[deps.Partition]ownership]
 	confirmedHeartbeat atomic.Pointer[confirmedHeartbeat]
+	customerView       atomic.Pointer[[]shard.CustomerSummary]
 	ownedView          atomic.Pointer[[]ownership]
 	runTimesView       atomic.Pointer[runTimesView]
 	heartbeatTrigger   chan struct{}
@@ -266,6 +274,7 @@
 	}
 	h.relays.plan(now)
 	h.expireCordons(now)
+	h.updateCustomerView(now)
 	for _, s := range h.sortedOwned() {
 		hb, verified := h.verifiedHeartbeat(s)
 		if !verified {
@@ -284,6 +293,7 @@
 			h.dropShard(s, "a worker reported a newer owner")
 			continue
 		}
+		h.exchangeRoom(s, now)
 		h.dispatchOrders(s)
 	}
 	h.relays.flush()
