Refuse jobs that an owner's memory has no room for

Valid jobs of the largest kind, sent in series by a crowd, filled the owner's memory: each was decoded, accepted and kept. A decoded body's bytes are dropped before the job waits for its owner.

--- a/jobs/shard/core.go
+++ b/jobs/shard/core.go
@@ -146,6 +146,9 @@
 	customers map[string]customer.Customer
 	jobs      map[string]*job
 	finalJobs []*job
+	// stateBytes is what the open jobs take up in memory, stateRoom the most that they
+	// may; see SetStateRoom.
+	stateBytes, stateRoom int64
 	// unreadable holds the IDs of jobs whose records this program can't read.
 	unreadable map[string]bool
 	// pendingDeletes are the IDs of purged jobs whose records are still
--- a/jobs/shard/job.go
+++ b/jobs/shard/job.go
@@ -53,6 +53,8 @@
 	finalAt int64
 	// remainingWork is the estimated work of the tasks that are not done.
 	remainingWork int64
+	// stateBytes is what Core.stateBytes counts for the job.
+	stateBytes int64
 }
 
 // occurrence is one execution of all steps of a job.
--- a/jobs/shard/record.go
+++ b/jobs/shard/record.go
@@ -208,6 +208,7 @@
 		c.finalJobs = append(c.finalJobs, j)
 		return nil
 	}
+	c.holdState(j)
 	for _, o := range rec.Occurrences {
 		j.occurrences[o.Number] = newOccurrence(&j.spec, o.Number)
 	}
--- /dev/null
+++ b/jobs/shard/state.go
@@ -0,0 +1,53 @@
+package shard
+
+import (
+	"wigeonwinch/jobs/admit"
+	"wigeonwinch/jobs/spec"
+)
+
+// What the parts of a job take up in the owner's memory, in bytes, with what it takes to
+// store them.
+const (
+	jobStateBytes  = 1 << 10
+	stepStateBytes = 512
+	taskStateBytes = 160
+	// largeStateBytes is the size from which a job may only take up half of the room, so
+	// that ordinary jobs have the other half.
+	largeStateBytes = 32 << 10
+)
+
+// stateBytes returns what a job takes up in the owner's memory.
+func stateBytes(s *spec.Job) int64 {
+	return int64(jobStateBytes + 2*len(s.Payload) + len(s.Steps)*stepStateBytes + s.Tasks()*taskStateBytes)
+}
+
+// SetStateRoom sets how many bytes the open jobs of the shard may take up in the owner's
+// memory; 0 means any number. Accepted jobs are kept whatever the room is.
+func (c *Core) SetStateRoom(bytes int64) { c.stateRoom = bytes }
+
+// StateBytes returns what the open jobs take up in the owner's memory.
+func (c *Core) StateBytes() int64 { return c.stateBytes }
+
+// checkStateRoom refuses a new job that the owner's memory has no room for.
+func (c *Core) checkStateRoom(s *spec.Job) (refusal Reply, refused bool) {
+	size, room := stateBytes(s), c.stateRoom
+	if size > largeStateBytes {
+		room /= 2
+	}
+	if c.stateRoom == 0 || c.stateBytes+size <= room {
+		return Reply{}, false
+	}
+	return Reply{Reason: "owner_memory_full", RetryAfterMS: admit.UnavailableRetryMS}, true
+}
+
+// holdState counts an open job.
+func (c *Core) holdState(j *job) {
+	j.stateBytes = stateBytes(&j.spec)
+	c.stateBytes += j.stateBytes
+}
+
+// releaseState stops counting a job whose tasks are forgotten.
+func (c *Core) releaseState(j *job) {
+	c.stateBytes -= j.stateBytes
+	j.stateBytes = 0
+}
--- a/jobs/shard/submit.go
+++ b/jobs/shard/submit.go
@@ -63,6 +63,7 @@
 func (c *Core) acceptJob(j *job, ticket uint64) {
 	j.submitWaiters = append(j.submitWaiters, ticket)
 	c.jobs[j.spec.ID] = j
+	c.holdState(j)
 	c.event(Event{Name: EventAccepted, Job: j.spec.ID, AgeMS: c.now - j.firstSeenAt,
 		Detail: fmt.Sprintf("queue=%s work=%d left=%d deadline_in_ms=%d", j.spec.Queue, j.spec.Work(), c.ensurePool(j.service).remainingWork, j.deadline-c.now)})
 	c.markDirty(j)
@@ -86,6 +87,9 @@
 	if c.storeDown {
 		return Reply{Reason: "store_away", RetryAfterMS: admit.UnavailableRetryMS}, true
 	}
+	if refusal, refused := c.checkStateRoom(&j.spec); refused {
+		return refusal, true
+	}
 	if reason, ok := c.unplaceable(j); ok {
 		return Reply{Reason: reason, RetryAfterMS: admit.UnplaceableRetryMS}, true
 	}
@@ -309,6 +313,9 @@
 	j.state = state
 	j.finalAt = c.now
 	c.finalJobs = append(c.finalJobs, j)
+	if len(j.occurrences) == 0 {
+		c.releaseState(j)
+	}
 	p := c.ensurePool(j.service)
 	p.remainingWork -= j.remainingWork
 	j.remainingWork = 0
--- a/node/intake/body.go
+++ b/node/intake/body.go
@@ -29,6 +29,10 @@
 	small, large int64
 }
 
+// Forget drops the bytes of a body that was decoded. Its part of the budget stays taken for
+// what it was decoded to.
+func (b *Body) Forget() { b.Bytes = nil }
+
 // Release returns the bytes of the body to the budget. It may be called again.
 func (b *Body) Release() {
 	if b.gate != nil {
@@ -170,7 +174,7 @@
 // join puts the parts together.
 func (in *incoming) join() {
 	if len(in.parts) == 1 {
-		in.body.Bytes = in.parts[0]
+		in.body.Bytes, in.parts = in.parts[0], nil
 		return
 	}
 	whole := make([]byte, 0, in.total)
@@ -178,7 +182,7 @@
 		whole = append(whole, part...)
 		in.parts[i] = nil
 	}
-	in.body.Bytes = whole
+	in.body.Bytes, in.parts = whole, nil
 }
 
 // refuse prepares the refusal of a request. The connection closes after it, and what the
--- a/node/jobapi/jobapi.go
+++ b/node/jobapi/jobapi.go
@@ -253,6 +253,7 @@
 	}
 	defer body.Release()
 	job, err := decodeJob(body.Bytes)
+	body.Forget()
 	if err == nil {
 		job.Queue = req.Queue
 		err = job.Validate()
--- a/node/jobhost/config.go
+++ b/node/jobhost/config.go
@@ -37,6 +37,9 @@
 	// TakeoverGapMS is the minimum time between the actions of two successive
 	// fleet controllers on one VM. Values below minTakeoverGap are raised to it.
 	TakeoverGapMS int64
+	// StateBytes is how many bytes the open jobs of all shards may take up in memory; 0
+	// means any number.
+	StateBytes int64
 	// ShutdownGrace is how long a graceful stop may take.
 	ShutdownGrace time.Duration
 	// PeerKey is the key that all nodes share.
--- a/node/jobhost/host.go
+++ b/node/jobhost/host.go
@@ -276,6 +276,7 @@
 		if verified {
 			s.core.SetOwnershipDeadlines(hb.sentAt+startWindow.Milliseconds(), hb.sentAt+leaseExtensionWindow.Milliseconds())
 		}
+		s.core.SetStateRoom(h.stateRoom(s))
 		s.core.SetStoreDown(s.appendFailingSince != 0 && now-s.appendFailingSince > storeDownAfter.Milliseconds())
 		s.core.Advance(now, wall)
 		if s.core.Deposed() {
--- a/soak/crowd_test.go
+++ b/soak/crowd_test.go
@@ -1,8 +1,10 @@
 package soak
 
 import (
+	"bufio"
 	"fmt"
 	"net"
+	"net/http"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -216,3 +218,25 @@
 	})
 	c.check(t)
 }
+
+// As many of them as clients may send one after the other, in bodies of their own length.
+func TestCrowdOfLargeJobsInSeries(t *testing.T) {
+	const perClient = 4
+	c := startCrowdCluster(t)
+	body := strings.TrimSpace(largestJob())
+	var ids atomic.Int64
+	c.send(t, c.target.front, crowdSize, func(conn net.Conn) {
+		answers := bufio.NewReader(conn)
+		for range perClient {
+			if !writeText(conn, post(fmt.Sprintf("%s%016x", queues[0].path, 0x1000+ids.Add(1)), len(body))+body) {
+				return
+			}
+			answer, err := http.ReadResponse(answers, nil)
+			if err != nil {
+				return
+			}
+			_ = answer.Body.Close()
+		}
+	})
+	c.check(t)
+}
