--- a/node/intake/intake_test.go
+++ b/node/intake/intake_test.go
@@ -155,6 +155,13 @@
 	ask(t, idle, fromIdle, announced("/", 1, "x"))
 	first, _ := dial()
 	dial()
+	open := func() int {
+		port := gate.ports[0]
+		port.mu.Lock()
+		defer port.mu.Unlock()
+		return port.open
+	}
+	require.Eventually(t, func() bool { return open() == limits.Callers }, 10*time.Second, time.Millisecond)
 	time.Sleep(patience)
 	conn, from := dial()
 	status, _ := ask(t, conn, from, announced("/", 1, "x"))
