--- a/jobs/shard/job.go
+++ b/jobs/shard/job.go
@@ -60,6 +60,8 @@
 	stretch float64
 	// finished is what was learned from the job's steps.
 	finished []finishedStep
+	// stateBytes is what Core.stateBytes counts for the job.
+	stateBytes int64
 }
 
 // occurrence is one execution of all steps of a job.
