Let the soak's clients name customers by key

The soak's configuration had no customers, so that nothing there would notice a key that is accepted or refused wrongly.

--- a/soak/client.go
+++ b/soak/client.go
@@ -43,12 +43,16 @@
 	random  *rand.Rand
 	home    int
 	http    *http.Client
+	// key is the key of the client's calls.
+	key string
 }
 
 // NewClient returns a client with its own connections and random numbers.
 func (c *Cluster) NewClient(random *rand.Rand) *Client {
 	transport := &http.Transport{MaxIdleConnsPerHost: 2, DisableCompression: true}
-	return &Client{cluster: c, random: random, home: random.IntN(len(c.nodes)), http: &http.Client{Transport: transport}}
+	home := random.IntN(len(c.nodes))
+	key := lastingKey(customerNames[home%len(customerNames)])
+	return &Client{cluster: c, random: random, home: home, http: &http.Client{Transport: transport}, key: key}
 }
 
 // Close closes the client's connections.
@@ -72,6 +76,10 @@
 	req.Host = clientHost
 	req.Header.Set("Content-Type", "application/json")
 	req.Header.Set("Deadline-Ms", strconv.FormatInt(clientTimeout.Milliseconds(), 10))
+	if c.key != "" {
+		req.Header.Set("Authorization", "Token "+c.key)
+	}
+	sent := time.Now()
 	res, err := c.http.Do(req)
 	if err != nil {
 		return 0, nil, nil
@@ -80,6 +88,7 @@
 	if answer, err = io.ReadAll(res.Body); err != nil {
 		return 0, nil, nil
 	}
+	c.cluster.judge.Keyed(c.cluster.keys, n.name, c.key, res.StatusCode, sent)
 	return res.StatusCode, answer, res.Header
 }
 
--- a/soak/cluster.go
+++ b/soak/cluster.go
@@ -45,6 +45,7 @@
 const (
 	streamPlan uint64 = iota
 	streamAccess
+	streamKeys
 	streamWorkers   uint64 = 1 << 8
 	streamClients   uint64 = 1 << 16
 	streamScenarios uint64 = 1 << 24
@@ -60,6 +61,7 @@
 	judge    *Judge
 	store    *Store
 	machines *Machines
+	keys     *Keys
 	nodes    []*Node
 
 	mu       sync.Mutex
@@ -76,7 +78,7 @@
 		return nil, err
 	}
 	calm := NewCalm()
-	c := &Cluster{options: o, record: record, calm: calm, judge: NewJudge(record, calm), store: NewStore()}
+	c := &Cluster{options: o, record: record, calm: calm, judge: NewJudge(record, calm), store: NewStore(), keys: NewKeys()}
 	c.machines = NewMachines(record, c.launchWorker)
 	if err := c.start(); err != nil {
 		c.Close()
@@ -264,10 +266,15 @@
 			"name": q.service, "health_path": "/health", "max_connections": 64, "protocol": "h1", "tls": false, "admission_check": false, "spare": false,
 		})
 	}
-	return c.store.Put(topicOperator, "config", map[string]any{
-		"version": c.version, "routes": routes, "services": services,
+	customers, applied := c.keys.next()
+	err := c.store.Put(topicOperator, "config", map[string]any{
+		"version": c.version, "routes": routes, "services": services, "tenants": customers,
 		"limits": map[string]int{"max_header_bytes": 16_384, "max_body_bytes": 262_144, "header_timeout_ms": 3000, "idle_timeout_ms": 15_000},
 	})
+	if err == nil {
+		applied()
+	}
+	return err
 }
 
 const ownersTimeout = 20 * time.Second
--- a/soak/judge.go
+++ b/soak/judge.go
@@ -47,6 +47,8 @@
 	ruleLost     = "LOST"
 	ruleAttempts = "BUDGET"
 	ruleAcks     = "ACKS"
+	ruleRoute    = "ROUTE"
+	ruleConfig   = "CONFIG"
 )
 
 // Violation is a promise that was broken.
