--- a/node/jobapi/jobapi.go
+++ b/node/jobapi/jobapi.go
@@ -55,7 +55,7 @@
 
 func routes() []route {
 	return []route{
-		{"GET", "/v1/queues", "The queues in force, with their waiting jobs.", "", (*API).queues},
+		{"GET", "/v1/queues", "The queues in force, with their waiting jobs and the run times learned from finished ones.", "", (*API).queues},
 		{"GET", "/v1/queues/{queue}/jobs", "A queue's jobs, the newest first.", "`limit` (default 100, at most 1000)", (*API).list},
 		{"POST", "/v1/queues/{queue}/jobs", "Submits a job. Safe to send again: the same id is the same job.", "", (*API).submit},
 		{"GET", "/v1/queues/{queue}/jobs/{id}", "A job with its tasks: state, worker, runs and failures of each; with more than 4,000 tasks without those that are done.", "", (*API).show},
