Replay lost calls in the lab; model polls that wait for an end

The model can let workers hold polls until a run ends, and owners wait as long for one that is lost.

--- a/jobs/lab/lab.go
+++ b/jobs/lab/lab.go
@@ -30,6 +30,8 @@
 	// capacity.
 	Peak      float64
 	MeanShare float64
+	// LostShare of the calls to workers get no answer and are carried out seconds later.
+	LostShare float64
 }
 
 // The shape of the loads: the phases, job sizes and job values of the users'
@@ -75,6 +77,7 @@
 var (
 	Production            = Policy{"ours", shard.Policy{}}
 	FirstCome             = Policy{"first-come", shard.Policy{Order: shard.OrderArrival, AdmitAll: true}}
+	TrustingPolls         = Policy{"waits-for-time-outs", shard.Policy{TrustPolls: true}}
 	Shortest              = Policy{"shortest", shard.Policy{Order: shard.OrderShortestPath, AdmitAll: true}}
 	FirstComeWithRefusals = Policy{"first-come-with-refusals", shard.Policy{Order: shard.OrderArrival}}
 	Policies              = []Policy{Production, FirstComeWithRefusals, Shortest, FirstCome}
@@ -111,6 +114,7 @@
 func Run(l Load, p Policy) Result {
 	arrivals := l.generateArrivals()
 	w := model.New(model.Options{Seed: l.Seed, Workers: l.Workers, MilliCPU: workerMilliCPU, MemoryMB: workerMemoryMB, FailShare: failShare, Policy: p.shardPolicy,
+		DelayedShare: l.LostShare, FaultsUntilMS: int64(l.Seconds) * 1000, LongPolls: l.LostShare > 0,
 		RunTime: func(k shard.Key, st *spec.Step) int64 { return l.runTime(k, st.EstimateMS) }})
 	for _, a := range arrivals {
 		w.Schedule(a.atMS, func() { w.Submit(a.job) })
--- a/jobs/model/crash.go
+++ b/jobs/model/crash.go
@@ -88,13 +88,21 @@
 			}
 		})
 	}
+	wait.answer = func() {
+		wait.settled = true
+		w.deliverPoll(o, p, sent)
+	}
 	k.waitingPolls = append(k.waitingPolls, wait)
-	w.after(min(p.WaitMS, longPollMS), func() {
+	hold := p.WaitMS
+	if !w.opts.LongPolls {
+		hold = min(hold, longPollMS)
+	}
+	w.after(hold, func() {
 		if wait.settled {
 			return
 		}
 		k.waitingPolls = slices.DeleteFunc(k.waitingPolls, func(other *waitingPoll) bool { return other == wait })
-		w.deliverPoll(o, p, sent)
+		wait.answer()
 	})
 }
 
@@ -150,6 +158,7 @@
 // waitingPoll is a poll whose answer the worker delays.
 type waitingPoll struct {
 	settled bool
-	// fail ends the poll with a closed connection, silence with a time-out.
-	fail, silence func()
+	// answer ends the poll with the worker's lists, fail with a closed connection, silence
+	// with a time-out.
+	answer, fail, silence func()
 }
--- a/jobs/model/random_test.go
+++ b/jobs/model/random_test.go
@@ -36,12 +36,14 @@
 
 // simulate runs one world with faults, then a fault-free period in which every
 // accepted job has to end.
-func simulate(seed uint64) *World {
+func simulate(seed uint64) *World { return simulateWith(seed, false) }
+
+func simulateWith(seed uint64, longPolls bool) *World {
 	r := rand.New(rand.NewPCG(seed, 2))
 	w := New(Options{
 		Seed: seed, Workers: 4 + r.IntN(8), MilliCPU: 16_000, MemoryMB: 64_000,
 		LostAnswerShare: 0.03 * r.Float64(), LostRequestShare: 0.02 * r.Float64(), DelayedShare: 0.04 * r.Float64(), FailShare: 0.02,
-		CrashIntervalMS: 4_000 + r.Int64N(20_000), TakeoverIntervalMS: 4_000 + r.Int64N(20_000), FaultsUntilMS: 40_000,
+		CrashIntervalMS: 4_000 + r.Int64N(20_000), TakeoverIntervalMS: 4_000 + r.Int64N(20_000), FaultsUntilMS: 40_000, LongPolls: longPolls,
 	})
 	for i := range 60 {
 		w.after(r.Int64N(35_000), func() { w.Submit(randomJob(r, i)) })
@@ -75,3 +77,16 @@
 		})
 	}
 }
+
+// TestRandomisedJobsWithLongPolls is the same with polls that wait for an end, some of which
+// are overdue and are checked.
+func TestRandomisedJobsWithLongPolls(t *testing.T) {
+	for i := range *seeds {
+		t.Run(fmt.Sprint(i+1), func(t *testing.T) {
+			w := simulateWith(uint64(i+1), true)
+			require.Empty(t, w.Violations)
+			require.Zero(t, w.LateStartsAfterCancel)
+			require.Empty(t, w.Unfinished())
+		})
+	}
+}
--- a/jobs/model/world.go
+++ b/jobs/model/world.go
@@ -30,6 +30,9 @@
 	// LostRequestShare never arrive, DelayedShare are carried out seconds
 	// later without an answer.
 	LostAnswerShare, LostRequestShare, DelayedShare float64
+	// LongPolls lets workers hold a poll until a run ends, or for as long as the poll says,
+	// and owners wait as long for one that gets no answer.
+	LongPolls bool
 	// FailShare of the runs fail.
 	FailShare float64
 	// CrashIntervalMS and TakeoverIntervalMS are the mean times between worker
