Let submissions wait for their owner to regain its right

While the store was away, an owner whose right had expired answered each submission at once that its outcome is unknown. Callers came back within 0.1 to 0.3 s, with or without a Retry-After, and had used up five tries in 0.8 s. A submission now waits for 0.9 s, as it does for a shard without an owner, and is decided once the owner has its right back or learns of its successor.

--- a/node/jobhost/requests.go
+++ b/node/jobhost/requests.go
@@ -242,7 +242,7 @@
 			return res
 		}
 	}
-	res := h.askShard(ctx, part, r)
+	res := h.askShardOnceOwned(ctx, part, r)
 	if r.Op == OpTasks && res.Outcome == Done {
 		return h.readLocal(ctx, part, r)
 	}
