Keep what a customer runs over all services below its cap

One owner decides for one shard, so no one knew what a customer runs on the other services, and a cap of the configuration was not kept.

jobs/room shares a cap between the owners: one arbiter, at the owner of the fleet partition, hands out room; a holder in each shard's core asks ahead of a start, gives idle room back, and keeps what it has while it hears nothing. After a takeover, and where a cap is new or lower than before, nothing starts until the arbiter has answered.

Configurations without caps exchange nothing.

--- a/jobs/shard/core.go
+++ b/jobs/shard/core.go
@@ -17,7 +17,6 @@
 	"slices"
 	"strings"
 
-	"wigeonwinch/jobs/customer"
 	"wigeonwinch/jobs/spec"
 )
 
@@ -74,6 +73,8 @@
 
 // Config holds the settings of a core; they do not change during its life.
 type Config struct {
+	// Shard is the number of the shard.
+	Shard int
 	// Epoch is the fencing token against older owners, at the store and at the
 	// workers.
 	Epoch int64
@@ -141,11 +142,9 @@
 	// otherQueues are the queues of the configuration that go to other shards. Jobs that
 	// were accepted before their queue moved are still here.
 	otherQueues map[string]Queue
-	// customers are the customers of the configuration by name; empty if jobs belong to
-	// none.
-	customers map[string]customer.Customer
-	jobs      map[string]*job
-	finalJobs []*job
+	customers   customers
+	jobs        map[string]*job
+	finalJobs   []*job
 	// unreadable holds the IDs of jobs whose records this program can't read.
 	unreadable map[string]bool
 	// pendingDeletes are the IDs of purged jobs whose records are still
@@ -202,7 +201,8 @@
 		cfg.MaxLeaseMS = maxLeaseMS
 	}
 	return &Core{
-		cfg: cfg, longestLeaseMS: longestLeaseMS, now: now, takeoverAt: now, wallMS: wallMS, earlierLeasesUntil: now + cfg.EarlierLeaseMS,
+		customers: newCustomers(cfg),
+		cfg:       cfg, longestLeaseMS: longestLeaseMS, now: now, takeoverAt: now, wallMS: wallMS, earlierLeasesUntil: now + cfg.EarlierLeaseMS,
 		queues: map[string]Queue{}, jobs: map[string]*job{}, unreadable: map[string]bool{}, scheduled: map[string]*job{}, workers: map[string]*worker{},
 		workerKinds: map[string]Worker{}, pools: map[string]*pool{}, firstSeenAt: map[string]int64{}, declinedAt: map[string]int64{},
 	}
--- a/jobs/shard/pool.go
+++ b/jobs/shard/pool.go
@@ -23,6 +23,9 @@
 	// run alone. holding reports whether workers are held for the latter.
 	isolationWaiting, aloneWaiting int
 	holding                        bool
+	// roomWaiting counts the steps of the current pass that wait for room below their
+	// customer's cap.
+	roomWaiting int
 	// probations counts the pool's workers on probation, of which there may be
 	// maxProbations.
 	probations, maxProbations int
@@ -46,3 +49,6 @@
 	}
 	return p
 }
+
+// heldBack counts what the current pass holds back although workers may have capacity.
+func (p *pool) heldBack() int { return p.isolationWaiting + p.roomWaiting }
--- a/jobs/shard/queues.go
+++ b/jobs/shard/queues.go
@@ -1,7 +1,5 @@
 package shard
 
-import "wigeonwinch/jobs/customer"
-
 // Queue is one queue of the configuration in force.
 type Queue struct {
 	Name    string
@@ -26,14 +24,6 @@
 	}
 }
 
-// SetCustomers replaces the customers of the configuration.
-func (c *Core) SetCustomers(customers []customer.Customer) {
-	c.customers = make(map[string]customer.Customer, len(customers))
-	for _, cu := range customers {
-		c.customers[cu.Name] = cu
-	}
-}
-
 // SetOtherQueues replaces the queues that the configuration sends to other shards.
 func (c *Core) SetOtherQueues(queues []Queue) {
 	c.otherQueues = make(map[string]Queue, len(queues))
--- a/jobs/shard/schedule.go
+++ b/jobs/shard/schedule.go
@@ -47,6 +47,7 @@
 	if c.now >= c.startsUntil || c.deposed || c.storeDown || c.listStale() {
 		return
 	}
+	c.customers.room.BeginPass()
 	for _, name := range sortedKeys(c.pools) {
 		c.schedulePool(c.pools[name])
 	}
@@ -152,16 +153,17 @@
 		}
 		last = j
 		p := c.ensurePool(j.service)
-		isolatedBefore := p.isolationWaiting
+		heldBackBefore := p.heldBack()
 		unplaced := c.placeJob(j, workers)
-		if unplaced == 0 && p.isolationWaiting == isolatedBefore {
+		if unplaced == 0 && p.heldBack() == heldBackBefore {
 			j.queued = false
 			unplacedInRow = 0
 			continue
 		}
 		remaining = append(remaining, j)
 		if unplaced == 0 || c.adviceTiming(j) != nil {
-			// The job lacks isolation, or may lack permits, rather than capacity.
+			// The job lacks isolation or room below its customer's cap, or may lack
+			// permits, rather than capacity.
 			continue
 		}
 		unplacedInRow = min(unplacedInRow+unplaced, maxUnplaced)
@@ -197,6 +199,9 @@
 
 func (c *Core) placeTasks(j *job, o *occurrence, s int, workers []*worker) int {
 	unplaced := 0
+	if c.knownToLackRoom(j, o, s) {
+		return 0
+	}
 	searched := c.lacksRoom(j, s)
 	for t := range o.steps[s].tasks {
 		tk := &o.steps[s].tasks[t]
@@ -230,6 +235,9 @@
 			}
 			continue
 		}
+		if c.waitsForRoom(j, o, s) {
+			break
+		}
 		c.recordPlacement(c.reserve(j, o, s, t, tk.lastRun+1, w))
 	}
 	return unplaced
@@ -241,6 +249,9 @@
 	if c.lacksRoom(j, s) {
 		return so.openTasks
 	}
+	if c.waitsForRoom(j, o, s) {
+		return 0
+	}
 	number := 0
 	for t := range so.tasks {
 		if so.tasks[t].current != nil {
@@ -382,6 +393,8 @@
 		reason = "worker_not_open"
 	case !r.worker.used.Fits(r.worker.info.Capacity):
 		reason = "over_capacity"
+	case !c.customers.room.WithinCap(r.job.spec.Customer):
+		reason = "over_cap"
 	default:
 		return true
 	}
--- a/jobs/shard/submit.go
+++ b/jobs/shard/submit.go
@@ -89,6 +89,9 @@
 	if reason, ok := c.unplaceable(j); ok {
 		return Reply{Reason: reason, RetryAfterMS: admit.UnplaceableRetryMS}, true
 	}
+	if c.gangAboveCap(j) {
+		return Reply{Reason: "gang_above_cap", RetryAfterMS: admit.UnplaceableRetryMS}, true
+	}
 	if c.cfg.Policy.AdmitAll || c.workersUnknown() {
 		return Reply{}, false
 	}
--- a/jobs/shard/worker.go
+++ b/jobs/shard/worker.go
@@ -68,6 +68,8 @@
 	// reports whether the worker is being emptied for a task that must run alone.
 	probation *run
 	held      bool
+	// customers counts the runs by customer.
+	customers *customers
 }
 
 // runID identifies a run on one worker.
@@ -79,7 +81,7 @@
 func (c *Core) ensureWorker(id string, incarnation int64) *worker {
 	w := c.workers[id]
 	if w == nil {
-		w = &worker{info: Worker{ID: id}, incarnation: incarnation, runs: map[runID]*run{}, strays: map[RunRef]int64{}, earlierLeasesUntil: c.earlierLeasesUntil}
+		w = &worker{info: Worker{ID: id}, incarnation: incarnation, customers: &c.customers, runs: map[runID]*run{}, strays: map[RunRef]int64{}, earlierLeasesUntil: c.earlierLeasesUntil}
 		c.workers[id] = w
 		c.workersByID = nil
 	}
@@ -90,6 +92,7 @@
 	w.runs[runID{r.key, r.number}] = r
 	w.used = w.used.Add(r.reserved)
 	w.countRun(r.step(), 1)
+	w.customers.countRun(r, 1)
 }
 
 func (w *worker) removeRun(r *run) {
@@ -105,6 +108,7 @@
 	}
 	w.used = w.used.Sub(r.reserved)
 	w.countRun(r.step(), -1)
+	w.customers.countRun(r, -1)
 }
 
 // countRun adds (delta 1) or removes (delta -1) a run of a step in the
--- a/node/events/jobs.go
+++ b/node/events/jobs.go
@@ -48,6 +48,8 @@
 	QueueHomeStored
 	QueueHomeUnknown
 	JobsUntried
+	RoomUnanswered
+	CustomerRefused
 )
 
 var jobEvents = []Definition{
@@ -96,5 +98,7 @@
 	{QueueHomeStored, "queue_home_stored", SeverityInfo, "A shard is recorded as a home of a queue, before it accepts the queue's first job.", ""},
 	{QueueHomeUnknown, "queue_home_unknown", SeverityWarning, "The shards that may hold jobs of a queue could not be read or written; submissions of unknown jobs are not decided until they can.", "Check the store."},
 	{JobsUntried, "jobs_untried", SeverityInfo, "A pass over the waiting jobs of a pool ended after this job, because too many tasks in a row found no worker; the detail has how many jobs were not tried.", ""},
+	{RoomUnanswered, "room_unanswered", SeverityWarning, "The owner of the fleet partition did not answer what a shard may run of the customers' caps; the shard keeps what it had, and asks again.", "Check the links between the nodes; customers with a cap get no more room on this shard meanwhile."},
+	{CustomerRefused, "customer_refused", SeverityInfo, "A job was refused because its customer is at its share of the pool or at its cap; the detail has the customer's share, what it runs and what waits.", ""},
 	{AdviceFailed, "advice_failed", SeverityWarning, "The placement advisor did not answer; it is asked again.", "Check the placement advisor; queues that need its permits wait."},
 }
--- a/node/jobhost/config.go
+++ b/node/jobhost/config.go
@@ -147,9 +147,9 @@
 	return durationMS
 }
 
-func (c Config) shardConfig(epoch int64, previousMayBeAlive bool) shard.Config {
+func (c Config) shardConfig(index int, epoch int64, previousMayBeAlive bool) shard.Config {
 	return shard.Config{
-		Epoch: epoch, MaxLeaseMS: c.MaxLeaseMS, EarlierLeaseMS: c.previousLeaseMS(previousMayBeAlive),
+		Shard: index, Epoch: epoch, MaxLeaseMS: c.MaxLeaseMS, EarlierLeaseMS: c.previousLeaseMS(previousMayBeAlive),
 		StatusKeepMS: c.StatusRetentionMS,
 	}
 }
--- a/node/jobhost/feeds.go
+++ b/node/jobhost/feeds.go
@@ -9,7 +9,6 @@
 	"strings"
 	"time"
 
-	"wigeonwinch/jobs/customer"
 	"wigeonwinch/jobs/relay"
 	"wigeonwinch/jobs/shard"
 	"wigeonwinch/node/deps"
@@ -57,6 +56,7 @@
 	for _, s := range h.sortedOwned() {
 		h.updateShardQueues(s)
 	}
+	h.updateArbiter()
 	go h.homes.refresh()
 }
 
@@ -219,11 +219,7 @@
 			other = append(other, r.Queue)
 		}
 	}
-	customers := make([]customer.Customer, 0, len(cfg.Customers))
-	for _, cu := range cfg.Customers {
-		customers = append(customers, cu.Customer)
-	}
-	s.core.SetCustomers(customers)
+	s.core.SetCustomers(cfg.Version, customersOf(cfg))
 	s.core.SetQueues(own)
 	s.core.SetOtherQueues(other)
 }
--- a/node/jobhost/host.go
+++ b/node/jobhost/host.go
@@ -11,6 +11,7 @@
 
 	"github.com/pkg/errors"
 
+	"wigeonwinch/jobs/room"
 	"wigeonwinch/node/deps"
 	"wigeonwinch/node/events"
 	"wigeonwinch/node/peer"
@@ -47,7 +48,10 @@
 	readsUnbrokenSince int64
 	stopping           bool
 	fleet              *fleetController
-	relays             *relayedOrders
+	// arbiter hands out the room below the customers' caps while this node owns the
+	// fleet partition; else nil.
+	arbiter *room.Arbiter
+	relays  *relayedOrders
 
 	homes              *queueHomes
 	config             atomic.Pointer[deps.Configuration]
@@ -277,6 +281,7 @@
 			h.dropShard(s, "a worker reported a newer owner")
 			continue
 		}
+		h.exchangeRoom(s, now)
 		h.dispatchOrders(s)
 	}
 	h.relays.flush()
--- a/node/jobhost/messages.go
+++ b/node/jobhost/messages.go
@@ -22,6 +22,8 @@
 	// their results to the owner.
 	methodOrders
 	methodResults
+	// methodRoom reports to the arbiter what a shard holds of the customers' caps.
+	methodRoom
 )
 
 func (h *Host) registerHandlers() {
@@ -30,6 +32,7 @@
 	h.mesh.Handle(methodCordon, h.serveCordon)
 	h.mesh.Handle(methodOrders, newRelayServer(h).serveOrders)
 	h.mesh.Handle(methodResults, h.serveResults)
+	h.mesh.Handle(methodRoom, h.serveRoom)
 }
 
 func (h *Host) serveRequest(ctx context.Context, _ string, body []byte) ([]byte, error) {
--- a/node/jobhost/owners.go
+++ b/node/jobhost/owners.go
@@ -33,6 +33,8 @@
 	// verifiedAt is when this owner sent its last append that the store
 	// accepted.
 	verifiedAt atomic.Int64
+	// roomUnanswered reports that the last report to the arbiter got no answer.
+	roomUnanswered bool
 	// relayWorkers are the shard's workers as the assignment of relays needs
 	// them.
 	relayWorkers []relay.Worker
@@ -310,6 +312,9 @@
 // and have to ask the next owner.
 func (h *Host) stopShard(s *ownedShard) {
 	delete(h.owned, s.partition)
+	if s.partition == fleetPartition {
+		h.arbiter = nil
+	}
 	s.cancel()
 	h.relays.dropShard(s)
 	if s.core == nil {
--- a/node/jobhost/stats.go
+++ b/node/jobhost/stats.go
@@ -13,6 +13,7 @@
 	storeWrites, storeReads atomic.Int64
 	polls, starts           atomic.Int64
 	tasksGivenUp            atomic.Int64
+	roomExchanges           atomic.Int64
 	// relayedAnswered and relayedGivenUp count the orders sent through relays.
 	relayedAnswered, relayedGivenUp atomic.Int64
 	// appendLatency and requestLatency are nil if metrics are not registered.
--- a/node/jobhost/takeover.go
+++ b/node/jobhost/takeover.go
@@ -141,6 +141,7 @@
 		s.hadPredecessor = t.previous.Node != ""
 		h.fleet = newFleetController(h, s)
 		h.fleet.predecessorIdleMS = h.predecessorIdleMS(t.previous, now)
+		h.startArbiter(s, now)
 	}
 	h.record(events.ShardTaken, events.Fields{Detail: fmt.Sprintf("%s epoch=%d records=%d stale=%v took_ms=%d", describe(t.partition), t.epoch, len(t.records), t.previousMayBeAlive, now-t.startedAt)})
 	h.publishOwnership()
@@ -167,7 +168,7 @@
 }
 
 func (h *Host) restoreShard(s *ownedShard, t takenPartition, now int64) {
-	s.core = shard.New(h.cfg.shardConfig(t.epoch, t.previousMayBeAlive), now, wallMS())
+	s.core = shard.New(h.cfg.shardConfig(t.partition.Index, t.epoch, t.previousMayBeAlive), now, wallMS())
 	for _, r := range t.records {
 		if err := s.core.Restore(r); err != nil {
 			h.record(events.RecordUnreadable, events.Fields{Detail: describe(s.partition) + " " + r.Key, Err: err})
