Share a full pool between customers by weight

One customer that sent many times its share took the pool from all others: jobs were ordered and admitted as one queue.

A full pool now orders its jobs with dispatch's fair queue by what each customer uses for its weight, and a job is admitted by its customer's own backlog and share, which also give its Retry-After.

The model of jobs learns customers, caps that change and an arbiter that is replaced.

--- a/jobs/model/owner.go
+++ b/jobs/model/owner.go
@@ -53,6 +53,7 @@
 		}
 	}
 	w.applyQueues(o)
+	o.core.SetCustomers(w.customersVersion, w.customers)
 	w.owner = o
 	o.refreshWorkers()
 	o.pump()
@@ -105,6 +106,7 @@
 	}
 	o.executeOrders()
 	o.append()
+	o.exchangeRoom()
 }
 
 func (o *owner) executeOrders() {
--- a/jobs/model/starts.go
+++ b/jobs/model/starts.go
@@ -12,6 +12,7 @@
 	if !used.Fits(k.room) {
 		w.addViolation("worker %s exceeds its capacity %+v: %+v", k.id, k.room, used)
 	}
+	w.checkCap(t.job.Customer, r.need)
 	w.checkCrashes(t, s.Key)
 	for _, other := range w.workers {
 		if other.up && other.running[s.Key] != nil {
--- a/jobs/model/world.go
+++ b/jobs/model/world.go
@@ -15,6 +15,8 @@
 	"math/rand/v2"
 	"sort"
 
+	"wigeonwinch/jobs/customer"
+	"wigeonwinch/jobs/room"
 	"wigeonwinch/jobs/shard"
 	"wigeonwinch/jobs/spec"
 )
@@ -68,7 +70,12 @@
 	MaxAttempts                  int
 	// Advice is set if a service must permit each placement.
 	Advice *Advice
-	Policy shard.Policy
+	// Customers are the customers of the configuration; none if calls need no key.
+	// ArbiterIntervalMS is the mean time between replacements of the arbiter of their
+	// caps; 0 disables them.
+	Customers         []customer.Customer
+	ArbiterIntervalMS int64
+	Policy            shard.Policy
 	// RunTime returns how long a task runs; if nil, each run draws its own
 	// time.
 	RunTime func(k shard.Key, st *spec.Step) int64
@@ -134,6 +141,12 @@
 	// waitingMiscounted reports whether an owner has left out waiting jobs.
 	waitingMiscounted bool
 
+	// customers are those of the newest configuration, earlierCustomers those before.
+	customers, earlierCustomers          []customer.Customer
+	customersVersion, customersChangedAt int64
+	arbiter                              *room.Arbiter
+	arbiterEpoch                         int64
+
 	// permitsUntil holds until when the permits are valid.
 	permitsUntil map[string]int64
 
@@ -180,6 +193,8 @@
 	for i := range o.Workers {
 		w.workers = append(w.workers, newWorker(w, i))
 	}
+	w.customers, w.earlierCustomers, w.customersVersion = o.Customers, o.Customers, 1
+	w.startArbiter()
 	w.takeover()
 	w.tick()
 	if o.Advice != nil && o.Advice.MovesAtMS > 0 {
@@ -190,6 +205,7 @@
 	w.scheduleFault(o.TakeoverIntervalMS, w.takeover)
 	w.scheduleFault(o.ResizeIntervalMS, w.resizeWorker)
 	w.scheduleFault(o.UnlistIntervalMS, w.unlistWorker)
+	w.scheduleFault(o.ArbiterIntervalMS, w.startArbiter)
 	return w
 }
 
--- a/jobs/shard/customers.go
+++ b/jobs/shard/customers.go
@@ -79,6 +79,13 @@
 	used[r.job.spec.Customer] += n * r.reserved.MilliCPU
 }
 
+// countRefusal counts a refused submission of a customer of the configuration.
+func (c *Core) countRefusal(j *job) {
+	if _, ok := c.customers.configured[j.spec.Customer]; ok {
+		c.customers.refused[j.spec.Customer]++
+	}
+}
+
 // waitsForRoom reports whether the tasks of a step have to wait until their customer has
 // room below its cap, and records what waits.
 func (c *Core) waitsForRoom(j *job, o *occurrence, s int) bool {
--- a/jobs/shard/orders.go
+++ b/jobs/shard/orders.go
@@ -127,6 +127,8 @@
 	EventSuspected    EventName = "task_suspected"
 	EventGivenUp      EventName = "task_given_up"
 	EventUntried      EventName = "jobs_untried"
+	// EventCustomerRefused is a refusal for the sake of the other customers.
+	EventCustomerRefused EventName = "customer_refused"
 )
 
 // Event is one decision, for the log.
--- a/jobs/shard/schedule.go
+++ b/jobs/shard/schedule.go
@@ -72,6 +72,7 @@
 		return
 	}
 	c.sortJobs(p.queue)
+	c.orderByShare(p)
 	maxUnplaced := maxUnplacedInRow
 	if c.now-p.fullPassAt >= fullPassIntervalMS {
 		maxUnplaced = math.MaxInt
--- a/jobs/shard/submit.go
+++ b/jobs/shard/submit.go
@@ -41,6 +41,7 @@
 	}
 	j := c.newJob(s, q, firstSeen)
 	if refusal, refused := c.checkAdmission(j, q); refused {
+		c.countRefusal(j)
 		c.event(Event{Name: EventRefused, Job: s.ID, Outcome: refusal.Reason, AgeMS: now - firstSeen,
 			Detail: fmt.Sprintf("work=%d left=%d retry_ms=%d", s.Work(), c.ensurePool(q.Service).remainingWork, refusal.RetryAfterMS)})
 		refusal.Ticket, refusal.Outcome = ticket, Refused
@@ -96,7 +97,7 @@
 		return Reply{}, false
 	}
 	p := c.ensurePool(q.Service)
-	d := admit.Decide(c.poolLoadAhead(p, j.spec.Work()), admit.Request{
+	d := c.admission(p, j, admit.Request{
 		Work: j.spec.Work(), InitialMilliCPU: initialMilliCPU(&j.spec), CriticalPathMS: j.spec.CriticalPathMS(nil), SlackMS: j.deadline - c.now,
 		Lasting: j.spec.HasLastingStep(), Scheduled: j.spec.Repeat > 0,
 	})
--- a/node/jobhost/shardrun.go
+++ b/node/jobhost/shardrun.go
@@ -270,6 +270,6 @@
 	shard.EventStray: events.RunStray, shard.EventWorker: events.WorkerChanged,
 	shard.EventPollFailed: events.WorkerPollFailed, shard.EventDeposed: events.OwnerDeposed,
 	shard.EventRecordFailed: events.RecordUnwritable, shard.EventPaced: events.RunPaced,
-	shard.EventSuspected: events.TaskSuspected, shard.EventUntried: events.JobsUntried, shard.EventGivenUp: events.TaskGivenUp,
+	shard.EventSuspected: events.TaskSuspected, shard.EventUntried: events.JobsUntried, shard.EventCustomerRefused: events.CustomerRefused, shard.EventGivenUp: events.TaskGivenUp,
 	shard.EventInvariant: events.JobInvariantBroken, shard.EventAdvice: events.AdviceGiven,
 }
