--- a/cmd/internal/cli/cli.go
+++ b/cmd/internal/cli/cli.go
@@ -95,7 +95,7 @@
 		},
 		Commands: []*cli.Command{
 			statusCommand(), poolsCommand(), servicesCommand(), vmsCommand(), wavesCommand(), teamsCommand(),
-			timelineCommand(), manifestCommand(), settingsCommand(), demoCommand(), reportCommand(), standinCommand(), explainCommand(), jobsCommand(), queuesCommand(), labCommand(), docsCommand(), versionCommand(),
+			timelineCommand(), manifestCommand(), settingsCommand(), demoCommand(), reportCommand(), standinCommand(), explainCommand(), jobsCommand(), queuesCommand(), customersCommand(), labCommand(), docsCommand(), versionCommand(),
 		},
 	}
 }
--- /dev/null
+++ b/jobs/room/turns_test.go
@@ -0,0 +1,61 @@
+package room
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"wigeonwinch/jobs/spec"
+)
+
+// turnMS is how long each shard has the demand.
+const turnMS = 4_500
+
+// turns runs shards that ask in turn for more than the cap. It returns the longest time
+// until four fifths of the cap are used by the shard whose turn has come, the share of
+// the cap that is used after that, and the messages a second.
+func turns(shards int) (longestMS int64, usedShare, messages float64) {
+	limit := spec.Resources{MilliCPU: 60_000}
+	w := newWorld(1, shards, limit)
+	task := spec.Resources{MilliCPU: 1_500}
+	const first, last = 2, 10
+	samples := 0
+	for turn := range last {
+		o, began := w.owners[turn%shards], int64(turn)*turnMS
+		reached := int64(0)
+		for at := began; at < began+turnMS; at += 10 {
+			w.after(at, func() {
+				for len(o.waiting) < 60 {
+					o.waiting = append(o.waiting, task)
+				}
+				used := times(task, len(o.running)).MilliCPU
+				if reached == 0 && used*5 >= limit.MilliCPU*4 {
+					reached = at
+					longestMS = max(longestMS, at-began)
+				}
+				if reached != 0 && turn >= first {
+					usedShare += float64(w.total().MilliCPU) / float64(limit.MilliCPU)
+					samples++
+				}
+			})
+		}
+		w.after(began+turnMS-1, func() { o.waiting = nil })
+	}
+	w.run(last * turnMS)
+	return longestMS, usedShare / float64(samples), float64(w.messages) / (last * turnMS / 1_000)
+}
+
+// The runs of the shard that had the demand before take up to 1.4 s to end; nothing is
+// stopped. A fixed split would leave all but one part of the cap idle in each turn.
+func TestRoomFollowsDemandInTurns(t *testing.T) {
+	for _, shards := range []int{4, 16, 64} {
+		t.Run(fmt.Sprint(shards), func(t *testing.T) {
+			longestMS, used, messages := turns(shards)
+			t.Logf("%d shards: 80 %% after %d ms, %.3f used, %.1f messages a second", shards, longestMS, used, messages)
+			require.Less(t, longestMS, int64(2_000))
+			require.Greater(t, used, 0.85)
+			require.Less(t, messages, 30.0)
+		})
+	}
+}
--- a/node/jobapi/jobapi.go
+++ b/node/jobapi/jobapi.go
@@ -59,6 +59,7 @@
 		{"POST", "/v1/queues/{queue}/jobs", "Submits a job. Safe to send again: the same id is the same job.", "", (*API).submit},
 		{"GET", "/v1/queues/{queue}/jobs/{id}", "A job with its tasks: state, worker, runs and failures of each; with more than 4,000 tasks without those that are done.", "", (*API).show},
 		{"DELETE", "/v1/queues/{queue}/jobs/{id}", "Cancels a job.", "", (*API).cancel},
+		{"GET", "/v1/customers", "The customers of the configuration: cap, share of full pools, what runs, waits and was refused.", "`by=node`: one entry for each owner of a shard", (*API).customers},
 		{"GET", "/v1/timeline", "Events of this node, oldest first; all nodes' make one line.", "`since` (RFC 3339), `request`, `vm`, `limit` (default 1000)", (*API).timeline},
 	}
 }
--- a/node/jobhost/host.go
+++ b/node/jobhost/host.go
@@ -12,6 +12,7 @@
 	"github.com/pkg/errors"
 
 	"wigeonwinch/jobs/room"
+	"wigeonwinch/jobs/shard"
 	"wigeonwinch/node/deps"
 	"wigeonwinch/node/events"
 	"wigeonwinch/node/peer"
@@ -51,12 +52,15 @@
 	// arbiter hands out the room below the customers' caps while this node owns the
 	// fleet partition; else nil.
 	arbiter *room.Arbiter
-	relays  *relayedOrders
+	// customersViewedAt is when customerView was last updated.
+	customersViewedAt int64
+	relays            *relayedOrders
 
 	homes              *queueHomes
 	config             atomic.Pointer[deps.Configuration]
 	owners             atomic.Pointer[map[deps.Partition]ownership]
 	confirmedHeartbeat atomic.Pointer[confirmedHeartbeat]
+	customerView       atomic.Pointer[[]shard.CustomerSummary]
 	ownedView          atomic.Pointer[[]ownership]
 	heartbeatTrigger   chan struct{}
 	leaving            atomic.Bool
@@ -263,6 +267,7 @@
 	}
 	h.relays.plan(now)
 	h.expireCordons(now)
+	h.updateCustomerView(now)
 	for _, s := range h.sortedOwned() {
 		hb, verified := h.verifiedHeartbeat(s)
 		if !verified {
--- a/node/jobhost/metrics.go
+++ b/node/jobhost/metrics.go
@@ -24,6 +24,8 @@
 	if hb := h.confirmedHeartbeat.Load(); hb != nil {
 		r[telemetry.MetricHeartbeatAge] = []telemetry.Reading{{Value: float64(monotonicMS() - hb.sentAt)}}
 	}
+	r[telemetry.MetricRoomExchanges] = []telemetry.Reading{{Value: float64(h.stats.roomExchanges.Load())}}
+	h.customerReadings(r)
 	h.stats.requestReadings(r)
 	for reason, n := range h.stats.refusals.snapshot() {
 		r[telemetry.MetricAccessRefusals] = append(r[telemetry.MetricAccessRefusals], telemetry.Reading{Labels: label("reason", reason), Value: float64(n)})
--- a/node/jobhost/requests.go
+++ b/node/jobhost/requests.go
@@ -29,6 +29,8 @@
 	// OpYield looks for a job on behalf of the shard to which its queue has moved.
 	// A shard that does not have the job will not accept it any more.
 	OpYield
+	// OpCustomers lists the customers of the configuration, for operators.
+	OpCustomers
 )
 
 // Request is one caller's request about the jobs of a queue.
@@ -94,6 +96,8 @@
 	Runs []shard.RunSummary `cbor:"7,keyasint,omitempty"`
 	// By is the owner that answered; zero if none did.
 	By answeredBy `cbor:"8,keyasint,omitzero"`
+	// Customers is the answer to OpCustomers, one entry for each shard and customer.
+	Customers []shard.CustomerSummary `cbor:"9,keyasint,omitempty"`
 }
 
 // maySoonChange reports whether a successor of the owner that gave the result may give
@@ -123,12 +127,15 @@
 	return res
 }
 
-var opNames = map[Operation]string{OpSubmit: "submit", OpCancel: "cancel", OpShow: "show", OpWaiting: "waiting", OpList: "list", OpTasks: "tasks", OpYield: "yield"}
+var opNames = map[Operation]string{OpSubmit: "submit", OpCancel: "cancel", OpShow: "show", OpWaiting: "waiting", OpList: "list", OpTasks: "tasks", OpYield: "yield", OpCustomers: "customers"}
 
 // doAcrossShards sends a request to the shard of the queue's service. A job
 // that was accepted before its queue moved to another service is still in the
 // previous shard; the owner that accepts jobs of the queue now looks there itself.
 func (h *Host) doAcrossShards(ctx context.Context, r Request) Result {
+	if r.Op == OpCustomers {
+		return h.listCustomers(ctx)
+	}
 	part := h.partitionOf(r.Service)
 	res := h.doAtOwner(ctx, part, r)
 	if res.Outcome != Missing || r.Op == OpSubmit {
@@ -245,6 +252,8 @@
 		return Result{Outcome: Unauthorized, Reason: reasonKeyRemoved}
 	}
 	switch r.Op {
+	case OpCustomers:
+		return h.readLocal(ctx, part, r)
 	case OpWaiting, OpList:
 		res := h.readLocal(ctx, part, r)
 		if res.Outcome == Done && !r.ShardOnly {
@@ -338,6 +347,8 @@
 	switch r.Op {
 	case OpWaiting:
 		return Result{Outcome: Done, Waiting: core.WaitingJobs(r.Queue)}
+	case OpCustomers:
+		return Result{Outcome: Done, Customers: core.Customers(maxListedCustomers)}
 	case OpList:
 		return Result{Outcome: Done, Jobs: core.Jobs(r.Queue, r.Limit), Waiting: core.WaitingJobs(r.Queue)}
 	case OpTasks:
--- a/node/telemetry/jobinstruments.go
+++ b/node/telemetry/jobinstruments.go
@@ -14,6 +14,11 @@
 	MetricShardsOwned   = "wigeonwinch_shards_owned"
 	MetricConfigVersion = "wigeonwinch_job_config_version"
 	MetricHeartbeatAge  = "wigeonwinch_heartbeat_age_ms"
+	MetricRoomExchanges = "wigeonwinch_room_exchanges"
+	// The metrics by customer have 25 labels at most.
+	MetricCustomerRunning = "wigeonwinch_customer_running_milli_cpu"
+	MetricCustomerWaiting = "wigeonwinch_customer_waiting_jobs"
+	MetricCustomerRefused = "wigeonwinch_customer_refused"
 	// MetricAccessRefusals has five reasons at most; it has no label for customers.
 	MetricAccessRefusals = "wigeonwinch_access_refusals"
 )
@@ -30,6 +35,10 @@
 		{MetricRelayedOrders, "", "counter", "result", "Orders for workers that this node sent through relays: answered, or given up.", "given_up is more than 1 % over 5 minutes: look for relay_suspended in the log"},
 		{MetricShardsOwned, "", "gauge", "", "Shards that this node owns.", "the sum over all nodes is not the number of pools and one for a minute"},
 		{MetricAccessRefusals, "", "counter", "reason", "Calls refused because of their key, or because the job is another customer's.", "key_unknown or key_removed grows: look for access_refused in the log"},
+		{MetricRoomExchanges, "", "counter", "", "Exchanges of this node's shards with the node that hands out the room below the customers' caps.", ""},
+		{MetricCustomerRunning, "", "gauge", "customer", "CPU of a customer's tasks on this node's shards, in milli-CPU; the 24 customers with the most, and `_other`.", ""},
+		{MetricCustomerWaiting, "", "gauge", "customer", "A customer's jobs with tasks that wait on this node's shards.", ""},
+		{MetricCustomerRefused, "", "counter", "customer", "Submissions of a customer refused by this node's shards since it took them over.", "grows for a customer below its weight: `wigeonwinch customers --by-node`"},
 		{MetricConfigVersion, "", "gauge", "", "Version of the queues' configuration in force.", "two nodes differ for more than 14 s"},
 		{MetricHeartbeatAge, "ms", "gauge", "", "Time since the store last took a heartbeat of this node.", "above 2,000: the node may start nothing"},
 	}
