Serve late jobs within their customer's share; count a customer's steps to come

With late jobs after all others a customer that floods lost its own share: its accepted jobs became late, were not served and kept its new ones out. Its backlog left out the steps that can't start yet, so too much was accepted, and the shares were taken of CPU that tasks don't fill.

--- a/jobs/shard/customers.go
+++ b/jobs/shard/customers.go
@@ -16,13 +16,35 @@
 	room       *room.Holder
 	// used is the CPU of the runs by service and customer, in milli-CPU.
 	used map[string]map[string]int
+	// open are the jobs that are not final by service and customer.
+	open map[poolCustomer]map[*job]bool
 	// refused counts the refused submissions by customer.
 	refused map[string]int64
 }
 
+// poolCustomer names a customer in a pool.
+type poolCustomer struct{ service, customer string }
+
+// addJob records a job that is not final, removeJob that it is.
+func (cs *customers) addJob(j *job) {
+	k := poolCustomer{j.service, j.spec.Customer}
+	if cs.open[k] == nil {
+		cs.open[k] = map[*job]bool{}
+	}
+	cs.open[k][j] = true
+}
+
+func (cs *customers) removeJob(j *job) {
+	k := poolCustomer{j.service, j.spec.Customer}
+	delete(cs.open[k], j)
+	if len(cs.open[k]) == 0 {
+		delete(cs.open, k)
+	}
+}
+
 func newCustomers(cfg Config) customers {
 	return customers{configured: map[string]customer.Customer{}, meanWeight: 1, room: room.NewHolder(cfg.Shard, cfg.Epoch),
-		used: map[string]map[string]int{}, refused: map[string]int64{}}
+		used: map[string]map[string]int{}, open: map[poolCustomer]map[*job]bool{}, refused: map[string]int64{}}
 }
 
 // SetCustomers replaces the customers by those of a version of the configuration.
--- a/jobs/shard/shares.go
+++ b/jobs/shard/shares.go
@@ -11,6 +11,9 @@
 	"wigeonwinch/jobs/admit"
 )
 
+// fillablePercent is the part of a pool's CPU that tasks of mixed sizes fill.
+const fillablePercent = 85
+
 // demand is what one customer uses and asks of a pool, in milli-CPU.
 type demand struct {
 	customer   string
@@ -96,10 +99,10 @@
 	return sum
 }
 
-// jobClass orders the jobs of a full pool: those that are late go last, then a customer's
-// jobs within its share go before those beyond it, then by priority.
+// jobClass orders the jobs of a full pool: a customer's jobs within its share go before
+// those beyond it, then those that are not late, then by priority.
 type jobClass struct {
-	late, beyond bool
+	beyond, late bool
 	priority     int
 }
 
@@ -113,7 +116,7 @@
 		}
 		return 1
 	}
-	return cmp.Or(before(a.late, b.late), before(a.beyond, b.beyond), cmp.Compare(a.priority, b.priority))
+	return cmp.Or(before(a.beyond, b.beyond), before(a.late, b.late), cmp.Compare(a.priority, b.priority))
 }
 
 // orderByShare reorders the sorted jobs of a full pool, so that the customers get room by
@@ -123,7 +126,7 @@
 		return
 	}
 	list := c.demands(p)
-	level := shareLevel(list, c.usableMilliCPU(p))
+	level := shareLevel(list, c.usableMilliCPU(p)*fillablePercent/100)
 	if math.IsInf(level, 1) {
 		return
 	}
@@ -136,7 +139,7 @@
 	for _, j := range p.queue {
 		name := j.spec.Customer
 		late, _ := c.rank(j)
-		k := jobClass{late: late, beyond: taken[name]+reached[name] >= level*weights[name], priority: j.priority}
+		k := jobClass{taken[name]+reached[name] >= level*weights[name], late, j.priority}
 		reached[name] += float64(j.readyMilliCPU())
 		classes[k] = append(classes[k], j)
 	}
@@ -189,7 +192,7 @@
 	if level := shareLevel(list, pool.CapacityMilliCPU); !math.IsInf(level, 1) {
 		share = int64(level * list[i].weight)
 	}
-	load = admit.Load{WaitingWork: p.customerWork(name, j.spec.Work()), CapacityMilliCPU: max(share, 1), FreeMilliCPU: pool.FreeMilliCPU}
+	load = admit.Load{WaitingWork: c.customerWork(p.service, name, j.spec.Work()), CapacityMilliCPU: max(share, 1), FreeMilliCPU: pool.FreeMilliCPU}
 	if pool.CapacityMilliCPU > 0 {
 		load.IncomingMilliCPU = pool.IncomingMilliCPU * share / pool.CapacityMilliCPU
 	}
@@ -200,16 +203,17 @@
 	return load, full
 }
 
-// customerWork returns a customer's waiting work of the pool that goes before a job with
-// the given work.
-func (p *pool) customerWork(name string, work int64) int64 {
+// customerWork returns a customer's work of the pool that is not placed and goes before
+// a job with the given work.
+func (c *Core) customerWork(service, name string, work int64) int64 {
 	sum := int64(0)
-	for _, j := range p.queue {
-		if j.spec.Customer == name && !j.state.Final() && j.remainingWork <= work {
-			sum += j.readyWork()
+	for j := range c.customers.open[poolCustomer{service, name}] {
+		if j.remainingWork <= work {
+			sum += j.remainingWork
+			j.eachRun(func(r *run) { sum -= r.step().Work() })
 		}
 	}
-	return sum
+	return max(sum, 0)
 }
 
 // admission decides whether a pool takes a job. In a full pool the job's customer is
--- a/jobs/shard/submit.go
+++ b/jobs/shard/submit.go
@@ -69,6 +69,7 @@
 func (c *Core) acceptJob(j *job, ticket uint64) {
 	j.submitWaiters = append(j.submitWaiters, ticket)
 	c.jobs[j.spec.ID] = j
+	c.customers.addJob(j)
 	c.event(Event{Name: EventAccepted, Job: j.spec.ID, AgeMS: c.now - j.firstSeenAt,
 		Detail: fmt.Sprintf("queue=%s work=%d left=%d deadline_in_ms=%d", j.spec.Queue, j.spec.Work(), c.ensurePool(j.service).remainingWork, j.deadline-c.now)})
 	c.markDirty(j)
@@ -310,6 +311,7 @@
 // queues the job.
 func (c *Core) enqueueRestored(j *job) {
 	c.ensurePool(j.service).remainingWork += j.remainingWork
+	c.customers.addJob(j)
 	if j.spec.Repeat > 0 {
 		c.scheduled[j.spec.ID] = j
 	}
@@ -321,6 +323,7 @@
 	j.state = state
 	j.finalAt = c.now
 	c.finalJobs = append(c.finalJobs, j)
+	c.customers.removeJob(j)
 	p := c.ensurePool(j.service)
 	p.remainingWork -= j.remainingWork
 	j.remainingWork = 0
