--- a/jobs/shard/submit.go
+++ b/jobs/shard/submit.go
@@ -73,6 +73,7 @@
 	j.submitWaiters = append(j.submitWaiters, ticket)
 	c.jobs[j.spec.ID] = j
 	c.holdState(j)
+	c.customers.addJob(j)
 	c.event(Event{Name: EventAccepted, Job: j.spec.ID, AgeMS: c.now - j.firstSeenAt,
 		Detail: fmt.Sprintf("queue=%s work=%d left=%d deadline_in_ms=%d", j.spec.Queue, j.work(), c.ensurePool(j.service).remainingWork, j.deadline-c.now)})
 	c.markDirty(j)
@@ -317,6 +318,7 @@
 // queues the job.
 func (c *Core) enqueueRestored(j *job) {
 	c.ensurePool(j.service).remainingWork += j.remainingWork
+	c.customers.addJob(j)
 	if j.spec.Repeat > 0 {
 		c.scheduled[j.spec.ID] = j
 	}
@@ -331,6 +333,7 @@
 	if len(j.occurrences) == 0 {
 		c.releaseState(j)
 	}
+	c.customers.removeJob(j)
 	p := c.ensurePool(j.service)
 	p.remainingWork -= j.remainingWork
 	j.remainingWork = 0
