--- a/soak/client.go
+++ b/soak/client.go
@@ -70,6 +70,7 @@
 		return 0, nil, nil
 	}
 	req.Host = clientHost
+	req.Header.Set("Authorization", authorization(path))
 	req.Header.Set("Content-Type", "application/json")
 	req.Header.Set("Deadline-Ms", strconv.FormatInt(clientTimeout.Milliseconds(), 10))
 	res, err := c.http.Do(req)
--- a/soak/cluster.go
+++ b/soak/cluster.go
@@ -77,6 +77,7 @@
 	}
 	calm := NewCalm()
 	c := &Cluster{options: o, record: record, calm: calm, judge: NewJudge(record, calm), store: NewStore()}
+	c.judge.customers = o.withCustomers()
 	c.machines = NewMachines(record, c.launchWorker)
 	if err := c.start(); err != nil {
 		c.Close()
@@ -265,7 +266,7 @@
 		})
 	}
 	return c.store.Put(topicOperator, "config", map[string]any{
-		"version": c.version, "routes": routes, "services": services,
+		"version": c.version, "routes": routes, "services": services, "tenants": c.options.tenants(),
 		"limits": map[string]int{"max_header_bytes": 16_384, "max_body_bytes": 262_144, "header_timeout_ms": 3000, "idle_timeout_ms": 15_000},
 	})
 }
--- a/soak/judge.go
+++ b/soak/judge.go
@@ -47,6 +47,7 @@
 	ruleLost     = "LOST"
 	ruleAttempts = "BUDGET"
 	ruleAcks     = "ACKS"
+	ruleQuota    = "QUOTA"
 )
 
 // Violation is a promise that was broken.
@@ -66,6 +67,8 @@
 type Judge struct {
 	record *Record
 	calm   *Calm
+	// customers reports whether the configuration has customers.
+	customers bool
 
 	mu         sync.Mutex
 	jobs       map[string]*judgedJob
--- a/soak/judgeruns.go
+++ b/soak/judgeruns.go
@@ -45,6 +45,7 @@
 	}
 	task.running[run] = struct{}{}
 	j.checkRoom(run)
+	j.checkQuota(run)
 }
 
 func (j *Judge) checkTwice(job *judgedJob, task *judgedTask, s Start) {
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -268,3 +268,14 @@
 	t.Log(text.String())
 	require.True(t, report.OK())
 }
+
+// Customers with caps are served through the same faults, and none is above its cap.
+func TestShortSoakWithCustomers(t *testing.T) {
+	const duration = 12 * time.Second
+	report, err := Run(t.Context(), Options{Program: program, Dir: logsOf(t), Seed: 12, Nodes: 4, Workers: 8, Duration: duration})
+	require.NoError(t, err)
+	var text strings.Builder
+	report.Write(&text)
+	t.Log(text.String())
+	require.True(t, report.OK())
+}
