--- a/soak/cluster.go
+++ b/soak/cluster.go
@@ -93,7 +93,8 @@
 		return nil, err
 	}
 	calm := NewCalm()
-	c := &Cluster{options: o, record: record, calm: calm, judge: NewJudge(record, calm), store: NewStore(), keys: NewKeys()}
+	c := &Cluster{options: o, record: record, calm: calm, judge: NewJudge(record, calm), store: NewStore(), keys: NewKeys(o.withCaps())}
+	c.judge.caps = o.withCaps()
 	c.machines = NewMachines(record, c.launchWorker)
 	if err := c.start(); err != nil {
 		c.Close()
--- a/soak/crowd_test.go
+++ b/soak/crowd_test.go
@@ -125,7 +125,7 @@
 // unfinishedHeader returns a header of about n bytes that lacks its last line.
 func unfinishedHeader(n int) string {
 	var text strings.Builder
-	text.WriteString("POST " + crowdPath + " HTTP/1.1\r\nHost: " + clientHost + "\r\n")
+	text.WriteString("POST " + crowdPath + " HTTP/1.1\r\nHost: " + clientHost + "\r\n" + keyLine(crowdPath) + "\r\n")
 	for i := 0; text.Len() < n; i++ {
 		fmt.Fprintf(&text, "x%x:\r\n", i)
 	}
@@ -156,7 +156,7 @@
 // Clients that have had an answer and stay open.
 func TestCrowdOfIdleConnections(t *testing.T) {
 	c := startCrowdCluster(t)
-	request := "GET " + queues[0].path + " HTTP/1.1\r\nHost: " + clientHost + "\r\n\r\n"
+	request := "GET " + queues[0].path + " HTTP/1.1\r\nHost: " + clientHost + "\r\n" + keyLine(queues[0].path) + "\r\n\r\n"
 	c.send(t, c.target.front, silentCrowdSize, func(conn net.Conn) { writeText(conn, request) })
 	c.check(t)
 }
@@ -164,11 +164,19 @@
 // Answers that nobody reads block their writer, and the requests behind them are unread.
 func TestCrowdThatReadsNoAnswers(t *testing.T) {
 	c := startCrowdCluster(t)
-	requests := strings.Repeat("GET "+queues[0].path+" HTTP/1.1\r\nHost: "+clientHost+"\r\n\r\n", 10_000)
+	requests := strings.Repeat("GET "+queues[0].path+" HTTP/1.1\r\nHost: "+clientHost+"\r\n"+keyLine(queues[0].path)+"\r\n\r\n", 10_000)
 	c.send(t, c.target.front, crowdSize, func(conn net.Conn) { writeText(conn, requests) })
 	c.check(t)
 }
 
+// Callers without a key are answered before their bodies are read.
+func TestCrowdWithoutKeys(t *testing.T) {
+	c := startCrowdCluster(t)
+	request := strings.Replace(post(crowdPath, bodyLimit), keyLine(crowdPath), "Authorization: Token unknown", 1) + strings.Repeat(" ", bodyLimit-shortOf)
+	c.send(t, c.target.front, crowdSize, func(conn net.Conn) { writeText(conn, request) })
+	c.check(t)
+}
+
 func TestCrowdAtOperatorPort(t *testing.T) {
 	c := startCrowdCluster(t)
 	request := post("/v1/queues/queue-0/jobs", bodyLimit, "Authorization: Bearer "+operatorToken) + wholeBody(`{"payload":"`, "x", `"}`)
--- a/soak/crowdclients_test.go
+++ b/soak/crowdclients_test.go
@@ -202,6 +202,9 @@
 // or -1 for a chunked one.
 func post(path string, length int, more ...string) string {
 	lines := append([]string{"POST " + path + " HTTP/1.1", "Host: " + clientHost, "Content-Type: application/json"}, more...)
+	if strings.HasPrefix(path, queues[0].path) {
+		lines = append(lines, keyLine(path))
+	}
 	if length < 0 {
 		lines = append(lines, "Transfer-Encoding: chunked")
 	} else {
@@ -210,6 +213,10 @@
 	return strings.Join(lines, "\r\n") + "\r\n\r\n"
 }
 
+// keyLine returns the header line with the key of a valid caller, so that the node goes on
+// to the body.
+func keyLine(path string) string { return "Authorization: Token " + lastingKeyOf(path) }
+
 // writeText writes text and reports whether the connection took it all.
 func writeText(conn net.Conn, text string) bool {
 	_, err := io.WriteString(conn, text)
--- a/soak/judge.go
+++ b/soak/judge.go
@@ -49,6 +49,7 @@
 	ruleAcks     = "ACKS"
 	ruleRoute    = "ROUTE"
 	ruleConfig   = "CONFIG"
+	ruleQuota    = "QUOTA"
 )
 
 // Violation is a promise that was broken.
@@ -68,6 +69,10 @@
 type Judge struct {
 	record *Record
 	calm   *Calm
+	// caps reports whether the customers have caps.
+	caps bool
+	// capFreeSince is when each customer began to have less than half of its cap in use.
+	capFreeSince [len(soakCustomers)]time.Time
 
 	mu         sync.Mutex
 	jobs       map[string]*judgedJob
--- a/soak/keys.go
+++ b/soak/keys.go
@@ -17,10 +17,8 @@
 	keyApplyTime = 2*time.Second + judgeSlack
 )
 
-// customerNames are the customers of the configuration. Each has a key that it keeps; the
-// first has another one that is exchanged from time to time.
-var customerNames = []string{"red", "blue"}
-
+// lastingKey returns the key that a customer keeps. The first customer has another one
+// that is exchanged from time to time.
 func lastingKey(customer string) string { return customer + "-lasting" }
 
 // keySpan is the time in which the configuration has a key.
@@ -31,13 +29,14 @@
 	mu      sync.Mutex
 	spans   map[string]keySpan
 	rotated []string
+	caps    bool
 }
 
-// NewKeys returns the customers' lasting keys.
-func NewKeys() *Keys {
-	k := &Keys{spans: map[string]keySpan{}}
-	for _, name := range customerNames {
-		k.spans[lastingKey(name)] = keySpan{}
+// NewKeys returns the customers' lasting keys. caps says whether the customers have caps.
+func NewKeys(caps bool) *Keys {
+	k := &Keys{spans: map[string]keySpan{}, caps: caps}
+	for _, c := range soakCustomers {
+		k.spans[lastingKey(c.name)] = keySpan{}
 	}
 	return k
 }
@@ -46,13 +45,17 @@
 func (k *Keys) next() (customers []map[string]any, applied func()) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	fresh := fmt.Sprintf("%s-rotated-%d", customerNames[0], len(k.rotated))
-	for i, name := range customerNames {
-		keys := []string{lastingKey(name)}
+	fresh := fmt.Sprintf("%s-rotated-%d", soakCustomers[0].name, len(k.rotated))
+	for i, c := range soakCustomers {
+		keys := []string{lastingKey(c.name)}
 		if i == 0 {
 			keys = append(keys, fresh)
 		}
-		customers = append(customers, map[string]any{"name": name, "api_keys": keys, "weight": 1.0})
+		customer := map[string]any{"name": c.name, "api_keys": keys, "weight": c.weight}
+		if k.caps {
+			customer["cap"] = map[string]int{"cpu": c.capMilliCPU}
+		}
+		customers = append(customers, customer)
 	}
 	k.spans[fresh] = keySpan{added: time.Now()}
 	return customers, func() { k.exchange(fresh, time.Now()) }
@@ -124,7 +127,7 @@
 	defer c.Close()
 	for ; ctx.Err() == nil; sleep(ctx, probeInterval) {
 		key, unknown := c.cluster.keys.pick(c.random)
-		c.key = key
+		c.keyOf = func(string) string { return key }
 		path := queues[c.random.IntN(len(queues))].path
 		if unknown {
 			c.call(ctx, c.anyNode(), http.MethodPost, fmt.Sprintf("%s%016x", path, c.random.Uint64()), randomJob(c.random), clientTimeout)
--- a/soak/keys_test.go
+++ b/soak/keys_test.go
@@ -8,7 +8,7 @@
 )
 
 func TestJudgeOfKeys(t *testing.T) {
-	k := NewKeys()
+	k := NewKeys(false)
 	_, applied := k.next()
 	applied()
 	k.exchange("fresh", time.Now().Add(5*time.Second))
