--- a/jobs/room/model_test.go
+++ b/jobs/room/model_test.go
@@ -17,23 +17,21 @@
 // world simulates owners of shards and arbiters whose messages are late or lost. Only
 // the newest owner of a shard may start something, as the windows of ownership ensure.
 type world struct {
-	rng     *rand.Rand
-	now     int64
-	events  eventHeap
-	serial  int64
-	version int64
-	cap     spec.Resources
-	owners  []*owner
-	arbiter *Arbiter
-	// arbiterSilentUntil is when the next arbiter answers, which began at its epoch.
+	rng             *rand.Rand
+	now             int64
+	events          eventHeap
+	serial, version int64
+	cap             spec.Resources
+	owners          []*owner
+	arbiter         *Arbiter
+	// epoch is the newest epoch of an owner or arbiter.
 	epoch      int64
 	lossShare  float64
 	maxDelayMS int64
-	wait       map[int]int64
+	// capKnownAt is when every node knows the newest cap.
+	capKnownAt int64
 	violations []string
 	messages   int
-	idleRoom   float64
-	samples    int
 }
 
 // owner is the owner of one shard with its demand.
@@ -168,7 +166,7 @@
 	o.running = append(o.running, need)
 	o.hungrySince, o.lastStart = 0, w.now
 	total := w.total()
-	if exceeds(w.cap, total, w.cap) && w.now > w.wait[0] {
+	if exceeds(w.cap, total, w.cap) && w.now > w.capKnownAt {
 		w.violations = append(w.violations, fmt.Sprintf("%d: %+v is above the cap %+v", w.now, total, w.cap))
 	}
 	w.after(1+w.rng.Int64N(2*o.runMS), func() { o.end(need) })
@@ -247,7 +245,6 @@
 func simulateFaults(t *testing.T, seed uint64) {
 	r := rand.New(rand.NewPCG(seed, 3))
 	w := newWorld(seed, 2+r.IntN(6), spec.Resources{MilliCPU: 4_000 + r.IntN(60_000), MemoryMB: r.IntN(2) * 40_000})
-	w.wait = map[int]int64{}
 	w.lossShare, w.maxDelayMS = 0.1*r.Float64(), 1+r.Int64N(400)
 	for _, o := range w.owners {
 		o.demand(20+r.Int64N(300), func() spec.Resources {
@@ -272,7 +269,7 @@
 				limit := spec.Resources{MilliCPU: 4_000 + w.rng.IntN(60_000), MemoryMB: w.cap.MemoryMB}
 				if limit.MilliCPU < w.cap.MilliCPU {
 					// Until every node has the configuration, the higher cap counts.
-					w.wait[0] = w.now + 200
+					w.capKnownAt = w.now + 200
 				}
 				w.setCap(limit)
 			}
