Keep idle room while the arbiter hands out none

After a change of the arbiter holders gave idle room back and could not get it again until every owner had reported. They keep it now until the arbiter grants, and report until then.

--- a/jobs/room/arbiter.go
+++ b/jobs/room/arbiter.go
@@ -83,7 +83,7 @@
 	}
 	a.record(now, r)
 	out := Answer{Arbiter: a.epoch, Version: a.version}
-	if !a.Granting(now) {
+	if out.Granting = a.Granting(now); !out.Granting {
 		return out, nil
 	}
 	for i := range r.Accounts {
--- a/jobs/room/holder.go
+++ b/jobs/room/holder.go
@@ -28,12 +28,14 @@
 	caps     Caps
 	accounts map[string]*account
 	// arbiter is the epoch of the arbiter that knows all accounts; 0 if none does.
-	arbiter      int64
-	sequence     int64
-	sentAt       int64
-	sent         []Account
-	sentTo       int64
-	inFlight     bool
+	arbiter  int64
+	sequence int64
+	sentAt   int64
+	sent     []Account
+	sentTo   int64
+	inFlight bool
+	// granting reports whether the arbiter handed out room when it last answered.
+	granting     bool
 	rolledOverAt int64
 }
 
@@ -195,7 +197,8 @@
 		if waits && !full && a.known.Next == (spec.Resources{}) {
 			urgent = true
 		}
-		if waits || report.Held != a.known.Held || waits != (a.known.Next != (spec.Resources{})) || full && report.Held != (spec.Resources{}) {
+		stuck := !h.granting && report.Held != report.Used
+		if waits || stuck || report.Held != a.known.Held || waits != (a.known.Next != (spec.Resources{})) || full && report.Held != (spec.Resources{}) {
 			list = append(list, report)
 		}
 	}
@@ -208,7 +211,8 @@
 	return Account{Customer: name, Held: larger(a.limit, used), Used: used, Want: want, Next: within(limit, a.next)}
 }
 
-// giveBack lowers the limits to what was of use lately.
+// giveBack lowers the limits to what was of use lately, unless the arbiter could not
+// return the room when it is needed again.
 func (h *Holder) giveBack(now int64) {
 	if now-h.rolledOverAt < keepMS {
 		return
@@ -216,7 +220,9 @@
 	h.rolledOverAt = now
 	for name, a := range h.accounts {
 		limit := h.caps[name]
-		a.limit = smaller(a.limit, larger(within(limit, a.current), within(limit, a.previous)))
+		if h.granting {
+			a.limit = smaller(a.limit, larger(within(limit, a.current), within(limit, a.previous)))
+		}
 		a.previous, a.current = a.current, smaller(a.used.Add(a.waiting), larger(limit, a.used))
 		if a.idle() && !h.inFlight {
 			delete(h.accounts, name)
@@ -236,7 +242,7 @@
 	if !h.inFlight || sequence != h.sequence {
 		return
 	}
-	h.inFlight = false
+	h.inFlight, h.granting = false, answer.Granting
 	if answer.NeedFull || answer.Arbiter != h.sentTo {
 		h.arbiter = 0
 		return
@@ -265,6 +271,6 @@
 // full, tells it.
 func (h *Holder) Fail(sequence int64) {
 	if h.inFlight && sequence == h.sequence {
-		h.inFlight, h.arbiter = false, 0
+		h.inFlight, h.granting, h.arbiter = false, false, 0
 	}
 }
--- a/jobs/room/room.go
+++ b/jobs/room/room.go
@@ -65,6 +65,9 @@
 	// Version is the version of the configuration whose caps the arbiter knows. Holders
 	// that know a newer one ignore the limits.
 	Version int64 `cbor:"4,keyasint,omitempty"`
+	// Granting reports whether the arbiter hands out room. Until it does, holders keep
+	// what they have.
+	Granting bool `cbor:"5,keyasint,omitempty"`
 }
 
 // perDimension applies f to each dimension.
--- a/jobs/room/turns_test.go
+++ b/jobs/room/turns_test.go
@@ -59,3 +59,41 @@
 		})
 	}
 }
+
+// A holder keeps its room while the arbiter can't hand out any, and gives it back once
+// it can: else room that nobody uses would stay with a shard that asks for nothing.
+func TestRoomIsKeptUntilTheArbiterGrants(t *testing.T) {
+	caps := Caps{customer: {MilliCPU: 10_000}}
+	task := spec.Resources{MilliCPU: 1_000}
+	h, first := NewHolder(1, 5), NewArbiter(1, 0)
+	h.SetCaps(1, caps)
+	exchange := func(now int64, a *Arbiter, epoch int64) {
+		if r, ok := h.Report(now, epoch); ok {
+			answer, err := a.Handle(now, r)
+			require.NoError(t, err)
+			h.Apply(r.Sequence, answer)
+		}
+	}
+	first.SetCaps(1, caps)
+	first.SetRequired([]int{1})
+	h.Wait(customer, task, 8)
+	exchange(1_000, first, 1)
+	h.BeginPass()
+	held, _ := h.Held(customer)
+	require.Equal(t, 8_000, held.MilliCPU)
+	second := NewArbiter(2, 0)
+	second.SetCaps(1, caps)
+	second.SetRequired([]int{1, 2})
+	now := int64(1_100)
+	for ; now < 4_000; now += 50 {
+		exchange(now, second, 2)
+	}
+	held, _ = h.Held(customer)
+	require.Equal(t, 8_000, held.MilliCPU)
+	_, err := second.Handle(now, Report{Shard: 2, Epoch: 6, Sequence: 1, Full: true})
+	require.NoError(t, err)
+	for ; now < 5_000; now += 50 {
+		exchange(now, second, 2)
+	}
+	require.Zero(t, second.Held(customer))
+}
--- a/node/jobhost/room.go
+++ b/node/jobhost/room.go
@@ -58,6 +58,10 @@
 	if arbiter.Node == h.cfg.Node {
 		answer, err := h.answerReport(r)
 		h.applyRoom(s, now, r, answer, err)
+		if len(answer.Limits) > 0 {
+			// Another pass places what waited.
+			go h.post(func() {})
+		}
 		return
 	}
 	go func() {
