--- a/node/jobhost/access_test.go
+++ b/node/jobhost/access_test.go
@@ -214,3 +214,30 @@
 	assert.Equal(t, Done, s.call(h, OpCancel, 1, "blue-1").Outcome)
 	assert.Equal(t, Unauthorized, s.call(h, OpShow, 1, "").Outcome)
 }
+
+// A queue that becomes public opens its jobs; when it becomes private again, calls without
+// a key are refused, also by nodes whose configuration is behind.
+func TestQueueBecomesPublicAndPrivateAgain(t *testing.T) {
+	s := newKeySite(t, "red-1", "blue-1")
+	var behind atomic.Bool
+	owner := s.runOwner(s.store)
+	front := s.runFront(storeBehind{s.store, &behind})
+	public := configWith(3, "s", "s", "other")
+	public.Customers = owner.config.Load().Customers
+	public.Routes[0].Public = true
+	require.NoError(t, s.store.Put(deps.TopicOperator, "config", *public))
+	inForce(t, owner, 3)
+	inForce(t, front, 3)
+	assert.Equal(t, Done, s.call(front, OpShow, 1, "").Outcome, "red's job")
+	assert.Equal(t, Done, s.call(front, OpSubmit, 2, "blue-1").Outcome)
+	behind.Store(true)
+	s.configure(4, "s", "red-1", "blue-1")
+	inForce(t, owner, 4)
+	require.Equal(t, int64(3), front.config.Load().Version)
+	for _, op := range callerOps {
+		assert.Equal(t, Unauthorized, s.call(front, op, 1, "").Outcome, opNames[op])
+	}
+	assert.Equal(t, Done, s.call(front, OpShow, 1, "red-1").Outcome)
+	assert.Equal(t, Missing, s.call(front, OpShow, 1, "blue-1").Outcome)
+	assert.Equal(t, Done, s.call(front, OpShow, 2, "red-1").Outcome, "a job from the public time is its queue's callers'")
+}
