--- a/jobs/shard/expect.go
+++ b/jobs/shard/expect.go
@@ -64,24 +64,28 @@
 // expectJob sets the expected run times of a new job's steps, and its deadline.
 func (c *Core) expectJob(j *job) {
 	j.times = make([]stepTimes, len(j.spec.Steps))
+	j.learned = true
 	for s := range j.times {
-		j.times[s] = c.expectStep(j, s)
+		var learned bool
+		j.times[s], learned = c.expectStep(j, s)
+		j.learned = j.learned && learned
 	}
 	j.deadline += int64(j.stretch * float64(j.criticalPathMS(nil)))
 }
 
-// expectStep returns the run times to expect of a step that has not begun.
-func (c *Core) expectStep(j *job, s int) stepTimes {
+// expectStep returns the run times to expect of a step that has not begun, and
+// reports whether they are learned.
+func (c *Core) expectStep(j *job, s int) (times stepTimes, learned bool) {
 	st := &j.spec.Steps[s]
 	if f := c.cfg.Policy.TrueTimes; f != nil {
 		taskMS, longestMS := f(&j.spec, s)
-		return stepTimes{TaskMS: taskMS, LongestMS: longestMS}
+		return stepTimes{TaskMS: taskMS, LongestMS: longestMS}, true
 	}
 	if c.cfg.Policy.RunTimes == RunTimesDeclared || !learnable(st) {
-		return stepTimes{TaskMS: st.EstimateMS, LongestMS: st.EstimateMS}
+		return stepTimes{TaskMS: st.EstimateMS, LongestMS: st.EstimateMS}, false
 	}
 	e := c.learner.Expect(expectedStep(j, s))
-	return stepTimes{TaskMS: e.TaskMS, LongestMS: e.LongestMS}
+	return stepTimes{TaskMS: e.TaskMS, LongestMS: e.LongestMS}, e.Source != expect.FromDeclared
 }
 
 func expectedStep(j *job, s int) expect.Step {
@@ -173,7 +177,8 @@
 		}
 		for s := range j.times {
 			if o := j.occurrences[0]; o != nil && o.steps[s].openTasks == len(o.steps[s].tasks) {
-				c.setStepTimes(j, s, c.expectStep(j, s))
+				times, _ := c.expectStep(j, s)
+				c.setStepTimes(j, s, times)
 			}
 		}
 	}
--- a/jobs/shard/job.go
+++ b/jobs/shard/job.go
@@ -58,6 +58,9 @@
 	// critical path in the deadline.
 	times   []stepTimes
 	stretch float64
+	// learned reports whether the run times of all steps were learned from finished
+	// ones when the job came.
+	learned bool
 	// finished is what was learned from the job's steps.
 	finished []finishedStep
 }
--- a/jobs/shard/record.go
+++ b/jobs/shard/record.go
@@ -68,6 +68,8 @@
 	// Finished is what was learned from the job's finished steps; also kept for
 	// final jobs, so that a successor knows what this owner has learned lately.
 	Finished []finishedStep `cbor:"16,keyasint,omitempty"`
+	// Learned reports whether all of Times were learned when the job came.
+	Learned bool `cbor:"17,keyasint,omitempty"`
 }
 
 // workerVM is a worker and the VM on which it runs.
@@ -121,7 +123,7 @@
 		Finished: j.finished,
 	}
 	if !j.state.Final() {
-		r.Times, r.Stretch = j.times, j.stretch
+		r.Times, r.Stretch, r.Learned = j.times, j.stretch, j.learned
 	} else {
 		r.Job = spec.Job{ID: j.spec.ID, Queue: j.spec.Queue, Customer: j.spec.Customer}
 	}
@@ -207,7 +209,7 @@
 	j := &job{
 		spec: rec.Job, service: rec.Service, priority: rec.Priority, maxAttempts: rec.MaxAttempts, advice: rec.Advice,
 		acceptedMS: rec.AcceptedMS, state: rec.State, storedState: rec.State, stored: true,
-		begun: rec.Begun, stretch: rec.Stretch, finished: rec.Finished, nextOccurrence: rec.NextOccurrence, occurrences: map[int]*occurrence{},
+		begun: rec.Begun, stretch: rec.Stretch, learned: rec.Learned, finished: rec.Finished, nextOccurrence: rec.NextOccurrence, occurrences: map[int]*occurrence{},
 	}
 	age := min(max(c.wallMS-rec.AcceptedMS, 0), maxRestoredAgeMS)
 	j.firstSeenAt = c.now - age
--- a/jobs/shard/schedule.go
+++ b/jobs/shard/schedule.go
@@ -23,9 +23,10 @@
 	// maxBlockMS is how long a lasting task without capacity may block the
 	// starts of other tasks: a few run times of short tasks.
 	maxBlockMS = 2_500
-	// minPathShare is the share of its estimated critical path that a job
-	// needs at least; estimates are off by half.
-	minPathShare = 0.5
+	// minPathShare is the share of its declared critical path that a job needs at
+	// least, as declared run times are off by half; minLearnedPathShare is that of
+	// an expected one.
+	minPathShare, minLearnedPathShare = 0.5, 0.8
 )
 
 // enqueue adds a job to its pool's queue.
@@ -128,7 +129,11 @@
 		return false, j.criticalPathMS(nil)
 	}
 	pathMS := j.remainingPathMS()
-	if c.now+int64(minPathShare*float64(pathMS)) > j.deadline {
+	share := minPathShare
+	if j.learned {
+		share = minLearnedPathShare
+	}
+	if c.now+int64(share*float64(pathMS)) > j.deadline {
 		return true, j.firstSeenAt
 	}
 	return false, j.remainingWork
