--- a/jobs/shard/core.go
+++ b/jobs/shard/core.go
@@ -17,6 +17,7 @@
 	"slices"
 	"strings"
 
+	"wigeonwinch/jobs/expect"
 	"wigeonwinch/jobs/spec"
 )
 
@@ -63,9 +64,10 @@
 	// The platform lets the capacity of a worker that has shrunk count three
 	// seconds after the list shows it.
 	maxListAgeMS = 2_800
-	// maxBatchRecords bounds the records of one append, well below the store's
-	// byte limit for a call.
+	// maxBatchRecords bounds the records of one append, maxBatchBytes their keys and
+	// values: half of what the store admits in one call.
 	maxBatchRecords = 400
+	maxBatchBytes   = 1 << 20
 	// maxPendingDeletes purged jobs cause a batch of their own if no other
 	// record is waiting.
 	maxPendingDeletes = 50
@@ -96,6 +98,12 @@
 	Order Order
 	// AdmitAll accepts every job that some worker could ever hold.
 	AdmitAll bool
+	// RunTimes is where the run times come from. TrueTimes, if set, replaces
+	// them by the true ones of a step's mean and longest task.
+	RunTimes  RunTimes
+	TrueTimes func(j *spec.Job, step int) (taskMS, longestMS int64)
+	// TrustPolls waits for the time-out of every call that gets no answer.
+	TrustPolls bool
 }
 
 // Order ranks jobs of the same priority.
@@ -145,6 +153,9 @@
 	customers   customers
 	jobs        map[string]*job
 	finalJobs   []*job
+	// stateBytes is what the open jobs take up in memory, stateRoom the most that they
+	// may; see SetStateRoom.
+	stateBytes, stateRoom int64
 	// unreadable holds the IDs of jobs whose records this program can't read.
 	unreadable map[string]bool
 	// pendingDeletes are the IDs of purged jobs whose records are still
@@ -177,8 +188,10 @@
 	earlierLeasesUntil int64
 	storeDown          bool
 	deposed            bool
-	dirty              []*job
-	onCommit           []func()
+	// lostCallAt is when a worker last left a call unanswered; 0 if none did.
+	lostCallAt int64
+	dirty      []*job
+	onCommit   []func()
 	// questions wait for an append to be sent, askedStore for the answer of the one
 	// in flight.
 	questions, askedStore []question
@@ -192,6 +205,8 @@
 	nextAdviceAt   int64
 	// incomingMilliCPU is the capacity on its way to each service.
 	incomingMilliCPU map[string]int64
+	// learner learns the run times of finished steps.
+	learner *expect.Learner
 }
 
 // New returns the core of a shard that has just been taken over.
@@ -204,7 +219,7 @@
 		customers: newCustomers(cfg),
 		cfg:       cfg, longestLeaseMS: longestLeaseMS, now: now, takeoverAt: now, wallMS: wallMS, earlierLeasesUntil: now + cfg.EarlierLeaseMS,
 		queues: map[string]Queue{}, jobs: map[string]*job{}, unreadable: map[string]bool{}, scheduled: map[string]*job{}, workers: map[string]*worker{},
-		workerKinds: map[string]Worker{}, pools: map[string]*pool{}, firstSeenAt: map[string]int64{}, declinedAt: map[string]int64{},
+		learner: expect.New(), workerKinds: map[string]Worker{}, pools: map[string]*pool{}, firstSeenAt: map[string]int64{}, declinedAt: map[string]int64{},
 	}
 }
 
@@ -278,30 +293,42 @@
 		return Batch{}, false
 	}
 	var b Batch
-	jobs := c.dirty
-	if len(jobs) > maxBatchRecords {
-		// Callbacks that wait for these records run only after the rest of the
-		// dirty jobs is stored too.
-		jobs = jobs[:maxBatchRecords]
-	} else {
-		b.onCommit = c.onCommit
+	c.appendDirty(&b)
+	if len(c.dirty) == 0 {
+		// Callbacks run only after all records that they wait for are stored.
+		b.onCommit = append(c.onCommit, b.onCommit...)
 		c.onCommit = nil
 	}
-	for _, j := range jobs {
-		j.dirty = false
+	c.appendDeletes(&b)
+	c.takeQuestions(&b)
+	return b, true
+}
+
+// appendDirty adds the records of dirty jobs to a batch, as many as its bounds allow and
+// one at least.
+func (c *Core) appendDirty(b *Batch) {
+	taken, bytes := 0, 0
+	for _, j := range c.dirty {
+		if len(b.Records) >= maxBatchRecords {
+			break
+		}
 		rec, err := c.encodeJob(j)
 		if err != nil {
 			c.event(Event{Name: EventRecordFailed, Job: j.spec.ID, Detail: err.Error()})
+			j.dirty = false
+			taken++
 			continue
 		}
+		if bytes += rec.bytes(); bytes > maxBatchBytes && len(b.Records) > 0 {
+			break
+		}
+		j.dirty = false
+		taken++
 		b.Records = append(b.Records, rec)
 		state := j.state
 		b.onCommit = append(b.onCommit, func() { c.markStored(j, state) })
 	}
-	c.dirty = append([]*job(nil), c.dirty[len(jobs):]...)
-	c.appendDeletes(&b)
-	c.takeQuestions(&b)
-	return b, true
+	c.dirty = append([]*job(nil), c.dirty[taken:]...)
 }
 
 // appendDeletes adds the deletes of purged jobs to a batch, as many as its bound
--- a/jobs/shard/orders.go
+++ b/jobs/shard/orders.go
@@ -130,6 +130,7 @@
 	EventSuspected    EventName = "task_suspected"
 	EventGivenUp      EventName = "task_given_up"
 	EventUntried      EventName = "jobs_untried"
+	EventLearned      EventName = "run_times_learned"
 	// EventCustomerRefused is a refusal for the sake of the other customers.
 	EventCustomerRefused EventName = "customer_refused"
 )
--- a/jobs/shard/record.go
+++ b/jobs/shard/record.go
@@ -41,6 +41,9 @@
 	Value []byte
 }
 
+// bytes returns what the record adds to an append.
+func (r Record) bytes() int { return len(r.Key) + len(r.Value) }
+
 type jobRecord struct {
 	Version     int        `cbor:"0,keyasint"`
 	Job         spec.Job   `cbor:"1,keyasint"`
@@ -61,6 +64,13 @@
 	// Advice is the timing of the service that permits the queue's placements; nil if none
 	// does.
 	Advice *AdviceTiming `cbor:"13,keyasint,omitempty"`
+	// Times are the run times expected of the steps, Stretch the part of the critical
+	// path in SlackMS; empty in records of earlier versions.
+	Times   []stepTimes `cbor:"14,keyasint,omitempty"`
+	Stretch float64     `cbor:"15,keyasint,omitempty"`
+	// Finished is what was learned from the job's finished steps; also kept for
+	// final jobs, so that a successor knows what this owner has learned lately.
+	Finished []finishedStep `cbor:"16,keyasint,omitempty"`
 }
 
 // workerVM is a worker and the VM on which it runs.
@@ -111,8 +121,11 @@
 		Version: recordVersion, Job: j.spec, Service: j.service, Priority: j.priority,
 		MaxAttempts: j.maxAttempts, AcceptedMS: j.acceptedMS, State: j.state, Begun: j.begun,
 		NextOccurrence: j.nextOccurrence, SlackMS: j.deadline - j.firstSeenAt, Advice: j.advice,
+		Finished: j.finished,
 	}
-	if j.state.Final() {
+	if !j.state.Final() {
+		r.Times, r.Stretch = j.times, j.stretch
+	} else {
 		r.Job = spec.Job{ID: j.spec.ID, Queue: j.spec.Queue, Customer: j.spec.Customer}
 	}
 	for _, number := range sortedKeys(j.occurrences) {
@@ -132,7 +145,7 @@
 	for s := range o.steps {
 		st := stepRecord{Failures: o.steps[s].failures}
 		for t := range o.steps[s].tasks {
-			st.Tasks = append(st.Tasks, encodeTask(&o.steps[s].tasks[t]))
+			st.Tasks = append(st.Tasks, encodeTask(&o.steps[s].tasks[t], o.steps[s].checkpoint(t)))
 		}
 		out.Steps = append(out.Steps, st)
 	}
@@ -166,12 +179,12 @@
 	return out
 }
 
-func encodeTask(t *task) taskRecord {
+func encodeTask(t *task, checkpoint string) taskRecord {
 	rec := taskRecord{LastRun: t.lastRun, LastEnded: t.lastEnded, Failures: t.failures, Done: t.done}
 	if t.done {
 		return rec
 	}
-	rec.Checkpoint = t.checkpoint
+	rec.Checkpoint = checkpoint
 	if t.current != nil {
 		rec.Worker, rec.Incarnation = t.current.worker.info.ID, t.current.worker.incarnation
 	}
@@ -197,17 +210,22 @@
 	j := &job{
 		spec: rec.Job, service: rec.Service, priority: rec.Priority, maxAttempts: rec.MaxAttempts, advice: rec.Advice,
 		acceptedMS: rec.AcceptedMS, state: rec.State, storedState: rec.State, stored: true,
-		begun: rec.Begun, nextOccurrence: rec.NextOccurrence, occurrences: map[int]*occurrence{},
+		begun: rec.Begun, stretch: rec.Stretch, finished: rec.Finished, nextOccurrence: rec.NextOccurrence, occurrences: map[int]*occurrence{},
 	}
 	age := min(max(c.wallMS-rec.AcceptedMS, 0), maxRestoredAgeMS)
 	j.firstSeenAt = c.now - age
+	if len(rec.Times) == len(rec.Job.Steps) {
+		j.times = rec.Times
+	}
 	j.deadline = j.firstSeenAt + rec.SlackMS
 	c.jobs[j.spec.ID] = j
+	c.learnFromRecord(j)
 	if j.state.Final() {
 		j.finalAt = c.now
 		c.finalJobs = append(c.finalJobs, j)
 		return nil
 	}
+	c.holdState(j)
 	for _, o := range rec.Occurrences {
 		j.occurrences[o.Number] = newOccurrence(&j.spec, o.Number)
 	}
@@ -253,13 +271,16 @@
 
 func (c *Core) restoreTask(j *job, o *occurrence, s, t int, rec *taskRecord) {
 	tk := &o.steps[s].tasks[t]
-	tk.lastRun, tk.lastEnded, tk.failures, tk.done, tk.checkpoint = rec.LastRun, rec.LastEnded, rec.Failures, rec.Done, rec.Checkpoint
+	tk.lastRun, tk.lastEnded, tk.failures, tk.done = rec.LastRun, rec.LastEnded, rec.Failures, rec.Done
 	if tk.done {
 		o.steps[s].openTasks--
 		o.openTasks--
 		return
 	}
-	j.remainingWork += j.spec.Steps[s].Work()
+	if rec.Checkpoint != "" {
+		j.saveCheckpoint(Key{j.spec.ID, o.number, s, t}, rec.Checkpoint)
+	}
+	j.remainingWork += j.stepWork(s)
 	if rec.Worker == "" {
 		return
 	}
--- a/jobs/shard/schedule.go
+++ b/jobs/shard/schedule.go
@@ -77,6 +77,7 @@
 	if c.now-p.fullPassAt >= fullPassIntervalMS {
 		maxUnplaced = math.MaxInt
 		p.fullPassAt = c.now
+		c.refreshExpectations(p.queue)
 	}
 	p.queue = c.placeJobs(p.queue, workers, maxUnplaced, nil)
 }
@@ -126,7 +127,7 @@
 	case OrderArrival:
 		return false, j.firstSeenAt
 	case OrderShortestPath:
-		return false, j.spec.CriticalPathMS(nil)
+		return false, j.criticalPathMS(nil)
 	}
 	pathMS := j.remainingPathMS()
 	if c.now+int64(minPathShare*float64(pathMS)) > j.deadline {
@@ -344,7 +345,7 @@
 	r.minClockMS = r.worker.minClock(c.now)
 	c.orders.Starts = append(c.orders.Starts, Start{
 		Target: c.target(r.worker), RunRef: RunRef{r.key, r.number}, Payload: r.job.spec.Payload,
-		LeaseUntil: c.grantLease(r.worker), Checkpoint: tk.checkpoint, PermitToken: r.permit,
+		LeaseUntil: c.grantLease(r.worker), Checkpoint: r.job.checkpoint(r.key), PermitToken: r.permit,
 	})
 }
 
--- a/jobs/shard/shares.go
+++ b/jobs/shard/shares.go
@@ -192,7 +192,7 @@
 	if level := shareLevel(list, pool.CapacityMilliCPU); !math.IsInf(level, 1) {
 		share = int64(level * list[i].weight)
 	}
-	load = admit.Load{WaitingWork: c.customerWork(p.service, name, j.spec.Work()), CapacityMilliCPU: max(share, 1), FreeMilliCPU: pool.FreeMilliCPU}
+	load = admit.Load{WaitingWork: c.customerWork(p.service, name, j.work()), CapacityMilliCPU: max(share, 1), FreeMilliCPU: pool.FreeMilliCPU}
 	if pool.CapacityMilliCPU > 0 {
 		load.IncomingMilliCPU = pool.IncomingMilliCPU * share / pool.CapacityMilliCPU
 	}
@@ -210,7 +210,7 @@
 	for j := range c.customers.open[poolCustomer{service, name}] {
 		if j.remainingWork <= work {
 			sum += j.remainingWork
-			j.eachRun(func(r *run) { sum -= r.step().Work() })
+			j.eachRun(func(r *run) { sum -= r.work })
 		}
 	}
 	return max(sum, 0)
--- a/jobs/shard/worker.go
+++ b/jobs/shard/worker.go
@@ -19,7 +19,7 @@
 	reached bool
 	runs    map[runID]*run
 	used    spec.Resources
-	// placedWork is the estimated work of the runs.
+	// placedWork is the expected work of the runs.
 	placedWork int64
 	// lastingRuns, servingRuns and fillerRuns count the runs of each kind.
 	lastingRuns, servingRuns, fillerRuns int
@@ -46,6 +46,7 @@
 	// that is stored.
 	seenEnd, ackedEnd int
 	pollInFlight      bool
+	watch             pollWatch
 	nextPollAt        int64
 	failedPolls       int
 	backoffUntil      int64
@@ -57,6 +58,9 @@
 	// listedAt is when the last lists arrived, pacedAt when fillers were last
 	// paced.
 	listedAt, pacedAt int64
+	// sightMS bounds how long before the last answer the ends may lie that it has
+	// brought.
+	sightMS int64
 	// contactLostAt is when the first poll failed after the last answered one;
 	// 0 while polls are answered. connectionLost reports whether a connection was
 	// closed or rejected since.
@@ -91,6 +95,8 @@
 func (w *worker) addRun(r *run) {
 	w.runs[runID{r.key, r.number}] = r
 	w.used = w.used.Add(r.reserved)
+	r.work = r.job.stepWork(r.key.Step)
+	w.placedWork += r.work
 	w.countRun(r.step(), 1)
 	w.customers.countRun(r, 1)
 }
@@ -107,6 +113,7 @@
 		w.stoppingRuns--
 	}
 	w.used = w.used.Sub(r.reserved)
+	w.placedWork -= r.work
 	w.countRun(r.step(), -1)
 	w.customers.countRun(r, -1)
 }
@@ -114,7 +121,6 @@
 // countRun adds (delta 1) or removes (delta -1) a run of a step in the
 // worker's counters.
 func (w *worker) countRun(st *spec.Step, delta int) {
-	w.placedWork += int64(delta) * st.Work()
 	if st.Lasting {
 		w.lastingRuns += delta
 		w.lastingMilliCPU += delta * st.Reservation().MilliCPU
@@ -165,17 +171,22 @@
 
 // leasesExpired reports whether every lease on the worker has certainly
 // expired.
-func (w *worker) leasesExpired(now int64) bool {
-	if now < w.earlierLeasesUntil || now < w.laterLeasesUntil {
-		return false
-	}
+func (w *worker) leasesExpired(now int64) bool { return now >= w.leasesUntil() }
+
+// leasesUntil returns the time from which on every lease on the worker has certainly
+// expired.
+func (w *worker) leasesUntil() int64 {
+	until := max(w.earlierLeasesUntil, w.laterLeasesUntil)
 	if w.leaseUntil == 0 {
-		return true
+		return until
 	}
 	remaining := float64(w.leaseUntil-w.clockMS) / (1 - maxClockDrift)
-	return now > w.clockReadAt+int64(remaining)+leaseMarginMS
+	return max(until, w.clockReadAt+int64(remaining)+leaseMarginMS+1)
 }
 
+// silent reports whether the worker does not answer this owner.
+func (w *worker) silent() bool { return w.failedPolls > 0 || !w.reached }
+
 // grantLease returns the end of a new lease in the worker's clock; 0 means
 // that no lease may be granted.
 func (c *Core) grantLease(w *worker) int64 {
@@ -240,7 +251,7 @@
 		c.loseIncarnation(w)
 	}
 	w.incarnation = incarnation
-	w.pollInFlight, w.doubtedAt = false, 0
+	w.pollInFlight, w.doubtedAt, w.watch = false, 0, pollWatch{}
 	w.seenEnd, w.ackedEnd, w.clockMS, w.clockReadAt, w.leaseUntil = 0, 0, 0, 0, 0
 	w.reached, w.failStreak, w.failedPolls, w.contactLostAt, w.connectionLost = false, 0, 0, 0, false
 	w.held = false
@@ -278,8 +289,7 @@
 		if len(w.runs) == 0 {
 			continue
 		}
-		silent := w.failedPolls > 0 || !w.reached
-		if silent && w.leasesExpired(c.now) {
+		if w.silent() && w.leasesExpired(c.now) {
 			c.loseWorker(w, reasonLeaseLapsed, w.silenceEvidence())
 			continue
 		}
--- a/node/events/jobs.go
+++ b/node/events/jobs.go
@@ -49,13 +49,14 @@
 	QueueHomeUnknown
 	JobsUntried
 	AccessRefused
+	RunTimesLearned
 	RoomUnanswered
 	CustomerRefused
 )
 
 var jobEvents = []Definition{
 	{JobAccepted, "job_accepted", SeverityInfo, "A job was admitted; its caller gets the answer once the job is stored.", ""},
-	{JobRefused, "job_refused", SeverityInfo, "A job was rejected and will not run unless it is submitted again; the outcome is the reason.", "too_much_ahead: the pool is full; no_worker_can_hold_it: change the job; store_away: check the store."},
+	{JobRefused, "job_refused", SeverityInfo, "A job was rejected and will not run unless it is submitted again; the outcome is the reason.", "too_much_ahead: the pool is full; no_worker_can_hold_it: change the job; store_away: check the store; owner_memory_full: its open jobs fill their share of the owner's memory."},
 	{JobCancelled, "job_cancelled", SeverityInfo, "A caller cancelled a job.", ""},
 	{JobFinal, "job_final", SeverityInfo, "A job reached a final state; the outcome is the state.", ""},
 	{RunPlaced, "run_placed", SeverityInfo, "A task was placed on a worker; the start order is sent once the placement is stored.", ""},
@@ -100,6 +101,7 @@
 	{QueueHomeUnknown, "queue_home_unknown", SeverityWarning, "The shards that may hold jobs of a queue could not be read or written; submissions of unknown jobs are not decided until they can.", "Check the store."},
 	{JobsUntried, "jobs_untried", SeverityInfo, "A pass over the waiting jobs of a pool ended after this job, because too many tasks in a row found no worker; the detail has how many jobs were not tried.", ""},
 	{AccessRefused, "access_refused", SeverityInfo, "A call was refused because of its key, or because the job is another customer's; the outcome is the reason. At most 20 a second are logged.", "key_missing, key_unknown: compare the caller's key with the configuration; key_removed: a newer configuration took the key away; other_customer, id_taken: the caller uses another customer's job ID."},
+	{RunTimesLearned, "run_times_learned", SeverityInfo, "The owner of a shard has seen enough finished steps of a queue to expect run times by them in place of the declared ones.", ""},
 	{RoomUnanswered, "room_unanswered", SeverityWarning, "The owner of the fleet partition did not answer what a shard may run of the customers' caps; the shard keeps what it had, and asks again.", "Check the links between the nodes; customers with a cap get no more room on this shard meanwhile."},
 	{CustomerRefused, "customer_refused", SeverityInfo, "A job was refused because its customer is at its share of the pool or at its cap; the detail has the customer's share, what it runs and what waits.", ""},
 	{AdviceFailed, "advice_failed", SeverityWarning, "The placement advisor did not answer; it is asked again.", "Check the placement advisor; queues that need its permits wait."},
--- a/node/jobapi/jobapi.go
+++ b/node/jobapi/jobapi.go
@@ -1,21 +1,23 @@
 // Package jobapi serves the HTTP interface for jobs that operators and their
 // tools use. Any node answers for all shards.
 //
-//	mux.Handle("/v1/", jobapi.New(host, events, tokens).Handler())
+//	mux.Handle("/v1/", jobapi.New(host, events, tokens, gate).Handler())
 package jobapi
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"fmt"
-	"io"
 	"net/http"
 	"strconv"
 	"strings"
 
+	"wigeonwinch/jobs/expect"
 	"wigeonwinch/jobs/shard"
 	"wigeonwinch/jobs/spec"
 	"wigeonwinch/node/admin"
+	"wigeonwinch/node/intake"
 	"wigeonwinch/node/jobhost"
 	"wigeonwinch/node/retryafter"
 )
@@ -38,12 +40,13 @@
 	jobs   Jobs
 	events admin.Timeline
 	tokens []string
+	gate   *intake.Gate
 }
 
 // New returns an API for callers that send one of the tokens. Without tokens it
-// rejects all calls.
-func New(jobs Jobs, events admin.Timeline, tokens []string) *API {
-	return &API{jobs, events, tokens}
+// rejects all calls. It reads bodies through gate.
+func New(jobs Jobs, events admin.Timeline, tokens []string, gate *intake.Gate) *API {
+	return &API{jobs, events, tokens, gate}
 }
 
 // route is one route of the interface and its row on the docs page.
@@ -54,7 +57,7 @@
 
 func routes() []route {
 	return []route{
-		{"GET", "/v1/queues", "The queues in force, with their waiting jobs.", "", (*API).queues},
+		{"GET", "/v1/queues", "The queues in force, with their waiting jobs and the run times learned from finished ones.", "", (*API).queues},
 		{"GET", "/v1/queues/{queue}/jobs", "A queue's jobs, the newest first.", "`limit` (default 100, at most 1000)", (*API).list},
 		{"POST", "/v1/queues/{queue}/jobs", "Submits a job. Safe to send again: the same id is the same job.", "", (*API).submit},
 		{"GET", "/v1/queues/{queue}/jobs/{id}", "A job with its tasks: state, worker, runs and failures of each; with more than 4,000 tasks without those that are done.", "", (*API).show},
@@ -89,6 +92,7 @@
 | 400 | The job has the fault that ` + "`detail`" + ` names; nothing is left behind. |
 | 404 | No such queue or job. |
 | 409 | Not accepted, and does not run: the id is that of another customer's job; choose another. |
+| 413 | The body is over 1 MiB. |
 | 429 | Not accepted, and does not run: come back after ` + "`Retry-After`" + ` seconds. |
 | 503 | Nothing was done; try again. |
 | 504 | It may have been done: ask again with the same id. |
@@ -132,6 +136,9 @@
 	// Waiting counts the accepted jobs without a started task. It is nil if the
 	// queue's shard did not answer.
 	Waiting *int `json:"waiting"`
+	// RunTimes is what the queue's shard has learned of its run times. It is nil
+	// if the declared ones are used.
+	RunTimes *expect.QueueStats `json:"run_times,omitempty"`
 }
 
 func (a *API) queues(w http.ResponseWriter, r *http.Request) {
@@ -140,7 +147,7 @@
 		out := Queue{Name: q.Name, Service: q.Service, Priority: q.Priority, MaxAttempts: q.MaxAttempts}
 		res := a.jobs.Do(r.Context(), jobhost.Request{Op: jobhost.OpWaiting, Service: q.Service, Queue: q.Name})
 		if res.Outcome == jobhost.Done {
-			out.Waiting = &res.Waiting
+			out.Waiting, out.RunTimes = &res.Waiting, res.RunTimes
 		}
 		list = append(list, out)
 	}
@@ -244,7 +251,17 @@
 	if !ok {
 		return
 	}
-	job, err := decodeJob(http.MaxBytesReader(w, r.Body, spec.MaxBodyBytes))
+	body, refusal := a.gate.Read(w, r, 0)
+	if refusal != nil {
+		if refusal.RetryAfterMS > 0 {
+			retryafter.SetMS(w.Header(), refusal.RetryAfterMS)
+		}
+		writeProblem(w, refusal.Status, "the body was not taken", refusal.Remedy)
+		return
+	}
+	defer body.Release()
+	job, err := decodeJob(body.Bytes)
+	body.Forget()
 	if err == nil {
 		job.Queue = req.Queue
 		err = job.Validate()
@@ -259,8 +276,11 @@
 
 // decodeJob reads one job. It rejects unknown fields, because a misspelled
 // field would otherwise be ignored silently.
-func decodeJob(body io.Reader) (*spec.Job, error) {
-	decoder := json.NewDecoder(body)
+func decodeJob(body []byte) (*spec.Job, error) {
+	if err := intake.JobShape.Check(body); err != nil {
+		return nil, err
+	}
+	decoder := json.NewDecoder(bytes.NewReader(body))
 	decoder.DisallowUnknownFields()
 	job := &spec.Job{}
 	if err := decoder.Decode(job); err != nil {
--- a/node/jobhost/config.go
+++ b/node/jobhost/config.go
@@ -12,6 +12,7 @@
 	"wigeonwinch/jobs/shard"
 	"wigeonwinch/node/deps"
 	"wigeonwinch/node/events"
+	"wigeonwinch/node/intake"
 	"wigeonwinch/node/peer"
 )
 
@@ -36,6 +37,9 @@
 	// TakeoverGapMS is the minimum time between the actions of two successive
 	// fleet controllers on one VM. Values below minTakeoverGap are raised to it.
 	TakeoverGapMS int64
+	// StateBytes is how many bytes the open jobs of all shards may take up in memory; 0
+	// means any number.
+	StateBytes int64
 	// ShutdownGrace is how long a graceful stop may take.
 	ShutdownGrace time.Duration
 	// PeerKey is the key that all nodes share.
@@ -51,6 +55,9 @@
 	Advisor deps.PlacementAdvisor
 	Codec   deps.Codec
 	Events  events.Recorder
+	// PeerConnections bounds the connections of other nodes. If it is nil the host
+	// creates a port with default limits.
+	PeerConnections *intake.Port
 	// Peers is the peer mesh. If it is nil the host creates one.
 	Peers *peer.Mesh
 }
--- a/node/jobhost/host.go
+++ b/node/jobhost/host.go
@@ -15,6 +15,7 @@
 	"wigeonwinch/jobs/shard"
 	"wigeonwinch/node/deps"
 	"wigeonwinch/node/events"
+	"wigeonwinch/node/intake"
 	"wigeonwinch/node/peer"
 	"wigeonwinch/node/timeline"
 )
@@ -62,6 +63,7 @@
 	confirmedHeartbeat atomic.Pointer[confirmedHeartbeat]
 	customerView       atomic.Pointer[[]shard.CustomerSummary]
 	ownedView          atomic.Pointer[[]ownership]
+	runTimesView       atomic.Pointer[runTimesView]
 	heartbeatTrigger   chan struct{}
 	leaving            atomic.Bool
 	// heartbeatMode is the current heartbeat mode. largeFleet reports that the
@@ -95,6 +97,9 @@
 	if cfg.Incarnation == 0 {
 		cfg.Incarnation = time.Now().UnixNano()
 	}
+	if cfg.PeerConnections == nil {
+		cfg.PeerConnections = intake.NewGate(intake.LimitsFor(0, 0), cfg.Events).PeerPort()
+	}
 	h := &Host{
 		cfg: cfg, incarnation: cfg.Incarnation,
 		inbox: make(chan func(), inboxSize), nodes: map[string]*nodeState{},
@@ -134,14 +139,15 @@
 // forwards requests until Close. If it returns an error, the host never owned a
 // shard and Close is not needed.
 func (h *Host) Run(ctx context.Context) error {
-	listener, err := net.Listen("tcp", h.address())
+	port := h.cfg.PeerConnections
+	listener, err := port.Listen(h.address())
 	if err != nil {
 		close(h.handedOver)
 		return errors.Wrapf(err, "cannot listen for connections from other nodes: check ip and internal ports")
 	}
 	mux := http.NewServeMux()
 	mux.Handle(peer.Path, h.mesh.Handler())
-	h.peerServer = &http.Server{Handler: mux, ReadHeaderTimeout: requestTimeout}
+	h.peerServer = port.Server(mux)
 	go func() { _ = h.peerServer.Serve(listener) }()
 	inner, cancel := context.WithCancel(context.Background())
 	defer cancel()
@@ -264,6 +270,7 @@
 		h.updateHeartbeatMode(now)
 		h.takeOverVacantShards(now)
 		h.relays.expire(now)
+		h.viewRunTimes()
 	}
 	h.relays.plan(now)
 	h.expireCordons(now)
@@ -280,6 +287,7 @@
 		if verified {
 			s.core.SetOwnershipDeadlines(hb.sentAt+startWindow.Milliseconds(), hb.sentAt+leaseExtensionWindow.Milliseconds())
 		}
+		s.core.SetStateRoom(h.stateRoom(s))
 		s.core.SetStoreDown(s.appendFailingSince != 0 && now-s.appendFailingSince > storeDownAfter.Milliseconds())
 		s.core.Advance(now, wall)
 		if s.core.Deposed() {
--- a/node/jobhost/requests.go
+++ b/node/jobhost/requests.go
@@ -6,6 +6,7 @@
 
 	"github.com/pkg/errors"
 
+	"wigeonwinch/jobs/expect"
 	"wigeonwinch/jobs/shard"
 	"wigeonwinch/jobs/spec"
 	"wigeonwinch/node/deps"
@@ -96,8 +97,11 @@
 	Runs []shard.RunSummary `cbor:"7,keyasint,omitempty"`
 	// By is the owner that answered; zero if none did.
 	By answeredBy `cbor:"8,keyasint,omitzero"`
+	// RunTimes is part of the answer to OpWaiting: what the owner has learned of the
+	// queue's run times; nil if it uses the declared ones.
+	RunTimes *expect.QueueStats `cbor:"9,keyasint,omitempty"`
 	// Customers is the answer to OpCustomers, one entry for each shard and customer.
-	Customers []shard.CustomerSummary `cbor:"9,keyasint,omitempty"`
+	Customers []shard.CustomerSummary `cbor:"10,keyasint,omitempty"`
 }
 
 // maySoonChange reports whether a successor of the owner that gave the result may give
@@ -269,7 +273,7 @@
 			return res
 		}
 	}
-	res := h.askShard(ctx, part, r)
+	res := h.askShardOnceOwned(ctx, part, r)
 	if r.Op == OpTasks && res.Outcome == Done {
 		return h.readLocal(ctx, part, r)
 	}
@@ -346,7 +350,7 @@
 func readShard(core *shard.Core, r Request) Result {
 	switch r.Op {
 	case OpWaiting:
-		return Result{Outcome: Done, Waiting: core.WaitingJobs(r.Queue)}
+		return Result{Outcome: Done, Waiting: core.WaitingJobs(r.Queue), RunTimes: core.QueueRunTimes(r.Queue)}
 	case OpCustomers:
 		return Result{Outcome: Done, Customers: core.Customers(maxListedCustomers)}
 	case OpList:
--- a/node/jobhost/shardrun.go
+++ b/node/jobhost/shardrun.go
@@ -178,7 +178,7 @@
 			s.core.HandlePollResponse(now, sentAt, p.Target, lists)
 			return
 		}
-		s.core.HandlePollError(now, p.Target, shardPollError(err))
+		s.core.HandlePollError(now, sentAt, p.Target, shardPollError(err))
 	})
 }
 
@@ -272,4 +272,5 @@
 	shard.EventRecordFailed: events.RecordUnwritable, shard.EventPaced: events.RunPaced,
 	shard.EventSuspected: events.TaskSuspected, shard.EventUntried: events.JobsUntried, shard.EventCustomerRefused: events.CustomerRefused, shard.EventGivenUp: events.TaskGivenUp,
 	shard.EventInvariant: events.JobInvariantBroken, shard.EventAdvice: events.AdviceGiven,
+	shard.EventLearned: events.RunTimesLearned,
 }
--- a/node/telemetry/jobinstruments.go
+++ b/node/telemetry/jobinstruments.go
@@ -14,13 +14,19 @@
 	MetricShardsOwned   = "wigeonwinch_shards_owned"
 	MetricConfigVersion = "wigeonwinch_job_config_version"
 	MetricHeartbeatAge  = "wigeonwinch_heartbeat_age_ms"
-	MetricRoomExchanges = "wigeonwinch_room_exchanges"
+
+	MetricHeldBytes         = "wigeonwinch_client_bytes"
+	MetricClientsLetGo      = "wigeonwinch_clients_let_go"
+	MetricClientConnections = "wigeonwinch_client_connections"
+	MetricRoomExchanges     = "wigeonwinch_room_exchanges"
 	// The metrics by customer have 25 labels at most.
 	MetricCustomerRunning = "wigeonwinch_customer_running_milli_cpu"
 	MetricCustomerWaiting = "wigeonwinch_customer_waiting_jobs"
 	MetricCustomerRefused = "wigeonwinch_customer_refused"
 	// MetricAccessRefusals has five reasons at most; it has no label for customers.
-	MetricAccessRefusals = "wigeonwinch_access_refusals"
+	MetricAccessRefusals   = "wigeonwinch_access_refusals"
+	MetricRunTimeFactor    = "wigeonwinch_run_time_factor"
+	MetricRunTimeHistories = "wigeonwinch_run_time_histories"
 )
 
 // JobInstruments returns the metrics for jobs, except the histograms.
@@ -41,6 +47,17 @@
 		{MetricCustomerRefused, "", "counter", "customer", "Submissions of a customer refused by this node's shards since it took them over.", "grows for a customer below its weight: `wigeonwinch customers --by-node`"},
 		{MetricConfigVersion, "", "gauge", "", "Version of the queues' configuration in force.", "two nodes differ for more than 14 s"},
 		{MetricHeartbeatAge, "ms", "gauge", "", "Time since the store last took a heartbeat of this node.", "above 2,000: the node may start nothing"},
+		{MetricRunTimeFactor, "", "gauge", "estimate", "Factor by which declared and expected run times are off, on average over the queues of this node's shards; only where run times are learned.", "expected is above declared for an hour"},
+		{MetricRunTimeHistories, "", "gauge", "", "Histories of run times that this node holds: of queues, customers and images.", ""},
+	}
+}
+
+// ClientInstruments returns the metrics of what clients make a node hold.
+func ClientInstruments() []Instrument {
+	return []Instrument{
+		{MetricHeldBytes, "By", "gauge", "part", "Bytes held for bodies and long headers: small are the first bytes of each body, large the rest.", "large stays at its bound for a minute"},
+		{MetricClientsLetGo, "", "counter", "reason", "Clients refused or let go, by reason.", "grows for 5 minutes: docs/OPERATIONS.md, Crowds"},
+		{MetricClientConnections, "", "gauge", "port", "Open connections of clients.", "at its bound for a minute"},
 	}
 }
 
--- a/soak/client.go
+++ b/soak/client.go
@@ -43,12 +43,18 @@
 	random  *rand.Rand
 	home    int
 	http    *http.Client
+	// key is the key of the client's calls.
+	key string
+	// customer is the customer that the key names.
+	customer string
 }
 
 // NewClient returns a client with its own connections and random numbers.
 func (c *Cluster) NewClient(random *rand.Rand) *Client {
 	transport := &http.Transport{MaxIdleConnsPerHost: 2, DisableCompression: true}
-	return &Client{cluster: c, random: random, home: random.IntN(len(c.nodes)), http: &http.Client{Transport: transport}}
+	home := random.IntN(len(c.nodes))
+	name := customerNames[home%len(customerNames)]
+	return &Client{cluster: c, random: random, home: home, http: &http.Client{Transport: transport}, key: lastingKey(name), customer: name}
 }
 
 // Close closes the client's connections.
@@ -70,9 +76,12 @@
 		return 0, nil, nil
 	}
 	req.Host = clientHost
-	req.Header.Set("Authorization", authorization(path))
 	req.Header.Set("Content-Type", "application/json")
 	req.Header.Set("Deadline-Ms", strconv.FormatInt(clientTimeout.Milliseconds(), 10))
+	if c.key != "" {
+		req.Header.Set("Authorization", "Token "+c.key)
+	}
+	sent := time.Now()
 	res, err := c.http.Do(req)
 	if err != nil {
 		return 0, nil, nil
@@ -81,12 +90,14 @@
 	if answer, err = io.ReadAll(res.Body); err != nil {
 		return 0, nil, nil
 	}
+	c.cluster.judge.Keyed(c.cluster.keys, n.name, c.key, res.StatusCode, sent)
 	return res.StatusCode, answer, res.Header
 }
 
 // Submit sends a job once and returns the status.
 func (c *Client) Submit(ctx context.Context, n *Node, q queue, id string, job Job) (int, http.Header) {
 	c.cluster.judge.Submitting(id, n.name, q.service, job)
+	c.cluster.judge.HandedInBy(id, c.customer)
 	status, _, header := c.call(ctx, n, http.MethodPost, q.path+id, job, clientTimeout)
 	c.cluster.judge.Submitted(id, n.name, status)
 	return status, header
--- a/soak/cluster.go
+++ b/soak/cluster.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"fmt"
 	"math/rand/v2"
 	"net"
@@ -39,12 +40,27 @@
 	Nodes, Workers int
 	// Duration is how long clients hand in jobs.
 	Duration time.Duration
+	// MemoryMB and MaxFDs are the limits in the nodes' settings; 0 stands for those of a
+	// common VM.
+	MemoryMB, MaxFDs int
+}
+
+// Limits of a common VM.
+const (
+	commonMemoryMB = 284
+	commonMaxFDs   = 4100
+)
+
+// limits returns the limits in the nodes' settings.
+func (o Options) limits() map[string]any {
+	return map[string]any{"cpu_share": 0.4, "cores": 1, "memory_mb": cmp.Or(o.MemoryMB, commonMemoryMB), "max_fds": cmp.Or(o.MaxFDs, commonMaxFDs)}
 }
 
 // Streams of random numbers; clients and workers have one each.
 const (
 	streamPlan uint64 = iota
 	streamAccess
+	streamKeys
 	streamWorkers   uint64 = 1 << 8
 	streamClients   uint64 = 1 << 16
 	streamScenarios uint64 = 1 << 24
@@ -60,6 +76,7 @@
 	judge    *Judge
 	store    *Store
 	machines *Machines
+	keys     *Keys
 	nodes    []*Node
 
 	mu       sync.Mutex
@@ -76,8 +93,9 @@
 		return nil, err
 	}
 	calm := NewCalm()
-	c := &Cluster{options: o, record: record, calm: calm, judge: NewJudge(record, calm), store: NewStore()}
-	c.judge.customers = o.withCustomers()
+	c := &Cluster{options: o, record: record, calm: calm, judge: NewJudge(record, calm), store: NewStore(), keys: NewKeys()}
+	c.judge.capped = o.withCaps()
+	c.keys.capped = o.withCaps()
 	c.machines = NewMachines(record, c.launchWorker)
 	if err := c.start(); err != nil {
 		c.Close()
@@ -158,7 +176,7 @@
 func (c *Cluster) addNode(i int, ports [4]int, cloud string) error {
 	name := fmt.Sprintf("node-%d", i+1)
 	n := &Node{
-		name: name, program: c.options.Program, front: loopback(ports[0]), ready: loopback(ports[1]), peer: loopback(ports[2]),
+		name: name, program: c.options.Program, front: loopback(ports[0]), ready: loopback(ports[1]), peer: loopback(ports[2]), operator: loopback(ports[3]),
 		record: c.record, peers: map[*Node]*Proxy{}, links: map[string]*Proxy{},
 		settings: filepath.Join(c.options.Dir, name+".json"), log: filepath.Join(c.options.Dir, name+".log"),
 	}
@@ -171,7 +189,7 @@
 		return err
 	}
 	c.nodes = append(c.nodes, n)
-	return n.writeSettings(zoneOf(i), [2]int{ports[2], ports[3]}, cloud)
+	return n.writeSettings(zoneOf(i), [2]int{ports[2], ports[3]}, cloud, c.options.limits())
 }
 
 // linkNodes opens the nodes' ways to one another.
@@ -265,10 +283,15 @@
 			"name": q.service, "health_path": "/health", "max_connections": 64, "protocol": "h1", "tls": false, "admission_check": false, "spare": false,
 		})
 	}
-	return c.store.Put(topicOperator, "config", map[string]any{
-		"version": c.version, "routes": routes, "services": services, "tenants": c.options.tenants(),
+	customers, applied := c.keys.next()
+	err := c.store.Put(topicOperator, "config", map[string]any{
+		"version": c.version, "routes": routes, "services": services, "tenants": customers,
 		"limits": map[string]int{"max_header_bytes": 16_384, "max_body_bytes": 262_144, "header_timeout_ms": 3000, "idle_timeout_ms": 15_000},
 	})
+	if err == nil {
+		applied()
+	}
+	return err
 }
 
 const ownersTimeout = 20 * time.Second
--- a/soak/judge.go
+++ b/soak/judge.go
@@ -48,6 +48,8 @@
 	ruleAttempts = "BUDGET"
 	ruleAcks     = "ACKS"
 	ruleQuota    = "QUOTA"
+	ruleRoute    = "ROUTE"
+	ruleConfig   = "CONFIG"
 )
 
 // Violation is a promise that was broken.
@@ -67,8 +69,8 @@
 type Judge struct {
 	record *Record
 	calm   *Calm
-	// customers reports whether the configuration has customers.
-	customers bool
+	// capped reports whether the customers have caps.
+	capped bool
 
 	mu         sync.Mutex
 	jobs       map[string]*judgedJob
@@ -86,6 +88,8 @@
 type judgedJob struct {
 	id  string
 	job Job
+	// customer has handed the job in.
+	customer string
 	// attempts counts the answers to submissions; open counts those without an
 	// answer that says whether the job was accepted.
 	attempts, refused, open int
