Compute what waits once a pass, and once for many submissions

With customers, a pass of a crowded pool counted the ready tasks of every job four times, and each submission counted them anew.

--- a/jobs/shard/customersummary.go
+++ b/jobs/shard/customersummary.go
@@ -38,7 +38,7 @@
 				waiting[j.spec.Customer]++
 			}
 		}
-		list := c.demands(p)
+		list := c.demands(p, p.waitingJobs())
 		if level := shareLevel(list, c.usableMilliCPU(p)); !math.IsInf(level, 1) {
 			for _, d := range list {
 				shares[d.customer] += int64(level * d.weight)
--- a/jobs/shard/job.go
+++ b/jobs/shard/job.go
@@ -49,6 +49,9 @@
 	dirty                        bool
 	// queued reports whether the job is in its pool's queue.
 	queued bool
+	// late and orderKey are the job's rank in the current pass.
+	late     bool
+	orderKey int64
 	// finalAt is the monotonic time at which the state became final.
 	finalAt int64
 	// remainingWork is the expected work of the tasks that are not done.
--- a/jobs/shard/pool.go
+++ b/jobs/shard/pool.go
@@ -9,6 +9,9 @@
 	// with lasting steps.
 	queue        []*job
 	lastingQueue []*job
+	// demands are what the customers used and asked for at demandsAt.
+	demands   []demand
+	demandsAt int64
 	// remainingWork is the expected work of all accepted tasks that are not
 	// done.
 	remainingWork int64
--- a/jobs/shard/schedule.go
+++ b/jobs/shard/schedule.go
@@ -1,10 +1,10 @@
 package shard
 
 import (
+	"cmp"
 	"fmt"
 	"math"
 	"slices"
-	"sort"
 
 	"wigeonwinch/jobs/place"
 	"wigeonwinch/jobs/spec"
@@ -96,28 +96,21 @@
 // sortJobs sorts late jobs after all others, then by priority, then by the key
 // of the policy's order.
 func (c *Core) sortJobs(jobs []*job) {
-	type rank struct {
-		late bool
-		key  int64
-	}
-	ranks := make(map[*job]rank, len(jobs))
 	for _, j := range jobs {
-		late, key := c.rank(j)
-		ranks[j] = rank{late, key}
+		j.late, j.orderKey = c.rank(j)
 	}
-	sort.SliceStable(jobs, func(a, b int) bool {
-		x, y := jobs[a], jobs[b]
-		rx, ry := ranks[x], ranks[y]
-		if rx.late != ry.late {
-			return ry.late
-		}
-		if x.priority != y.priority {
-			return x.priority < y.priority
-		}
-		if rx.key != ry.key {
-			return rx.key < ry.key
+	slices.SortStableFunc(jobs, func(x, y *job) int {
+		switch {
+		case x.late != y.late && y.late:
+			return -1
+		case x.late != y.late:
+			return 1
+		case x.priority != y.priority:
+			return cmp.Compare(x.priority, y.priority)
+		case x.orderKey != y.orderKey:
+			return cmp.Compare(x.orderKey, y.orderKey)
 		}
-		return x.spec.ID < y.spec.ID
+		return cmp.Compare(x.spec.ID, y.spec.ID)
 	})
 }
 
--- a/jobs/shard/shares.go
+++ b/jobs/shard/shares.go
@@ -21,8 +21,26 @@
 	used, asks int64
 }
 
+// waitingJob is a job of a pool's queue and the CPU of its tasks that could start now.
+type waitingJob struct {
+	*job
+	milliCPU int64
+}
+
+// waitingJobs lists the jobs of a pool's queue.
+func (p *pool) waitingJobs() []waitingJob {
+	list := make([]waitingJob, len(p.queue))
+	for i, j := range p.queue {
+		list[i] = waitingJob{job: j}
+		if !j.state.Final() {
+			list[i].milliCPU = j.readyMilliCPU()
+		}
+	}
+	return list
+}
+
 // demands lists what the customers use and ask of a pool, by name.
-func (c *Core) demands(p *pool) []demand {
+func (c *Core) demands(p *pool, waiting []waitingJob) []demand {
 	by := map[string]*demand{}
 	get := func(name string) *demand {
 		d := by[name]
@@ -38,9 +56,9 @@
 			d.used, d.asks = int64(used), int64(used)
 		}
 	}
-	for _, j := range p.queue {
+	for _, j := range waiting {
 		if !j.state.Final() {
-			get(j.spec.Customer).asks += j.readyMilliCPU()
+			get(j.spec.Customer).asks += j.milliCPU
 		}
 	}
 	list := make([]demand, 0, len(by))
@@ -54,6 +72,18 @@
 	return list
 }
 
+// demandsKeepMS is how old the demands may be by which a submission is measured.
+const demandsKeepMS = 20
+
+// recentDemands returns the demands of a pool as of the last pass. Many submissions may
+// come between two passes. Callers must not modify the list.
+func (c *Core) recentDemands(p *pool) []demand {
+	if p.demands == nil || c.now-p.demandsAt > demandsKeepMS {
+		p.demands, p.demandsAt = c.demands(p, p.waitingJobs()), c.now
+	}
+	return p.demands
+}
+
 // readyMilliCPU returns the CPU of the tasks that could start now.
 func (j *job) readyMilliCPU() int64 {
 	sum := int64(0)
@@ -125,7 +155,9 @@
 	if len(c.customers.configured) == 0 || len(p.queue) < 2 {
 		return
 	}
-	list := c.demands(p)
+	waiting := p.waitingJobs()
+	list := c.demands(p, waiting)
+	p.demands, p.demandsAt = list, c.now
 	level := shareLevel(list, c.usableMilliCPU(p)*fillablePercent/100)
 	if math.IsInf(level, 1) {
 		return
@@ -135,12 +167,11 @@
 		taken[d.customer], weights[d.customer] = float64(d.used), d.weight
 	}
 	reached := map[string]float64{}
-	classes := map[jobClass][]*job{}
-	for _, j := range p.queue {
+	classes := map[jobClass][]waitingJob{}
+	for _, j := range waiting {
 		name := j.spec.Customer
-		late, _ := c.rank(j)
-		k := jobClass{taken[name]+reached[name] >= level*weights[name], late, j.priority}
-		reached[name] += float64(j.readyMilliCPU())
+		k := jobClass{taken[name]+reached[name] >= level*weights[name], j.late, j.priority}
+		reached[name] += float64(j.milliCPU)
 		classes[k] = append(classes[k], j)
 	}
 	ordered := p.queue[:0]
@@ -152,9 +183,9 @@
 
 // takeFairly appends the jobs in the order in which their customers, by weight, have
 // taken least. The jobs of one customer keep their order.
-func takeFairly(ordered, jobs []*job, taken, weights map[string]float64) []*job {
-	var q quota.FairQueue[*job]
-	flows := map[string]*quota.Flow[*job]{}
+func takeFairly(ordered []*job, jobs []waitingJob, taken, weights map[string]float64) []*job {
+	var q quota.FairQueue[waitingJob]
+	flows := map[string]*quota.Flow[waitingJob]{}
 	for _, j := range jobs {
 		name := j.spec.Customer
 		f := flows[name]
@@ -163,13 +194,12 @@
 			q.AdjustCost(f, taken[name])
 			flows[name] = f
 		}
-		cost := max(float64(j.readyMilliCPU()), 1)
-		q.Push(f, j, cost)
+		q.Push(f, j, max(float64(j.milliCPU), 1))
 	}
 	for q.Len() > 0 {
-		j, _ := q.Take(func(*job) quota.Choice { return quota.Accept })
-		taken[j.spec.Customer] += float64(j.readyMilliCPU())
-		ordered = append(ordered, j)
+		j, _ := q.Take(func(waitingJob) quota.Choice { return quota.Accept })
+		taken[j.spec.Customer] += float64(j.milliCPU)
+		ordered = append(ordered, j.job)
 	}
 	return ordered
 }
@@ -179,7 +209,7 @@
 // false if nobody's share binds.
 func (c *Core) customerLoad(p *pool, j *job, pool admit.Load) (load admit.Load, full bool) {
 	name := j.spec.Customer
-	list := c.demands(p)
+	list := slices.Clone(c.recentDemands(p))
 	i := slices.IndexFunc(list, func(d demand) bool { return d.customer == name })
 	if i < 0 {
 		list = append(list, demand{customer: name, weight: c.customers.weight(name)})
