--- a/soak/client.go
+++ b/soak/client.go
@@ -43,18 +43,15 @@
 	random  *rand.Rand
 	home    int
 	http    *http.Client
-	// key is the key of the client's calls.
-	key string
-	// customer is the customer that the key names.
-	customer string
+	// keyOf returns the key for calls about the job that a path ends with.
+	keyOf func(jobPath string) string
 }
 
 // NewClient returns a client with its own connections and random numbers.
 func (c *Cluster) NewClient(random *rand.Rand) *Client {
 	transport := &http.Transport{MaxIdleConnsPerHost: 2, DisableCompression: true}
 	home := random.IntN(len(c.nodes))
-	name := customerNames[home%len(customerNames)]
-	return &Client{cluster: c, random: random, home: home, http: &http.Client{Transport: transport}, key: lastingKey(name), customer: name}
+	return &Client{cluster: c, random: random, home: home, http: &http.Client{Transport: transport}, keyOf: lastingKeyOf}
 }
 
 // Close closes the client's connections.
@@ -78,8 +75,9 @@
 	req.Host = clientHost
 	req.Header.Set("Content-Type", "application/json")
 	req.Header.Set("Deadline-Ms", strconv.FormatInt(clientTimeout.Milliseconds(), 10))
-	if c.key != "" {
-		req.Header.Set("Authorization", "Token "+c.key)
+	key := c.keyOf(path)
+	if key != "" {
+		req.Header.Set("Authorization", "Token "+key)
 	}
 	sent := time.Now()
 	res, err := c.http.Do(req)
@@ -90,14 +88,13 @@
 	if answer, err = io.ReadAll(res.Body); err != nil {
 		return 0, nil, nil
 	}
-	c.cluster.judge.Keyed(c.cluster.keys, n.name, c.key, res.StatusCode, sent)
+	c.cluster.judge.Keyed(c.cluster.keys, n.name, key, res.StatusCode, sent)
 	return res.StatusCode, answer, res.Header
 }
 
 // Submit sends a job once and returns the status.
 func (c *Client) Submit(ctx context.Context, n *Node, q queue, id string, job Job) (int, http.Header) {
 	c.cluster.judge.Submitting(id, n.name, q.service, job)
-	c.cluster.judge.HandedInBy(id, c.customer)
 	status, _, header := c.call(ctx, n, http.MethodPost, q.path+id, job, clientTimeout)
 	c.cluster.judge.Submitted(id, n.name, status)
 	return status, header
--- a/soak/cluster.go
+++ b/soak/cluster.go
@@ -93,9 +93,8 @@
 		return nil, err
 	}
 	calm := NewCalm()
-	c := &Cluster{options: o, record: record, calm: calm, judge: NewJudge(record, calm), store: NewStore(), keys: NewKeys()}
-	c.judge.capped = o.withCaps()
-	c.keys.capped = o.withCaps()
+	c := &Cluster{options: o, record: record, calm: calm, judge: NewJudge(record, calm), store: NewStore(), keys: NewKeys(o.withCaps())}
+	c.judge.caps = o.withCaps()
 	c.machines = NewMachines(record, c.launchWorker)
 	if err := c.start(); err != nil {
 		c.Close()
--- a/soak/customers.go
+++ b/soak/customers.go
@@ -1,29 +1,43 @@
 package soak
 
-// capsMilliCPU are the caps of the customers in runs with an even seed; the others have
-// none.
-var capsMilliCPU = map[string]int{"red": 10_000, "blue": 6_000}
+import (
+	"path"
+	"time"
+)
+
+// soakCustomer is a customer of the configuration.
+type soakCustomer struct {
+	name   string
+	weight float64
+	// capMilliCPU is the cap in runs that have one.
+	capMilliCPU int
+}
+
+var soakCustomers = [...]soakCustomer{{"red", 2, 10_000}, {"blue", 1, 6_000}}
 
 // quotaOverage is the part of a cap by which a customer may be above it, and one task.
 const quotaOverage = 0.1
 
+// withCaps reports whether the customers have caps: in runs with an even seed.
 func (o Options) withCaps() bool { return o.Seed%2 == 0 }
 
-// HandedInBy notes which customer hands a job in.
-func (j *Judge) HandedInBy(id, customer string) {
-	j.mu.Lock()
-	defer j.mu.Unlock()
-	if job := j.jobs[id]; job != nil {
-		job.customer = customer
+// customerOf returns the customer that hands in the job with an id.
+func customerOf(id string) soakCustomer {
+	if id == "" {
+		return soakCustomers[0]
 	}
+	return soakCustomers[int(id[len(id)-1])%len(soakCustomers)]
 }
 
+// lastingKeyOf returns the key for calls about the job that a path ends with.
+func lastingKeyOf(jobPath string) string { return lastingKey(customerOf(path.Base(jobPath)).name) }
+
 // customerUse returns what a customer has running on all workers, in milli-CPU.
 func (j *Judge) customerUse(name string) int {
 	sum := 0
 	for _, w := range j.workers {
 		for run := range w.runs {
-			if run.job.customer == name {
+			if customerOf(run.job.id).name == name {
 				sum += run.cpu
 			}
 		}
@@ -34,18 +48,34 @@
 // checkQuota checks that a start leaves its customer below its cap. Orders that were
 // held up on their way do not count.
 func (j *Judge) checkQuota(run *judgedRun) {
-	limit := capsMilliCPU[run.job.customer]
-	if !j.capped || limit == 0 || !j.calm.For(contactTime, run.startedBy, run.worker) {
+	c := customerOf(run.job.id)
+	if !j.caps || !j.calm.For(contactTime, run.startedBy, run.worker) {
 		return
 	}
-	if used := j.customerUse(run.job.customer); float64(used) > float64(limit)*(1+quotaOverage)+float64(run.cpu) {
-		j.violate(ruleQuota, run.job.id, "%s starts %s run %d by order of %s and then customer %s has %d of %d milli-CPU in use", run.worker, run.task, run.run, run.startedBy, run.job.customer, used, limit)
+	if used := j.customerUse(c.name); float64(used) > float64(c.capMilliCPU)*(1+quotaOverage)+float64(run.cpu) {
+		j.violate(ruleQuota, run.job.id, "%s starts %s run %d by order of %s and then customer %s has %d of %d milli-CPU in use", run.worker, run.task, run.run, run.startedBy, c.name, used, c.capMilliCPU)
+	}
+}
+
+// noteCaps notes since when the customers have had less than half of their caps in use.
+func (j *Judge) noteCaps(now time.Time) {
+	for i, c := range soakCustomers {
+		switch busy := j.caps && 2*j.customerUse(c.name) >= c.capMilliCPU; {
+		case busy:
+			j.capFreeSince[i] = time.Time{}
+		case j.capFreeSince[i].IsZero():
+			j.capFreeSince[i] = now
+		}
 	}
 }
 
-// capBusy reports whether a job may wait because its customer has half of its cap in use.
-// The time in which it must not wait begins after that.
-func (j *Judge) capBusy(job *judgedJob) bool {
-	limit := capsMilliCPU[job.customer]
-	return j.capped && limit > 0 && 2*j.customerUse(job.customer) >= limit
+// capFree reports whether a job has had room below its customer's cap for so long that
+// something of it has to run.
+func (j *Judge) capFree(job *judgedJob) bool {
+	for i, c := range soakCustomers {
+		if c == customerOf(job.id) {
+			return !j.capFreeSince[i].IsZero() && time.Since(j.capFreeSince[i]) > idleTime || !j.caps
+		}
+	}
+	return true
 }
--- a/soak/judge.go
+++ b/soak/judge.go
@@ -47,9 +47,9 @@
 	ruleLost     = "LOST"
 	ruleAttempts = "BUDGET"
 	ruleAcks     = "ACKS"
-	ruleQuota    = "QUOTA"
 	ruleRoute    = "ROUTE"
 	ruleConfig   = "CONFIG"
+	ruleQuota    = "QUOTA"
 )
 
 // Violation is a promise that was broken.
@@ -69,8 +69,10 @@
 type Judge struct {
 	record *Record
 	calm   *Calm
-	// capped reports whether the customers have caps.
-	capped bool
+	// caps reports whether the customers have caps.
+	caps bool
+	// capFreeSince is when each customer began to have less than half of its cap in use.
+	capFreeSince [len(soakCustomers)]time.Time
 
 	mu         sync.Mutex
 	jobs       map[string]*judgedJob
@@ -88,8 +90,6 @@
 type judgedJob struct {
 	id  string
 	job Job
-	// customer has handed the job in.
-	customer string
 	// attempts counts the answers to submissions; open counts those without an
 	// answer that says whether the job was accepted.
 	attempts, refused, open int
--- a/soak/judgecheck.go
+++ b/soak/judgecheck.go
@@ -10,6 +10,7 @@
 	acked, cancelledGone, idle := j.calm.AllFor(ackTime), j.calm.AllFor(cancelledGoneTime), j.calm.AllFor(calmBeforeIdle+idleTime)
 	j.mu.Lock()
 	defer j.mu.Unlock()
+	j.noteCaps(time.Now())
 	for _, job := range j.jobs {
 		if acked && job.waitsForAck() {
 			job.cancel = &cancelAnswer{sent: job.firstCancel, at: time.Now()}
@@ -18,10 +19,7 @@
 		if c := job.cancel; c != nil && cancelledGone && !job.overdue && time.Since(c.at) > cancelledGoneTime {
 			j.checkGone(job)
 		}
-		if j.capBusy(job) {
-			job.idleSince = time.Now()
-		}
-		if idle && job.waits() && time.Since(job.idleSince) > idleTime {
+		if idle && job.waits() && time.Since(job.idleSince) > idleTime && j.capFree(job) {
 			j.checkIdle(job)
 		}
 	}
