--- a/jobs/shard/schedule.go
+++ b/jobs/shard/schedule.go
@@ -278,6 +278,7 @@
 	}
 	var best *worker
 	var bestScore place.Score
+	needsPermit := c.adviceTiming(j) != nil
 	for _, w := range workers {
 		if rack != "" && w.info.Rack != rack || !w.info.hasLabel(st.Label) || !w.admits(isolation, c.now) {
 			continue
@@ -286,8 +287,10 @@
 		if !reservation.Fits(free) || st.MaxPerWorker > 0 && w.countStepRuns(j, o.number, s) >= st.MaxPerWorker {
 			continue
 		}
-		if _, ok := c.permitFor(j, o, s, w); !ok {
-			continue
+		if needsPermit {
+			if _, ok := c.permitFor(j, o, s, w); !ok {
+				continue
+			}
 		}
 		score := place.ScoreCandidate(place.Candidate{
 			FreeMilliCPU: free.MilliCPU, NeedMilliCPU: reservation.MilliCPU,
