Do not say that a submission never runs where no owner is found

A node that found no owner for 0.9 s answered a submission 503, which means that the job never runs, although an owner may have accepted it before (red test TestNodeWithoutAnOwnerDoesNotSayThatAJobNeverRuns, now green). It answers 504; as it waits for 0.9 s each time, callers do not use up their tries sooner.

--- a/node/jobhost/requests.go
+++ b/node/jobhost/requests.go
@@ -138,7 +138,8 @@
 		ownerChanged := res.Reason == reasonOwnerChanged
 		mayHaveEffect = mayHaveEffect || ownerChanged && !r.Op.readOnly()
 		if ctx.Err() != nil || !mayHaveEffect && time.Now().After(deadline) {
-			return giveUpResult(mayHaveEffect, res.Reason)
+			// An owner that cannot be reached now may have accepted the job before.
+			return giveUpResult(mayHaveEffect || r.Op == OpSubmit, res.Reason)
 		}
 		if !ownerChanged {
 			pause.For(ctx, ownerRetryDelay)
