--- a/jobs/model/worker.go
+++ b/jobs/model/worker.go
@@ -164,26 +164,6 @@
 // longPollMS is how long a worker without unreported ends delays its answer.
 const longPollMS = 150
 
-// lostPollMS returns how much longer than for an order an owner waits for the answer to a poll.
-func (w *World) lostPollMS(p shard.Poll, reason shard.PollError) int64 {
-	if w.opts.LongPolls && reason == shard.PollUnanswered {
-		return p.WaitMS
-	}
-	return 0
-}
-
-// answerPolls ends the polls that wait for a run to end.
-func (k *worker) answerPolls() {
-	if !k.world.opts.LongPolls {
-		return
-	}
-	polls := k.waitingPolls
-	k.waitingPolls = nil
-	for _, p := range polls {
-		p.answer()
-	}
-}
-
 func (w *World) deliverPoll(o *owner, p shard.Poll, sent int64) {
 	w.callWorker(o, p.Target, func(k *worker) func() {
 		response, failure := k.handlePoll(p)
