Count the work that arrives as declared when peaks are compared

The fleet controller forecasts a peak from the work that arrived in earlier ones. With learned run times the unit of that work changed while a pool's history was short: later peaks looked lower than earlier ones and got too few VMs.

The arrived work is now counted as declared; order, admission and Retry-After keep the learned times. A poll is overdue by the expected run time, too.

--- a/jobs/shard/expect_test.go
+++ b/jobs/shard/expect_test.go
@@ -174,3 +174,26 @@
 	assert.True(t, ok)
 	assert.Positive(t, stats.Steps)
 }
+
+// The fleet controller compares the work that arrives in a peak with that of earlier
+// peaks. As the owner learned that tasks are shorter than declared, later peaks looked
+// lower and got too few VMs.
+func TestArrivedWorkIsCountedAsDeclared(t *testing.T) {
+	h := newHarness(t, 4)
+	arrived := func() int64 { return h.core.PoolStats()[0].SubmittedWork }
+	h.submit(testJob(1000, smallStep(1)))
+	first := arrived()
+	for i := range 20 {
+		o := h.submit(testJob(i+1, smallStep(1)))
+		h.acceptStarts(o.Starts)
+		h.step(200)
+		h.finish(o.Starts, h.core.workers[o.Starts[0].Worker].estimateClock(h.now))
+		h.step(1)
+		h.core.TakeOrders()
+	}
+	_, learned := h.core.learner.QueueStats("q")
+	require.True(t, learned)
+	before := arrived()
+	h.submit(testJob(1001, smallStep(1)))
+	assert.Equal(t, first, arrived()-before)
+}
--- a/jobs/shard/overdue.go
+++ b/jobs/shard/overdue.go
@@ -55,7 +55,7 @@
 	case phaseStopping:
 		return r.stopAnsweredAt != 0 && r.stopAnsweredAt > r.worker.watch.orderedAt
 	case phaseRunning:
-		return !st.Lasting && st.EstimateMS > 0 && overdue.PollDue(overdue.Run{StartedAt: r.phaseSince, ExpectedMS: st.EstimateMS, SeenAt: r.confirmedAt}) <= c.now
+		return !st.Lasting && st.EstimateMS > 0 && overdue.PollDue(overdue.Run{StartedAt: r.phaseSince, ExpectedMS: r.job.taskMS(r.key.Step), SeenAt: r.confirmedAt}) <= c.now
 	}
 	return false
 }
--- a/jobs/shard/pool.go
+++ b/jobs/shard/pool.go
@@ -18,8 +18,9 @@
 	// blockedSince is when a lasting task first found no capacity; 0 if none
 	// is waiting.
 	blockedSince int64
-	// submittedWork is the expected work of all jobs submitted since the
-	// takeover.
+	// submittedWork is the declared work of all jobs submitted since the takeover. The
+	// rates of earlier peaks are compared with later ones, so that its unit must not
+	// change with what the owner learns.
 	submittedWork int64
 	// isolationWaiting counts the tasks of the current pass that found no worker
 	// on which they are isolated as they must, aloneWaiting those of them that must
--- a/jobs/shard/submit.go
+++ b/jobs/shard/submit.go
@@ -37,11 +37,9 @@
 	if !seen {
 		firstSeen = now
 		c.firstSeenAt[s.ID] = now
+		c.ensurePool(q.Service).submittedWork += s.Work()
 	}
 	j := c.newJob(s, q, firstSeen)
-	if !seen {
-		c.ensurePool(q.Service).submittedWork += j.work()
-	}
 	if c.now >= c.startsUntil {
 		// A successor may have accepted the job, so that a refusal may be false.
 		c.reply(Reply{Ticket: ticket, Outcome: Unavailable, Reason: "ownership_expired"})
