Mend what the review of caps, learned times, keys and crowds found

It runs alone now, the gang waits. Test: TestHugeEstimatesAreBounded. - A submission was answered 503 although its queue had just left the shard and the next one may have the job; 401 although an earlier owner may have stored it. Both are unknown now. - Long headers of strangers could take up the room of all bodies; they have a quarter of the budget now. - A refusal of a short body could be lost in a reset; an evicted body that had just ended went on without its context. - Whether a queue needs a key is decided by the same configuration as the key.

--- a/jobs/room/holder.go
+++ b/jobs/room/holder.go
@@ -128,11 +128,12 @@
 	return !exceeds(limit, a.used.Add(smallerCapped(limit, need)), smaller(a.limit, limit))
 }
 
-// WithinCap reports whether what a customer's runs use here is below its cap. A start
+// WithinCap reports whether what a customer's runs use here is below its cap, with a run
+// among them that needs the given resources and alone may need more than the cap. A start
 // that was allowed before the cap was lowered is not allowed any more.
-func (h *Holder) WithinCap(customer string) bool {
+func (h *Holder) WithinCap(customer string, need spec.Resources) bool {
 	limit := h.caps[customer]
-	return !exceeds(limit, h.Used(customer), limit)
+	return !exceeds(limit, h.Used(customer).Sub(need).Add(smallerCapped(limit, need)), limit)
 }
 
 // BeginPass forgets what waited for room in the pass before.
--- a/jobs/shard/customers.go
+++ b/jobs/shard/customers.go
@@ -115,6 +115,11 @@
 	need, n := st.Reservation(), int(o.steps[s].pendingTasks())
 	if st.Gang {
 		need, n = timesResources(need, st.Count), 1
+		if c.aboveCap(j.spec.Customer, need) {
+			// The cap was lowered after the job was accepted.
+			c.ensurePool(j.service).roomWaiting++
+			return true
+		}
 	}
 	if c.customers.room.Allows(j.spec.Customer, need) {
 		return false
@@ -137,18 +142,22 @@
 // gangAboveCap reports whether the job has a gang that needs more at once than its
 // customer may ever run.
 func (c *Core) gangAboveCap(j *job) bool {
-	limit := c.customers.configured[j.spec.Customer].Cap
-	above := func(need, limit int) bool { return limit > 0 && need > limit }
 	for i := range j.spec.Steps {
 		st := &j.spec.Steps[i]
-		need := timesResources(st.Reservation(), st.Count)
-		if st.Gang && (above(need.MilliCPU, limit.MilliCPU) || above(need.MemoryMB, limit.MemoryMB) || above(need.GPUs, limit.GPUs)) {
+		if st.Gang && c.aboveCap(j.spec.Customer, timesResources(st.Reservation(), st.Count)) {
 			return true
 		}
 	}
 	return false
 }
 
+// aboveCap reports whether a customer may never run the given resources at once.
+func (c *Core) aboveCap(name string, need spec.Resources) bool {
+	limit := c.customers.configured[name].Cap
+	above := func(need, limit int) bool { return limit > 0 && need > limit }
+	return above(need.MilliCPU, limit.MilliCPU) || above(need.MemoryMB, limit.MemoryMB) || above(need.GPUs, limit.GPUs)
+}
+
 // RoomReport returns what the arbiter of the customers' caps has to be told now. The
 // owner ends each report with ApplyRoom or RoomFailed.
 func (c *Core) RoomReport(now, arbiter int64) (room.Report, bool) {
--- a/jobs/shard/expect_test.go
+++ b/jobs/shard/expect_test.go
@@ -1,6 +1,7 @@
 package shard
 
 import (
+	"math"
 	"math/rand/v2"
 	"testing"
 
@@ -197,3 +198,20 @@
 	h.submit(testJob(1001, smallStep(1)))
 	assert.Equal(t, first, arrived()-before)
 }
+
+// Sums of work overflowed: a job that declared a run time of years counted as none, went
+// first and was admitted to a full pool.
+func TestHugeEstimatesAreBounded(t *testing.T) {
+	h := newHarness(t, 1)
+	s := smallStep(1000)
+	s.EstimateMS = math.MaxInt64
+	job := testJob(1, s, s)
+	h.submit(job)
+	assert.Equal(t, int64(math.MaxInt64), job.Steps[0].EstimateMS, "the caller's job is left as it is")
+	stats := h.core.PoolStats()[0]
+	assert.Equal(t, int64(2*1000*1_000)*maxEstimateMS, stats.SubmittedWork)
+	j := h.core.jobs[job.ID]
+	require.NotNil(t, j)
+	assert.Equal(t, stats.SubmittedWork, j.work())
+	assert.Greater(t, j.deadline, h.now)
+}
--- a/jobs/shard/record.go
+++ b/jobs/shard/record.go
@@ -209,6 +209,7 @@
 	if rec.Version != recordVersion {
 		return errors.Errorf("unsupported job record version %d: this program reads version %d", rec.Version, recordVersion)
 	}
+	rec.Job.Steps = boundEstimates(rec.Job.Steps)
 	j := &job{
 		spec: rec.Job, service: rec.Service, priority: rec.Priority, maxAttempts: rec.MaxAttempts, advice: rec.Advice,
 		acceptedMS: rec.AcceptedMS, state: rec.State, storedState: rec.State, stored: true,
--- a/jobs/shard/schedule.go
+++ b/jobs/shard/schedule.go
@@ -365,7 +365,7 @@
 		reason = "worker_not_open"
 	case !r.worker.used.Fits(r.worker.info.Capacity):
 		reason = "over_capacity"
-	case !c.customers.room.WithinCap(r.job.spec.Customer):
+	case !c.customers.room.WithinCap(r.job.spec.Customer, r.reserved):
 		reason = "over_cap"
 	default:
 		return true
--- a/jobs/shard/submit.go
+++ b/jobs/shard/submit.go
@@ -33,6 +33,7 @@
 		c.reply(Reply{Ticket: ticket, Outcome: Unavailable, Reason: "declined_before"})
 		return
 	}
+	s.Steps = boundEstimates(s.Steps)
 	firstSeen, seen := c.firstSeenAt[s.ID]
 	if !seen {
 		firstSeen = now
--- a/node/intake/body.go
+++ b/node/intake/body.go
@@ -72,7 +72,8 @@
 	_ = in.control.SetReadDeadline(in.deadline)
 	g.reading.enter(g, in)
 	reason := in.read(r)
-	if !g.reading.leave(g, in) && reason != "" {
+	if !g.reading.leave(g, in) {
+		// The read deadline that let the body go may have ended its connection's requests.
 		reason = ReasonMadeRoom
 	}
 	if reason != "" {
@@ -190,7 +191,9 @@
 func (g *Gate) refuse(w http.ResponseWriter, reason string) *Refusal {
 	g.count(reason, "")
 	w.Header().Set("Connection", "close")
-	_ = http.NewResponseController(w).SetReadDeadline(time.Now())
+	// What has arrived of a short rest is discarded before the connection closes: unread
+	// bytes would reset it, and the answer might be lost.
+	_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(patience))
 	switch reason {
 	case ReasonTooLong:
 		return &Refusal{Status: http.StatusRequestEntityTooLarge, Reason: reason, Remedy: "the body is too long; send a shorter one"}
--- a/node/intake/conn.go
+++ b/node/intake/conn.go
@@ -129,7 +129,7 @@
 	c.headerBytes += n
 	held := int64(max(c.headerBytes-freeHeaderBytes, 0)) * headerFactor
 	if held > c.headerHeld {
-		if !c.port.gate.reserve(0, held-c.headerHeld) {
+		if !c.port.gate.reserveHeader(held - c.headerHeld) {
 			return false
 		}
 		c.headerHeld = held
@@ -138,7 +138,7 @@
 }
 
 func (c *conn) releaseHeader() {
-	c.port.gate.free(0, c.headerHeld)
+	c.port.gate.freeHeader(c.headerHeld)
 	c.headerBytes, c.headerHeld = 0, 0
 }
 
--- a/node/intake/gate.go
+++ b/node/intake/gate.go
@@ -28,8 +28,8 @@
 	limits Limits
 	events events.Recorder
 	// held are the bytes of the budget that are taken, large those of them that are not
-	// among the first Limits.SmallBytes of a body.
-	held, large atomic.Int64
+	// among the first Limits.SmallBytes of a body, headers those of long headers.
+	held, large, headers atomic.Int64
 	// counts are the clients refused or let go, by reason.
 	counts map[string]*atomic.Int64
 	// reportedAt is when the last event was recorded, in nanoseconds since 1970.
@@ -103,5 +103,21 @@
 	g.large.Add(-largePart)
 }
 
+// reserveHeader takes bytes of the budget for a long header. Headers may take up a quarter
+// of it at most, so that they leave room for bodies.
+func (g *Gate) reserveHeader(n int64) bool {
+	headers := g.headers.Add(n)
+	if held := g.held.Add(n); held <= g.limits.HeldBytes && headers <= g.limits.HeldBytes/4 {
+		return true
+	}
+	g.freeHeader(n)
+	return false
+}
+
+func (g *Gate) freeHeader(n int64) {
+	g.held.Add(-n)
+	g.headers.Add(-n)
+}
+
 // HeldBytes returns how many bytes of the budget are taken.
 func (g *Gate) HeldBytes() int64 { return g.held.Load() }
--- a/node/jobhost/access.go
+++ b/node/jobhost/access.go
@@ -38,7 +38,7 @@
 		credential.KeyDigest = digest[:]
 	}
 	name, ok := "", true
-	if !route.Public && len(cfg.Customers) > 0 {
+	if cfg.NeedsKey(route.Queue.Name) {
 		name, ok = cfg.CustomerOf(credential.KeyDigest)
 	}
 	r.Customer, r.Credential = name, credential
--- a/node/jobhost/homes.go
+++ b/node/jobhost/homes.go
@@ -13,6 +13,7 @@
 	"wigeonwinch/jobs/shard"
 	"wigeonwinch/node/deps"
 	"wigeonwinch/node/events"
+	"wigeonwinch/node/pause"
 )
 
 const (
@@ -99,6 +100,16 @@
 	}
 }
 
+// refreshUntilRead refreshes the book until it was read once or ctx ends.
+func (q *queueHomes) refreshUntilRead(ctx context.Context) {
+	for q.refresh(); ctx.Err() == nil && !q.known(); q.refresh() {
+		pause.For(ctx, refreshRetryDelay)
+	}
+}
+
+// known reports whether the book was ever read.
+func (q *queueHomes) known() bool { return q.shards.Load() != nil }
+
 func (q *queueHomes) readAhead() error {
 	ctx, cancel := context.WithTimeout(context.Background(), storeTimeout)
 	defer cancel()
--- a/node/jobhost/requests.go
+++ b/node/jobhost/requests.go
@@ -157,6 +157,9 @@
 	mayHaveEffect := false
 	for {
 		res := h.tryOwner(ctx, part, r)
+		if res.Outcome == Unauthorized && mayHaveEffect {
+			return giveUpResult(mayHaveEffect, reasonKeyRemoved)
+		}
 		if res.Outcome != notOwner {
 			return res
 		}
@@ -275,8 +278,12 @@
 		}
 	}
 	res := h.askShardOnceOwned(ctx, part, r)
-	if r.Op == OpTasks && res.Outcome == Done {
+	switch {
+	case r.Op == OpTasks && res.Outcome == Done:
 		return h.readLocal(ctx, part, r)
+	case r.Op == OpSubmit && res.Outcome == Missing:
+		// The queue has left the shard meanwhile, and the next one may have the job.
+		return h.acceptedOnly(ctx, part, r)
 	}
 	return res
 }
--- a/node/jobhost/room.go
+++ b/node/jobhost/room.go
@@ -26,6 +26,9 @@
 func (h *Host) startArbiter(s *ownedShard, now int64) {
 	h.arbiter = room.NewArbiter(s.epoch, now+roomTimeout.Milliseconds())
 	h.updateArbiter()
+	if cfg := h.config.Load(); cfg != nil && len(cfg.Customers) > 0 {
+		go h.homes.refreshUntilRead(s.ctx)
+	}
 }
 
 // updateArbiter tells the arbiter the caps of the configuration in force.
@@ -127,12 +130,21 @@
 	if h.arbiter == nil || s == nil || !h.isSoleOwner(s, now) {
 		return room.Answer{}, errNotArbiter
 	}
+	h.arbiter.SetRequired(h.requiredShards())
+	return h.arbiter.Handle(now, r)
+}
+
+// requiredShards lists the shards that may run something. It is empty before the book of
+// homes was read, which names the shards of services that are not configured any more.
+func (h *Host) requiredShards() []int {
+	if !h.homes.known() {
+		return nil
+	}
 	var required []int
 	for _, p := range h.requiredPartitions() {
 		if p.Topic == deps.TopicJobs {
 			required = append(required, p.Index)
 		}
 	}
-	h.arbiter.SetRequired(required)
-	return h.arbiter.Handle(now, r)
+	return required
 }
