Void room of a version of the configuration that a holder never had

An arbiter by whose version a customer had no cap granted each holder all that it wanted; a holder that went from an older version straight to a newer one, with the cap back, kept that room until its next exchange. Found by reading.

--- a/jobs/room/holder.go
+++ b/jobs/room/holder.go
@@ -42,6 +42,8 @@
 // account is the room of one customer.
 type account struct {
 	limit, used spec.Resources
+	// granted is the arbiter's version of the configuration when it set the limit.
+	granted int64
 	// waiting is what waits for room in the current pass, next what the first of those
 	// starts needs.
 	waiting, next spec.Resources
@@ -59,11 +61,13 @@
 
 // SetCaps replaces the caps by those of a version of the configuration. Where a cap is
 // new or lower than before, nothing more starts until an arbiter that knows this version
-// has said what the others use; so it is after a takeover.
+// has said what the others use; so it is after a takeover, and where the limit comes from
+// a version that the holder never had.
 func (h *Holder) SetCaps(version int64, caps Caps) {
 	for name, a := range h.accounts {
 		was, is := h.caps[name], caps[name]
-		if exceeds(is, was, is) || exceeds(is, spec.Resources{MilliCPU: 1, MemoryMB: 1, GPUs: 1}, was) {
+		skipped := a.granted > h.version && a.granted != version
+		if skipped || exceeds(is, was, is) || exceeds(is, spec.Resources{MilliCPU: 1, MemoryMB: 1, GPUs: 1}, was) {
 			a.limit = spec.Resources{}
 		}
 		a.limit = smaller(within(is, a.limit), is)
@@ -262,7 +266,7 @@
 	}
 	for _, l := range answer.Limits {
 		a, limit := h.account(l.Customer), h.caps[l.Customer]
-		a.limit = smaller(within(limit, l.Room), limit)
+		a.limit, a.granted = smaller(within(limit, l.Room), limit), answer.Version
 		a.known.Held = larger(a.known.Held, within(limit, l.Room))
 	}
 }
--- a/jobs/room/turns_test.go
+++ b/jobs/room/turns_test.go
@@ -97,3 +97,26 @@
 	}
 	require.Zero(t, second.Held(customer))
 }
+
+// A holder that never had the version in which a customer had no cap kept the room that an
+// arbiter had granted by that version, as if it were below the cap that came back.
+func TestRoomOfASkippedVersionIsVoid(t *testing.T) {
+	caps := Caps{"c": {MilliCPU: 1_000}}
+	need := spec.Resources{MilliCPU: 100}
+	h, a := NewHolder(1, 5), NewArbiter(1, 0)
+	h.SetCaps(1, caps)
+	a.SetCaps(2, Caps{})
+	a.SetRequired([]int{1})
+	for now := int64(0); now < 500; now += 100 {
+		h.BeginPass()
+		h.Wait("c", need, 10)
+		if r, ok := h.Report(now, 1); ok {
+			answer, err := a.Handle(now, r)
+			require.NoError(t, err)
+			h.Apply(r.Sequence, answer)
+		}
+	}
+	require.True(t, h.Allows("c", need), "the arbiter knows of no cap")
+	h.SetCaps(3, caps)
+	require.False(t, h.Allows("c", need))
+}
