Remember and log nothing of a job ID that is malformed

Callers saw nothing; the owner of the queue grew until its VM's memory was full. A cancel of a job that does not exist is remembered for 30 s by its ID, and each answer to a cancel is recorded in the timeline and the log with it. A GET or DELETE took any text for an ID, up to the length of a header.

No job has a malformed ID: such a request is answered as one for a job that does not exist (410), before it is passed on, remembered or recorded. A refused key is recorded without the ID.

Crowds can call several nodes: each stays within its bounds.

--- a/node/jobhost/access.go
+++ b/node/jobhost/access.go
@@ -6,6 +6,7 @@
 
 	"wigeonwinch/jobs/customer"
 	"wigeonwinch/jobs/shard"
+	"wigeonwinch/jobs/spec"
 	"wigeonwinch/node/deps"
 	"wigeonwinch/node/events"
 )
@@ -107,7 +108,11 @@
 	if r.Credential != nil {
 		version = r.Credential.Version
 	}
-	h.record(events.AccessRefused, events.Fields{Request: r.ID, Outcome: reason,
+	id := r.ID
+	if spec.ValidateID(id) != nil {
+		id = ""
+	}
+	h.record(events.AccessRefused, events.Fields{Request: id, Outcome: reason,
 		Detail: fmt.Sprintf("%s queue=%s customer=%s config=%d", opNames[r.Op], r.Queue, r.Customer, version)})
 }
 
--- a/node/jobhost/requests.go
+++ b/node/jobhost/requests.go
@@ -57,6 +57,10 @@
 // once more.
 func (o Operation) readOnly() bool { return o != OpSubmit && o != OpCancel }
 
+// namesJob reports whether the operation is about a job that may not exist. No job has a
+// malformed ID, which may be of any length and must not be remembered or logged.
+func (o Operation) namesJob() bool { return o == OpCancel || o == OpShow || o == OpTasks }
+
 // Outcome is the outcome of a request as reported to the caller.
 type Outcome string
 
@@ -116,6 +120,10 @@
 	ctx, cancel := context.WithTimeout(ctx, requestTimeout)
 	defer cancel()
 	began := time.Now()
+	if r.Op.namesJob() && spec.ValidateID(r.ID) != nil {
+		h.stats.countRequest(r.Op, Missing, time.Since(began))
+		return Result{Outcome: Missing, Reason: "malformed_id"}
+	}
 	res := Result{Outcome: Unauthorized, Reason: reasonKeyRemoved}
 	r, ok := h.recheck(r)
 	if ok {
--- a/soak/crowdclients_test.go
+++ b/soak/crowdclients_test.go
@@ -28,30 +28,39 @@
 // that CI runs them apart from the others.
 const crowdTestVariable = "SOAK_CROWDS"
 
-// crowd is a number of clients that keep their connections open, and the node that they
+// crowd is a number of clients that keep their connections open, and the nodes that they
 // call.
 type crowd struct {
 	*Cluster
+	// target is the first node.
 	target *Node
-	usage  *usage
+	usages []*usage
 	conns  []net.Conn
-	stop   func()
+	// disturbances go on beside the crowd.
+	disturbances sync.WaitGroup
+	stop         func()
 }
 
 // startCrowdCluster starts one node with low limits and measures what it uses.
-func startCrowdCluster(t *testing.T) *crowd {
+func startCrowdCluster(t *testing.T) *crowd { return startCrowdNodes(t, 1) }
+
+// startCrowdNodes starts nodes with low limits and measures what they use.
+func startCrowdNodes(t *testing.T, nodes int) *crowd {
 	t.Helper()
 	if os.Getenv(crowdTestVariable) == "" {
 		t.Skipf("set %s=1 to run it, with nothing beside it", crowdTestVariable)
 	}
 	t.Setenv("WIGEONWINCH_OPERATOR_TOKEN", operatorToken)
-	c, err := StartCluster(Options{Program: program, Dir: logsOf(t), Seed: 1, Nodes: 1, Workers: 2, MemoryMB: crowdMemoryMB, MaxFDs: crowdMaxFDs})
+	c, err := StartCluster(Options{Program: program, Dir: logsOf(t), Seed: 1, Nodes: nodes, Workers: 2, MemoryMB: crowdMemoryMB, MaxFDs: crowdMaxFDs})
 	require.NoError(t, err)
 	t.Cleanup(c.Close)
 	cr := &crowd{Cluster: c, target: c.nodes[0]}
-	cr.usage = &usage{pid: cr.target.current().cmd.Process.Pid, ports: portsOf(cr.target.front, cr.target.ready, cr.target.peer, cr.target.operator)}
-	cr.usage.sample()
-	t.Logf("before: %s", cr.usage)
+	for _, n := range c.nodes {
+		u := &usage{node: n, ports: portsOf(n.front, n.ready, n.peer, n.operator)}
+		u.sample()
+		t.Logf("%s before: %s", n.name, u)
+		cr.usages = append(cr.usages, u)
+	}
 	done, stopped := make(chan struct{}), make(chan struct{})
 	go func() {
 		defer close(stopped)
@@ -60,7 +69,9 @@
 			case <-done:
 				return
 			case <-time.After(sampleInterval):
-				cr.usage.sample()
+				for _, u := range cr.usages {
+					u.sample()
+				}
 			}
 		}
 	}()
@@ -81,10 +92,25 @@
 
 // send lets size clients connect and send at the same time. Their connections stay open.
 func (c *crowd) send(t *testing.T, address string, size int, script func(conn net.Conn)) {
+	t.Helper()
+	c.sendTo(t, []string{address}, size, script)
+}
+
+// sendToAll is send with clients at the callers' ports of all nodes.
+func (c *crowd) sendToAll(t *testing.T, size int, script func(conn net.Conn)) {
+	t.Helper()
+	var addresses []string
+	for _, n := range c.nodes {
+		addresses = append(addresses, n.front)
+	}
+	c.sendTo(t, addresses, size, script)
+}
+
+func (c *crowd) sendTo(t *testing.T, addresses []string, size int, script func(conn net.Conn)) {
 	t.Helper()
 	var sending sync.WaitGroup
-	for range size {
-		conn, err := net.Dial("tcp", address)
+	for i := range size {
+		conn, err := net.Dial("tcp", addresses[i%len(addresses)])
 		if err != nil {
 			continue
 		}
@@ -107,24 +133,27 @@
 }
 
 // check asks for an ordinary job beside the open connections of the crowd and checks
-// what the node has used.
+// what the nodes have used.
 func (c *crowd) check(t *testing.T) {
 	t.Helper()
+	c.disturbances.Wait()
 	client := c.NewClient(c.options.random(streamScenarios))
 	defer client.Close()
 	const id = "00000000000000aa"
 	answered := client.submitUntilAccepted(t.Context(), queues[0], id, NewJob(time.Millisecond, 0, 1))
 	c.stop()
-	t.Logf("after: %s", c.usage)
-	assert.False(t, c.target.current().hasExited(), "the process ended")
 	assert.True(t, answered, "an ordinary job got no answer")
-	assert.LessOrEqual(t, c.usage.bytes, int64(crowdMemoryMB)<<20, "memory and unread bytes")
-	assert.LessOrEqual(t, c.usage.descriptors, crowdMaxFDs, "open descriptors")
+	for _, u := range c.usages {
+		t.Logf("%s after: %s", u.node.name, u)
+		assert.False(t, u.node.current().hasExited(), "the process of %s ended", u.node.name)
+		assert.LessOrEqual(t, u.bytes, int64(crowdMemoryMB)<<20, "memory and unread bytes of %s", u.node.name)
+		assert.LessOrEqual(t, u.descriptors, crowdMaxFDs, "open descriptors of %s", u.node.name)
+	}
 }
 
-// usage is the highest use of a process.
+// usage is the highest use of a node's processes.
 type usage struct {
-	pid   int
+	node  *Node
 	ports map[string]bool
 	// bytes is the highest sum of the peak memory and of the unread bytes, unread the
 	// highest number of unread bytes.
@@ -144,7 +173,9 @@
 	u.descriptors = max(u.descriptors, len(open))
 }
 
-func (u *usage) path(name string) string { return filepath.Join("/proc", strconv.Itoa(u.pid), name) }
+func (u *usage) path(name string) string {
+	return filepath.Join("/proc", strconv.Itoa(u.node.current().cmd.Process.Pid), name)
+}
 
 // peakMemory returns the highest resident memory so far.
 func (u *usage) peakMemory() int64 {
