--- a/soak/crowdnodes_test.go
+++ b/soak/crowdnodes_test.go
@@ -93,3 +93,17 @@
 		})
 	}
 }
+
+// A name is a part of the line that it came in, and that line may be long.
+func TestCrowdOfLongQueries(t *testing.T) {
+	c := startCrowdNodes(t, 1)
+	path, query := newPaths(), "?"+strings.Repeat("x", 12<<10)
+	c.sendToAll(t, crowdSize, series(func(c *caller) {
+		p := path()
+		c.call(post(p+query, len(smallJob)) + smallJob)
+		c.call(bodiless("DELETE", path()+query))
+	}))
+	c.check(t)
+}
+
+const smallJob = `{"spec":"","steps":[{"count":1,"cpu":10,"mem_mb":1,"estimate_ms":1}]}`
