Keep only the state of final jobs of which nothing runs

Callers that handed in small jobs and cancelled them at once locked everybody out: each further job was answered 429 for two minutes, with a Retry-After of a second. A cancelled job counted in full in its owner's room until its state could not be asked for any more (status_s and 10 s); a completed one was not counted at all, though its payload and steps stayed in memory as long.

Once its final state is stored and no run of it can be on a worker, a job is settled: ID, queue, customer, priority, time and state stay, 160 bytes in the owner's room, and the record in the store as before. Restored final jobs are settled at once. A refusal for want of room that final jobs take up says when so many of them will be forgotten.

State: a settled job is what its final record says, so that a successor and an older version in force know the same as before.

TestCancelledJobsMakeRoom fails without the change: the room is full after three jobs. Two tests looked for a final job among the open ones: one reads its stored records now, the other asks for its stored state.

--- a/jobs/shard/absence.go
+++ b/jobs/shard/absence.go
@@ -75,9 +75,9 @@
 	if c.replyUnreadable(ticket, id) {
 		return
 	}
-	if j := c.jobs[id]; j != nil {
+	if c.knows(id) {
 		outcome := Accepted
-		if !j.stored {
+		if j := c.jobs[id]; j != nil && !j.stored {
 			outcome = Unavailable
 		}
 		c.reply(Reply{Ticket: ticket, Outcome: outcome, Reason: "being_stored"})
--- a/jobs/shard/access.go
+++ b/jobs/shard/access.go
@@ -16,6 +16,9 @@
 // MayAccess reports whether a caller may access the job with an ID. There is nothing to
 // hide of a job that this owner does not have.
 func (c *Core) MayAccess(caller customer.Caller, id string) bool {
+	if s, ok := c.settled.jobs[id]; ok {
+		return s.mayAccess(caller)
+	}
 	j := c.jobs[id]
 	return j == nil || caller.MayAccess(j.spec.Customer, j.spec.Queue)
 }
--- a/jobs/shard/core.go
+++ b/jobs/shard/core.go
@@ -151,10 +151,12 @@
 	// were accepted before their queue moved are still here.
 	otherQueues map[string]Queue
 	customers   customers
-	jobs        map[string]*job
-	finalJobs   []*job
-	// stateBytes is what the open jobs take up in memory, stateRoom the most that they
-	// may; see SetStateRoom.
+	// jobs are the jobs that are not settled, finalJobs those of them that are final.
+	jobs      map[string]*job
+	finalJobs []*job
+	settled   settledJobs
+	// stateBytes is what the jobs take up in memory, stateRoom the most that they may; see
+	// SetStateRoom.
 	stateBytes, stateRoom int64
 	// unreadable holds the IDs of jobs whose records this program can't read.
 	unreadable map[string]bool
@@ -218,7 +220,7 @@
 	return &Core{
 		customers: newCustomers(cfg),
 		cfg:       cfg, longestLeaseMS: longestLeaseMS, now: now, takeoverAt: now, wallMS: wallMS, earlierLeasesUntil: now + cfg.EarlierLeaseMS,
-		queues: map[string]Queue{}, jobs: map[string]*job{}, unreadable: map[string]bool{}, scheduled: map[string]*job{}, workers: map[string]*worker{},
+		queues: map[string]Queue{}, jobs: map[string]*job{}, settled: newSettledJobs(), unreadable: map[string]bool{}, scheduled: map[string]*job{}, workers: map[string]*worker{},
 		learner: expect.New(), workerKinds: map[string]Worker{}, pools: map[string]*pool{}, firstSeenAt: map[string]int64{}, declinedAt: map[string]int64{},
 	}
 }
@@ -340,7 +342,7 @@
 			break
 		}
 		n++
-		if c.jobs[id] == nil {
+		if !c.knows(id) {
 			b.Records = append(b.Records, Record{Key: jobKey(id)})
 		}
 	}
--- a/jobs/shard/expect_test.go
+++ b/jobs/shard/expect_test.go
@@ -118,18 +118,20 @@
 // the records of the finished ones.
 func TestSuccessorKnowsWhatWasLearned(t *testing.T) {
 	h := newHarness(t, 4)
-	var records []Record
+	stored := map[string][]byte{}
 	for i := range 20 {
 		o := h.submit(testJob(i+1, smallStep(1)))
 		h.acceptStarts(o.Starts)
 		h.step(200)
 		h.finish(o.Starts, h.core.workers[o.Starts[0].Worker].estimateClock(h.now))
-		h.step(1)
-		rec, err := h.core.encodeJob(h.core.jobs[testJob(i+1).ID])
-		require.NoError(t, err)
-		records = append(records, rec)
+		h.stepAndStore(1, stored)
 		h.core.TakeOrders()
 	}
+	var records []Record
+	for _, key := range sortedKeys(stored) {
+		records = append(records, Record{key, stored[key]})
+	}
+	require.Len(t, records, 20)
 	h.submit(testJob(100, smallStep(2)))
 	open := h.core.jobs[testJob(100).ID]
 	rec, err := h.core.encodeJob(open)
--- a/jobs/shard/job.go
+++ b/jobs/shard/job.go
@@ -52,6 +52,8 @@
 	// late and orderKey are the job's rank in the current pass.
 	late     bool
 	orderKey int64
+	// runs counts the runs that may be on a worker.
+	runs int
 	// finalAt is the monotonic time at which the state became final.
 	finalAt int64
 	// remainingWork is the expected work of the tasks that are not done.
--- a/jobs/shard/overdue_test.go
+++ b/jobs/shard/overdue_test.go
@@ -36,7 +36,7 @@
 	lostAt := h.now - 950
 	h.core.HandlePollResponse(h.now, h.now, checks[0].Target, PollResponse{ClockMS: 500, Incarnation: 1, Ended: []ListedEnd{{End: 1, RunRef: first.RunRef, Kind: EndDone}}})
 	require.Len(t, h.pollsAfter(1), 1, "the next poll")
-	assert.True(t, h.core.jobs[first.Key.Job].state.Final())
+	assert.True(t, h.core.JobStatus(first.Key.Job).State.Final())
 	h.core.HandlePollError(h.now, lostAt, lost.Target, PollUnanswered)
 	assert.Zero(t, h.core.workers["w0"].failedPolls, "a poll that was replaced says nothing about the worker")
 }
--- a/jobs/shard/record.go
+++ b/jobs/shard/record.go
@@ -225,7 +225,7 @@
 	c.learnFromRecord(j)
 	if j.state.Final() {
 		j.finalAt = c.now
-		c.finalJobs = append(c.finalJobs, j)
+		c.settle(j)
 		return nil
 	}
 	c.holdState(j)
--- a/jobs/shard/state.go
+++ b/jobs/shard/state.go
@@ -21,11 +21,12 @@
 	return int64(jobStateBytes + 2*len(s.Payload) + len(s.Steps)*stepStateBytes + s.Tasks()*taskStateBytes)
 }
 
-// SetStateRoom sets how many bytes the open jobs of the shard may take up in the owner's
+// SetStateRoom sets how many bytes the jobs of the shard may take up in the owner's
 // memory; 0 means any number. Accepted jobs are kept whatever the room is.
 func (c *Core) SetStateRoom(bytes int64) { c.stateRoom = bytes }
 
-// StateBytes returns what the open jobs take up in the owner's memory.
+// StateBytes returns what the jobs take up in the owner's memory: the open ones, and of
+// final ones their state.
 func (c *Core) StateBytes() int64 { return c.stateBytes }
 
 // checkStateRoom refuses a new job that the owner's memory has no room for.
@@ -34,20 +35,15 @@
 	if size > largeStateBytes {
 		room /= 2
 	}
-	if c.stateRoom == 0 || c.stateBytes+size <= room {
+	missing := c.stateBytes + size - room
+	if c.stateRoom == 0 || missing <= 0 {
 		return Reply{}, false
 	}
-	return Reply{Reason: "owner_memory_full", RetryAfterMS: admit.UnavailableRetryMS}, true
+	return Reply{Reason: "owner_memory_full", RetryAfterMS: max(admit.UnavailableRetryMS, c.settledRoomMS(missing))}, true
 }
 
-// holdState counts an open job.
+// holdState counts a job until it is settled.
 func (c *Core) holdState(j *job) {
 	j.stateBytes = stateBytes(&j.spec)
 	c.stateBytes += j.stateBytes
 }
-
-// releaseState stops counting a job whose tasks are forgotten.
-func (c *Core) releaseState(j *job) {
-	c.stateBytes -= j.stateBytes
-	j.stateBytes = 0
-}
--- a/jobs/shard/state_test.go
+++ b/jobs/shard/state_test.go
@@ -6,6 +6,7 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
+	"wigeonwinch/jobs/customer"
 	"wigeonwinch/jobs/spec"
 )
 
@@ -50,3 +51,88 @@
 	h.stepAndStore(1_000+finalKeepMarginMS+1, records)
 	assert.Less(t, h.core.StateBytes(), held-2*stateBytes(&large)+1)
 }
+
+// Load pattern: small jobs are handed in and cancelled at once. Each took up its whole room
+// until its state could not be asked for any more, so that nobody could hand in a job for
+// minutes.
+func TestCancelledJobsMakeRoom(t *testing.T) {
+	const rounds = 20
+	h := newHarness(t, 1)
+	records := map[string][]byte{}
+	h.core.SetStateRoom(3 * stateBytes(ptr(testJob(1, smallStep(2)))))
+	for id := range rounds {
+		j := testJob(id+1, smallStep(2))
+		j.Customer = "red"
+		starts := h.submit(j).Starts
+		h.core.Cancel(h.now, 2, j.ID)
+		h.stepAndStore(1, records)
+		assert.Greater(t, h.core.StateBytes(), int64(id*settledStateBytes+jobStateBytes), "its runs are being stopped")
+		h.endRuns(starts, EndStopped)
+		h.stepAndStore(1, records)
+		require.Equal(t, int64((id+1)*settledStateBytes), h.core.StateBytes())
+	}
+	for range 2 {
+		for id := range rounds {
+			h.core.TakeOrders()
+			j := testJob(id+1, smallStep(2))
+			assert.Equal(t, JobStatus{State: spec.Cancelled, Known: true}, h.core.JobStatus(j.ID))
+			assert.False(t, h.core.MayAccess(customer.Caller{Customer: "blue", Queue: "q"}, j.ID))
+			j.Customer = "blue"
+			h.core.Submit(h.now, 3, j)
+			j.Customer = "red"
+			h.core.Submit(h.now, 4, j)
+			h.core.Cancel(h.now, 5, j.ID)
+			h.core.Yield(h.now, 6, j.ID)
+			outcomes := map[uint64]Outcome{}
+			for _, r := range h.core.TakeOrders().Replies {
+				outcomes[r.Ticket] = r.Outcome
+			}
+			assert.Equal(t, map[uint64]Outcome{3: Taken, 4: Accepted, 5: Accepted, 6: Accepted}, outcomes)
+		}
+		assert.Len(t, h.core.Jobs("q", rounds+1), rounds)
+		h.takeOver(records)
+		assert.Equal(t, int64(rounds*settledStateBytes), h.core.StateBytes(), "at a successor")
+	}
+	h.step(1_000 + finalKeepMarginMS + 1)
+	assert.Zero(t, h.core.StateBytes())
+	assert.False(t, h.core.JobStatus(testJob(1).ID).Known)
+}
+
+// A job that is refused for want of the room that the state of final ones takes up may
+// come back when so many of these are forgotten.
+func TestRefusalTellsWhenRoomComesBack(t *testing.T) {
+	h := newHarness(t, 1)
+	j := testJob(1, smallStep(1))
+	h.core.SetStateRoom(stateBytes(&j) + settledStateBytes/2)
+	starts := h.submit(j).Starts
+	h.core.Cancel(h.now, 2, j.ID)
+	finalAt := h.now
+	h.step(1)
+	h.endRuns(starts, EndStopped)
+	h.step(1)
+	h.core.TakeOrders()
+	replies := h.submit(testJob(2, smallStep(1))).Replies
+	require.Len(t, replies, 1)
+	require.Equal(t, Refused, replies[0].Outcome)
+	h.now += replies[0].RetryAfterMS
+	assert.Greater(t, h.now, finalAt+h.core.cfg.StatusKeepMS)
+	h.step(1)
+	assert.Equal(t, Accepted, h.submit(testJob(2, smallStep(1))).Replies[0].Outcome)
+}
+
+func ptr[T any](v T) *T { return &v }
+
+// endRuns lets the workers list the ends of all runs.
+func (h *harness) endRuns(starts []Start, kind EndKind) {
+	for _, s := range starts {
+		w := h.core.workers[s.Worker]
+		var running []ListedRun
+		for id := range w.runs {
+			if id.key != s.Key {
+				running = append(running, ListedRun{RunRef: RunRef{id.key, id.number}})
+			}
+		}
+		end := ListedEnd{End: w.seenEnd + 1, RunRef: s.RunRef, Kind: kind}
+		h.core.HandlePollResponse(h.now, h.now, s.Target, PollResponse{ClockMS: w.estimateClock(h.now), Incarnation: 1, Running: running, Ended: []ListedEnd{end}})
+	}
+}
--- a/jobs/shard/submit.go
+++ b/jobs/shard/submit.go
@@ -21,6 +21,10 @@
 		c.resubmit(j, ticket)
 		return
 	}
+	if settled, ok := c.settled.jobs[s.ID]; ok {
+		c.replySettled(settled, ticket, submitterOf(s))
+		return
+	}
 	if c.replyUnreadable(ticket, s.ID) {
 		return
 	}
@@ -91,6 +95,15 @@
 	j.submitWaiters = append(j.submitWaiters, ticket)
 }
 
+// replySettled answers the submission of a job that is final already.
+func (c *Core) replySettled(s settledJob, ticket uint64, submitter customer.Caller) {
+	if !s.mayAccess(submitter) {
+		c.reply(Reply{Ticket: ticket, Outcome: Taken, Reason: "id_taken"})
+		return
+	}
+	c.reply(Reply{Ticket: ticket, Outcome: Accepted})
+}
+
 // checkAdmission decides whether a job is refused before it is stored.
 func (c *Core) checkAdmission(j *job, q Queue) (Reply, bool) {
 	if c.storeDown {
@@ -258,6 +271,10 @@
 	if c.replyUnreadable(ticket, id) || c.replyHidden(caller, ticket, id) {
 		return
 	}
+	if _, ok := c.settled.jobs[id]; ok {
+		c.reply(Reply{Ticket: ticket, Outcome: Accepted})
+		return
+	}
 	j, ok := c.jobs[id]
 	if !ok {
 		c.askStore(ticket, func() { c.cancelUnlessAbsent(caller, ticket, id) })
@@ -279,7 +296,7 @@
 // ownership. A job that does not exist is declined for a while: its submission may be
 // held up in a suspended node.
 func (c *Core) cancelUnlessAbsent(caller customer.Caller, ticket uint64, id string) {
-	if c.jobs[id] == nil {
+	if !c.knows(id) {
 		c.declinedAt[id] = c.now
 		c.reply(Reply{Ticket: ticket, Outcome: Unknown})
 		return
@@ -293,8 +310,17 @@
 	Known bool
 }
 
+// knows reports whether the shard has a job with an ID, open or final.
+func (c *Core) knows(id string) bool {
+	_, settled := c.settled.jobs[id]
+	return settled || c.jobs[id] != nil
+}
+
 // JobStatus returns the stored state of a job.
 func (c *Core) JobStatus(id string) JobStatus {
+	if s, ok := c.settled.jobs[id]; ok {
+		return JobStatus{State: s.state, Known: true}
+	}
 	j, ok := c.jobs[id]
 	if !ok || !j.stored {
 		return JobStatus{}
@@ -329,9 +355,6 @@
 	j.state = state
 	j.finalAt = c.now
 	c.finalJobs = append(c.finalJobs, j)
-	if len(j.occurrences) == 0 {
-		c.releaseState(j)
-	}
 	c.customers.removeJob(j)
 	p := c.ensurePool(j.service)
 	p.remainingWork -= j.remainingWork
--- a/jobs/shard/summary.go
+++ b/jobs/shard/summary.go
@@ -48,16 +48,31 @@
 // Jobs lists at most the given number of the queue's stored jobs, newest
 // first.
 func (c *Core) Jobs(queue string, most int) []JobSummary {
-	var list []*job
-	for _, id := range sortedKeys(c.jobs) {
-		if j := c.jobs[id]; j.stored && j.spec.Queue == queue {
-			list = append(list, j)
+	type listed struct {
+		id         string
+		acceptedMS int64
+	}
+	var list []listed
+	for id, j := range c.jobs {
+		if j.stored && j.spec.Queue == queue {
+			list = append(list, listed{id, j.acceptedMS})
+		}
+	}
+	for id, s := range c.settled.jobs {
+		if s.class.queue == queue {
+			list = append(list, listed{id, s.acceptedMS})
 		}
 	}
-	slices.SortStableFunc(list, func(a, b *job) int { return cmp.Compare(b.acceptedMS, a.acceptedMS) })
+	slices.SortFunc(list, func(a, b listed) int {
+		return cmp.Or(cmp.Compare(b.acceptedMS, a.acceptedMS), cmp.Compare(a.id, b.id))
+	})
 	out := make([]JobSummary, 0, min(len(list), most))
-	for _, j := range list[:min(len(list), most)] {
-		out = append(out, c.summary(j))
+	for _, l := range list[:min(len(list), most)] {
+		if s, ok := c.settled.jobs[l.id]; ok {
+			out = append(out, s.summary(l.id))
+			continue
+		}
+		out = append(out, c.summary(c.jobs[l.id]))
 	}
 	return out
 }
@@ -69,6 +84,9 @@
 // Job returns a stored job and its tasks. If there are more than maxShownTasks, those that
 // are done are left out.
 func (c *Core) Job(id string) (JobSummary, []RunSummary, bool) {
+	if s, ok := c.settled.jobs[id]; ok {
+		return s.summary(id), nil, true
+	}
 	j, ok := c.jobs[id]
 	if !ok || !j.stored {
 		return JobSummary{}, nil, false
--- a/jobs/shard/worker.go
+++ b/jobs/shard/worker.go
@@ -94,6 +94,7 @@
 
 func (w *worker) addRun(r *run) {
 	w.runs[runID{r.key, r.number}] = r
+	r.job.runs++
 	w.used = w.used.Add(r.reserved)
 	r.work = r.job.stepWork(r.key.Step)
 	w.placedWork += r.work
@@ -106,6 +107,7 @@
 		return
 	}
 	delete(w.runs, runID{r.key, r.number})
+	r.job.runs--
 	if w.probation == r {
 		w.probation = nil
 	}
--- a/soak/crowdnodes_test.go
+++ b/soak/crowdnodes_test.go
@@ -81,6 +81,18 @@
 	return func() string { return fmt.Sprintf("%s%016x", queues[0].path, 0x1000+ids.Add(1)) }
 }
 
+// Small jobs that are cancelled at once. Their state can be asked for long after.
+func TestCrowdOfSmallJobsCancelledAtOnce(t *testing.T) {
+	c := startCrowdNodes(t, crowdNodes)
+	body, path := smallJob, newPaths()
+	c.sendToAll(t, crowdSize/2, series(func(c *caller) {
+		p := path()
+		c.call(post(p, len(body)) + body)
+		c.call(bodiless("DELETE", p))
+	}))
+	c.check(t)
+}
+
 // Names of jobs as long as a header allows, each of them new: what a node remembers of
 // calls must not be as long as clients like.
 func TestCrowdOfLongNames(t *testing.T) {
