Queue the orders for a worker instead of a goroutine for each

Jobs of the largest kind filled their owner. Each start and each stop was a goroutine with a request of its own that waited for one of six connections to its worker; when the workers were slow, 3,000 stops of cancelled or failed starts waited at the same time (heap and goroutine profiles of a trial: 28 MB of stacks, 53 MB of heap). Stops are repeated each 0.5 s, and polls waited behind them.

At most 8 orders are under way to one worker; others wait as plain data in the order in which they came, at the owner and at relays. The time for an order counts from when it was given, as before. A start that could not be sent in time is reported as not sent, which is certain, so that its task is free at once; before, it counted as unanswered and had to be stopped.

--- a/node/jobhost/host.go
+++ b/node/jobhost/host.go
@@ -56,6 +56,7 @@
 	// customersViewedAt is when customerView was last updated.
 	customersViewedAt int64
 	relays            *relayedOrders
+	orders            *orderQueues
 
 	homes              *queueHomes
 	config             atomic.Pointer[deps.Configuration]
@@ -109,7 +110,7 @@
 		startedAt: monotonicMS(), heartbeatTrigger: make(chan struct{}, 1), workersNeeded: make(chan struct{}, 1),
 		handedOver: make(chan struct{}), closed: make(chan struct{}),
 	}
-	h.relays = newRelayedOrders(h)
+	h.relays, h.orders = newRelayedOrders(h), newOrderQueues()
 	h.homes = newQueueHomes(h)
 	h.owners.Store(&map[deps.Partition]ownership{})
 	h.ownedView.Store(&[]ownership{})
--- a/node/jobhost/relaymessages.go
+++ b/node/jobhost/relaymessages.go
@@ -85,6 +85,15 @@
 	Ended                []listedEndRow
 }
 
+// unsent returns the result of an order that certainly was not sent.
+func (o *relayedOrder) unsent() orderResult {
+	res := orderResult{ID: o.ID}
+	if o.Kind == orderStart {
+		res.Outcome = string(shard.StartNotSent)
+	}
+	return res
+}
+
 // workerSilent reports whether the relay got no answer from the worker to an order of the
 // given kind.
 func (r *orderResult) workerSilent(kind orderKind) bool {
--- a/node/jobhost/relays.go
+++ b/node/jobhost/relays.go
@@ -356,11 +356,11 @@
 	case orderPoll:
 		go h.pollWorker(s, o.poll())
 	case orderStart:
-		go h.sendStart(s, o.start())
+		h.sendStart(s, o.start())
 	case orderStop:
-		go h.sendStop(s, shard.Stop{Target: o.target(), RunRef: o.runRef()})
+		h.sendStop(s, shard.Stop{Target: o.target(), RunRef: o.runRef()})
 	case orderPace:
-		go h.sendPace(s, shard.Pace{Target: o.target(), RunRef: o.runRef(), Percent: o.Percent})
+		h.sendPace(s, shard.Pace{Target: o.target(), RunRef: o.runRef(), Percent: o.Percent})
 	}
 }
 
--- a/node/jobhost/relayserve.go
+++ b/node/jobhost/relayserve.go
@@ -53,11 +53,24 @@
 	}
 	receivedAt := monotonicMS()
 	for i := range batch.Orders {
-		go r.execute(from, receivedAt, batch.Orders[i])
+		r.begin(from, receivedAt, batch.Orders[i])
 	}
 	return nil, nil
 }
 
+// begin executes a poll, and queues other orders for their worker.
+func (r *relayServer) begin(owner string, receivedAt int64, o relayedOrder) {
+	if o.Kind == orderPoll {
+		go r.execute(owner, receivedAt, o)
+		return
+	}
+	r.host.orders.add(o.Worker, workerOrder{
+		deadline: time.Now().Add(orderTimeout),
+		send:     func() { r.execute(owner, receivedAt, o) },
+		drop:     func() { r.addResult(owner, o.unsent()) },
+	})
+}
+
 // execute executes one order, unless this node was suspended since the order
 // arrived for so long that its owner has given the order up.
 func (r *relayServer) execute(owner string, receivedAt int64, o relayedOrder) {
@@ -69,7 +82,7 @@
 		r.host.record(events.RelayedOrderDropped, events.Fields{Peer: owner, VM: o.Worker, AgeMS: sinceMS(receivedAt).Milliseconds(), Epoch: o.Epoch})
 		return
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), timeout)
+	ctx, cancel := context.WithTimeout(context.Background(), timeout-sinceMS(receivedAt))
 	defer cancel()
 	r.addResult(owner, r.host.callWorker(ctx, o))
 }
--- a/node/jobhost/shardrun.go
+++ b/node/jobhost/shardrun.go
@@ -42,17 +42,17 @@
 	}
 	for _, st := range o.Starts {
 		if !h.relays.addStart(s, st) {
-			go h.sendStart(s, st)
+			h.sendStart(s, st)
 		}
 	}
 	for _, st := range o.Stops {
 		if !h.relays.addRunOrder(s, orderStop, st.Target, st.RunRef, 0) {
-			go h.sendStop(s, st)
+			h.sendStop(s, st)
 		}
 	}
 	for _, p := range o.Paces {
 		if !h.relays.addRunOrder(s, orderPace, p.Target, p.RunRef, p.Percent) {
-			go h.sendPace(s, p)
+			h.sendPace(s, p)
 		}
 	}
 }
@@ -200,28 +200,45 @@
 	return shard.PollUnanswered
 }
 
+// sendStart, sendStop and sendPace queue an order for a worker and pass its result to the
+// shard.
 func (h *Host) sendStart(s *ownedShard, st shard.Start) {
-	ctx, cancel := context.WithTimeout(s.ctx, orderTimeout)
-	defer cancel()
-	h.stats.starts.Add(1)
-	result := h.cfg.Workers.Start(ctx, st)
-	h.post(func() { s.core.HandleStartResult(monotonicMS(), st, result) })
+	done := func(result shard.StartResult) {
+		h.post(func() { s.core.HandleStartResult(monotonicMS(), st, result) })
+	}
+	h.queueOrder(s, st.Worker, func(ctx context.Context) {
+		h.stats.starts.Add(1)
+		done(h.cfg.Workers.Start(ctx, st))
+	}, func() { done(shard.StartResult{Outcome: shard.StartNotSent}) })
 }
 
 func (h *Host) sendStop(s *ownedShard, st shard.Stop) {
-	ctx, cancel := context.WithTimeout(s.ctx, orderTimeout)
-	defer cancel()
-	err := h.cfg.Workers.Stop(ctx, st)
-	h.post(func() {
-		s.core.HandleStopResult(monotonicMS(), st, err == nil, err != nil && deps.KindOf(err) == deps.KindFenced)
-	})
+	done := func(answered, fenced bool) {
+		h.post(func() { s.core.HandleStopResult(monotonicMS(), st, answered, fenced) })
+	}
+	h.queueOrder(s, st.Worker, func(ctx context.Context) {
+		err := h.cfg.Workers.Stop(ctx, st)
+		done(err == nil, err != nil && deps.KindOf(err) == deps.KindFenced)
+	}, func() { done(false, false) })
 }
 
 func (h *Host) sendPace(s *ownedShard, p shard.Pace) {
-	ctx, cancel := context.WithTimeout(s.ctx, orderTimeout)
-	defer cancel()
-	err := h.cfg.Workers.Pace(ctx, p)
-	h.post(func() { s.core.HandlePaceResult(monotonicMS(), p, err == nil) })
+	done := func(answered bool) {
+		h.post(func() { s.core.HandlePaceResult(monotonicMS(), p, answered) })
+	}
+	h.queueOrder(s, p.Worker, func(ctx context.Context) {
+		done(h.cfg.Workers.Pace(ctx, p) == nil)
+	}, func() { done(false) })
+}
+
+// queueOrder queues an order of a shard for a worker.
+func (h *Host) queueOrder(s *ownedShard, worker string, send func(ctx context.Context), drop func()) {
+	deadline := time.Now().Add(orderTimeout)
+	h.orders.add(worker, workerOrder{deadline: deadline, drop: drop, send: func() {
+		ctx, cancel := context.WithDeadline(s.ctx, deadline)
+		defer cancel()
+		send(ctx)
+	}})
 }
 
 // requestAdvice asks the advisor on which workers a step may run.
--- a/soak/crowdnodes_test.go
+++ b/soak/crowdnodes_test.go
@@ -81,6 +81,28 @@
 	return func() string { return fmt.Sprintf("%s%016x", queues[0].path, 0x1000+ids.Add(1)) }
 }
 
+// Jobs of the largest kind at all nodes. Their owner keeps what it has accepted and looks
+// at the others.
+func TestCrowdOfLargestJobsAtAllNodes(t *testing.T) {
+	c := startCrowdNodes(t, 5)
+	body, path := largestJob(), newPaths()
+	c.sendToAll(t, crowdSize, series(func(c *caller) { c.call(post(path(), len(body)) + body) }))
+	c.check(t)
+}
+
+// Jobs of the largest kind that are cancelled at once. Their tasks end on the workers
+// later.
+func TestCrowdOfLargestJobsCancelledAtOnce(t *testing.T) {
+	c := startCrowdNodes(t, crowdNodes)
+	body, path := largestJob(), newPaths()
+	c.sendToAll(t, crowdSize, series(func(c *caller) {
+		p := path()
+		c.call(post(p, len(body)) + body)
+		c.call(bodiless("DELETE", p))
+	}))
+	c.check(t)
+}
+
 // Small jobs that are cancelled at once. Their state can be asked for long after.
 func TestCrowdOfSmallJobsCancelledAtOnce(t *testing.T) {
 	c := startCrowdNodes(t, crowdNodes)
