Count the open occurrences of a repeated job in its owner's memory

A job may have as many occurrences open as its record in the store can hold, 2,300 of one task, and was counted with one of them.

Each open occurrence beyond the first one counts. Such occurrences may take up half of the owner's room; the next one of a job is opened when an earlier one has ended, as for jobs with long records before. A job always has one, and a successor counts what it restores.

TestOpenOccurrencesAreBoundedByTheOwnersMemory fails without the change.

--- a/jobs/shard/occurrences.go
+++ b/jobs/shard/occurrences.go
@@ -5,6 +5,7 @@
 	o := newOccurrence(&j.spec, number)
 	j.occurrences[number] = o
 	j.nextOccurrence = number + 1
+	c.holdState(j)
 	work := j.work()
 	j.remainingWork += work
 	c.ensurePool(j.service).remainingWork += work
@@ -31,14 +32,15 @@
 }
 
 // openNextOccurrences starts the occurrences of a job that are due, as many as the job's
-// record has room for beside the open ones. The others follow as tasks are done.
+// record and the owner's memory have room for beside the open ones. The others follow as
+// tasks are done.
 func (c *Core) openNextOccurrences(j *job) {
 	size, added := 0, j.recordBytes(j.spec.Tasks())
 	for _, o := range j.occurrences {
 		size += j.recordBytes(o.openTasks)
 	}
 	for c.nextDue(j) {
-		if len(j.occurrences) > 0 && size+added > maxOpenBytes {
+		if len(j.occurrences) > 0 && (size+added > maxOpenBytes || !c.hasOccurrenceRoom(j)) {
 			j.behind = true
 			return
 		}
--- a/jobs/shard/record.go
+++ b/jobs/shard/record.go
@@ -228,10 +228,10 @@
 		c.settle(j)
 		return nil
 	}
-	c.holdState(j)
 	for _, o := range rec.Occurrences {
 		j.occurrences[o.Number] = newOccurrence(&j.spec, o.Number)
 	}
+	c.holdState(j)
 	for _, r := range rec.Crashes {
 		c.restoreCrashes(j, r)
 	}
--- a/jobs/shard/runs.go
+++ b/jobs/shard/runs.go
@@ -282,6 +282,7 @@
 	}
 	if o.openTasks == 0 {
 		delete(j.occurrences, o.number)
+		c.holdState(j)
 	}
 	if len(j.occurrences) == 0 && j.nextOccurrence >= j.occurrenceCount() {
 		c.finishJob(j, spec.Completed)
--- a/jobs/shard/state.go
+++ b/jobs/shard/state.go
@@ -11,16 +11,23 @@
 	jobStateBytes  = 1 << 10
 	stepStateBytes = 512
 	taskStateBytes = 160
+	// What an open occurrence of a job beyond the first one takes up, beside its tasks.
+	occurrenceStateBytes, occurrenceStepBytes = 256, 256
 	// largeStateBytes is the size from which a job may only take up half of the room, so
 	// that ordinary jobs have the other half.
 	largeStateBytes = 32 << 10
 )
 
-// stateBytes returns what a job takes up in the owner's memory.
+// stateBytes returns what a job with one open occurrence takes up in the owner's memory.
 func stateBytes(s *spec.Job) int64 {
 	return int64(jobStateBytes + 2*len(s.Payload) + len(s.Steps)*stepStateBytes + s.Tasks()*taskStateBytes)
 }
 
+// furtherOccurrenceBytes returns what each further open occurrence takes up.
+func furtherOccurrenceBytes(s *spec.Job) int64 {
+	return int64(occurrenceStateBytes + len(s.Steps)*occurrenceStepBytes + s.Tasks()*taskStateBytes)
+}
+
 // SetStateRoom sets how many bytes the jobs of the shard may take up in the owner's
 // memory; 0 means any number. Accepted jobs are kept whatever the room is.
 func (c *Core) SetStateRoom(bytes int64) { c.stateRoom = bytes }
@@ -42,8 +49,15 @@
 	return Reply{Reason: "owner_memory_full", RetryAfterMS: max(admit.UnavailableRetryMS, c.settledRoomMS(missing))}, true
 }
 
-// holdState counts a job until it is settled.
+// holdState counts a job with its open occurrences until it is settled.
 func (c *Core) holdState(j *job) {
-	j.stateBytes = stateBytes(&j.spec)
-	c.stateBytes += j.stateBytes
+	size := stateBytes(&j.spec) + int64(max(len(j.occurrences)-1, 0))*furtherOccurrenceBytes(&j.spec)
+	c.stateBytes += size - j.stateBytes
+	j.stateBytes = size
+}
+
+// hasOccurrenceRoom reports whether a further occurrence of the job may be open. Such
+// occurrences may take up half of the room, so that new jobs have the other half.
+func (c *Core) hasOccurrenceRoom(j *job) bool {
+	return c.stateRoom == 0 || c.stateBytes+furtherOccurrenceBytes(&j.spec) <= c.stateRoom/2
 }
--- a/jobs/shard/state_test.go
+++ b/jobs/shard/state_test.go
@@ -98,6 +98,38 @@
 	assert.False(t, h.core.JobStatus(testJob(1).ID).Known)
 }
 
+// Load pattern: jobs that are due a million times at once. Each had as many occurrences open
+// as its record could hold, and was counted with one.
+func TestOpenOccurrencesAreBoundedByTheOwnersMemory(t *testing.T) {
+	h := newHarness(t, 1)
+	const jobs = 20
+	first := overdueJob(1, 1_000_000, smallStep(1))
+	room := 2 * jobs * (stateBytes(&first) + 10*furtherOccurrenceBytes(&first))
+	h.core.SetStateRoom(room)
+	records := map[string][]byte{}
+	for id := range jobs {
+		h.core.Submit(h.now, 1, overdueJob(id+1, 1_000_000, smallStep(1)))
+		h.stepAndStore(1, records)
+	}
+	open := func() (n int) {
+		for id := range jobs {
+			occurrences := len(h.core.jobs[testJob(id+1).ID].occurrences)
+			assert.Positive(t, occurrences)
+			n += occurrences
+		}
+		return n
+	}
+	assert.LessOrEqual(t, int64(open()-jobs)*furtherOccurrenceBytes(&first), room/2)
+	assert.Greater(t, open(), 2*jobs, "the room is used")
+	held := h.core.StateBytes()
+	assert.LessOrEqual(t, held, room/2+jobs*stateBytes(&first))
+	h.takeOver(records)
+	assert.Equal(t, held, h.core.StateBytes(), "a successor counts what it restores")
+	h.core.Submit(h.now, 2, testJob(100, smallStep(1)))
+	h.stepAndStore(1, records)
+	assert.Contains(t, h.core.TakeOrders().Replies, Reply{Ticket: 2, Outcome: Accepted})
+}
+
 // A job that is refused for want of the room that the state of final ones takes up may
 // come back when so many of these are forgotten.
 func TestRefusalTellsWhenRoomComesBack(t *testing.T) {
