Pace jobs that come and go instead of locking everybody out

With only their state kept, final jobs of a crowd would still fill their owner's room in the end: each further job would be refused until the first ones were forgotten, 130 s later. And a successor has 3.6 s to read all records of a shard.

A shard keeps 100,000 settled jobs, in half of its room. Beyond half of that it accepts as many jobs as it forgets in the same time, and cancelled ones are forgotten after 30 s, the time for which a submission may be held up, instead of status_s; others keep their time. A refused caller may come back after a second, and that holds once the crowd has gone. Jobs that are admitted however much waits, with due times or lasting tasks, may take up half of the room, as large ones do, so that they can't keep out ordinary ones; further occurrences a quarter.

The pace begins at 50,000 jobs in 130 s: 384 a second in one shard.

--- a/jobs/shard/core.go
+++ b/jobs/shard/core.go
@@ -155,6 +155,9 @@
 	jobs      map[string]*job
 	finalJobs []*job
 	settled   settledJobs
+	// pace is how many jobs may be accepted while there are many settled ones, as of pacedAt.
+	pace    float64
+	pacedAt int64
 	// stateBytes is what the jobs take up in memory, stateRoom the most that they may; see
 	// SetStateRoom.
 	stateBytes, stateRoom int64
--- a/jobs/shard/settled.go
+++ b/jobs/shard/settled.go
@@ -25,15 +25,25 @@
 	finalAt int64
 }
 
-// settledStateBytes is what a settled job takes up in the owner's memory.
-const settledStateBytes = 160
+const (
+	// settledStateBytes is what a settled job takes up in the owner's memory.
+	settledStateBytes = 160
+	// maxSettledJobs bounds the settled jobs of a shard, so that a successor can read their
+	// records within the time for a takeover. Beyond half of it cancelled jobs are forgotten
+	// early, and no more jobs are accepted than are forgotten in the same time.
+	maxSettledJobs = 100_000
+	// minCancelledKeepMS is how long a cancelled job is known at least: a submission of it
+	// may be held up in a suspended node.
+	minCancelledKeepMS = declineKeepMS
+)
 
 // settledJobs are the settled jobs of a shard.
 type settledJobs struct {
 	jobs map[string]settledJob
-	// order lists the jobs in the order in which they were settled.
-	order   []settledAt
-	classes map[settledClass]*settledClass
+	// cancelled and ended list the cancelled jobs and the others in the order in which they
+	// were settled.
+	cancelled, ended []settledAt
+	classes          map[settledClass]*settledClass
 }
 
 func newSettledJobs() settledJobs {
@@ -48,7 +58,42 @@
 		s.classes[class] = shared
 	}
 	s.jobs[j.spec.ID] = settledJob{class: shared, acceptedMS: j.acceptedMS, state: j.storedState}
-	s.order = append(s.order, settledAt{j.spec.ID, j.finalAt})
+	if j.storedState == spec.Cancelled {
+		s.cancelled = append(s.cancelled, settledAt{j.spec.ID, j.finalAt})
+		return
+	}
+	s.ended = append(s.ended, settledAt{j.spec.ID, j.finalAt})
+}
+
+// maxSettled returns how many settled jobs there may be. They may take up half of the room
+// in the owner's memory.
+func (c *Core) maxSettled() int {
+	if c.stateRoom == 0 {
+		return maxSettledJobs
+	}
+	return int(min(maxSettledJobs, c.stateRoom/2/settledStateBytes))
+}
+
+// crowded reports whether there are so many settled jobs that further ones are paced.
+func (c *Core) crowded() bool { return len(c.settled.jobs) > c.maxSettled()/2 }
+
+// paceBurstMS is for how long a shard that paces jobs saves what it did not accept.
+const paceBurstMS = 1_000
+
+// takePace reports whether a shard that is crowded may accept another job. It accepts as
+// many in the time for which final jobs are kept as the other half of maxSettled holds.
+func (c *Core) takePace() bool {
+	if !c.crowded() {
+		return true
+	}
+	perMS := float64(c.maxSettled()/2) / float64(c.keepFinalMS())
+	c.pace = min(c.pace+float64(c.now-c.pacedAt)*perMS, max(perMS*paceBurstMS, 1))
+	c.pacedAt = c.now
+	if c.pace < 1 {
+		return false
+	}
+	c.pace--
+	return true
 }
 
 // mayAccess reports whether a caller may access a settled job.
@@ -85,27 +130,41 @@
 // keepFinalMS is how long the state of a final job can be asked for.
 func (c *Core) keepFinalMS() int64 { return c.cfg.StatusKeepMS + finalKeepMarginMS }
 
-// purgeSettled forgets the settled jobs whose state can't be asked for any more.
+// purgeSettled forgets the settled jobs whose state can't be asked for any more, and
+// cancelled ones earlier while there are too many.
 func (c *Core) purgeSettled() {
+	keepMS := c.keepFinalMS()
+	c.settled.ended = c.forgetSettled(c.settled.ended, func(s settledAt) bool { return c.now-s.finalAt > keepMS })
+	c.settled.cancelled = c.forgetSettled(c.settled.cancelled, func(s settledAt) bool {
+		return c.now-s.finalAt > keepMS || c.crowded() && c.now-s.finalAt > minCancelledKeepMS
+	})
+}
+
+// forgetSettled forgets the first jobs of a list, as long as they have expired, and returns
+// the others.
+func (c *Core) forgetSettled(list []settledAt, expired func(settledAt) bool) []settledAt {
 	n := 0
-	for _, s := range c.settled.order {
-		if c.now-s.finalAt <= c.keepFinalMS() {
-			break
-		}
+	for n < len(list) && expired(list[n]) {
+		delete(c.settled.jobs, list[n].id)
+		c.stateBytes -= settledStateBytes
+		c.pendingDeletes = append(c.pendingDeletes, list[n].id)
 		n++
-		delete(c.settled.jobs, s.id)
-		c.pendingDeletes = append(c.pendingDeletes, s.id)
 	}
-	c.stateBytes -= int64(n) * settledStateBytes
-	c.settled.order = c.settled.order[n:]
+	return list[n:]
 }
 
-// settledRoomMS returns how long it takes until so many bytes of settled jobs are
+// settledRoomMS returns how long it takes at most until so many bytes of settled jobs are
 // forgotten, or 0 if there are fewer.
 func (c *Core) settledRoomMS(bytes int64) int64 {
-	n := int((bytes + settledStateBytes - 1) / settledStateBytes)
-	if n < 1 || n > len(c.settled.order) {
+	n, waitMS := int((bytes+settledStateBytes-1)/settledStateBytes), int64(0)
+	for _, list := range [][]settledAt{c.settled.ended, c.settled.cancelled} {
+		if taken := min(n, len(list)); taken > 0 {
+			n -= taken
+			waitMS = max(waitMS, list[taken-1].finalAt+c.keepFinalMS()-c.now)
+		}
+	}
+	if n > 0 {
 		return 0
 	}
-	return max(c.settled.order[n-1].finalAt+c.keepFinalMS()-c.now, 0)
+	return waitMS
 }
--- a/jobs/shard/state.go
+++ b/jobs/shard/state.go
@@ -13,8 +13,7 @@
 	taskStateBytes = 160
 	// What an open occurrence of a job beyond the first one takes up, beside its tasks.
 	occurrenceStateBytes, occurrenceStepBytes = 256, 256
-	// largeStateBytes is the size from which a job may only take up half of the room, so
-	// that ordinary jobs have the other half.
+	// largeStateBytes is the size from which a job is large; see usesHalfRoom.
 	largeStateBytes = 32 << 10
 )
 
@@ -38,15 +37,27 @@
 
 // checkStateRoom refuses a new job that the owner's memory has no room for.
 func (c *Core) checkStateRoom(s *spec.Job) (refusal Reply, refused bool) {
-	size, room := stateBytes(s), c.stateRoom
-	if size > largeStateBytes {
-		room /= 2
+	settled := int64(len(c.settled.jobs)) * settledStateBytes
+	missing := int64(0)
+	if c.stateRoom > 0 {
+		missing = c.stateBytes + stateBytes(s) - c.stateRoom
+		if usesHalfRoom(s) {
+			missing = max(missing, c.stateBytes-settled+stateBytes(s)-c.stateRoom/2)
+		}
 	}
-	missing := c.stateBytes + size - room
-	if c.stateRoom == 0 || missing <= 0 {
-		return Reply{}, false
+	if missing > 0 {
+		return Reply{Reason: "owner_memory_full", RetryAfterMS: max(admit.UnavailableRetryMS, c.settledRoomMS(missing))}, true
 	}
-	return Reply{Reason: "owner_memory_full", RetryAfterMS: max(admit.UnavailableRetryMS, c.settledRoomMS(missing))}, true
+	if !c.takePace() {
+		return Reply{Reason: "too_many_final_jobs", RetryAfterMS: admit.UnavailableRetryMS}, true
+	}
+	return Reply{}, false
+}
+
+// usesHalfRoom reports whether a job may only take up room in the half that is not kept for
+// ordinary ones: a large one, and one that is admitted however much waits.
+func usesHalfRoom(s *spec.Job) bool {
+	return stateBytes(s) > largeStateBytes || s.Repeat > 0 || s.HasLastingStep()
 }
 
 // holdState counts a job with its open occurrences until it is settled.
@@ -56,8 +67,10 @@
 	j.stateBytes = size
 }
 
-// hasOccurrenceRoom reports whether a further occurrence of the job may be open. Such
-// occurrences may take up half of the room, so that new jobs have the other half.
+// hasOccurrenceRoom reports whether a further occurrence of the job may be open. With them
+// the open jobs may take up a quarter of the room, so that there is room for new jobs of
+// all kinds.
 func (c *Core) hasOccurrenceRoom(j *job) bool {
-	return c.stateRoom == 0 || c.stateBytes+furtherOccurrenceBytes(&j.spec) <= c.stateRoom/2
+	open := c.stateBytes - int64(len(c.settled.jobs))*settledStateBytes
+	return c.stateRoom == 0 || open+furtherOccurrenceBytes(&j.spec) <= c.stateRoom/4
 }
--- a/node/events/jobs.go
+++ b/node/events/jobs.go
@@ -56,7 +56,7 @@
 
 var jobEvents = []Definition{
 	{JobAccepted, "job_accepted", SeverityInfo, "A job was admitted; its caller gets the answer once the job is stored.", ""},
-	{JobRefused, "job_refused", SeverityInfo, "A job was rejected and will not run unless it is submitted again; the outcome is the reason.", "too_much_ahead: the pool is full; no_worker_can_hold_it: change the job; store_away: check the store; owner_memory_full: its open jobs fill their share of the owner's memory."},
+	{JobRefused, "job_refused", SeverityInfo, "A job was rejected and will not run unless it is submitted again; the outcome is the reason.", "too_much_ahead: the pool is full; no_worker_can_hold_it: change the job; store_away: check the store; owner_memory_full: its open jobs fill their share of the owner's memory; too_many_final_jobs: more jobs come and go than can be remembered."},
 	{JobCancelled, "job_cancelled", SeverityInfo, "A caller cancelled a job.", ""},
 	{JobFinal, "job_final", SeverityInfo, "A job reached a final state; the outcome is the state.", ""},
 	{RunPlaced, "run_placed", SeverityInfo, "A task was placed on a worker; the start order is sent once the placement is stored.", ""},
--- a/soak/crowdnodes_test.go
+++ b/soak/crowdnodes_test.go
@@ -140,4 +140,13 @@
 	c.check(t)
 }
 
+// Jobs that are due very often: what is open of them at the same time takes up memory.
+func TestCrowdOfRepeatedJobs(t *testing.T) {
+	c := startCrowdNodes(t, 1)
+	path := newPaths()
+	body := fmt.Sprintf(`{"spec":"work_ms=600000","steps":[{"count":1,"cpu":16000,"mem_mb":1,"estimate_ms":1}],"repeat_count":1000000,"first_run_ms":%d,"interval_ms":1}`, time.Now().Add(-time.Hour).UnixMilli())
+	c.sendToAll(t, crowdSize, series(func(c *caller) { c.call(post(path(), len(body)) + body) }))
+	c.check(t)
+}
+
 const smallJob = `{"spec":"","steps":[{"count":1,"cpu":10,"mem_mb":1,"estimate_ms":1}]}`
