Bound what an owner takes from other nodes at a time

A crowd at all nodes meets at the owner of its queue: each node passes on what its own bounds allow, and the owner decoded up to 512 requests at once. The same requests took up all handlers of the mesh, so that orders, their results and announcements of takeovers were refused as busy.

Beyond that the handler answers that it did not begin (peer.ErrBusy), which nodes of all versions know as RefusalBusy. The caller of a submission gets 504 as before: an earlier owner may have accepted the job, so that 503 might be false.

--- a/node/jobhost/config.go
+++ b/node/jobhost/config.go
@@ -37,9 +37,12 @@
 	// TakeoverGapMS is the minimum time between the actions of two successive
 	// fleet controllers on one VM. Values below minTakeoverGap are raised to it.
 	TakeoverGapMS int64
-	// StateBytes is how many bytes the open jobs of all shards may take up in memory; 0
-	// means any number.
+	// StateBytes is how many bytes the jobs of all shards may take up in memory; 0 means any
+	// number.
 	StateBytes int64
+	// ForwardedBytes is how many bytes the requests may take up that other nodes forward to
+	// this one; 0 means any number.
+	ForwardedBytes int64
 	// ShutdownGrace is how long a graceful stop may take.
 	ShutdownGrace time.Duration
 	// PeerKey is the key that all nodes share.
--- a/node/jobhost/host.go
+++ b/node/jobhost/host.go
@@ -57,6 +57,7 @@
 	customersViewedAt int64
 	relays            *relayedOrders
 	orders            *orderQueues
+	forwarded         forwardBudget
 
 	homes              *queueHomes
 	config             atomic.Pointer[deps.Configuration]
@@ -110,6 +111,7 @@
 		startedAt: monotonicMS(), heartbeatTrigger: make(chan struct{}, 1), workersNeeded: make(chan struct{}, 1),
 		handedOver: make(chan struct{}), closed: make(chan struct{}),
 	}
+	h.forwarded.limit = cfg.ForwardedBytes
 	h.relays, h.orders = newRelayedOrders(h), newOrderQueues()
 	h.homes = newQueueHomes(h)
 	h.owners.Store(&map[deps.Partition]ownership{})
--- a/node/jobhost/messages.go
+++ b/node/jobhost/messages.go
@@ -7,6 +7,7 @@
 
 	"wigeonwinch/node/deps"
 	"wigeonwinch/node/events"
+	"wigeonwinch/node/peer"
 )
 
 // The methods of messages between nodes.
@@ -36,6 +37,11 @@
 }
 
 func (h *Host) serveRequest(ctx context.Context, _ string, body []byte) ([]byte, error) {
+	release := h.forwarded.take(len(body))
+	if release == nil {
+		return nil, peer.ErrBusy
+	}
+	defer release()
 	var p forwardedRequest
 	if err := decMode.Unmarshal(body, &p); err != nil {
 		return nil, errors.Wrap(err, "a passed on request can't be decoded")
--- a/node/peer/errors.go
+++ b/node/peer/errors.go
@@ -42,6 +42,10 @@
 	RefusalWrongNode     Refusal = "wrong_node"     // a different node answered at the address
 )
 
+// ErrBusy is returned by a handler that has not begun its message, because too many others
+// are worked on. The caller gets an error of KindRefused with RefusalBusy.
+var ErrBusy = errors.New("too many messages are worked on")
+
 // Error is an error of a peer connection or a call.
 type Error struct {
 	Kind    Kind
--- a/node/peer/mesh.go
+++ b/node/peer/mesh.go
@@ -307,7 +307,10 @@
 		return
 	}
 	reply := frame{ID: f.ID, Method: f.Method, Body: body}
-	if err != nil {
+	switch {
+	case errors.Is(err, ErrBusy):
+		reply.Refusal = RefusalBusy
+	case err != nil:
 		reply.Failure = err.Error()
 	}
 	l.reply(reply)
--- a/node/peer/mesh_test.go
+++ b/node/peer/mesh_test.go
@@ -300,6 +300,22 @@
 	})
 }
 
+// A handler that refuses a message before it begins it is busy, not broken.
+func TestBusyHandlerRefusesCalls(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		tc := newTestCluster(t)
+		defer tc.stop()
+		node1 := tc.start(1, "north", 1, nil, seed(2, "north"))
+		const methodBusy = 77
+		tc.start(2, "north", 1, nil).Handle(methodBusy, func(context.Context, string, []byte) ([]byte, error) {
+			return nil, errors.Wrap(ErrBusy, "test")
+		})
+		_, err := node1.Call(context.Background(), "e-2", methodBusy, nil)
+		require.Equal(t, KindRefused, KindOf(err))
+		require.Equal(t, RefusalBusy, RefusalOf(err))
+	})
+}
+
 func TestOnDemandConnectionClosesWhenIdle(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		tc := newTestCluster(t)
--- a/soak/crowdnodes_test.go
+++ b/soak/crowdnodes_test.go
@@ -90,6 +90,15 @@
 	c.check(t)
 }
 
+// The same jobs in bodies of their own length, so that their owner is called for many of
+// them at the same time.
+func TestCrowdOfForwardedJobs(t *testing.T) {
+	c := startCrowdNodes(t, 5)
+	body, path := strings.TrimSpace(largestJob()), newPaths()
+	c.sendToAll(t, 2*crowdSize+crowdSize/4, series(func(c *caller) { c.call(post(path(), len(body)) + body) }))
+	c.check(t)
+}
+
 // Jobs of the largest kind that are cancelled at once. Their tasks end on the workers
 // later.
 func TestCrowdOfLargestJobsCancelledAtOnce(t *testing.T) {
