Forget declined and refused jobs in the order of their times

An owner remembers for 30 s which jobs were cancelled before they came and when refused ones came first.

TestDeclinedJobsAreBounded fails without the change.

--- a/jobs/shard/absence.go
+++ b/jobs/shard/absence.go
@@ -83,6 +83,8 @@
 		c.reply(Reply{Ticket: ticket, Outcome: outcome, Reason: "being_stored"})
 		return
 	}
-	c.declinedAt[id] = now
+	if !c.decline(ticket, id) {
+		return
+	}
 	c.askStore(ticket, func() { c.reply(Reply{Ticket: ticket, Outcome: Unknown}) })
 }
--- a/jobs/shard/core.go
+++ b/jobs/shard/core.go
@@ -32,9 +32,6 @@
 	// firstSeenKeepMS is how long the first submission time of a refused job
 	// is kept; clients have given up long before.
 	firstSeenKeepMS = 30_000
-	// maxRememberedTimes is the size from which old entries are dropped from maps of
-	// times.
-	maxRememberedTimes = 4096
 	// declineKeepMS is how long a job is declined that was left to another shard or
 	// cancelled before it came: no node with an older configuration, and no suspended
 	// one, holds a submission for that long.
@@ -181,10 +178,10 @@
 	// task could ever be placed.
 	workerKinds map[string]Worker
 	pools       map[string]*pool
-	firstSeenAt map[string]int64
+	firstSeenAt *recentTimes
 	// declinedAt is when jobs were left to another shard, or were cancelled before they
 	// came.
-	declinedAt map[string]int64
+	declinedAt *recentTimes
 	// startsUntil is when the right to start tasks expires, leasesUntil the
 	// right to extend leases.
 	startsUntil, leasesUntil int64
@@ -224,7 +221,7 @@
 		customers: newCustomers(cfg),
 		cfg:       cfg, longestLeaseMS: longestLeaseMS, now: now, takeoverAt: now, wallMS: wallMS, earlierLeasesUntil: now + cfg.EarlierLeaseMS,
 		queues: map[string]Queue{}, jobs: map[string]*job{}, settled: newSettledJobs(), unreadable: map[string]bool{}, scheduled: map[string]*job{}, workers: map[string]*worker{},
-		learner: expect.New(), workerKinds: map[string]Worker{}, pools: map[string]*pool{}, firstSeenAt: map[string]int64{}, declinedAt: map[string]int64{},
+		learner: expect.New(), workerKinds: map[string]Worker{}, pools: map[string]*pool{}, firstSeenAt: newRecentTimes(firstSeenKeepMS), declinedAt: newRecentTimes(declineKeepMS),
 	}
 }
 
--- a/jobs/shard/submit.go
+++ b/jobs/shard/submit.go
@@ -33,15 +33,18 @@
 		c.reply(Reply{Ticket: ticket, Outcome: Unknown, Reason: "no such queue"})
 		return
 	}
-	if at, ok := c.declinedAt[s.ID]; ok && now-at <= declineKeepMS {
+	if at, ok := c.declinedAt.get(s.ID); ok && now-at <= declineKeepMS {
 		c.reply(Reply{Ticket: ticket, Outcome: Unavailable, Reason: "declined_before"})
 		return
 	}
 	s.Steps = boundEstimates(s.Steps)
-	firstSeen, seen := c.firstSeenAt[s.ID]
+	firstSeen, seen := c.firstSeenAt.get(s.ID)
 	if !seen {
 		firstSeen = now
-		c.firstSeenAt[s.ID] = now
+		if c.firstSeenAt.full() {
+			c.firstSeenAt.forgetFirst()
+		}
+		c.firstSeenAt.set(s.ID, now)
 		c.ensurePool(q.Service).submittedWork += s.Work()
 	}
 	j := c.newJob(s, q, firstSeen)
@@ -95,6 +98,16 @@
 	j.submitWaiters = append(j.submitWaiters, ticket)
 }
 
+// decline remembers to accept no submission of a job for a while, or answers that it can't.
+func (c *Core) decline(ticket uint64, id string) bool {
+	if c.declinedAt.full() {
+		c.reply(Reply{Ticket: ticket, Outcome: Unavailable, Reason: "too_many_unknown_jobs"})
+		return false
+	}
+	c.declinedAt.set(id, c.now)
+	return true
+}
+
 // replySettled answers the submission of a job that is final already.
 func (c *Core) replySettled(s settledJob, ticket uint64, submitter customer.Caller) {
 	if !s.mayAccess(submitter) {
@@ -294,10 +307,12 @@
 
 // cancelUnlessAbsent cancels a job that was accepted while the owner proved its
 // ownership. A job that does not exist is declined for a while: its submission may be
-// held up in a suspended node.
+// held up in a suspended node. Nothing is said of it if too many are declined already.
 func (c *Core) cancelUnlessAbsent(caller customer.Caller, ticket uint64, id string) {
 	if !c.knows(id) {
-		c.declinedAt[id] = c.now
+		if !c.decline(ticket, id) {
+			return
+		}
 		c.reply(Reply{Ticket: ticket, Outcome: Unknown})
 		return
 	}
