Try more crowds: takeovers, shutdowns, configurations, the store away

What no test had tried, from docs/design/crowds.md and the users' list: a crowd at all nodes while owners are killed, nodes end in turn, the configuration changes 20 times and the store is away; bodies byte by byte; connections that change their kind of trouble; the metrics; unknown jobs; jobs that last.

--- a/soak/crowdnodes_test.go
+++ b/soak/crowdnodes_test.go
@@ -158,4 +158,159 @@
 	c.check(t)
 }
 
+// The owner is killed while a crowd hands in jobs. Its successor restores what the crowd has
+// left, and the crowd goes on.
+func TestCrowdDuringTakeovers(t *testing.T) {
+	c := startCrowdNodes(t, crowdNodes)
+	c.disturb(t, func() {
+		for range 2 {
+			time.Sleep(seriesTime / 4)
+			owner := c.node(c.judge.Owner(queues[0].service))
+			owner.Kill()
+			time.Sleep(time.Second)
+			if err := owner.Start(); err != nil {
+				t.Error(err)
+			}
+		}
+	})
+	c.sendToAll(t, crowdSize, mixedSeries())
+	c.check(t)
+}
+
+// All nodes end in turn, as in a release, while a crowd hands in jobs.
+func TestCrowdDuringShutdowns(t *testing.T) {
+	c := startCrowdNodes(t, crowdNodes)
+	c.disturb(t, func() {
+		for _, n := range c.nodes {
+			n.Terminate()
+			if err := n.Start(); err != nil {
+				t.Error(err)
+			}
+			if err := n.awaitReady(); err != nil {
+				t.Error(err)
+			}
+		}
+	})
+	c.sendToAll(t, crowdSize, mixedSeries())
+	c.check(t)
+}
+
+// The configuration changes again and again while a crowd hands in jobs.
+func TestCrowdDuringConfigurations(t *testing.T) {
+	c := startCrowdNodes(t, crowdNodes)
+	c.disturb(t, func() {
+		for range 20 {
+			time.Sleep(seriesTime / 25)
+			if err := c.configure(); err != nil {
+				t.Error(err)
+			}
+		}
+	})
+	c.sendToAll(t, crowdSize, mixedSeries())
+	c.check(t)
+}
+
+// The store is away for a while, so that requests wait for it and hold what they came with.
+func TestCrowdWhileStoreIsAway(t *testing.T) {
+	c := startCrowdNodes(t, crowdNodes)
+	c.disturb(t, func() {
+		for range 2 {
+			time.Sleep(seriesTime / 6)
+			c.store.SetDown(true)
+			time.Sleep(seriesTime / 4)
+			c.store.SetDown(false)
+		}
+	})
+	c.sendToAll(t, crowdSize, mixedSeries())
+	c.check(t)
+}
+
+// Bodies whose bytes come one at a time, each within all limits of progress.
+func TestCrowdOfBodiesByteByByte(t *testing.T) {
+	c := startCrowdNodes(t, crowdNodes)
+	path := newPaths()
+	c.sendToAll(t, silentCrowdSize, func(conn net.Conn) {
+		if writeText(conn, post(path(), bodyLimit)) {
+			writePieces(conn, int(seriesTime/(20*time.Millisecond)), " ", 20*time.Millisecond)
+		}
+	})
+	c.check(t)
+}
+
+// Connections that make another kind of trouble with each request.
+func TestCrowdThatChangesItsTrouble(t *testing.T) {
+	c := startCrowdNodes(t, crowdNodes)
+	path, large := newPaths(), largestJob()
+	var kinds atomic.Int64
+	c.sendToAll(t, crowdSize, series(func(c *caller) {
+		p := path()
+		switch kinds.Add(1) % 6 {
+		case 0:
+			c.call(post(p, len(large)) + large)
+		case 1:
+			c.call(bodiless("GET", queues[0].path))
+		case 2:
+			writeText(c, strings.Repeat(bodiless("GET", p), 500))
+		case 3:
+			c.call(post(p, -1) + chunks(8, 1<<10) + "0\r\n\r\n")
+		case 4:
+			c.call(post(p, len(smallJob)) + smallJob)
+		default:
+			c.call(post(p, bodyLimit) + strings.Repeat(" ", 300<<10))
+		}
+	}))
+	c.check(t)
+}
+
+// Anybody who reaches the port may read the metrics.
+func TestCrowdAtMetrics(t *testing.T) {
+	c := startCrowdCluster(t)
+	requests := strings.Repeat("GET /metrics HTTP/1.1\r\nHost: x\r\n\r\n", 1000)
+	c.send(t, c.target.operator, silentCrowdSize, func(conn net.Conn) { writeText(conn, requests) })
+	c.check(t)
+}
+
 const smallJob = `{"spec":"","steps":[{"count":1,"cpu":10,"mem_mb":1,"estimate_ms":1}]}`
+
+// mixedSeries returns a script of clients that hand in large and small jobs and cancel some.
+func mixedSeries() func(conn net.Conn) {
+	path, large := newPaths(), largestJob()
+	var turns atomic.Int64
+	return series(func(c *caller) {
+		p := path()
+		switch turns.Add(1) % 3 {
+		case 0:
+			c.call(post(p, len(large)) + large)
+		case 1:
+			c.call(post(p, len(smallJob)) + smallJob)
+		default:
+			c.call(post(p, len(smallJob)) + smallJob)
+			c.call(bodiless("DELETE", p))
+		}
+	})
+}
+
+// disturb runs f beside the crowd, which check waits for.
+func (c *crowd) disturb(t *testing.T, f func()) {
+	t.Helper()
+	c.disturbances.Go(f)
+}
+
+// Cancels of jobs that do not exist, each of another one. The owner remembers them for a
+// while, as a job may come after its cancel.
+func TestCrowdOfUnknownJobs(t *testing.T) {
+	c := startCrowdNodes(t, crowdNodes)
+	path := newPaths()
+	c.sendToAll(t, crowdSize, series(func(c *caller) { c.call(bodiless("DELETE", path())) }))
+	c.check(t)
+}
+
+// Jobs whose tasks last until they are cancelled, and that nobody cancels. They are accepted
+// however much waits.
+func TestCrowdOfLastingJobs(t *testing.T) {
+	c := startCrowdNodes(t, crowdNodes)
+	path := newPaths()
+	body := `{"spec":"work_ms=86400000","steps":[{"count":1,"cpu":8000,"mem_mb":1,"estimate_ms":1,"long_running":true}]}`
+	c.sendToAll(t, crowdSize, series(func(c *caller) { c.call(post(path(), len(body)) + body) }))
+	c.check(t)
+}
