Answer a header without room with 503, not 400

Long headers beside a crowd were refused as malformed: the connection's reader returned an error, and the server made a 400 of it, which tells the client not to come back. The refusal is written before the reader ends: 503 with Retry-After, the connection closes once the rest of the header is discarded, and nothing was begun.

--- a/node/intake/conn.go
+++ b/node/intake/conn.go
@@ -2,12 +2,12 @@
 
 import (
 	"container/list"
+	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"sync/atomic"
 	"time"
-
-	"github.com/pkg/errors"
 )
 
 // phase is what a connection waits for.
@@ -110,20 +110,40 @@
 	freeHeaderBytes = 4 << 10
 	// headerFactor is how many times as much memory a header of many short lines takes up.
 	headerFactor = 16
+	// discardedHeaderBytes is how much is read of a header that was refused.
+	discardedHeaderBytes = 2 * headerBytes
 )
 
-var errHeaderRefused = errors.New("no room for the header")
+// headerRefusal answers a request whose header has no room. The server would call it
+// malformed.
+var headerRefusal = fmt.Sprintf("HTTP/1.1 %d %s\r\nConnection: close\r\nContent-Length: 0\r\nRetry-After: %d\r\n\r\n",
+	http.StatusServiceUnavailable, http.StatusText(http.StatusServiceUnavailable), retryAfterMS/1000)
 
 // Read implements net.Conn.
 func (c *conn) Read(b []byte) (int, error) {
 	n, err := c.Conn.Read(b)
 	if n > 0 && c.readsHeader.Load() && !c.holdHeader(n) {
 		c.port.gate.count(ReasonHeader, c.port.name)
-		return 0, errHeaderRefused
+		c.refuseHeader()
+		// The server closes the connection without an answer of its own.
+		return 0, io.EOF
 	}
 	return n, err
 }
 
+// refuseHeader answers that the request was not begun, and discards what comes soon after, so
+// that the answer is not lost in a reset.
+func (c *conn) refuseHeader() {
+	c.releaseHeader()
+	_ = c.Conn.SetDeadline(time.Now().Add(patience))
+	if _, err := io.WriteString(c.Conn, headerRefusal); err != nil {
+		return
+	}
+	if c.CloseWrite() == nil {
+		_, _ = io.Copy(io.Discard, io.LimitReader(c.Conn, discardedHeaderBytes))
+	}
+}
+
 // holdHeader takes budget for n more bytes of a header.
 func (c *conn) holdHeader(n int) bool {
 	c.headerBytes += n
--- a/node/intake/intake_test.go
+++ b/node/intake/intake_test.go
@@ -145,6 +145,31 @@
 	assert.EqualValues(t, 1, gate.counts[ReasonTooSlow].Load())
 }
 
+// A header that was refused for want of room was called malformed, so that its client
+// would not come back.
+func TestHeaderWithoutRoomIsRefusedForNow(t *testing.T) {
+	limits := LimitsFor(0, 0)
+	limits.HeldBytes = 4 * headerFactor * freeHeaderBytes
+	gate, dial := serve(t, limits)
+	header := func(n int) string {
+		return "GET / HTTP/1.1\r\nHost: x\r\n" + strings.Repeat("x-filler: 0123456789\r\n", n/22) + "\r\n"
+	}
+	conn, from := dial()
+	_, err := io.WriteString(conn, header(3*freeHeaderBytes))
+	require.NoError(t, err)
+	res, err := http.ReadResponse(from, nil)
+	require.NoError(t, err)
+	assert.Equal(t, http.StatusServiceUnavailable, res.StatusCode)
+	assert.Equal(t, "1", res.Header.Get("Retry-After"))
+	_, err = from.ReadByte()
+	assert.Equal(t, io.EOF, err, "the connection closes without a reset")
+	assert.EqualValues(t, 1, gate.counts[ReasonHeader].Load())
+	assert.Zero(t, gate.HeldBytes())
+	conn, from = dial()
+	status, _ := ask(t, conn, from, header(freeHeaderBytes/2))
+	assert.Equal(t, http.StatusOK, status)
+}
+
 // Load pattern: silent connections take up the whole port. A new one is served for the
 // oldest of them, and a connection that is idle after an answer goes after those.
 func TestIncompleteConnectionsMakeRoom(t *testing.T) {
