Keep a call with an unread body while it is worked on

With its port full, a cancel that came with a body was let go for a newer connection while it was worked on: nobody reads its body, so that the connection counted as one that waits for its client. The caller did not learn whether its job was cancelled.

Requests whose method has no use for a body count as worked on until they are answered, and as incomplete after that, until the server has read the rest or the time for a body is over. A handler that reads such a body anyway goes through Gate.Read, which counts it as incomplete as before.

--- a/node/intake/body.go
+++ b/node/intake/body.go
@@ -64,6 +64,7 @@
 	if r.Body == nil || r.Body == http.NoBody {
 		return &Body{}, nil
 	}
+	enterPhase(r, phaseIncomplete)
 	in := &incoming{gate: g, control: http.NewResponseController(w), since: time.Now(), body: Body{gate: g}}
 	if limit := g.limits.BodyTimeout; limit > 0 && (within <= 0 || within > limit) {
 		within = g.limits.BodyTimeout
--- a/node/intake/intake_test.go
+++ b/node/intake/intake_test.go
@@ -25,9 +25,14 @@
 	l, err := port.Listen("127.0.0.1:0")
 	require.NoError(t, err)
 	server := port.Server(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if r.URL.Path == "/unread" {
+		switch r.URL.Path {
+		case "/unread":
 			w.WriteHeader(http.StatusUnauthorized)
 			return
+		case "/slow":
+			time.Sleep(3 * patience)
+			w.WriteHeader(http.StatusNoContent)
+			return
 		}
 		body, refusal := gate.Read(w, r, 0)
 		if refusal != nil {
@@ -170,6 +175,34 @@
 	assert.Equal(t, http.StatusOK, status)
 }
 
+// Load pattern: the port is full, and one of its connections has a call with a body that
+// nobody reads, such as a cancel. It was let go as one that waits for its client, while it was
+// worked on.
+func TestWorkWithAnUnreadBodyIsNotLetGo(t *testing.T) {
+	limits := LimitsFor(0, 0)
+	limits.Callers = 2
+	gate, dial := serve(t, limits)
+	working, fromWorking := dial()
+	_, err := io.WriteString(working, "DELETE /slow HTTP/1.1\r\nHost: x\r\nContent-Length: 2\r\n\r\n{}")
+	require.NoError(t, err)
+	dial()
+	open := func() int {
+		port := gate.ports[0]
+		port.mu.Lock()
+		defer port.mu.Unlock()
+		return port.open
+	}
+	require.Eventually(t, func() bool { return open() == limits.Callers }, 10*time.Second, time.Millisecond)
+	time.Sleep(patience)
+	for range 3 {
+		conn, from := dial()
+		status, _ := ask(t, conn, from, announced("/", 1, "x"))
+		assert.Equal(t, http.StatusOK, status)
+	}
+	status, _ := answer(t, fromWorking)
+	assert.Equal(t, http.StatusNoContent, status)
+}
+
 // Load pattern: silent connections take up the whole port. A new one is served for the
 // oldest of them, and a connection that is idle after an answer goes after those.
 func TestIncompleteConnectionsMakeRoom(t *testing.T) {
--- a/node/intake/port.go
+++ b/node/intake/port.go
@@ -75,30 +75,44 @@
 // bodies are incomplete.
 func (p *Port) handler(h http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if r.ContentLength != 0 {
-			p.expectBody(w, r)
+		if r.ContentLength == 0 {
+			h.ServeHTTP(w, r)
+			return
+		}
+		p.expectBody(w, r)
+		if !carriesBody(r.Method) {
+			// Nothing waits for the body, so that the request is worked on at once.
+			enterPhase(r, phaseBusy)
+			defer enterPhase(r, phaseIncomplete)
 		}
 		h.ServeHTTP(w, r)
 	})
 }
 
+// carriesBody reports whether handlers usually wait for the body of a method's requests. Those
+// that do so for others call Gate.Read.
+func carriesBody(method string) bool {
+	return method != http.MethodGet && method != http.MethodHead && method != http.MethodDelete
+}
+
+// enterPhase changes the phase of a request's connection.
+func enterPhase(r *http.Request, to phase) {
+	if c, ok := r.Context().Value(connKey{}).(*conn); ok {
+		c.enter(to)
+	}
+}
+
 func (p *Port) expectBody(w http.ResponseWriter, r *http.Request) {
 	if r.ContentLength < 0 || r.ContentLength > p.gate.limits.DrainBytes {
 		// Gate.Read takes this back once the body is complete.
 		w.Header().Set("Connection", "close")
 	}
 	_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(p.gate.limits.BodyTimeout))
-	if c, ok := r.Context().Value(connKey{}).(*conn); ok {
-		c.enter(phaseIncomplete)
-	}
+	enterPhase(r, phaseIncomplete)
 }
 
 // completeBody notes that the body of a request has arrived.
-func completeBody(r *http.Request) {
-	if c, ok := r.Context().Value(connKey{}).(*conn); ok {
-		c.enter(phaseBusy)
-	}
-}
+func completeBody(r *http.Request) { enterPhase(r, phaseBusy) }
 
 type listener struct {
 	net.Listener
