Give answers that wait for their callers a budget

Nothing but the number of connections bounded them.

Answers beyond their first 16 KB take up an eighth of the memory; one that finds no room is streamed, as longer ones are, and read on only as its caller takes it. What is held is returned when the caller's handler and the run of the request have both ended. Retained answers of duplicates have a sixteenth of the memory, 32 MB at most as before.

--- a/node/entry/entry.go
+++ b/node/entry/entry.go
@@ -154,12 +154,17 @@
 	return []byte(n.settings.PeerKeys[1].Value())
 }
 
+// retainedAnswerShare is the part of the memory, one in so many, for answers that are retained
+// for duplicates.
+const retainedAnswerShare = 16
+
 func (n *Node) forwardConfig(incarnation uint64) forward.Config {
 	s := n.settings
 	limits := forward.Defaults()
 	limits.HeaderBytes = s.Limits.HeaderBytes
 	limits.BodyBytes = int64(s.Limits.BodyBytes)
 	limits.AnswerBytes = s.Limits.AnswerBytes
+	limits.RetainedAnswerBytesTotal = min(limits.RetainedAnswerBytesTotal, s.Limits.MemoryMB<<20/retainedAnswerShare)
 	limits.HeaderTimeout = time.Duration(s.Limits.HeaderSeconds) * time.Second
 	limits.IdleTimeout = time.Duration(s.Limits.IdleSeconds) * time.Second
 	limits.QueuePerPool = s.Limits.QueuedRequests
--- a/node/forward/exchange.go
+++ b/node/forward/exchange.go
@@ -16,6 +16,7 @@
 	"github.com/pkg/errors"
 
 	"wigeonwinch/node/events"
+	"wigeonwinch/node/intake"
 )
 
 // target is the destination of one send.
@@ -240,11 +241,11 @@
 // workerRefusedSlots is the refusal of a worker that has no free slot.
 const workerRefusedSlots = "slots"
 
-// readAnswer reads the answer up to Limits.AnswerBytes. A longer answer
-// becomes a stream.
+// readAnswer reads the answer up to Limits.AnswerBytes. A longer answer, or one that the
+// budget has no room for, becomes a stream.
 func (s *Server) readAnswer(runCtx context.Context, r *request, t target, in *incoming) exchange {
 	limit := s.cfg.Limits.AnswerBytes
-	body, complete, err := in.readUpTo(limit)
+	body, complete, err := in.readUpTo(limit, r.answers)
 	if err != nil {
 		in.abort()
 		s.markSuspect(t)
@@ -270,18 +271,24 @@
 	return exchange{kind: exchangeAnswered, result: answeredResult(a)}
 }
 
-// readUpTo reads the body until it exceeds limit bytes. It returns complete when
-// the body has ended.
-func (in *incoming) readUpTo(limit int) (body []byte, complete bool, err error) {
+// readUpTo reads the body until it exceeds limit bytes, or there is no room for more than
+// its first part. It returns complete when the body has ended.
+func (in *incoming) readUpTo(limit int, hold *intake.AnswerHold) (body []byte, complete bool, err error) {
 	timer := time.AfterFunc(in.progressTimeout, in.cancel)
 	defer timer.Stop()
 	size := readChunkBytes
 	if n := in.resp.ContentLength; n >= 0 {
 		size = min(int(min(n, int64(limit)))+1, limit+1)
 	}
+	if size > readChunkBytes && !hold.Take(size) {
+		size, limit = readChunkBytes, readChunkBytes-1
+	}
 	body = make([]byte, 0, size)
 	for len(body) <= limit {
 		if len(body) == cap(body) {
+			if !hold.Take(2 * cap(body)) {
+				return body, false, nil
+			}
 			body = append(body, 0)[:len(body)]
 		}
 		n, err := in.resp.Body.Read(body[len(body):min(cap(body), limit+1)])
--- a/node/forward/parse.go
+++ b/node/forward/parse.go
@@ -32,9 +32,11 @@
 	immediate bool
 	body      []byte
 	// held returns the body to the budget.
-	held  *intake.Body
-	phase phase
-	claim claim
+	held *intake.Body
+	// answers is what the answers take up that are held for the caller.
+	answers *intake.AnswerHold
+	phase   phase
+	claim   claim
 	// workersLost counts the workers whose connection ended without an answer
 	// while they ran the request.
 	workersLost int
--- a/node/forward/respond.go
+++ b/node/forward/respond.go
@@ -11,8 +11,11 @@
 )
 
 // writeChunkBytes is the number of bytes of an answer that are written under
-// one deadline.
-const writeChunkBytes = 64 << 10
+// one deadline, streamChunkBytes how many of a stream are held at a time.
+const (
+	writeChunkBytes  = 64 << 10
+	streamChunkBytes = 16 << 10
+)
 
 // stream is an answer that exceeds Limits.AnswerBytes. Its first part has
 // been read; the rest is streamed.
@@ -43,7 +46,7 @@
 func (st *stream) copyTo(w io.Writer) error {
 	timer := time.AfterFunc(st.in.progressTimeout, st.in.cancel)
 	defer timer.Stop()
-	buf := make([]byte, writeChunkBytes)
+	buf := make([]byte, streamChunkBytes)
 	for {
 		n, err := st.in.resp.Body.Read(buf)
 		timer.Stop()
--- a/node/forward/serve.go
+++ b/node/forward/serve.go
@@ -39,6 +39,8 @@
 		return
 	}
 	r, res := s.parse(httpReq, rt, relayed)
+	r.answers = s.cfg.Gate.HoldAnswer()
+	defer r.answers.Release()
 	if res != nil {
 		s.respondEarly(w, r, *res)
 		return
@@ -163,8 +165,10 @@
 func (s *Server) detach(ctx context.Context, r *request, work func(context.Context) result) result {
 	h := &handoff{done: make(chan result, 1)}
 	s.detached.Add(1)
+	r.answers.Keep()
 	go func() {
 		defer s.detached.Done()
+		defer r.answers.Release()
 		defer s.finishRequest(r)
 		runDeadline := r.Deadline.Add(s.cfg.Limits.MaxOverrun)
 		runCtx, cancel := context.WithDeadline(context.WithoutCancel(ctx), runDeadline)
--- a/node/intake/gate.go
+++ b/node/intake/gate.go
@@ -30,6 +30,8 @@
 	// held are the bytes of the budget that are taken, large those of them that are not
 	// among the first Limits.SmallBytes of a body, headers those of long headers.
 	held, large, headers atomic.Int64
+	// answers are the bytes of the budget for answers that are taken.
+	answers atomic.Int64
 	// counts are the clients refused or let go, by reason.
 	counts map[string]*atomic.Int64
 	// reportedAt is when the last event was recorded, in nanoseconds since 1970.
--- a/node/intake/limits.go
+++ b/node/intake/limits.go
@@ -13,6 +13,9 @@
 	// HeldBytes bounds all bodies that are being read or worked on, and what headers take
 	// up beyond freeHeaderBytes. Half of it is for the first SmallBytes of each body.
 	HeldBytes int64
+	// AnswerBytes bounds the answers of backend servers that are held until their clients
+	// have taken them.
+	AnswerBytes int64
 	// SmallBytes is how much of each body always has room: Callers times SmallBytes is at
 	// most half of HeldBytes.
 	SmallBytes int
@@ -63,10 +66,11 @@
 	// connectionBytes is what one connection takes up in the process, beside its unread
 	// bytes: goroutines and buffers.
 	connectionBytes = 24 << 10
-	// Fractions of the memory for bodies and for the connections of callers, and of the
-	// sockets for each port. The rest of the sockets is for connections that the node
+	// Fractions of the memory for bodies, for answers and for the connections of callers, and
+	// of the sockets for each port. The rest of the sockets is for connections that the node
 	// opens itself.
 	bodyShare            = 1. / 8
+	answerShare          = 1. / 8
 	connectionShare      = 3. / 8
 	callerSocketShare    = 1. / 2
 	peerSocketShare      = 1. / 8
@@ -96,7 +100,8 @@
 	others := min(max(int(sockets*otherPortSocketShare), minConnections), maxOthers)
 	l := Limits{
 		BodyBytes: bodyBytes, HeldBytes: max(int64(float64(memory)*bodyShare), 2*bodyBytes), HeaderBytes: headerBytes,
-		Callers: max(int(callers), minConnections), Peers: max(int(sockets*peerSocketShare), minConnections),
+		AnswerBytes: int64(float64(memory) * answerShare),
+		Callers:     max(int(callers), minConnections), Peers: max(int(sockets*peerSocketShare), minConnections),
 		Operators: others, HealthChecks: others, DrainBytes: drainBytes, ReceiveBytes: receive, PeerReceiveBytes: peerBytes,
 		HeaderTimeout: headerTimeout, BodyTimeout: bodyTimeout, IdleTimeout: idleTimeout, WriteTimeout: writeTimeout,
 	}
--- a/node/settings/settings.go
+++ b/node/settings/settings.go
@@ -63,7 +63,7 @@
 	IdleSeconds    int `json:"idle_seconds,omitempty" doc:"Time after which an unused caller connection is closed." unit:"s" default:"75"`
 	QueuedRequests int `json:"queued_requests,omitempty" doc:"Requests that may wait for one pool." unit:"requests" default:"20000"`
 	NoticeSeconds  int `json:"notice_seconds,omitempty" doc:"Time that a stopping node still takes requests, so that the balancer notices." unit:"s" default:"5"`
-	MemoryMB       int `json:"memory_mb,omitempty" doc:"Memory of the VM. An eighth is for request bodies, three eighths bound the callers' connections at 152 KB each (56 KB below 1024 MB)." unit:"MB" default:"4096"`
+	MemoryMB       int `json:"memory_mb,omitempty" doc:"Memory of the VM. An eighth is for request bodies, an eighth for answers that wait for their callers (further ones are streamed), a sixteenth (32 MB at most) for answers retained for duplicates; three eighths bound the callers' connections at 152 KB each (56 KB below 1024 MB)." unit:"MB" default:"4096"`
 	Descriptors    int `json:"descriptors,omitempty" doc:"File descriptors of the process. Beside 200 for files, half bounds the callers' connections, an eighth those of other nodes, a thirty-second (64 at most) those of administration." unit:"descriptors" default:"65536"`
 	StopSeconds    int `json:"stop_seconds,omitempty" doc:"Time that a graceful stop may take." unit:"s" default:"120"`
 }
--- a/soak/crowdclients_test.go
+++ b/soak/crowdclients_test.go
@@ -58,11 +58,18 @@
 	require.NoError(t, err)
 	t.Cleanup(c.Close)
 	cr := &crowd{Cluster: c, target: c.nodes[0]}
+	cr.measure(t)
+	return cr
+}
+
+// measure measures what the nodes use until stop is called.
+func (c *crowd) measure(t *testing.T) {
+	t.Helper()
 	for _, n := range c.nodes {
 		u := &usage{node: n, ports: portsOf(n.front, n.ready, n.peer, n.operator)}
 		u.sample()
 		t.Logf("%s before: %s", n.name, u)
-		cr.usages = append(cr.usages, u)
+		c.usages = append(c.usages, u)
 	}
 	done, stopped := make(chan struct{}), make(chan struct{})
 	go func() {
@@ -72,15 +79,14 @@
 			case <-done:
 				return
 			case <-time.After(sampleInterval):
-				for _, u := range cr.usages {
+				for _, u := range c.usages {
 					u.sample()
 				}
 			}
 		}
 	}()
-	cr.stop = sync.OnceFunc(func() { close(done); <-stopped })
-	t.Cleanup(cr.stop)
-	return cr
+	c.stop = sync.OnceFunc(func() { close(done); <-stopped })
+	t.Cleanup(c.stop)
 }
 
 const (
@@ -144,12 +150,18 @@
 	defer client.Close()
 	const id = "00000000000000aa"
 	answered := client.submitUntilAccepted(t.Context(), queues[0], id, NewJob(time.Millisecond, 0, 1))
-	c.stop()
 	assert.True(t, answered, "an ordinary job got no answer")
+	c.checkUsage(t)
+}
+
+// checkUsage checks what the nodes have used.
+func (c *crowd) checkUsage(t *testing.T) {
+	t.Helper()
+	c.stop()
 	for _, u := range c.usages {
 		t.Logf("%s after: %s", u.node.name, u)
 		assert.False(t, u.node.current().hasExited(), "the process of %s ended", u.node.name)
-		assert.LessOrEqual(t, u.bytes, int64(crowdMemoryMB)<<20, "memory and unread bytes of %s", u.node.name)
+		assert.LessOrEqual(t, u.bytes, int64(c.options.MemoryMB)<<20, "memory and unread bytes of %s", u.node.name)
 		assert.LessOrEqual(t, u.descriptors, c.options.MaxFDs, "open descriptors of %s", u.node.name)
 	}
 }
@@ -225,7 +237,10 @@
 func portsOf(addresses ...string) map[string]bool {
 	ports := map[string]bool{}
 	for _, a := range addresses {
-		_, text, _ := net.SplitHostPort(a)
+		_, text, err := net.SplitHostPort(a)
+		if err != nil {
+			continue
+		}
 		n, _ := strconv.Atoi(text)
 		ports[fmt.Sprintf("%04X", n)] = true
 	}
--- a/soak/crowdnodes_test.go
+++ b/soak/crowdnodes_test.go
@@ -33,8 +33,7 @@
 func series(next func(c *caller)) func(conn net.Conn) {
 	until := time.Now().Add(seriesTime)
 	return func(conn net.Conn) {
-		_ = conn.SetDeadline(until)
-		c := &caller{conn, bufio.NewReader(conn), until}
+		c := newCaller(conn, until)
 		for time.Now().Before(until) {
 			next(c)
 		}
@@ -42,6 +41,14 @@
 	}
 }
 
+// newCaller returns a client that goes on until a time, or without end.
+func newCaller(conn net.Conn, until time.Time) *caller {
+	if !until.IsZero() {
+		_ = conn.SetDeadline(until)
+	}
+	return &caller{conn, bufio.NewReader(conn), until}
+}
+
 // call sends a request and returns the status of the answer, or 0 without one.
 func (c *caller) call(request string) int {
 	if writeText(c, request) {
