--- a/soak/crowdclients_test.go
+++ b/soak/crowdclients_test.go
@@ -45,16 +45,19 @@
 func startCrowdCluster(t *testing.T) *crowd { return startCrowdNodes(t, 1) }
 
 // startCrowdNodes starts nodes with low limits and measures what they use.
-func startCrowdNodes(t *testing.T, nodes int) *crowd { return startCrowdVMs(t, nodes, crowdMaxFDs) }
+func startCrowdNodes(t *testing.T, nodes int) *crowd {
+	t.Helper()
+	return startCrowdVMs(t, nodes, crowdMemoryMB, crowdMaxFDs)
+}
 
-// startCrowdVMs is startCrowdNodes with another limit of descriptors.
-func startCrowdVMs(t *testing.T, nodes, maxFDs int) *crowd {
+// startCrowdVMs is startCrowdNodes with other limits.
+func startCrowdVMs(t *testing.T, nodes, memoryMB, maxFDs int) *crowd {
 	t.Helper()
 	if os.Getenv(crowdTestVariable) == "" {
 		t.Skipf("set %s=1 to run it, with nothing beside it", crowdTestVariable)
 	}
 	t.Setenv("WIGEONWINCH_OPERATOR_TOKEN", operatorToken)
-	c, err := StartCluster(Options{Program: program, Dir: logsOf(t), Seed: 1, Nodes: nodes, Workers: 2, MemoryMB: crowdMemoryMB, MaxFDs: maxFDs})
+	c, err := StartCluster(Options{Program: program, Dir: logsOf(t), Seed: 1, Nodes: nodes, Workers: 2, MemoryMB: memoryMB, MaxFDs: maxFDs})
 	require.NoError(t, err)
 	t.Cleanup(c.Close)
 	cr := &crowd{Cluster: c, target: c.nodes[0]}
--- a/soak/crowdnodes_test.go
+++ b/soak/crowdnodes_test.go
@@ -189,6 +189,22 @@
 	c.check(t)
 }
 
+// The owner stands still while a crowd hands in jobs, loses its queues and goes on amid what
+// has come in meanwhile.
+func TestCrowdDuringFreezes(t *testing.T) {
+	c := startCrowdNodes(t, crowdNodes)
+	c.disturb(t, func() {
+		for range 2 {
+			time.Sleep(seriesTime / 6)
+			thaw := c.node(c.judge.Owner(queues[0].service)).Freeze()
+			time.Sleep(seriesTime / 4)
+			thaw()
+		}
+	})
+	c.sendToAll(t, crowdSize, mixedSeries())
+	c.check(t)
+}
+
 // All nodes end in turn, as in a release, while a crowd hands in jobs.
 func TestCrowdDuringShutdowns(t *testing.T) {
 	c := startCrowdNodes(t, crowdNodes)
@@ -326,3 +342,40 @@
 	c.sendToAll(t, crowdSize, series(func(c *caller) { c.call(post(path(), len(body)) + body) }))
 	c.check(t)
 }
+
+// The smallest VM of the users' deployments, with as many clients as it has connections for,
+// and more.
+func TestCrowdOnSmallestVMs(t *testing.T) {
+	c := startCrowdVMs(t, crowdNodes, smallestMemoryMB, commonMaxFDs)
+	path, large := newPaths(), largestJob()
+	pipelined, slow := strings.Repeat(bodiless("GET", queues[0].path), 2000), strings.Repeat(" ", 60_000)
+	var kinds atomic.Int64
+	c.sendToAll(t, smallestVMClients, series(func(c *caller) {
+		p := path()
+		switch kinds.Add(1) % 5 {
+		case 0:
+			c.call(post(p, len(large)) + large)
+		case 1:
+			writeText(c, pipelined)
+			c.reconnect()
+		case 2:
+			writeText(c, post(p, len(slow)+shortOf)+slow)
+			time.Sleep(strangerPause)
+			c.reconnect()
+		case 3:
+			writeText(c, unfinishedHeader(15<<10))
+			time.Sleep(strangerPause)
+			c.reconnect()
+		default:
+			c.call(post(p, len(smallJob)) + smallJob)
+			c.call(bodiless("DELETE", p))
+		}
+	}))
+	c.check(t)
+}
+
+const (
+	// smallestMemoryMB is the memory of the smallest VM of the users' deployments.
+	smallestMemoryMB  = 160
+	smallestVMClients = 3600
+)
--- a/soak/crowdpeers_test.go
+++ b/soak/crowdpeers_test.go
@@ -33,7 +33,7 @@
 
 // First messages as long as any message may be that stop just short of their end.
 func TestCrowdOfLongHellos(t *testing.T) {
-	c := startCrowdVMs(t, crowdNodes, commonMaxFDs)
+	c := startCrowdVMs(t, crowdNodes, crowdMemoryMB, commonMaxFDs)
 	hello := upgrade + binaryFrame(peerFrameBytes) + strings.Repeat("x", peerFrameBytes-shortOf)
 	c.sendTo(t, c.peerPorts(), silentCrowdSize, series(func(c *caller) {
 		writeText(c, hello)
@@ -45,7 +45,7 @@
 // WebSockets that say nothing. A node that starts amid them connects to the others, as
 // without that it can't pass on what its callers want.
 func TestCrowdOfSilentWebSockets(t *testing.T) {
-	c := startCrowdVMs(t, crowdNodes, commonMaxFDs)
+	c := startCrowdVMs(t, crowdNodes, crowdMemoryMB, commonMaxFDs)
 	owner := c.judge.Owner(queues[0].service)
 	c.disturb(t, func() {
 		time.Sleep(seriesTime / 4)
