Let only accepted jobs take of the pace

While a shard has many final jobs, submissions that are refused for other reasons took of what it may accept, so that a crowd of jobs that no worker can hold would keep out the others. The pace is asked last. Found by reading the diff; TestSettledJobsAreBounded asks through checkAdmission now.

--- a/jobs/shard/state.go
+++ b/jobs/shard/state.go
@@ -45,13 +45,10 @@
 			missing = max(missing, c.stateBytes-settled+stateBytes(s)-c.stateRoom/2)
 		}
 	}
-	if missing > 0 {
-		return Reply{Reason: "owner_memory_full", RetryAfterMS: max(admit.UnavailableRetryMS, c.settledRoomMS(missing))}, true
+	if missing <= 0 {
+		return Reply{}, false
 	}
-	if !c.takePace() {
-		return Reply{Reason: "too_many_final_jobs", RetryAfterMS: admit.UnavailableRetryMS}, true
-	}
-	return Reply{}, false
+	return Reply{Reason: "owner_memory_full", RetryAfterMS: max(admit.UnavailableRetryMS, c.settledRoomMS(missing))}, true
 }
 
 // usesHalfRoom reports whether a job may only take up room in the half that is not kept for
--- a/jobs/shard/state_test.go
+++ b/jobs/shard/state_test.go
@@ -169,20 +169,26 @@
 	}
 	// Far more are handed in than can be kept.
 	id, began := many, h.now
+	queue := h.core.queues["q"]
+	refused := func() (Reply, bool) {
+		j := h.core.newJob(testJob(id, smallStep(1)), queue, h.now)
+		j.spec.Steps[0].EstimateMS = 0
+		return h.core.checkAdmission(j, queue)
+	}
 	for range 3 * h.core.keepFinalMS() / 1_000 {
 		h.step(1_000)
 		h.core.TakeOrders()
 		for range 1_000 {
-			if _, refused := h.core.checkStateRoom(&spec.Job{}); refused {
+			if _, refused := refused(); refused {
 				break
 			}
 			settle(id, spec.Completed)
 			id++
 		}
 		require.LessOrEqual(t, len(h.core.settled.jobs), maxSettledJobs+1_000)
-		refusal, refused := h.core.checkStateRoom(&spec.Job{})
-		if refused {
+		if refusal, refused := refused(); refused {
 			assert.LessOrEqual(t, refusal.RetryAfterMS, int64(1_000))
+			assert.Equal(t, "too_many_final_jobs", refusal.Reason)
 		}
 		if age := h.now - began; age > minCancelledKeepMS && age < h.core.keepFinalMS() {
 			require.False(t, h.core.JobStatus(testJob(1).ID).Known, "a cancelled job")
--- a/jobs/shard/submit.go
+++ b/jobs/shard/submit.go
@@ -119,6 +119,18 @@
 
 // checkAdmission decides whether a job is refused before it is stored.
 func (c *Core) checkAdmission(j *job, q Queue) (Reply, bool) {
+	if refusal, refused := c.checkPlace(j, q); refused {
+		return refusal, true
+	}
+	if !c.takePace() {
+		return Reply{Reason: "too_many_final_jobs", RetryAfterMS: admit.UnavailableRetryMS}, true
+	}
+	return Reply{}, false
+}
+
+// checkPlace refuses a job for which there is no place in the store, in the owner's memory
+// or in its pool.
+func (c *Core) checkPlace(j *job, q Queue) (Reply, bool) {
 	if c.storeDown {
 		return Reply{Reason: "store_away", RetryAfterMS: admit.UnavailableRetryMS}, true
 	}
