Count what meets a bound, and let shutdown crowds see a hang

Cause: forwarded requests that were not begun, orders that were not sent and answers streamed for want of room had no counter; the crowd amid shutdowns killed a process that did not end and did not tell.

Change: wigeonwinch_bounds_met by reason, with refused jobs; a log line for forwarded requests, 20 a second at most; reason `answers` at the gate.

The packages changed pass.

--- a/jobs/shard/core.go
+++ b/jobs/shard/core.go
@@ -389,14 +389,3 @@
 // sortedKeys returns the keys in a fixed order, so that the same events always
 // lead to the same decisions.
 func sortedKeys[K cmp.Ordered, V any](m map[K]V) []K { return slices.Sorted(maps.Keys(m)) }
-
-// sortedWorkers lists the workers by ID. Callers must not modify the list.
-func (c *Core) sortedWorkers() []*worker {
-	if c.workersByID == nil {
-		c.workersByID = make([]*worker, 0, len(c.workers))
-		for _, id := range sortedKeys(c.workers) {
-			c.workersByID = append(c.workersByID, c.workers[id])
-		}
-	}
-	return c.workersByID
-}
--- a/jobs/shard/worker.go
+++ b/jobs/shard/worker.go
@@ -305,3 +305,14 @@
 		}
 	}
 }
+
+// sortedWorkers lists the workers by ID. Callers must not modify the list.
+func (c *Core) sortedWorkers() []*worker {
+	if c.workersByID == nil {
+		c.workersByID = make([]*worker, 0, len(c.workers))
+		for _, id := range sortedKeys(c.workers) {
+			c.workersByID = append(c.workersByID, c.workers[id])
+		}
+	}
+	return c.workersByID
+}
--- a/node/intake/answers.go
+++ b/node/intake/answers.go
@@ -25,6 +25,7 @@
 	}
 	if held := h.gate.answers.Add(int64(n)); held > h.gate.limits.AnswerBytes {
 		h.gate.answers.Add(-int64(n))
+		h.gate.count(ReasonAnswers, "")
 		return false
 	}
 	h.bytes.Add(int64(n))
--- a/node/intake/gate.go
+++ b/node/intake/gate.go
@@ -18,9 +18,11 @@
 	ReasonConnections   = "connections"
 	ReasonMadeRoom      = "made_room"
 	ReasonUnreadAnswers = "unread_answers"
+	// ReasonAnswers counts answers that are streamed for want of room.
+	ReasonAnswers = "answers"
 )
 
-var reasons = []string{ReasonTooLong, ReasonCutOff, ReasonTooSlow, ReasonNoRoom, ReasonHeader, ReasonConnections, ReasonMadeRoom, ReasonUnreadAnswers}
+var reasons = []string{ReasonTooLong, ReasonCutOff, ReasonTooSlow, ReasonNoRoom, ReasonHeader, ReasonConnections, ReasonMadeRoom, ReasonUnreadAnswers, ReasonAnswers}
 
 // Gate is the budget of a process for its clients. Its methods are safe for concurrent
 // use.
--- a/node/jobhost/forwardbudget.go
+++ b/node/jobhost/forwardbudget.go
@@ -11,6 +11,12 @@
 	forwardedFactor = 4
 )
 
+// The reasons, beside those for which jobs are refused, in the metric of bounds that are met.
+const (
+	reasonForwarded = "forwarded"
+	reasonOrders    = "orders"
+)
+
 // forwardBudget bounds what the requests take up that other nodes forward to this one. It is
 // safe for concurrent use.
 type forwardBudget struct {
--- a/node/jobhost/messages.go
+++ b/node/jobhost/messages.go
@@ -36,9 +36,12 @@
 	h.mesh.Handle(methodRoom, h.serveRoom)
 }
 
-func (h *Host) serveRequest(ctx context.Context, _ string, body []byte) ([]byte, error) {
+func (h *Host) serveRequest(ctx context.Context, from string, body []byte) ([]byte, error) {
 	release := h.forwarded.take(len(body))
 	if release == nil {
+		if h.stats.bounds.count(reasonForwarded, monotonicMS()) {
+			h.record(events.PeerMessageRefused, events.Fields{Peer: from, Detail: "too many forwarded requests"})
+		}
 		return nil, peer.ErrBusy
 	}
 	defer release()
--- a/node/jobhost/metrics.go
+++ b/node/jobhost/metrics.go
@@ -39,6 +39,9 @@
 	for reason, n := range h.stats.refusals.snapshot() {
 		r[telemetry.MetricAccessRefusals] = append(r[telemetry.MetricAccessRefusals], telemetry.Reading{Labels: label("reason", reason), Value: float64(n)})
 	}
+	for reason, n := range h.stats.bounds.snapshot() {
+		r[telemetry.MetricBoundsMet] = append(r[telemetry.MetricBoundsMet], telemetry.Reading{Labels: label("reason", reason), Value: float64(n)})
+	}
 	return r
 }
 
--- a/node/jobhost/relayserve.go
+++ b/node/jobhost/relayserve.go
@@ -67,7 +67,10 @@
 	r.host.orders.add(o.Worker, workerOrder{
 		deadline: time.Now().Add(orderTimeout),
 		send:     func() { r.execute(owner, receivedAt, o) },
-		drop:     func() { r.addResult(owner, o.unsent()) },
+		drop: func() {
+			r.host.stats.bounds.count(reasonOrders, monotonicMS())
+			r.addResult(owner, o.unsent())
+		},
 	})
 }
 
--- a/node/jobhost/shardrun.go
+++ b/node/jobhost/shardrun.go
@@ -234,7 +234,11 @@
 // queueOrder queues an order of a shard for a worker.
 func (h *Host) queueOrder(s *ownedShard, worker string, send func(ctx context.Context), drop func()) {
 	deadline := time.Now().Add(orderTimeout)
-	h.orders.add(worker, workerOrder{deadline: deadline, drop: drop, send: func() {
+	unsent := func() {
+		h.stats.bounds.count(reasonOrders, monotonicMS())
+		drop()
+	}
+	h.orders.add(worker, workerOrder{deadline: deadline, drop: unsent, send: func() {
 		ctx, cancel := context.WithDeadline(s.ctx, deadline)
 		defer cancel()
 		send(ctx)
@@ -262,6 +266,9 @@
 	if shard.WorkerGone(e) {
 		h.stats.countLostRun(e.Outcome)
 	}
+	if e.Name == shard.EventRefused {
+		h.stats.bounds.count(e.Outcome, monotonicMS())
+	}
 	if e.Name == shard.EventGivenUp {
 		h.stats.tasksGivenUp.Add(1)
 	}
--- a/node/jobhost/stats.go
+++ b/node/jobhost/stats.go
@@ -20,6 +20,8 @@
 	appendLatency, requestLatency *telemetry.Histogram
 
 	refusals refusalCount
+	// bounds counts by reason what met a bound of this node.
+	bounds refusalCount
 
 	mu       sync.Mutex
 	requests map[requestLabel]int64
--- a/node/telemetry/jobinstruments.go
+++ b/node/telemetry/jobinstruments.go
@@ -24,7 +24,9 @@
 	MetricCustomerWaiting = "wigeonwinch_customer_waiting_jobs"
 	MetricCustomerRefused = "wigeonwinch_customer_refused"
 	// MetricAccessRefusals has five reasons at most; it has no label for customers.
-	MetricAccessRefusals   = "wigeonwinch_access_refusals"
+	MetricAccessRefusals = "wigeonwinch_access_refusals"
+	// MetricBoundsMet has the reasons for which jobs are refused, and two more.
+	MetricBoundsMet        = "wigeonwinch_bounds_met"
 	MetricRunTimeFactor    = "wigeonwinch_run_time_factor"
 	MetricRunTimeHistories = "wigeonwinch_run_time_histories"
 )
@@ -41,6 +43,7 @@
 		{MetricRelayedOrders, "", "counter", "result", "Orders for workers that this node sent through relays: answered, or given up.", "given_up is more than 1 % over 5 minutes: look for relay_suspended in the log"},
 		{MetricShardsOwned, "", "gauge", "", "Shards that this node owns.", "the sum over all nodes is not the number of pools and one for a minute"},
 		{MetricAccessRefusals, "", "counter", "reason", "Calls refused because of their key, or because the job is another customer's.", "key_unknown or key_removed grows: look for access_refused in the log"},
+		{MetricBoundsMet, "", "counter", "reason", "Jobs refused by this node's shards, forwarded requests that it did not begin (forwarded) and orders that it could not send in time (orders), by reason.", "owner_memory_full, too_many_final_jobs, forwarded or orders grows for 5 minutes: docs/OPERATIONS.md, Crowds"},
 		{MetricRoomExchanges, "", "counter", "", "Exchanges of this node's shards with the node that hands out the room below the customers' caps.", ""},
 		{MetricCustomerRunning, "", "gauge", "customer", "CPU of a customer's tasks on this node's shards, in milli-CPU; the 24 customers with the most, and `_other`.", ""},
 		{MetricCustomerWaiting, "", "gauge", "customer", "A customer's jobs with tasks that wait on this node's shards.", ""},
@@ -56,7 +59,7 @@
 func ClientInstruments() []Instrument {
 	return []Instrument{
 		{MetricHeldBytes, "By", "gauge", "part", "Bytes held for bodies and long headers: small are the first bytes of each body, large the rest.", "large stays at its bound for a minute"},
-		{MetricClientsLetGo, "", "counter", "reason", "Clients refused or let go, by reason.", "grows for 5 minutes: docs/OPERATIONS.md, Crowds"},
+		{MetricClientsLetGo, "", "counter", "reason", "Clients refused or let go, and answers streamed for want of room, by reason.", "grows for 5 minutes: docs/OPERATIONS.md, Crowds"},
 		{MetricClientConnections, "", "gauge", "port", "Open connections of clients.", "at its bound for a minute"},
 	}
 }
--- a/soak/crowddisturbed_test.go
+++ b/soak/crowddisturbed_test.go
@@ -5,6 +5,8 @@
 	"sync/atomic"
 	"testing"
 	"time"
+
+	"github.com/stretchr/testify/assert"
 )
 
 // Crowds amid what else may happen to the nodes.
@@ -17,6 +19,7 @@
 		for range 2 {
 			time.Sleep(seriesTime / 4)
 			owner := c.node(c.judge.Owner(queues[0].service))
+			assert.False(t, owner.current().hasExited(), "the process of %s ended", owner.name)
 			owner.Kill()
 			time.Sleep(time.Second)
 			if err := owner.Start(); err != nil {
@@ -49,7 +52,8 @@
 	c := startCrowdNodes(t, crowdNodes)
 	c.disturb(t, func() {
 		for _, n := range c.nodes {
-			n.Terminate()
+			assert.False(t, n.current().hasExited(), "the process of %s ended", n.name)
+			assert.True(t, n.Terminate(), "%s hangs", n.name)
 			if err := n.Start(); err != nil {
 				t.Error(err)
 			}
--- a/soak/node.go
+++ b/soak/node.go
@@ -117,18 +117,21 @@
 	n.record.Printf("node %s: killed", n.name)
 }
 
-// Terminate asks the process to end and kills it after the grace period.
-func (n *Node) Terminate() {
+// Terminate asks the process to end and kills it after the grace period. It reports whether
+// the process ended by itself.
+func (n *Node) Terminate() (inTime bool) {
 	p := n.current()
 	_ = p.cmd.Process.Signal(syscall.SIGTERM)
 	n.record.Printf("node %s: SIGTERM", n.name)
 	select {
 	case <-p.exited:
+		inTime = true
 	case <-time.After(graceS * time.Second):
 		_ = p.cmd.Process.Kill()
 		<-p.exited
 	}
 	n.record.Printf("node %s: ended", n.name)
+	return inTime
 }
 
 // close ends the process for good.
