--- a/review/standin3/cluster.go
+++ b/review/standin3/cluster.go
@@ -77,6 +77,7 @@
 	}
 	c := &cluster{record: rec, program: program, dir: dir, store: newStore(), services: services}
 	c.judge = newJudge(c)
+	c.store.c = c
 	c.cloud = serve(http.HandlerFunc(c.serveCloud))
 	address := serve(c.store)
 	for _, s := range services {
--- a/review/standin3/foreign.go
+++ b/review/standin3/foreign.go
@@ -29,7 +29,7 @@
 	// A long calm stretch before the disruption.
 	time.Sleep(8 * time.Second)
 	if trouble {
-		c.writeForeignEntry(id)
+		c.writeForeignEntry()
 	}
 	time.Sleep(12 * time.Second)
 	rec.printf("%d breaks of AVAIL", len(c.judge.violations))
@@ -57,19 +57,19 @@
 	fail("the tasks that last were not all at work within 30 s")
 }
 
-// writeForeignEntry replaces the entry of the worker with most of the job's tasks.
-func (c *cluster) writeForeignEntry(id string) {
+// writeForeignEntry replaces the entry of the worker with most tasks.
+func (c *cluster) writeForeignEntry() {
 	var target *worker
 	most := 0
 	for _, w := range c.workers() {
 		w.mu.Lock()
-		if n := len(w.runs); n > most {
+		if n := len(w.runs); n > most && w.service != "fire-desk" {
 			target, most = w, n
 		}
 		w.mu.Unlock()
 	}
 	if target == nil {
-		fail("no worker runs a task of %s", id)
+		fail("no worker runs a task")
 	}
 	name := ""
 	for i := 0; name == "" || shardOf(name) != shardOf("fire-desk"); i++ {
--- a/review/standin3/judge.go
+++ b/review/standin3/judge.go
@@ -1,6 +1,8 @@
 package main
 
 import (
+	"fmt"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -15,9 +17,11 @@
 	ends   map[string][]endSeen
 	// away holds the lasting tasks that are not at work, since when and why.
 	away map[string]awayTask
-	// violations are breaks of AVAIL, by the job's ID.
-	violations []string
-	mayMiss    map[string]int
+	// violations are breaks of AVAIL, twice those of TWICE.
+	violations, twice []string
+	mayMiss           map[string]int
+	// running lists the runs of each task that are on a worker.
+	running map[string][]startSeen
 }
 
 type startSeen struct {
@@ -32,6 +36,8 @@
 	worker string
 	run    int
 	how    string
+	// noted reports that the end was taken note of.
+	noted bool
 }
 
 type awayTask struct {
@@ -40,7 +46,7 @@
 }
 
 func newJudge(c *cluster) *judge {
-	return &judge{c: c, starts: map[string][]startSeen{}, ends: map[string][]endSeen{}, away: map[string]awayTask{}, mayMiss: map[string]int{}}
+	return &judge{c: c, starts: map[string][]startSeen{}, ends: map[string][]endSeen{}, away: map[string]awayTask{}, mayMiss: map[string]int{}, running: map[string][]startSeen{}}
 }
 
 // stepOf returns ID.K.STEP of the task ID.K.STEP.INDEX.
@@ -50,7 +56,17 @@
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	j.c.record.printf("worker %s (%s): starts %s run %d, token %d", w.id, w.service, r.task, r.number, o.Token)
-	j.starts[r.task] = append(j.starts[r.task], startSeen{time.Now(), w.id, r.number, o.Token})
+	seen := startSeen{time.Now(), w.id, r.number, o.Token}
+	for _, other := range j.running[r.task] {
+		j.breakTwice("%s: run %d starts on %s while run %d is on %s", r.task, r.number, w.id, other.run, other.worker)
+	}
+	for _, e := range j.ends[r.task] {
+		if e.how == "done" && e.noted {
+			j.breakTwice("%s: run %d starts on %s after run %d ended done on %s, which was taken note of", r.task, r.number, w.id, e.run, e.worker)
+		}
+	}
+	j.starts[r.task] = append(j.starts[r.task], seen)
+	j.running[r.task] = append(j.running[r.task], seen)
 	if !r.lasts {
 		return
 	}
@@ -73,7 +89,8 @@
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	j.c.record.printf("worker %s (%s): %s run %d ends %s", w.id, w.service, r.task, r.number, how)
-	j.ends[r.task] = append(j.ends[r.task], endSeen{time.Now(), w.id, r.number, how})
+	j.ends[r.task] = append(j.ends[r.task], endSeen{at: time.Now(), worker: w.id, run: r.number, how: how})
+	j.running[r.task] = slices.DeleteFunc(j.running[r.task], func(s startSeen) bool { return s.worker == w.id && s.run == r.number })
 	if !r.lasts {
 		return
 	}
@@ -96,3 +113,28 @@
 		j.away[r.task] = awayTask{since: time.Now(), ordered: how == "stopped"}
 	}
 }
+
+// endNoted notes that acked_upto has reached an end, as TWICE has it.
+func (j *judge) endNoted(w *worker, e endedRun, token int64) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	for i, end := range j.ends[e.task] {
+		if end.worker != w.id || end.run != e.run || end.how != "done" {
+			continue
+		}
+		j.ends[e.task][i].noted = true
+		j.c.record.printf("worker %s: the end done of %s run %d is taken note of, token %d", w.id, e.task, e.run, token)
+		for _, s := range j.starts[e.task] {
+			if s.run > e.run && s.at.After(end.at) {
+				j.breakTwice("%s: run %d has started on %s after run %d ended done on %s, which is taken note of now", e.task, s.run, s.worker, e.run, w.id)
+			}
+		}
+	}
+}
+
+// breakTwice notes a break of TWICE. The caller holds the lock.
+func (j *judge) breakTwice(format string, args ...any) {
+	text := fmt.Sprintf(format, args...)
+	j.c.record.printf("TWICE: %s", text)
+	j.twice = append(j.twice, text)
+}
--- a/review/standin3/store.go
+++ b/review/standin3/store.go
@@ -22,6 +22,10 @@
 	storeAppendTime  = 2 * time.Millisecond
 	storeAnswerTime  = 2 * time.Millisecond
 	rememberedAppend = 5
+	// A partition takes in partBytesPerS and keeps partBytes at most, the store totalBytes.
+	partBytesPerS = 20_000_000
+	partBytes     = 200 << 20
+	totalBytes    = 400 << 20
 )
 
 const (
@@ -34,12 +38,16 @@
 type store struct {
 	mu    sync.Mutex
 	parts map[string]*partition
+	// full reports whether the last append found the store full.
+	full bool
+	c    *cluster
 }
 
 type partition struct {
 	appending sync.Mutex
 	first     int64
 	records   []storedRecord
+	bytes     int
 	newest    map[string]newestRecord
 	changed   chan struct{}
 	// The state of the only producer name.
@@ -105,15 +113,37 @@
 			}
 		}
 		p.records = append(p.records, storedRecord{r, now})
+		p.bytes += len(r)
 	}
+	p.expire(now)
+	close(p.changed)
+	p.changed = make(chan struct{})
+}
+
+// expire drops the oldest records. The caller holds the lock.
+func (p *partition) expire(now time.Time) {
 	expired := 0
-	for expired < len(p.records) && now.Sub(p.records[expired].at) > storeKeep {
+	for expired < len(p.records) && (now.Sub(p.records[expired].at) > storeKeep || p.bytes > partBytes) {
+		p.bytes -= len(p.records[expired].data)
+		p.records[expired].data = nil
 		expired++
 	}
-	p.records = slices.Clone(p.records[expired:])
+	p.records = p.records[expired:]
 	p.first += int64(expired)
-	close(p.changed)
-	p.changed = make(chan struct{})
+}
+
+// isFull reports whether the store holds all that it may. The caller holds the lock.
+func (s *store) isFull() bool {
+	total := 0
+	for _, p := range s.parts {
+		p.expire(time.Now())
+		total += p.bytes
+	}
+	if full := total >= totalBytes; full != s.full {
+		s.full = full
+		s.c.record.printf("store: %d MB are stored, full %v", total>>20, full)
+	}
+	return s.full
 }
 
 func (s *store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
@@ -159,6 +189,7 @@
 		answerJSON(w, http.StatusForbidden, struct{}{})
 		return
 	}
+	size := len(body)
 	var records [][]byte
 	for len(body) > 0 {
 		if len(body) < 4 || int(binary.BigEndian.Uint32(body)) > len(body)-4 {
@@ -173,8 +204,14 @@
 	p := s.partition(topic, q.Get("part"))
 	s.mu.Unlock()
 	p.appending.Lock()
-	time.Sleep(storeAppendTime)
+	time.Sleep(storeAppendTime + time.Duration(size)*time.Second/partBytesPerS)
 	s.mu.Lock()
+	if s.isFull() {
+		s.mu.Unlock()
+		p.appending.Unlock()
+		answerJSON(w, http.StatusInsufficientStorage, struct{}{})
+		return
+	}
 	status, answer := p.append(r, strings.HasPrefix(topic, "keyed."), records)
 	s.mu.Unlock()
 	p.appending.Unlock()
--- a/review/standin3/worker.go
+++ b/review/standin3/worker.go
@@ -13,13 +13,15 @@
 
 // Figures of the workers and bounds of the deployment.
 const (
-	heartbeat     = 1500 * time.Millisecond
-	workerCPU     = 16_000
-	workerMemMB   = 65_536
-	maxHoldMS     = 10_000
-	stopGraceMS   = 200
-	startup       = 700 * time.Millisecond
-	stopTime      = 50 * time.Millisecond
+	heartbeat   = 1500 * time.Millisecond
+	workerCPU   = 16_000
+	workerMemMB = 65_536
+	maxHoldMS   = 10_000
+	stopGraceMS = 200
+	startup     = 700 * time.Millisecond
+	stopTime    = 50 * time.Millisecond
+	// linkTime is one way between two zones, as on the site's sheet.
+	linkTime      = 1400 * time.Microsecond
 	firstClockMS  = 1000
 	maxListedEnds = 500
 )
@@ -61,6 +63,8 @@
 	task   string
 	run    int
 	how    string
+	// lapsed reports that the worker's lease lapsed after the end.
+	lapsed bool
 }
 
 func (c *cluster) startWorker(id, machine, service, zone, rack string) *worker {
@@ -158,10 +162,12 @@
 		rw.WriteHeader(http.StatusBadRequest)
 		return
 	}
+	time.Sleep(linkTime)
 	status, body := w.carryOut(r, o)
 	if status == 0 {
 		panic(http.ErrAbortHandler)
 	}
+	time.Sleep(linkTime)
 	answerJSON(rw, status, body)
 }
 
@@ -213,6 +219,9 @@
 		w.lapse.Reset(time.Duration(left)*time.Millisecond + time.Millisecond)
 		return
 	}
+	for i := range w.ended {
+		w.ended[i].lapsed = true
+	}
 	for _, r := range w.runs {
 		w.endRun(r, "lapsed")
 	}
@@ -263,7 +272,7 @@
 	delete(w.runs, r.task)
 	w.highest[r.task] = max(w.highest[r.task], r.number)
 	w.lastEnd++
-	w.ended = append(w.ended, endedRun{w.lastEnd, r.task, r.number, how})
+	w.ended = append(w.ended, endedRun{number: w.lastEnd, task: r.task, run: r.number, how: how})
 	w.c.judge.runEnded(w, r, how)
 	close(w.changed)
 	w.changed = make(chan struct{})
@@ -290,7 +299,12 @@
 	if o.Deadline != 0 {
 		w.extend(o.Deadline)
 	}
-	w.ended = slices.DeleteFunc(w.ended, func(e endedRun) bool { return e.number <= o.Acked })
+	w.ended = slices.DeleteFunc(w.ended, func(e endedRun) bool {
+		if e.number <= o.Acked && !e.lapsed {
+			w.c.judge.endNoted(w, e, o.Token)
+		}
+		return e.number <= o.Acked
+	})
 	timeout := time.NewTimer(time.Duration(min(o.WaitMS, 2000)) * time.Millisecond)
 	defer timeout.Stop()
 	for waiting := o.WaitMS > 0; waiting && len(w.ended) == 0 && !w.ending; {
