--- a/review/standin3/judge.go
+++ b/review/standin3/judge.go
@@ -20,10 +20,15 @@
 	// violations are breaks of AVAIL, twice those of TWICE.
 	violations, twice []string
 	mayMiss           map[string]int
+	// disturbedAt is when the last disruption ended.
+	disturbedAt time.Time
 	// running lists the runs of each task that are on a worker.
 	running map[string][]startSeen
 }
 
+// contactTime is contact_ms.
+const contactTime = 3 * time.Second
+
 type startSeen struct {
 	at     time.Time
 	worker string
@@ -96,7 +101,8 @@
 	}
 	_, wasAway := j.away[r.task]
 	limit, limited := j.mayMiss[stepOf(r.task)]
-	if how == "stopped" && !wasAway && limited {
+	ordered := how == "stopped" || how == "lapsed" && j.calmAt(time.Now())
+	if ordered && !wasAway && limited {
 		others := 0
 		for task, a := range j.away {
 			if stepOf(task) == stepOf(r.task) && (a.ordered || time.Since(a.since) >= noticeMS*time.Millisecond) {
@@ -104,13 +110,13 @@
 			}
 		}
 		if others >= limit {
-			text := w.id + ": a stop ends " + r.task + " at work while others of its step are away"
+			text := w.id + ": " + r.task + " is " + how + " at work while others of its step are away"
 			j.c.record.printf("AVAIL: %s: %d, may_miss %d", text, others, limit)
 			j.violations = append(j.violations, text)
 		}
 	}
 	if !wasAway {
-		j.away[r.task] = awayTask{since: time.Now(), ordered: how == "stopped"}
+		j.away[r.task] = awayTask{since: time.Now(), ordered: ordered}
 	}
 }
 
@@ -138,3 +144,13 @@
 	j.c.record.printf("TWICE: %s", text)
 	j.twice = append(j.twice, text)
 }
+
+// disturbed notes that a disruption is over.
+func (j *judge) disturbed() {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.disturbedAt = time.Now()
+}
+
+// calmAt reports whether no disruption is near. The caller holds the lock.
+func (j *judge) calmAt(now time.Time) bool { return now.Sub(j.disturbedAt) > contactTime }
--- a/review/standin3/worker.go
+++ b/review/standin3/worker.go
@@ -8,6 +8,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -74,7 +75,7 @@
 	}
 	w := &worker{id: id, machine: machine, service: service, zone: zone, rack: rack, address: l.Addr().String(), born: time.Now(), c: c,
 		gone: make(chan struct{}), runs: map[string]*run{}, highest: map[string]int{}, changed: make(chan struct{})}
-	w.gate = &gate{Listener: l, conns: map[net.Conn]bool{}}
+	w.gate = &gate{Listener: l, conns: map[net.Conn]*gatedConn{}}
 	w.lapse = time.AfterFunc(time.Hour, w.checkLease)
 	w.server = &http.Server{Handler: w}
 	go func() { _ = w.server.Serve(w.gate) }()
@@ -351,7 +352,7 @@
 	net.Listener
 	mu    sync.Mutex
 	cut   bool
-	conns map[net.Conn]bool
+	conns map[net.Conn]*gatedConn
 	held  []net.Conn
 }
 
@@ -367,15 +368,44 @@
 			g.mu.Unlock()
 			continue
 		}
-		g.conns[conn] = true
+		gated := &gatedConn{Conn: conn, g: g}
+		g.conns[conn] = gated
 		g.mu.Unlock()
-		return &gatedConn{conn, g}, nil
+		return gated, nil
 	}
 }
 
 type gatedConn struct {
 	net.Conn
 	g *gate
+	// silent reports that nothing passes any more.
+	silent atomic.Bool
+}
+
+func (c *gatedConn) Read(b []byte) (int, error) {
+	for {
+		n, err := c.Conn.Read(b)
+		if err != nil || !c.silent.Load() {
+			return n, err
+		}
+	}
+}
+
+func (c *gatedConn) Write(b []byte) (int, error) {
+	if c.silent.Load() {
+		return len(b), nil
+	}
+	return c.Conn.Write(b)
+}
+
+// silence makes the open connections silent for good, without a reset. New ones work.
+func (g *gate) silence() int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, c := range g.conns {
+		c.silent.Store(true)
+	}
+	return len(g.conns)
 }
 
 func (c *gatedConn) Close() error {
