--- a/review/standin3/store.go
+++ b/review/standin3/store.go
@@ -26,6 +26,8 @@
 	partBytesPerS = 20_000_000
 	partBytes     = 200 << 20
 	totalBytes    = 400 << 20
+	recordBytes   = 262_144
+	callBytes     = 2_097_152
 )
 
 const (
@@ -191,12 +193,22 @@
 	}
 	size := len(body)
 	var records [][]byte
+	if size > callBytes {
+		s.c.record.printf("store: an append of %d bytes to %s is refused", size, topic)
+		answerJSON(w, http.StatusBadRequest, struct{}{})
+		return
+	}
 	for len(body) > 0 {
 		if len(body) < 4 || int(binary.BigEndian.Uint32(body)) > len(body)-4 {
 			answerJSON(w, http.StatusBadRequest, struct{}{})
 			return
 		}
 		n := int(binary.BigEndian.Uint32(body))
+		if n > recordBytes {
+			s.c.record.printf("store: an append to %s is refused, with a record of %d bytes", topic, n)
+			answerJSON(w, http.StatusBadRequest, struct{}{})
+			return
+		}
 		records = append(records, body[4:4+n])
 		body = body[4+n:]
 	}
--- a/review/standin3/worker.go
+++ b/review/standin3/worker.go
@@ -2,6 +2,8 @@
 
 import (
 	"encoding/json"
+	"fmt"
+	"hash/fnv"
 	"net"
 	"net/http"
 	"slices"
@@ -55,8 +57,10 @@
 	startedAt time.Time
 	lasts     bool
 	work      time.Duration
-	timer     *time.Timer
-	stopping  bool
+	// savedBytes is how long the run's checkpoints are; 0 means that it saves none.
+	savedBytes int
+	timer      *time.Timer
+	stopping   bool
 }
 
 type endedRun struct {
@@ -64,6 +68,8 @@
 	task   string
 	run    int
 	how    string
+	// saved is the last checkpoint.
+	saved string
 	// lapsed reports that the worker's lease lapsed after the end.
 	lapsed bool
 }
@@ -242,13 +248,23 @@
 	}
 	w.extend(o.Deadline)
 	r := &run{task: o.Task, number: o.Run, startedAt: time.Now()}
+	vary := time.Duration(0)
 	for _, word := range strings.Fields(o.Spec) {
-		if n, err := strconv.Atoi(strings.TrimPrefix(word, "work_ms=")); err == nil {
+		if n, err := strconv.Atoi(strings.TrimPrefix(word, "work_ms=")); err == nil && strings.HasPrefix(word, "work_ms=") {
 			r.work = time.Duration(n) * time.Millisecond
 		}
+		if n, err := strconv.Atoi(strings.TrimPrefix(word, "saved=")); err == nil && strings.HasPrefix(word, "saved=") {
+			r.savedBytes = n
+		}
+		if n, err := strconv.Atoi(strings.TrimPrefix(word, "vary_ms=")); err == nil && strings.HasPrefix(word, "vary_ms=") {
+			f := fnv.New32a()
+			_, _ = f.Write([]byte(o.Task))
+			vary = time.Duration(int(f.Sum32())%n) * time.Millisecond
+		}
 		r.lasts = r.lasts || word == "lasts"
 	}
 	w.runs[o.Task] = r
+	r.work += vary
 	work := r.work
 	if r.lasts {
 		work = time.Hour
@@ -273,7 +289,7 @@
 	delete(w.runs, r.task)
 	w.highest[r.task] = max(w.highest[r.task], r.number)
 	w.lastEnd++
-	w.ended = append(w.ended, endedRun{number: w.lastEnd, task: r.task, run: r.number, how: how})
+	w.ended = append(w.ended, endedRun{number: w.lastEnd, task: r.task, run: r.number, how: how, saved: r.saved()})
 	w.c.judge.runEnded(w, r, how)
 	close(w.changed)
 	w.changed = make(chan struct{})
@@ -326,10 +342,10 @@
 	}
 	running, ended := [][]any{}, [][]any{}
 	for _, r := range w.runs {
-		running = append(running, []any{r.task, r.number, "", r.percent(), 0})
+		running = append(running, []any{r.task, r.number, r.saved(), r.percent(), 0})
 	}
 	for _, e := range w.ended[:min(len(w.ended), maxListedEnds)] {
-		ended = append(ended, []any{e.number, e.task, e.run, e.how, ""})
+		ended = append(ended, []any{e.number, e.task, e.run, e.how, e.saved})
 	}
 	return http.StatusOK, map[string]any{"clock_ms": w.clock(), "born": w.born.UnixMilli(), "running": running, "ended": ended}
 }
@@ -440,3 +456,16 @@
 		_ = conn.Close()
 	}
 }
+
+// checkpointTime is checkpoint_s.
+const checkpointTime = 2 * time.Second
+
+// saved returns the run's newest checkpoint.
+func (r *run) saved() string {
+	n := int(time.Since(r.startedAt) / checkpointTime)
+	if r.savedBytes == 0 || n == 0 {
+		return ""
+	}
+	name := fmt.Sprintf("%s/%d/%d/", r.task, r.number, n)
+	return (name + strings.Repeat("0", r.savedBytes))[:r.savedBytes]
+}
