--- a/review/14/run.sh
+++ b/review/14/run.sh
@@ -4,4 +4,4 @@
 here=$(cd "$(dirname "$0")" && pwd)
 cd "$here/../.." || exit 2
 [ -x target/wigeonwinchd ] && [ -x target/standin3 ] || { echo "build the project and run review/build-3.sh first" >&2; exit 2; }
-exec target/standin3 --case silent-connections --program target/wigeonwinchd --record "$here/record.txt"
+exec target/standin3 --case silent-connections-done --program target/wigeonwinchd --record "$here/record.txt"
--- a/review/standin3/checkpoints.go
+++ b/review/standin3/checkpoints.go
@@ -12,7 +12,7 @@
 // playLongCheckpoints hands in one job of many tasks whose checkpoints are as long as a path,
 // and small jobs of two steps before and after it. All have to be done in the end.
 func playLongCheckpoints(rec *record, program string) bool {
-	c := newCluster(rec, program, []service{{"survey-desk", "/survey/", 8}})
+	c := newCluster(rec, program, []service{{name: "survey-desk", path: "/survey/", workers: 8}})
 	defer c.close()
 	saved := 200
 	if !trouble {
--- a/review/standin3/cluster.go
+++ b/review/standin3/cluster.go
@@ -29,6 +29,8 @@
 type service struct {
 	name, path string
 	workers    int
+	// special is how many of the workers are of kind "b"; the others are of kind "a".
+	special int
 }
 
 // cluster is the project's program as processes, and the stand-ins that it works with.
@@ -49,8 +51,8 @@
 }
 
 type machine struct {
-	name, pool, zone, rack, state string
-	worker                        *worker
+	name, pool, zone, rack, kind, state string
+	worker                              *worker
 }
 
 type node struct {
@@ -81,9 +83,12 @@
 	c.cloud = serve(http.HandlerFunc(c.serveCloud))
 	address := serve(c.store)
 	for _, s := range services {
-		for range s.workers {
+		for n := range s.workers {
 			i := len(c.machines)
-			m := &machine{name: fmt.Sprintf("m-%02d", i), pool: s.name, zone: zones[i%len(zones)], rack: fmt.Sprintf("r%d", i/4)}
+			m := &machine{name: fmt.Sprintf("m-%02d", i), pool: s.name, zone: zones[i%len(zones)], rack: fmt.Sprintf("r%d", i/4), kind: "a"}
+			if n < s.special {
+				m.kind = "b"
+			}
 			c.machines = append(c.machines, m)
 			c.boot(m)
 		}
@@ -118,7 +123,7 @@
 		return
 	}
 	c.lives++
-	m.worker, m.state = c.startWorker(fmt.Sprintf("i-%04x", c.lives), m.name, m.pool, m.zone, m.rack), "up"
+	m.worker, m.state = c.startWorker(fmt.Sprintf("i-%04x", c.lives), m.name, m.pool, m.zone, m.rack, m.kind), "up"
 }
 
 // findRun returns the worker that a task runs on, and the run.
@@ -154,7 +159,7 @@
 	case "/wigeonwinch/machines":
 		rows := []map[string]any{}
 		for _, m := range c.machines {
-			row := map[string]any{"machine": m.name, "pool": m.pool, "state": m.state, "zone": m.zone, "labels": []string{"a", m.rack},
+			row := map[string]any{"machine": m.name, "pool": m.pool, "state": m.state, "zone": m.zone, "labels": []string{m.kind, m.rack},
 				"capacity": map[string]int{"cpu": workerCPU, "mem_mb": workerMemMB}, "id": ""}
 			if m.worker != nil {
 				row["id"] = m.worker.id
--- a/review/standin3/foreigntwice.go
+++ b/review/standin3/foreigntwice.go
@@ -12,7 +12,7 @@
 // playForeignEntryUnderLoad hands in small jobs all the time. Another writer replaces the
 // entry of a worker from time to time; no task whose end was taken note of may run again.
 func playForeignEntryUnderLoad(rec *record, program string) bool {
-	c := newCluster(rec, program, []service{{"intake", "/lint/", 4}, {"fire-desk", "/fire/", 4}})
+	c := newCluster(rec, program, []service{{name: "intake", path: "/lint/", workers: 4}, {name: "fire-desk", path: "/fire/", workers: 4}})
 	defer c.close()
 	const (
 		jobEvery   = 40 * time.Millisecond
--- a/review/standin3/interval.go
+++ b/review/standin3/interval.go
@@ -10,7 +10,7 @@
 // playLongInterval hands in a job of two occurrences, the second of which is due after an
 // interval that no clock reaches. It must not start.
 func playLongInterval(rec *record, program string) bool {
-	c := newCluster(rec, program, []service{{"intake", "/lint/", 4}})
+	c := newCluster(rec, program, []service{{name: "intake", path: "/lint/", workers: 4}})
 	defer c.close()
 	const id = "5c0e7a21d94b36f8"
 	interval := int64(3_600_000)
--- a/review/standin3/judge.go
+++ b/review/standin3/judge.go
@@ -22,12 +22,19 @@
 	mayMiss           map[string]int
 	// disturbedAt is when the last disruption ended.
 	disturbedAt time.Time
+	// listedCounts reports whether ends count as taken note of once they are listed for
+	// noteTime with no disruption near.
+	listedCounts bool
 	// running lists the runs of each task that are on a worker.
 	running map[string][]startSeen
 }
 
-// contactTime is contact_ms.
-const contactTime = 3 * time.Second
+const (
+	// contactTime is contact_ms.
+	contactTime = 3 * time.Second
+	// noteTime is after which an end that a worker has listed counts as taken note of.
+	noteTime = 100 * time.Millisecond
+)
 
 type startSeen struct {
 	at     time.Time
@@ -96,6 +103,9 @@
 	j.c.record.printf("worker %s (%s): %s run %d ends %s", w.id, w.service, r.task, r.number, how)
 	j.ends[r.task] = append(j.ends[r.task], endSeen{at: time.Now(), worker: w.id, run: r.number, how: how})
 	j.running[r.task] = slices.DeleteFunc(j.running[r.task], func(s startSeen) bool { return s.worker == w.id && s.run == r.number })
+	if j.listedCounts && how == "done" && j.calmAt(time.Now()) {
+		time.AfterFunc(noteTime, func() { w.noteListed(r.task, r.number) })
+	}
 	if !r.lasts {
 		return
 	}
--- a/review/standin3/silent.go
+++ b/review/standin3/silent.go
@@ -7,7 +7,7 @@
 // playSilentConnections makes the open connections to the workers silent for good, once;
 // new ones work. Tasks that last must stay at work, but for may_miss of them.
 func playSilentConnections(rec *record, program string) bool {
-	c := newCluster(rec, program, []service{{"intake", "/lint/", 4}, {"fire-desk", "/fire/", 4}})
+	c := newCluster(rec, program, []service{{name: "intake", path: "/lint/", workers: 4}, {name: "fire-desk", path: "/fire/", workers: 4}})
 	defer c.close()
 	const id, tasks, mayMiss = "5c0e7a21d94b36f8", 8, 1
 	c.judge.mayMiss[id+".0.0"] = mayMiss
--- a/review/standin3/worker.go
+++ b/review/standin3/worker.go
@@ -31,12 +31,12 @@
 
 // worker is one life of a machine.
 type worker struct {
-	id, machine, service, zone, rack, address string
-	born                                      time.Time
-	c                                         *cluster
-	server                                    *http.Server
-	gate                                      *gate
-	gone                                      chan struct{}
+	id, machine, service, zone, rack, kind, address string
+	born                                            time.Time
+	c                                               *cluster
+	server                                          *http.Server
+	gate                                            *gate
+	gone                                            chan struct{}
 
 	mu       sync.Mutex
 	sequence int
@@ -74,12 +74,12 @@
 	lapsed bool
 }
 
-func (c *cluster) startWorker(id, machine, service, zone, rack string) *worker {
+func (c *cluster) startWorker(id, machine, service, zone, rack, kind string) *worker {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		fail("listen for a worker: %v", err)
 	}
-	w := &worker{id: id, machine: machine, service: service, zone: zone, rack: rack, address: l.Addr().String(), born: time.Now(), c: c,
+	w := &worker{id: id, machine: machine, service: service, zone: zone, rack: rack, kind: kind, address: l.Addr().String(), born: time.Now(), c: c,
 		gone: make(chan struct{}), runs: map[string]*run{}, highest: map[string]int{}, changed: make(chan struct{})}
 	w.gate = &gate{Listener: l, conns: map[net.Conn]*gatedConn{}}
 	w.lapse = time.AfterFunc(time.Hour, w.checkLease)
@@ -93,7 +93,7 @@
 func (w *worker) entry() map[string]any {
 	return map[string]any{
 		"service": w.service, "address": w.address, "zone": w.zone, "version": "v1", "slots": 8, "state": "ready", "cold_remaining_ms": 0,
-		"capacity": map[string]int{"cpu": workerCPU, "mem_mb": workerMemMB}, "labels": []string{"a", w.rack},
+		"capacity": map[string]int{"cpu": workerCPU, "mem_mb": workerMemMB}, "labels": []string{w.kind, w.rack},
 		"machine": w.machine, "born": w.born.UnixMilli(), "clock_ms": w.clock(), "sequence": w.sequence,
 	}
 }
@@ -469,3 +469,15 @@
 	name := fmt.Sprintf("%s/%d/%d/", r.task, r.number, n)
 	return (name + strings.Repeat("0", r.savedBytes))[:r.savedBytes]
 }
+
+// noteListed counts an end that is still listed as taken note of, unless the lease has lapsed
+// since.
+func (w *worker) noteListed(task string, number int) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, e := range w.ended {
+		if e.task == task && e.run == number && !e.lapsed {
+			w.c.judge.endNoted(w, e, w.token)
+		}
+	}
+}
