Log whether an unanswered poll used a kept connection

A poll without an answer over a connection that earlier calls had used now has the outcome no_answer_on_kept_connection, also through relays.

--- a/jobs/shard/polls.go
+++ b/jobs/shard/polls.go
@@ -106,7 +106,7 @@
 		return
 	}
 	w.watch.checking = false
-	if reason == PollUnanswered {
+	if reason.unanswered() {
 		c.noteLostCall()
 	}
 	w.pollInFlight = false
--- a/jobs/shard/worker.go
+++ b/jobs/shard/worker.go
@@ -274,16 +274,27 @@
 
 // The kinds of failed polls.
 const (
-	PollUnanswered PollError = "no_answer"
-	PollFenced     PollError = "newer_owner"
-	PollReplaced   PollError = "other_incarnation"
-	PollRefused    PollError = "refused"
+	// PollUnanswered means that no answer came over a new connection,
+	// PollUnansweredKept that none came over one that earlier calls had used.
+	PollUnanswered     PollError = "no_answer"
+	PollUnansweredKept PollError = "no_answer_on_kept_connection"
+	PollFenced         PollError = "newer_owner"
+	PollReplaced       PollError = "other_incarnation"
+	PollRefused        PollError = "refused"
 	// PollConnectionClosed means that the worker ended the connection without an
 	// answer, PollConnectionRejected that no process listens at its address.
 	PollConnectionClosed   PollError = "connection_closed"
 	PollConnectionRejected PollError = "connection_rejected"
 )
 
+// unanswered reports whether the poll ended by its time-out.
+func (e PollError) unanswered() bool { return e == PollUnanswered || e == PollUnansweredKept }
+
+// NoAnswer reports whether the poll got no answer of any kind from the worker.
+func (e PollError) NoAnswer() bool {
+	return e.unanswered() || e == PollConnectionClosed || e == PollConnectionRejected
+}
+
 // settleWorkers settles the runs of silent workers whose leases have all
 // expired, and repeats stops that got no answer.
 func (c *Core) settleWorkers() {
--- a/node/deps/deps.go
+++ b/node/deps/deps.go
@@ -104,6 +104,9 @@
 	Err    error
 	// Connection says how the connection failed, if that is the cause.
 	Connection ConnectionFailure
+	// KeptConnection reports whether the call used a connection that an earlier
+	// call had opened.
+	KeptConnection bool
 }
 
 // ConnectionFailure is the way in which a connection failed.
@@ -128,6 +131,13 @@
 	return ""
 }
 
+// UsedKeptConnection reports whether a failed call used a connection that an earlier
+// call had opened.
+func UsedKeptConnection(err error) bool {
+	var e *Error
+	return errors.As(err, &e) && e.KeptConnection
+}
+
 // Error returns the call, the kind of the failure and its cause.
 func (e *Error) Error() string {
 	text := e.Call + ": " + string(e.Kind)
--- a/node/jobhost/relaymessages.go
+++ b/node/jobhost/relaymessages.go
@@ -99,8 +99,7 @@
 func (r *orderResult) workerSilent(kind orderKind) bool {
 	switch kind {
 	case orderPoll:
-		reason := shard.PollError(r.Outcome)
-		return reason == shard.PollUnanswered || reason == shard.PollConnectionClosed || reason == shard.PollConnectionRejected
+		return shard.PollError(r.Outcome).NoAnswer()
 	case orderStart:
 		outcome := shard.StartOutcome(r.Outcome)
 		return outcome == shard.StartUnanswered || outcome == shard.StartNotSent
--- a/node/jobhost/shardrun.go
+++ b/node/jobhost/shardrun.go
@@ -197,6 +197,9 @@
 	case deps.KindRefused, deps.KindInvalid:
 		return shard.PollRefused
 	}
+	if deps.UsedKeptConnection(err) {
+		return shard.PollUnansweredKept
+	}
 	return shard.PollUnanswered
 }
 
