Discard all kept connections to an address that leaves a call unanswered

What callers saw: nothing at once.

Cause: open connections went silent while new ones worked. A connection was closed alone at its time-out, so that each further poll took the next one that earlier calls had left in the pool, as silent as the first. Four polls failed in 4.4 s; leases are not extended meanwhile and lapsed.

Change: infra/outbound keeps a pool for each address and discards it after a call without an answer in time. It works because a call whose connection is new tells whether the address itself is silent, and at most one time-out passes before.

--- a/infra/client/client.go
+++ b/infra/client/client.go
@@ -20,6 +20,7 @@
 
 	"wigeonwinch/fleet/structs"
 	"wigeonwinch/infra"
+	"wigeonwinch/infra/outbound"
 )
 
 // Paths of the platform protocol.
@@ -67,7 +68,7 @@
 		opts.Timeout = defaultTimeout
 	}
 	if opts.Transport == nil {
-		opts.Transport = &http.Transport{IdleConnTimeout: idleConnTimeout}
+		opts.Transport = outbound.New(idleConnTimeout, func() *http.Transport { return &http.Transport{} })
 	}
 	return &Client{
 		base:    "http://" + address,
--- a/infra/infra.go
+++ b/infra/infra.go
@@ -1,7 +1,8 @@
 // Package infra defines the interfaces to the platform that the system runs
 // on: the append-only log, the list of VMs and the control of workers. The
 // subpackage client implements them over HTTP. The subpackage standin
-// implements them in memory for tests and the demo.
+// implements them in memory for tests and the demo. The subpackage outbound has
+// the connections of HTTP clients.
 //
 //	batch, err := log.Read(ctx, from, 100, time.Second)
 //	if infra.KindOf(err) == infra.KindTrimmed { ... }
