Take back losses of workers that turn out to be alive

Cause: a worker that was lost after a closed connection counted as crashed for good once its leases had lapsed. A cut with resets looks the same. That the same life of the worker answered a second later changed nothing, and the fifth such loss gave the task up.

Change: such a loss is open until a later life of the worker is listed, which proves it, or the same life answers a poll that was sent after the loss, which takes back what it added to the histories of tasks. A task is given up only on certain losses, at least two of five. It works because the answer of a life proves that it did not end, and a task that crashes workers leaves later lives behind.

--- a/jobs/model/owner.go
+++ b/jobs/model/owner.go
@@ -84,7 +84,7 @@
 	}
 	var list []shard.Worker
 	for _, w := range o.world.workers {
-		if w.up && o.world.now >= w.unlistedUntil {
+		if w.up && o.world.now >= w.unlistedUntil && !w.cut.hidesEntry(o.world.now) {
 			list = append(list, w.listEntry())
 		}
 	}
--- a/jobs/model/worker.go
+++ b/jobs/model/worker.go
@@ -38,7 +38,10 @@
 	carryingOutLate bool
 	// unlistedUntil is when the worker's entry is back in the list of workers.
 	unlistedUntil int64
-	// waitingPolls fail when the worker crashes.
+	// cut is the worker's last cut, lapsedEnd the last end before its leases lapsed in one.
+	cut       cut
+	lapsedEnd int
+	// waitingPolls fail when the worker crashes or is cut off.
 	waitingPolls []*waitingPoll
 }
 
@@ -70,7 +73,7 @@
 	if k.world.opts.NewIDs {
 		k.id = fmt.Sprintf("%s-%d", k.vm, k.incarnation)
 	}
-	k.highestEpoch, k.leaseUntil, k.lastEnd, k.acked, k.reportedEnd = 0, 0, 0, 0, 0
+	k.highestEpoch, k.leaseUntil, k.lastEnd, k.acked, k.reportedEnd, k.lapsedEnd = 0, 0, 0, 0, 0, 0
 	k.running = map[shard.Key]*run{}
 	k.ended = nil
 	k.closedRuns = map[shard.Key]int{}
@@ -112,6 +115,10 @@
 		w.after(answerTimeoutMS, unanswered)
 		return
 	}
+	if w.now < k.cut.until {
+		k.cut.fail(w, lost)
+		return
+	}
 	roll := w.rng.Float64()
 	faulty := w.faulty()
 	switch {
@@ -219,6 +226,7 @@
 	incarnation := k.incarnation
 	k.world.after(remainingMS, func() {
 		if k.up && k.incarnation == incarnation && k.clock() >= k.leaseUntil {
+			k.noteLapse()
 			for _, r := range k.sortedRuns() {
 				k.world.StoppedRuns++
 				k.endRun(r, shard.EndLeaseExpired)
@@ -236,6 +244,9 @@
 			continue
 		}
 		t := k.world.groundTruth[e.Key.Job]
+		if e.End <= k.lapsedEnd {
+			continue
+		}
 		switch e.Kind {
 		case shard.EndDone:
 			t.acked[e.Key] = true
--- a/jobs/model/world.go
+++ b/jobs/model/world.go
@@ -56,6 +56,9 @@
 	// FaultsUntilMS is when the injection of faults ends. If CalmMS is set, faults
 	// are injected for BurstMS, then none for CalmMS, in turns.
 	FaultsUntilMS, BurstMS, CalmMS int64
+	// CutIntervalMS is the mean time between cuts of a worker from the owner and the
+	// list of workers for some seconds; 0 disables them. The worker runs on.
+	CutIntervalMS int64
 	// UnlistIntervalMS is the mean time between losses of a worker's entry in the
 	// list of workers for some seconds; 0 disables them.
 	UnlistIntervalMS int64
@@ -208,6 +211,7 @@
 	w.scheduleFault(o.TakeoverIntervalMS, w.takeover)
 	w.scheduleFault(o.ResizeIntervalMS, w.resizeWorker)
 	w.scheduleFault(o.UnlistIntervalMS, w.unlistWorker)
+	w.scheduleFault(o.CutIntervalMS, w.cutOffWorker)
 	w.scheduleFault(o.ArbiterIntervalMS, w.startArbiter)
 	return w
 }
--- a/jobs/shard/core.go
+++ b/jobs/shard/core.go
@@ -169,6 +169,7 @@
 	// workersByID lists the workers by ID; nil after a worker was added or
 	// removed.
 	workersByID []*worker
+	openLosses  openLosses
 	// workersListed reports whether the list of workers was set since the
 	// takeover. listConfirmedAt is when the read was sent that last confirmed it;
 	// 0 if the owner does not say.
@@ -220,7 +221,7 @@
 	return &Core{
 		customers: newCustomers(cfg),
 		cfg:       cfg, longestLeaseMS: longestLeaseMS, now: now, takeoverAt: now, wallMS: wallMS, earlierLeasesUntil: now + cfg.EarlierLeaseMS,
-		queues: map[string]Queue{}, jobs: map[string]*job{}, settled: newSettledJobs(), unreadable: map[string]bool{}, scheduled: map[string]*job{}, workers: map[string]*worker{},
+		queues: map[string]Queue{}, jobs: map[string]*job{}, settled: newSettledJobs(), unreadable: map[string]bool{}, scheduled: map[string]*job{}, workers: map[string]*worker{}, openLosses: openLosses{},
 		learner: expect.New(), workerKinds: map[string]Worker{}, pools: map[string]*pool{}, firstSeenAt: newRecentTimes(firstSeenKeepMS), declinedAt: newRecentTimes(declineKeepMS),
 	}
 }
--- a/jobs/shard/job.go
+++ b/jobs/shard/job.go
@@ -68,6 +68,9 @@
 	learned bool
 	// finished is what was learned from the job's steps.
 	finished []finishedStep
+	// lossParts are the parts of open losses in the histories of the job's tasks, the
+	// oldest first.
+	lossParts []lossPart
 	// stateBytes is what Core.stateBytes counts for the job.
 	stateBytes int64
 }
--- a/jobs/shard/loss.go
+++ b/jobs/shard/loss.go
@@ -78,7 +78,7 @@
 	}
 	c.logLoss(w, reason, evidence, len(runs))
 	assessed := slices.DeleteFunc(slices.Clone(runs), func(r *run) bool { return r.doubt != nil })
-	guilty := c.assessLoss(w, assessed, evidence)
+	guilty := c.assessLoss(w, assessed, evidence, reason == reasonLeaseLapsed)
 	for _, r := range runs {
 		c.settleRun(r, reason)
 	}
@@ -93,8 +93,8 @@
 
 // assessLoss updates the histories of the tasks on a lost worker and returns
 // the runs whose tasks are to be given up. The verdicts on runs in doubt wait until
-// these are settled.
-func (c *Core) assessLoss(w *worker, runs []*run, evidence lossEvidence) []*run {
+// these are settled. refutable reports whether the worker may answer again.
+func (c *Core) assessLoss(w *worker, runs []*run, evidence lossEvidence, refutable bool) []*run {
 	if evidence == lossHarmless {
 		return nil
 	}
@@ -102,7 +102,7 @@
 	if lostAt == 0 {
 		lostAt = c.now
 	}
-	loss := suspect.Loss{Crashed: evidence == lossCrash}
+	loss := suspect.Loss{Crashed: evidence == lossCrash, Refutable: refutable}
 	var started []*run
 	for _, r := range runs {
 		if r.phase == phasePlaced {
@@ -113,7 +113,7 @@
 		if tk := r.task(); tk != nil {
 			history = tk.history
 		}
-		loss.Runs = append(loss.Runs, suspect.Run{History: history, AgeMS: r.ageMS(lostAt)})
+		loss.Runs = append(loss.Runs, suspect.Run{History: history, Unproved: r.job.unproved(r.key), AgeMS: r.ageMS(lostAt)})
 	}
 	var guilty []*run
 	for i, v := range suspect.Assess(loss) {
@@ -125,6 +125,11 @@
 		if c.applyVerdict(r, v) {
 			guilty = append(guilty, r)
 		}
+		added := v.History.Without(loss.Runs[i].History)
+		if refutable && added.Crashes > 0 && r.isCurrent() {
+			l := c.openLossOf(lossID{w.info.ID, w.incarnation}, w.info.VM)
+			c.addLossPart(r.job, lossPart{loss: l, key: r.key, added: added, alone: v.Alone})
+		}
 	}
 	return guilty
 }
@@ -132,10 +137,13 @@
 // applyVerdict stores a verdict with the run's task and reports whether the task
 // is to be given up.
 func (c *Core) applyVerdict(r *run, v suspect.Verdict) bool {
-	tk := r.task()
-	if tk == nil || tk.current != r || tk.done {
+	if !r.isCurrent() {
 		return false
 	}
+	tk := r.task()
+	if v.History == (suspect.History{}) {
+		c.dropLossPartsOf(r.job, r.key)
+	}
 	if v.History.Crashes > tk.history.Crashes {
 		tk.suspectedAt = c.now
 		tk.crashedOn = append(tk.crashedOn, r.worker.location())
@@ -151,14 +159,22 @@
 	return v.GiveUp
 }
 
+// isCurrent reports whether the run is the one of its task, which is not done.
+func (r *run) isCurrent() bool {
+	tk := r.task()
+	return tk != nil && tk.current == r && !tk.done
+}
+
 // giveUp fails the job of a task that crashes its workers.
-func (c *Core) giveUp(r *run) {
-	if r.job.state.Final() {
+func (c *Core) giveUp(r *run) { c.giveUpTask(r.job, RunRef{r.key, r.number}, r.worker.info.ID) }
+
+func (c *Core) giveUpTask(j *job, last RunRef, worker string) {
+	if j.state.Final() {
 		return
 	}
-	c.event(Event{Name: EventGivenUp, Job: r.key.Job, Run: RunRef{r.key, r.number}, Worker: r.worker.info.ID,
-		Detail: fmt.Sprintf("crashes=%d", r.task().history.Crashes)})
-	c.finishJob(r.job, spec.Failed)
+	c.event(Event{Name: EventGivenUp, Job: j.spec.ID, Run: last, Worker: worker,
+		Detail: fmt.Sprintf("crashes=%d", j.findTask(last.Key).history.Crashes)})
+	c.finishJob(j, spec.Failed)
 }
 
 // ageMS returns how old the run was at a time. A run that an earlier owner
--- a/jobs/shard/polls.go
+++ b/jobs/shard/polls.go
@@ -154,6 +154,7 @@
 	if l.Incarnation < w.incarnation {
 		return
 	}
+	c.refuteLoss(w, sentAt)
 	w.clockMS, w.clockReadAt = l.ClockMS, now
 	w.sightMS = sentAt - w.listedAt
 	w.listedAt = now
--- a/jobs/shard/reborn.go
+++ b/jobs/shard/reborn.go
@@ -83,7 +83,7 @@
 			r.doubt = newDoubt(r)
 		}
 	}
-	guilty := c.assessLoss(w, assessed, evidence)
+	guilty := c.assessLoss(w, assessed, evidence, false)
 	for _, r := range runs {
 		if r.doubt == nil {
 			c.settleRun(r, reasonWorkerReborn)
--- a/jobs/shard/record.go
+++ b/jobs/shard/record.go
@@ -73,6 +73,8 @@
 	Finished []finishedStep `cbor:"16,keyasint,omitempty"`
 	// Learned reports whether all of Times were learned when the job came.
 	Learned bool `cbor:"17,keyasint,omitempty"`
+	// OpenLosses are the parts of Crashes that may be refuted; see openLoss.
+	OpenLosses []lossRecord `cbor:"18,keyasint,omitempty"`
 }
 
 // workerVM is a worker and the VM on which it runs.
@@ -134,7 +136,7 @@
 		r.Occurrences = append(r.Occurrences, encodeOccurrence(j.occurrences[number]))
 		r.Crashes = append(r.Crashes, encodeCrashes(j.occurrences[number])...)
 	}
-	r.VMs = encodeVMs(j)
+	r.VMs, r.OpenLosses = encodeVMs(j), encodeLosses(j)
 	value, err := encMode.Marshal(r)
 	if err != nil {
 		return Record{}, errors.Wrapf(err, "encode job %s", j.spec.ID)
@@ -238,6 +240,7 @@
 	for i := range rec.Occurrences {
 		c.restoreOccurrence(j, &rec.Occurrences[i])
 	}
+	c.restoreLosses(j, rec.OpenLosses)
 	for _, v := range rec.VMs {
 		if w := c.workers[v.Worker]; w != nil && w.info.VM == "" {
 			w.info.VM = v.VM
--- a/jobs/shard/submit.go
+++ b/jobs/shard/submit.go
@@ -388,6 +388,7 @@
 	j.remainingWork = 0
 	j.eachRun(func(r *run) { c.stopRun(r, "job_"+string(state)) })
 	j.occurrences = map[int]*occurrence{}
+	c.dropLossParts(j)
 	c.holdState(j)
 	c.event(Event{Name: EventFinal, Job: j.spec.ID, Outcome: string(state), AgeMS: c.now - j.firstSeenAt,
 		Detail: fmt.Sprintf("deadline_in_ms=%d", j.deadline-c.now)})
--- a/jobs/shard/worker.go
+++ b/jobs/shard/worker.go
@@ -229,6 +229,7 @@
 		}
 	}
 	c.replaceSilentWorkers()
+	c.proveLosses(list)
 }
 
 // ConfirmWorkers records that a read of the list of workers, sent at the given
--- a/jobs/suspect/suspect.go
+++ b/jobs/suspect/suspect.go
@@ -5,7 +5,9 @@
 // A crash says which runs were on the worker, not which of them caused it. A
 // task that crashes workers does so soon after its start, so the runs started
 // last are suspected first. A task is given up only after repeated crashes of
-// which the last one has no other explanation.
+// which the last one has no other explanation, and enough of these losses
+// must be certain: a worker that is cut off looks like one that has crashed, until
+// it answers again or a later life of it is known.
 package suspect
 
 // The bounds of an assessment.
@@ -23,9 +25,10 @@
 	cohortMS      = 100
 	maxYoungestMS = 500
 	// A task is given up after maxImmediate or maxPrompt crashes of these kinds,
-	// the last one beside no other young run, and after maxCrashes in any case.
-	// The platform allows two more starts after the third crash.
-	maxImmediate, maxPrompt, maxCrashes = 3, 4, 5
+	// the last one beside no other young run, and after maxCrashes if minCertain of
+	// them are beyond doubt. The platform allows two more starts after the third
+	// crash, and to give a task up after the second one.
+	maxImmediate, maxPrompt, maxCrashes, minCertain = 3, 4, 5, 2
 	// separateProbationMS and aloneProbationMS are how long a run has to survive
 	// until other tasks may be started beside it.
 	separateProbationMS = 250
@@ -59,6 +62,22 @@
 	return h
 }
 
+// Without returns the history without a part of it.
+func (h History) Without(part History) History {
+	return History{
+		Crashes: max(h.Crashes-part.Crashes, 0), Prompt: max(h.Prompt-part.Prompt, 0),
+		Suspicions: max(h.Suspicions-part.Suspicions, 0), Immediate: max(h.Immediate-part.Immediate, 0),
+	}
+}
+
+// With returns the history with another part.
+func (h History) With(part History) History {
+	return History{
+		Crashes: h.Crashes + part.Crashes, Prompt: h.Prompt + part.Prompt,
+		Suspicions: h.Suspicions + part.Suspicions, Immediate: h.Immediate + part.Immediate,
+	}
+}
+
 // Isolation is how far a task is kept apart from others.
 type Isolation int
 
@@ -99,22 +118,29 @@
 // Run is one run that was on a worker when the worker was lost.
 type Run struct {
 	History History
+	// Unproved is the part of the history that comes from refutable losses.
+	Unproved History
 	// AgeMS is the time from its start order to the loss of the worker.
 	AgeMS int64
 }
 
 // Loss is the loss of a worker and its runs.
 type Loss struct {
-	// Crashed reports whether the worker has certainly crashed. Else nobody saw
-	// how it was lost, and the ages of its runs are not known.
+	// Crashed reports whether the worker was seen to end, by a closed connection. Else
+	// nobody saw how it was lost, and the ages of its runs are not known.
 	Crashed bool
-	Runs    []Run
+	// Refutable reports whether the worker may still turn out to be alive, because no
+	// later life of it is known.
+	Refutable bool
+	Runs      []Run
 }
 
 // Verdict is what follows from a loss for one run's task.
 type Verdict struct {
 	History History
-	GiveUp  bool
+	// Alone reports whether the worker crashed beside no other young run.
+	Alone  bool
+	GiveUp bool
 }
 
 // Assess returns a verdict for each run of a loss, in the order of the runs.
@@ -129,26 +155,36 @@
 	}
 	verdicts := make([]Verdict, len(l.Runs))
 	for i, r := range l.Runs {
-		v := Verdict{History: r.History}
+		v := Verdict{History: r.History, Alone: l.Crashed && young == 1}
 		switch {
 		case r.AgeMS >= HarmlessAfterMS:
 			v.History = History{}
 		case r.AgeMS <= threshold:
 			v.History = r.History.afterCrash(r.AgeMS, true, true)
-			v.GiveUp = v.History.proved(young == 1)
 		case !explained:
 			v.History = r.History.afterCrash(r.AgeMS, l.Crashed, false)
-			v.GiveUp = v.History.proved(l.Crashed && young == 1)
+		}
+		if added := v.History.Without(r.History); added.Crashes > 0 {
+			unproved := r.Unproved
+			if l.Refutable {
+				unproved = unproved.With(added)
+			}
+			v.GiveUp = v.History.GivenUp(unproved, v.Alone && !l.Refutable)
 		}
 		verdicts[i] = v
 	}
 	return verdicts
 }
 
-// proved reports whether a task is given up after a crash. alone reports whether
-// its worker certainly crashed beside no other young run.
-func (h History) proved(alone bool) bool {
-	return h.Crashes >= maxCrashes || alone && (h.Immediate >= maxImmediate || h.Prompt >= maxPrompt)
+// GivenUp reports whether a task is given up after a crash. unproved is the part of its
+// history that comes from refutable losses, alone reports whether the worker certainly crashed beside no
+// other young run.
+func (h History) GivenUp(unproved History, alone bool) bool {
+	certain := h.Without(unproved)
+	if h.Crashes >= maxCrashes && certain.Crashes >= minCertain {
+		return true
+	}
+	return alone && (certain.Immediate >= maxImmediate || certain.Prompt >= maxPrompt)
 }
 
 // cohortThreshold returns the age up to which runs count as the ones started
--- a/jobs/suspect/suspect_test.go
+++ b/jobs/suspect/suspect_test.go
@@ -77,6 +77,29 @@
 	assert.True(t, Assess(Loss{Crashed: true, Runs: []Run{{History: h, AgeMS: 1_500}}})[0].GiveUp)
 }
 
+// Workers that were cut off with closed connections proved a task guilty (review/14).
+func TestRefutableLossesProveNothing(t *testing.T) {
+	for name, c := range map[string]struct {
+		crashes, unproved, immediate int
+		givenUp                      bool
+	}{
+		"fifth loss, none certain":                 {crashes: 4, unproved: 4},
+		"fifth loss, one certain":                  {crashes: 4, unproved: 3},
+		"fifth loss, two certain":                  {crashes: 4, unproved: 2, givenUp: true},
+		"third immediate loss, the others as well": {crashes: 2, unproved: 2, immediate: 2},
+		"third immediate loss, two certain":        {crashes: 2, immediate: 2},
+	} {
+		r := Run{History: History{Crashes: c.crashes, Immediate: c.immediate}, Unproved: History{Crashes: c.unproved, Immediate: min(c.unproved, c.immediate)}, AgeMS: 10}
+		v := Assess(Loss{Crashed: true, Refutable: true, Runs: []Run{r}})[0]
+		assert.Equal(t, c.givenUp, v.GiveUp, name)
+		assert.Equal(t, c.crashes+1, v.History.Crashes, "%s: it counts for keeping suspects apart", name)
+	}
+	third := History{Crashes: 3, Immediate: 3}
+	assert.True(t, third.GivenUp(History{}, true), "all proved")
+	assert.False(t, third.GivenUp(History{Crashes: 1, Immediate: 1}, true))
+	assert.False(t, third.GivenUp(History{}, false), "beside another young run")
+}
+
 func TestLossWithoutRunsHasNoVerdicts(t *testing.T) {
 	assert.Empty(t, Assess(Loss{Crashed: true}))
 }
