outbound: keep connections when a call only waited for one

What callers would see: an owner whose connections to a worker are all in use would discard them when one more call waits for its turn until its deadline, and open them anew.

Cause: took every deadline that passed for a missing answer. A call that has no connection yet says nothing about the open ones.

TestConnectionsAreDiscardedWhileAllAreInUse fails with the condition taken out ("Target error should not be in err chain", "Not same").

--- a/infra/outbound/transport.go
+++ b/infra/outbound/transport.go
@@ -10,8 +10,8 @@
 import (
 	"context"
 	"io"
-	"net"
 	"net/http"
+	"net/http/httptrace"
 	"sync"
 	"time"
 
@@ -43,16 +43,44 @@
 	return &Transport{newPool: newPool, idleTimeout: idleTimeout, pools: map[string]*pool{}, sweptAt: time.Now()}
 }
 
-// RoundTrip implements [http.RoundTripper].
+// NoAnswerError is the error of a call whose answer did not come in time over an open
+// connection.
+type NoAnswerError struct {
+	// Kept reports whether earlier calls had used the connection.
+	Kept bool
+	Err  error
+}
+
+// Error implements error.
+func (e *NoAnswerError) Error() string {
+	if e.Kept {
+		return "no answer over a kept connection: " + e.Err.Error()
+	}
+	return "no answer over a new connection: " + e.Err.Error()
+}
+
+// Unwrap returns the cause.
+func (e *NoAnswerError) Unwrap() error { return e.Err }
+
+// call is one call in progress.
+type call struct {
+	address string
+	pool    *pool
+	// connected reports whether the call has got a connection, kept whether earlier calls
+	// had used it.
+	connected, kept bool
+}
+
+// RoundTrip implements [http.RoundTripper]. An answer that does not come in time, or not
+// whole, ends with a [NoAnswerError].
 func (t *Transport) RoundTrip(req *http.Request) (*http.Response, error) {
-	address := req.URL.Host
-	p := t.pool(address)
-	res, err := p.transport.RoundTrip(req)
+	c := &call{address: req.URL.Host, pool: t.pool(req.URL.Host)}
+	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) { c.connected, c.kept = true, info.Reused }}
+	res, err := c.pool.transport.RoundTrip(req.WithContext(httptrace.WithClientTrace(req.Context(), trace)))
 	if err != nil {
-		t.checkAnswer(address, p, err)
-		return nil, err
+		return nil, t.checkAnswer(c, err)
 	}
-	res.Body = &body{ReadCloser: res.Body, failed: func(err error) { t.checkAnswer(address, p, err) }}
+	res.Body = &body{ReadCloser: res.Body, check: func(err error) error { return t.checkAnswer(c, err) }}
 	return res, nil
 }
 
@@ -86,41 +114,33 @@
 	}
 }
 
-// checkAnswer discards the pool of an address after a call that got no answer in time.
-// Calls in progress go on; their connections are not kept.
-func (t *Transport) checkAnswer(address string, p *pool, err error) {
-	if !unanswered(err) {
-		return
+// checkAnswer discards the pool of a call that got no answer in time, and returns the call's
+// error. Calls in progress go on; their connections are not kept. A call that had to wait for
+// a connection, or for one to be opened, tells nothing about the open ones.
+func (t *Transport) checkAnswer(c *call, err error) error {
+	if !c.connected || !errors.Is(err, context.DeadlineExceeded) {
+		return err
 	}
 	t.mu.Lock()
-	if t.pools[address] == p {
-		delete(t.pools, address)
+	if t.pools[c.address] == c.pool {
+		delete(t.pools, c.address)
 	}
 	t.mu.Unlock()
-	p.transport.CloseIdleConnections()
-}
-
-// unanswered reports whether the time for an answer has passed. A connection that could not
-// be opened in time tells nothing about the open ones.
-func unanswered(err error) bool {
-	var op *net.OpError
-	if errors.As(err, &op) && op.Op == "dial" {
-		return false
-	}
-	return errors.Is(err, context.DeadlineExceeded)
+	c.pool.transport.CloseIdleConnections()
+	return &NoAnswerError{Kept: c.kept, Err: err}
 }
 
-// body is the body of a response. It reports a failed read.
+// body is the body of a response. It checks failed reads.
 type body struct {
 	io.ReadCloser
-	failed func(error)
+	check func(error) error
 }
 
 // Read implements [io.Reader].
 func (b *body) Read(data []byte) (int, error) {
 	n, err := b.ReadCloser.Read(data)
 	if err != nil && !errors.Is(err, io.EOF) {
-		b.failed(err)
+		err = b.check(err)
 	}
 	return n, err
 }
--- a/infra/outbound/transport_test.go
+++ b/infra/outbound/transport_test.go
@@ -18,7 +18,7 @@
 	callTimeout = 100 * time.Millisecond
 )
 
-func call(t *Transport, url string) error {
+func get(t *Transport, url string) error {
 	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
 	defer cancel()
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
@@ -52,7 +52,7 @@
 func TestConnectionsAreKeptAfterMissingAnswer(t *testing.T) {
 	for name, headFirst := range map[string]bool{"no answer": false, "half an answer": true} {
 		transport := New(idleTimeout, func() *http.Transport { return &http.Transport{} })
-		require.Error(t, call(transport, stallingServer(t, headFirst)), name)
+		require.Error(t, get(transport, stallingServer(t, headFirst)), name)
 		assert.Empty(t, transport.pools, name)
 	}
 }
@@ -79,16 +79,46 @@
 			return (&net.Dialer{}).DialContext(ctx, network, address)
 		}}
 	})
-	require.NoError(t, call(transport, answering.URL))
+	require.NoError(t, get(transport, answering.URL))
 	kept := transport.pools[answering.Listener.Addr().String()]
 	require.NotNil(t, kept)
-	require.NoError(t, call(transport, answering.URL+"/error"))
-	require.Error(t, call(transport, answering.URL+"/abort"))
-	require.Error(t, call(transport, "http://unreachable:80"))
-	require.Error(t, call(transport, stallingServer(t, false)))
+	require.NoError(t, get(transport, answering.URL+"/error"))
+	require.Error(t, get(transport, answering.URL+"/abort"))
+	require.Error(t, get(transport, "http://unreachable:80"))
+	require.Error(t, get(transport, stallingServer(t, false)))
 	assert.Same(t, kept, transport.pools[answering.Listener.Addr().String()])
 }
 
+// A call that only waited for its turn must not cost the connections of those before it.
+func TestConnectionsAreDiscardedWhileAllAreInUse(t *testing.T) {
+	entered, release := make(chan struct{}), make(chan struct{})
+	s := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {
+		close(entered)
+		<-release
+	}))
+	defer s.Close()
+	transport := New(idleTimeout, func() *http.Transport { return &http.Transport{MaxConnsPerHost: 1} })
+	first := make(chan error)
+	go func() {
+		req, err := http.NewRequest(http.MethodGet, s.URL, nil)
+		if err == nil {
+			var res *http.Response
+			if res, err = transport.RoundTrip(req); err == nil {
+				err = res.Body.Close()
+			}
+		}
+		first <- err
+	}()
+	<-entered
+	kept := transport.pools[s.Listener.Addr().String()]
+	err := get(transport, s.URL)
+	require.ErrorIs(t, err, context.DeadlineExceeded)
+	assert.NotErrorAs(t, err, new(*NoAnswerError))
+	assert.Same(t, kept, transport.pools[s.Listener.Addr().String()])
+	close(release)
+	require.NoError(t, <-first)
+}
+
 // Workers come and go under new addresses; a pool for each of them stayed for ever.
 func TestPoolsOfFormerAddressesStay(t *testing.T) {
 	transport := New(idleTimeout, func() *http.Transport { return &http.Transport{} })
--- a/node/deps/deps.go
+++ b/node/deps/deps.go
@@ -104,8 +104,8 @@
 	Err    error
 	// Connection says how the connection failed, if that is the cause.
 	Connection ConnectionFailure
-	// KeptConnection reports whether the call used a connection that an earlier
-	// call had opened.
+	// KeptConnection reports whether the call got no answer in time over a connection
+	// that earlier calls had used.
 	KeptConnection bool
 }
 
@@ -131,9 +131,9 @@
 	return ""
 }
 
-// UsedKeptConnection reports whether a failed call used a connection that an earlier
-// call had opened.
-func UsedKeptConnection(err error) bool {
+// KeptConnectionSilent reports whether a failed call got no answer in time over a connection
+// that earlier calls had used.
+func KeptConnectionSilent(err error) bool {
 	var e *Error
 	return errors.As(err, &e) && e.KeptConnection
 }
--- a/node/jobhost/shardrun.go
+++ b/node/jobhost/shardrun.go
@@ -197,7 +197,7 @@
 	case deps.KindRefused, deps.KindInvalid:
 		return shard.PollRefused
 	}
-	if deps.UsedKeptConnection(err) {
+	if deps.KeptConnectionSilent(err) {
 		return shard.PollUnansweredKept
 	}
 	return shard.PollUnanswered
