A late proof of crashes does not end a task that is at work

What callers would see: a job fails while its task works well, because the VM of a worker that crashed long before is back only now (LOST).

Cause: gives a task up when a loss is proved, whatever its present run has shown meanwhile.

Change: a run that has been at work for suspect.HarmlessAfterMS (10 s) has proved its task harmless, here as in an assessment of a loss.

TestLateProofEndsTaskThatIsAtWork fails with the condition taken out (expected running, actual failed).

--- a/jobs/shard/isolation.go
+++ b/jobs/shard/isolation.go
@@ -65,13 +65,18 @@
 // hasYoungRuns reports whether a run on the worker has not proved harmless.
 func (w *worker) hasYoungRuns(now int64) bool {
 	for _, r := range w.runs {
-		if r.phase != phaseRunning || r.ageMS(now) < suspect.HarmlessAfterMS {
+		if !r.harmless(now) {
 			return true
 		}
 	}
 	return false
 }
 
+// harmless reports whether the run has proved that its task does not crash workers.
+func (r *run) harmless(now int64) bool {
+	return r.phase == phaseRunning && r.ageMS(now) >= suspect.HarmlessAfterMS
+}
+
 // beginProbation keeps other starts off the run's worker until the run has
 // proved harmless.
 func (c *Core) beginProbation(r *run, i suspect.Isolation) {
--- a/jobs/shard/openloss.go
+++ b/jobs/shard/openloss.go
@@ -167,6 +167,9 @@
 }
 
 func (c *Core) provePart(j *job, tk *task, p lossPart) {
+	if tk.current != nil && tk.current.harmless(c.now) {
+		return
+	}
 	if tk.history.GivenUp(j.unproved(p.key), p.alone) {
 		c.giveUpTask(j, RunRef{p.key, tk.lastRun}, p.loss.worker)
 	}
--- a/jobs/shard/openloss_test.go
+++ b/jobs/shard/openloss_test.go
@@ -114,6 +114,32 @@
 	assert.Equal(t, 3, crashes, "three crashes right after the start, beside no other run")
 }
 
+// Crashes were proved when a VM was back at last. By then the task had been at work for long
+// enough to show that it does not crash its workers.
+func TestLateProofEndsTaskThatIsAtWork(t *testing.T) {
+	h := vmHarness(t, 2)
+	j := testJob(1, smallStep(1))
+	start := h.submit(j).Starts[0]
+	h.acceptStarts([]Start{start})
+	h.now += 10
+	h.core.HandlePollError(h.now, h.now, start.Target, PollConnectionClosed)
+	other := h.core.workers["w1"]
+	if start.Worker == "w1" {
+		other = h.core.workers["w0"]
+	}
+	h.core.HandlePollResponse(h.now+7_000, h.now+7_000, h.core.target(other), PollResponse{ClockMS: h.now + 7_000, Incarnation: 1})
+	h.step(7_000)
+	again := h.core.TakeOrders().Starts
+	require.Len(t, again, 1)
+	h.acceptStarts(again)
+	h.firstTask(j).history = suspect.History{Crashes: 3, Prompt: 3, Suspicions: 3, Immediate: 3}
+	h.now += suspect.HarmlessAfterMS
+	h.core.HandlePollResponse(h.now, h.now, again[0].Target, PollResponse{ClockMS: h.now, Incarnation: 1, Running: listedRuns(again)})
+	h.core.SetWorkers(h.now, []Worker{other.info, laterLife(start.Target, "later")})
+	h.step(1)
+	assert.Equal(t, spec.Running, h.core.JobStatus(j.ID).State)
+}
+
 // A new owner did not know which crashes of its predecessor's were doubtful, and could neither
 // prove nor refute them.
 func TestOpenLossesAreForgottenInTakeover(t *testing.T) {
