--- a/jobs/model/starts.go
+++ b/jobs/model/starts.go
@@ -35,3 +35,9 @@
 	}
 	w.checkStartAfterCancel(t, r)
 }
+
+// startFailures are the outcomes of starts without an answer.
+var startFailures = map[shard.PollError]shard.StartOutcome{
+	shard.PollUnanswered: shard.StartUnanswered, shard.PollConnectionRejected: shard.StartNotSent,
+	shard.PollReplaced: shard.StartReplaced, shard.PollRefused: shard.StartNotSent,
+}
--- a/jobs/model/worker.go
+++ b/jobs/model/worker.go
@@ -288,12 +288,6 @@
 	})
 }
 
-// startFailures are the outcomes of starts without an answer.
-var startFailures = map[shard.PollError]shard.StartOutcome{
-	shard.PollUnanswered: shard.StartUnanswered, shard.PollConnectionRejected: shard.StartNotSent,
-	shard.PollReplaced: shard.StartReplaced, shard.PollRefused: shard.StartNotSent,
-}
-
 func (k *worker) handleStart(s shard.Start) shard.StartOutcome {
 	switch {
 	case s.Epoch < k.highestEpoch:
