node/intake: wait for the idle connection before the next one comes

Cause: a race of the test. The port of the test has room for two connections: the call that is worked on and one more, which gives way to each new call once it is idle. The server notes that only after it has sent the answer; a client that dials within that moment finds both connections busy and is turned away, as it should be.

Change: the test waits for the idle connection before it dials again. What it checks is unchanged, and that the connection becomes idle within the patience is checked in addition.

--- a/node/intake/intake_test.go
+++ b/node/intake/intake_test.go
@@ -194,10 +194,19 @@
 	}
 	require.Eventually(t, func() bool { return open() == limits.Callers }, 10*time.Second, time.Millisecond)
 	time.Sleep(patience)
+	idle := func() int {
+		port := gate.ports[0]
+		port.mu.Lock()
+		defer port.mu.Unlock()
+		return port.idle.Len()
+	}
 	for range 3 {
 		conn, from := dial()
 		status, _ := ask(t, conn, from, announced("/", 1, "x"))
 		assert.Equal(t, http.StatusOK, status)
+		// A connection gives way once the server knows that its answer is complete, which is
+		// after the client has read it.
+		require.Eventually(t, func() bool { return idle() == 1 }, patience, time.Millisecond)
 	}
 	status, _ := answer(t, fromWorking)
 	assert.Equal(t, http.StatusNoContent, status)
