jobs/shard: count losses that stay open for a minute as certain

A task whose crashed workers never came back was started without end: since losses can be refuted, five of them give a task up only if two are certain, and a loss became certain only once a later life of its worker was listed. Before five losses were enough.

Cause: nothing bounded how long a loss may stay open.

Change: a loss that has been open for a minute counts as certain when guilt is assessed. It stays open, so that a worker that answers after a longer cut still refutes it. On the platform a crashed worker is back after some seconds.

--- a/jobs/shard/loss.go
+++ b/jobs/shard/loss.go
@@ -113,7 +113,7 @@
 		if tk := r.task(); tk != nil {
 			history = tk.history
 		}
-		loss.Runs = append(loss.Runs, suspect.Run{History: history, Unproved: r.job.unproved(r.key), AgeMS: r.ageMS(lostAt)})
+		loss.Runs = append(loss.Runs, suspect.Run{History: history, Unproved: r.job.unproved(r.key, c.now), AgeMS: r.ageMS(lostAt)})
 	}
 	var guilty []*run
 	for i, v := range suspect.Assess(loss) {
--- a/jobs/shard/openloss.go
+++ b/jobs/shard/openloss.go
@@ -14,8 +14,13 @@
 // the same life of the worker answers again, which refutes it, or a later life is known,
 // which proves it. Open losses are stored with the jobs, so that a successor can close them.
 
-// maxOpenParts bounds the parts of open losses in the record of one job.
-const maxOpenParts = 64
+const (
+	// maxOpenParts bounds the parts of open losses in the record of one job.
+	maxOpenParts = 64
+	// presumedLostMS is how long a worker may be gone until its loss counts as certain. It
+	// can still be refuted after that.
+	presumedLostMS = 60_000
+)
 
 // lossID identifies one life of a worker.
 type lossID struct {
@@ -114,11 +119,11 @@
 	c.takeLossParts(j, func(p lossPart) bool { return p.key == k }, nil)
 }
 
-// unproved returns the part of a task's history that may be refuted.
-func (j *job) unproved(k Key) suspect.History {
+// unproved returns the part of a task's history that is not certain.
+func (j *job) unproved(k Key, now int64) suspect.History {
 	var sum suspect.History
 	for _, p := range j.lossParts {
-		if p.key == k {
+		if p.key == k && now-p.loss.settledAt < presumedLostMS {
 			sum = sum.With(p.added)
 		}
 	}
@@ -170,7 +175,7 @@
 	if tk.current != nil && tk.current.harmless(c.now) {
 		return
 	}
-	if tk.history.GivenUp(j.unproved(p.key), p.alone) {
+	if tk.history.GivenUp(j.unproved(p.key, c.now), p.alone) {
 		c.giveUpTask(j, RunRef{p.key, tk.lastRun}, p.loss.worker)
 	}
 }
--- a/jobs/shard/openloss_test.go
+++ b/jobs/shard/openloss_test.go
@@ -17,6 +17,18 @@
 	h.step(7_000)
 }
 
+// loseWorker cuts one worker off until its leases have expired. All others that were not lost
+// before answer meanwhile.
+func (h *harness) loseWorker(target Target) {
+	h.core.HandlePollError(h.now, h.now, target, PollConnectionClosed)
+	for _, w := range h.core.sortedWorkers() {
+		if w.failedPolls == 0 {
+			h.core.HandlePollResponse(h.now+7_000, h.now+7_000, h.core.target(w), PollResponse{ClockMS: h.now + 7_000, Incarnation: 1})
+		}
+	}
+	h.step(7_000)
+}
+
 // answer lets a worker answer a poll in the life in which it was reached.
 func (h *harness) answer(target Target) {
 	h.core.HandlePollResponse(h.now, h.now, target, PollResponse{ClockMS: h.now, Incarnation: target.Incarnation})
@@ -62,18 +74,29 @@
 	for n := range 6 {
 		require.Len(t, starts, 1, n)
 		h.acceptStarts(starts)
-		h.core.HandlePollError(h.now, h.now, starts[0].Target, PollConnectionClosed)
-		for _, w := range h.core.sortedWorkers() {
-			if w.failedPolls == 0 {
-				h.core.HandlePollResponse(h.now+7_000, h.now+7_000, h.core.target(w), PollResponse{ClockMS: h.now + 7_000, Incarnation: 1})
-			}
-		}
-		h.step(7_000)
+		h.loseWorker(starts[0].Target)
 		require.Equal(t, spec.Running, h.core.JobStatus(j.ID).State, n)
 		starts = h.core.TakeOrders().Starts
 	}
 }
 
+// None of the workers that a task crashed came back, so that no crash was ever proved, and the
+// task was started without end.
+func TestTaskWhoseWorkersStayAwayIsStartedWithoutEnd(t *testing.T) {
+	h := vmHarness(t, 20)
+	j := testJob(1, smallStep(1))
+	starts := h.submit(j).Starts
+	losses := 0
+	for ; h.core.JobStatus(j.ID).State != spec.Failed; losses++ {
+		require.Less(t, losses, 12)
+		require.Len(t, starts, 1)
+		h.acceptStarts(starts)
+		h.loseWorker(starts[0].Target)
+		starts = h.core.TakeOrders().Starts
+	}
+	assert.Greater(t, losses, 5, "the first losses may be cuts")
+}
+
 // An answer to a poll that was sent before the loss says nothing about it.
 func TestLateAnswerRefutesCrash(t *testing.T) {
 	h := vmHarness(t, 1)
@@ -156,7 +179,7 @@
 		h.core = New(Config{Epoch: 6, MaxLeaseMS: 6_000}, h.now, h.now)
 		h.core.SetOwnershipDeadlines(forever, forever)
 		require.NoError(t, h.core.Restore(rec))
-		require.Equal(t, 1, h.core.jobs[j.ID].unproved(start.Key).Crashes)
+		require.Equal(t, 1, h.core.jobs[j.ID].unproved(start.Key, h.now).Crashes)
 		if refuted {
 			h.core.SetWorkers(h.now, testWorkers(2))
 			h.answer(Target{Worker: start.Worker, Incarnation: start.Incarnation, Epoch: 6})
@@ -165,7 +188,7 @@
 			h.core.SetWorkers(h.now, []Worker{laterLife(start.Target, "later")})
 			assert.Equal(t, 1, h.firstTask(j).history.Crashes, name)
 		}
-		assert.Zero(t, h.core.jobs[j.ID].unproved(start.Key), name)
+		assert.Zero(t, h.core.jobs[j.ID].unproved(start.Key, h.now), name)
 		assert.Empty(t, h.core.openLosses, name)
 	}
 }
