jobs/shard: test that a presumed loss can still be refuted

Cause: says that a loss which counts as certain after a minute is still open; no test showed it.

Change: TestLossOfWorkerThatIsCutOffForLongCannotBeRefuted. No product code is changed.

--- a/jobs/shard/openloss_test.go
+++ b/jobs/shard/openloss_test.go
@@ -97,6 +97,20 @@
 	assert.Greater(t, losses, 5, "the first losses may be cuts")
 }
 
+// A worker was cut off for more than a minute, and its loss counted against the task for good.
+func TestLossOfWorkerThatIsCutOffForLongCannotBeRefuted(t *testing.T) {
+	h := vmHarness(t, 1)
+	j := testJob(1, smallStep(1))
+	start := h.submit(j).Starts[0]
+	h.acceptStarts([]Start{start})
+	h.cutOff(start.Target)
+	assert.Equal(t, 1, h.core.jobs[j.ID].unproved(start.Key, h.now).Crashes)
+	h.step(presumedLostMS)
+	assert.Zero(t, h.core.jobs[j.ID].unproved(start.Key, h.now), "it is presumed lost")
+	h.answer(start.Target)
+	assert.Equal(t, suspect.History{}, h.firstTask(j).history)
+}
+
 // An answer to a poll that was sent before the loss says nothing about it.
 func TestLateAnswerRefutesCrash(t *testing.T) {
 	h := vmHarness(t, 1)
