--- a/jobs/suspect/suspect.go
+++ b/jobs/suspect/suspect.go
@@ -118,7 +118,7 @@
 // Run is one run that was on a worker when the worker was lost.
 type Run struct {
 	History History
-	// Unproved is the part of the history that comes from refutable losses.
+	// Unproved is the part of the history that comes from losses that are not certain.
 	Unproved History
 	// AgeMS is the time from its start order to the loss of the worker.
 	AgeMS int64
@@ -177,7 +177,7 @@
 }
 
 // GivenUp reports whether a task is given up after a crash. unproved is the part of its
-// history that comes from refutable losses, alone reports whether the worker certainly crashed beside no
+// history that comes from losses that are not certain, alone reports whether the worker certainly crashed beside no
 // other young run.
 func (h History) GivenUp(unproved History, alone bool) bool {
 	certain := h.Without(unproved)
