Log whose leases a successor waits for

Change: shard_taken names the owner before, whether it has handed over and the bound on earlier leases; worker_changed lost has lease_of, lease_left_ms, takeover_age_ms and reached; run_settled says when an earlier owner sent the start.

--- a/jobs/shard/loss.go
+++ b/jobs/shard/loss.go
@@ -88,7 +88,9 @@
 }
 
 func (c *Core) logLoss(w *worker, reason string, evidence lossEvidence, runs int) {
-	c.event(Event{Name: EventWorker, Worker: w.info.ID, Outcome: "lost", Detail: fmt.Sprintf("cause=%s evidence=%s runs=%d", reason, evidence, runs)})
+	until, source := w.longestLease()
+	c.event(Event{Name: EventWorker, Worker: w.info.ID, Outcome: "lost", Detail: fmt.Sprintf("cause=%s evidence=%s runs=%d reached=%v listed=%v lease_of=%s lease_left_ms=%d takeover_age_ms=%d",
+		reason, evidence, runs, w.reached, w.listed, source, until-c.now, c.now-c.takeoverAt)})
 }
 
 // assessLoss updates the histories of the tasks on a lost worker and returns
--- a/jobs/shard/runs.go
+++ b/jobs/shard/runs.go
@@ -153,7 +153,9 @@
 // and never will.
 func (c *Core) settleRun(r *run, reason string) {
 	e := Event{Name: EventSettled, Job: r.key.Job, Run: RunRef{r.key, r.number}, Worker: r.worker.info.ID, Outcome: reason, AgeMS: c.now - r.phaseSince}
-	if lostAt := r.worker.contactLostAt; lostAt != 0 && r.startSentAt != 0 {
+	if r.startSentAt == 0 && r.phase != phasePlaced {
+		e.Detail = "started_by=earlier_owner"
+	} else if lostAt := r.worker.contactLostAt; lostAt != 0 && r.startSentAt != 0 {
 		e.Detail = fmt.Sprintf("start_to_loss_ms=%d listed=%v", lostAt-r.startSentAt, r.worker.listed)
 	}
 	c.event(e)
--- a/jobs/shard/worker.go
+++ b/jobs/shard/worker.go
@@ -175,15 +175,36 @@
 // expired.
 func (w *worker) leasesExpired(now int64) bool { return now >= w.leasesUntil() }
 
+// leaseSource says who gave the lease that may hold longest on a worker.
+type leaseSource string
+
+const (
+	leaseOfOwner            leaseSource = "this_owner"
+	leaseOfEarlierOwners    leaseSource = "earlier_owners"
+	leaseOfLaterIncarnation leaseSource = "later_incarnation"
+)
+
 // leasesUntil returns the time from which on every lease on the worker has certainly
 // expired.
 func (w *worker) leasesUntil() int64 {
-	until := max(w.earlierLeasesUntil, w.laterLeasesUntil)
+	until, _ := w.longestLease()
+	return until
+}
+
+// longestLease returns until when a lease on the worker may hold at most, and who gave it.
+func (w *worker) longestLease() (until int64, source leaseSource) {
+	until, source = w.earlierLeasesUntil, leaseOfEarlierOwners
+	if w.laterLeasesUntil > until {
+		until, source = w.laterLeasesUntil, leaseOfLaterIncarnation
+	}
 	if w.leaseUntil == 0 {
-		return until
+		return until, source
 	}
 	remaining := float64(w.leaseUntil-w.clockMS) / (1 - maxClockDrift)
-	return max(until, w.clockReadAt+int64(remaining)+leaseMarginMS+1)
+	if own := w.clockReadAt + int64(remaining) + leaseMarginMS + 1; own > until {
+		return own, leaseOfOwner
+	}
+	return until, source
 }
 
 // silent reports whether the worker does not answer this owner.
--- a/node/jobhost/takeover.go
+++ b/node/jobhost/takeover.go
@@ -155,7 +155,8 @@
 		h.fleet.predecessorIdleMS = h.predecessorIdleMS(t.previous, now)
 		h.startArbiter(s, now)
 	}
-	h.record(events.ShardTaken, events.Fields{Detail: fmt.Sprintf("%s epoch=%d records=%d stale=%v took_ms=%d", describe(t.partition), t.epoch, len(t.records), t.previousMayBeAlive, now-t.startedAt)})
+	h.record(events.ShardTaken, events.Fields{Peer: t.previous.Node, Detail: fmt.Sprintf("%s epoch=%d records=%d stale=%v handed_over=%v previous_epoch=%d earlier_leases_ms=%d took_ms=%d",
+		describe(t.partition), t.epoch, len(t.records), t.previousMayBeAlive, t.handover != nil, t.previous.Epoch, h.cfg.previousLeaseMS(t.previousMayBeAlive), now-t.startedAt)})
 	h.publishOwnership()
 	h.announce(t.partition, t.epoch)
 	if t.partition.Topic == deps.TopicJobs {
