Wait for the leases of all earlier owners, not of the last one alone

Cause: a successor frees the tasks of a worker that it can't reach once the leases of its predecessor have ended. That the predecessor waited itself, for an owner behind a partition that still extends leases, was in its memory alone: 10.3 s after the first takeover became 6.4 s after the second one, when the owner in between was killed and came back at once. A fact that only an owner knew was lost in a takeover. Its log: shard_taken stale=true earlier_leases_ms=10323, 0.5 s later shard_taken stale=false earlier_leases_ms=6423, then worker_changed lost reached=false lease_of=earlier_owners takeover_age_ms=6448, while the first owner's runs were at work until second 11. Change: an owner stores with its claim for how long leases of earlier owners may hold, and its heartbeats tell what is left of it; a successor waits for these and for those of its predecessor. The bound is the remaining time, so that it never grows from takeover to takeover, and a claim of an earlier version, which has none, counts as the longest.

--- a/node/jobhost/beats.go
+++ b/node/jobhost/beats.go
@@ -214,10 +214,11 @@
 }
 
 func (h *Host) appendHeartbeat(ctx context.Context, partition deps.Partition, sequence int64, idle bool) error {
+	view := h.ownedView.Load()
 	rec := heartbeatRecord{
 		Node: h.cfg.Node, Zone: h.cfg.Zone, Address: h.address(), Incarnation: h.incarnation,
-		Sequence: sequence, Leaving: h.leaving.Load(), Owned: *h.ownedView.Load(), ActionIdleMS: h.actionIdleMS.Load(), UptimeMS: monotonicMS() - h.startedAt,
-		Cores: h.cfg.Cores, Idle: idle,
+		Sequence: sequence, Leaving: h.leaving.Load(), Owned: view.claims, ActionIdleMS: h.actionIdleMS.Load(), UptimeMS: monotonicMS() - h.startedAt,
+		Cores: h.cfg.Cores, Idle: idle, EarlierLeases: view.earlierLeases(monotonicMS()),
 	}
 	value, err := encMode.Marshal(rec)
 	if err != nil {
--- a/node/jobhost/config.go
+++ b/node/jobhost/config.go
@@ -148,6 +148,7 @@
 	maxLeaseMS = 6000
 )
 
+// previousLeaseMS is for how long after a takeover leases of the previous owner may hold.
 func (c Config) previousLeaseMS(previousMayBeAlive bool) int64 {
 	leaseMS := min(c.MaxLeaseMS, maxLeaseMS)
 	durationMS := int64(float64(leaseMS)*(1+maxLeaseOverrun)) + leaseSlackMS
@@ -157,9 +158,9 @@
 	return durationMS
 }
 
-func (c Config) shardConfig(index int, epoch int64, previousMayBeAlive bool) shard.Config {
+func (c Config) shardConfig(index int, epoch, earlierLeaseMS int64) shard.Config {
 	return shard.Config{
-		Shard: index, Epoch: epoch, MaxLeaseMS: c.MaxLeaseMS, EarlierLeaseMS: c.previousLeaseMS(previousMayBeAlive),
+		Shard: index, Epoch: epoch, MaxLeaseMS: c.MaxLeaseMS, EarlierLeaseMS: earlierLeaseMS,
 		StatusKeepMS: c.StatusRetentionMS,
 	}
 }
--- /dev/null
+++ b/node/jobhost/earlierleases_test.go
@@ -0,0 +1,95 @@
+package jobhost
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"wigeonwinch/jobs/shard"
+	"wigeonwinch/node/deps"
+)
+
+// A second takeover forgot that the first one had to wait for an owner that is cut off.
+func TestSecondTakeoverForgetsLeasesOfTheFirstOwner(t *testing.T) {
+	s := newTestSite(t, time.Millisecond)
+	p := deps.Partition{Topic: deps.TopicJobs, Index: 1}
+	first, second, third := New(s.config("a", "127.0.0.1")), New(s.config("b", "127.0.0.2")), New(s.config("c", "127.0.0.3"))
+	taken, err := first.takeOver(t.Context(), p, observation{})
+	require.NoError(t, err)
+	silent := observation{deadNodes: map[string]bool{"a": true}, incarnations: map[string]int64{"a": first.incarnation}}
+	taken, err = second.takeOver(t.Context(), p, silent)
+	require.NoError(t, err)
+	require.True(t, taken.previousMayBeAlive)
+	longest := second.cfg.previousLeaseMS(true)
+	assert.Equal(t, longest, taken.earlierLeaseMS)
+	// The second owner is killed and back at once.
+	restarted := observation{incarnations: map[string]int64{"b": second.incarnation + 1}}
+	taken, err = third.takeOver(t.Context(), p, restarted)
+	require.NoError(t, err)
+	assert.False(t, taken.previousMayBeAlive)
+	assert.Equal(t, longest, taken.earlierLeaseMS)
+}
+
+func TestEarlierLeases(t *testing.T) {
+	h := New(newTestSite(t, time.Millisecond).config("a", "127.0.0.1"))
+	shortest, longest := h.cfg.previousLeaseMS(false), h.cfg.previousLeaseMS(true)
+	ms := func(n int64) *int64 { return &n }
+	owner := ownership{Epoch: 7, Node: "b", Incarnation: 3}
+	for name, c := range map[string]struct {
+		stored *int64
+		heard  map[int64]int64
+		alive  bool
+		want   int64
+	}{
+		"none of the owners before":         {ms(0), nil, false, shortest},
+		"the owner itself may be alive":     {ms(0), nil, true, longest},
+		"as stored with its claim":          {ms(9_000), nil, false, 9_000},
+		"as stored, of another epoch heard": {ms(9_000), map[int64]int64{6: 0}, false, 9_000},
+		"some time has passed since":        {ms(9_000), map[int64]int64{7: 7_500}, false, 7_500},
+		"they have ended since":             {ms(9_000), map[int64]int64{7: 0}, false, shortest},
+		"stored by an earlier version":      {nil, map[int64]int64{7: 0}, false, longest},
+	} {
+		t.Run(name, func(t *testing.T) {
+			got := h.earlierLeaseMS(observation{earlierLeaseMS: c.heard}, storedOwner{owner, c.stored}, c.alive)
+			assert.Equal(t, c.want, got)
+		})
+	}
+}
+
+// A record without the time for which earlier leases hold is one of an earlier version.
+func TestOwnerRecordsOfEarlierVersionsAreRead(t *testing.T) {
+	h := New(newTestSite(t, time.Millisecond).config("a", "127.0.0.1"))
+	value, err := encMode.Marshal(h.ownership(deps.Partition{Topic: deps.TopicJobs, Index: 2}, 5))
+	require.NoError(t, err)
+	var read storedOwner
+	require.NoError(t, decMode.Unmarshal(value, &read))
+	assert.Equal(t, storedOwner{ownership: h.ownership(deps.Partition{Topic: deps.TopicJobs, Index: 2}, 5)}, read)
+	var rec shard.Record
+	rec, err = h.ownerRecord(deps.Partition{Topic: deps.TopicJobs, Index: 2}, 5, 0)
+	require.NoError(t, err)
+	var earlier ownership
+	require.NoError(t, decMode.Unmarshal(rec.Value, &earlier))
+	assert.Equal(t, read.ownership, earlier, "earlier versions pass the field over")
+	require.NoError(t, decMode.Unmarshal(rec.Value, &read))
+	assert.NotNil(t, read.EarlierLeaseMS)
+}
+
+// Heartbeats tell how much of the time has passed.
+func TestHeartbeatsTellWhenEarlierLeasesEnd(t *testing.T) {
+	const now = 50_000
+	p := deps.Partition{Topic: deps.TopicJobs, Index: 2}
+	h := New(newTestSite(t, time.Millisecond).config("a", "127.0.0.1"))
+	view := ownedView{leaseEnds: []leaseEnd{{7, now + 4_000}, {8, now}}}
+	sent := heartbeatRecord{Node: "b", Incarnation: 1, EarlierLeases: view.earlierLeases(now),
+		Owned: []ownership{{Topic: int(p.Topic), Index: p.Index, Epoch: 7}, {Topic: int(p.Topic), Index: 3, Epoch: 8}}}
+	assert.Len(t, sent.EarlierLeases, 1)
+	value, err := encMode.Marshal(sent)
+	require.NoError(t, err)
+	n := &nodeState{heartbeatAt: now + 500}
+	require.NoError(t, decMode.Unmarshal(value, &n.record))
+	h.nodes["b"] = n
+	assert.Equal(t, map[int64]int64{7: 3_000}, h.observe(p, now+1_500).earlierLeaseMS)
+	assert.Equal(t, map[int64]int64{7: 0}, h.observe(p, now+9_000).earlierLeaseMS)
+}
--- a/node/jobhost/formerowner_test.go
+++ b/node/jobhost/formerowner_test.go
@@ -77,7 +77,7 @@
 	o := &ownedShard{partition: h.partitionOf("s"), epoch: 5, ctx: ctx, cancel: cancel, appendInFlight: true}
 	h.owned[o.partition] = o
 	store.losing.Store(true)
-	rec, err := h.ownerRecord(o.partition, o.epoch)
+	rec, err := h.ownerRecord(o.partition, o.epoch, 0)
 	require.NoError(t, err)
 	go h.append(o, 1, []shard.Record{rec}, func() {})
 	(<-h.inbox)()
--- a/node/jobhost/handover_test.go
+++ b/node/jobhost/handover_test.go
@@ -20,7 +20,7 @@
 	first, second := New(s.config("a", "127.0.0.1")), New(s.config("b", "127.0.0.2"))
 	dead := map[string]bool{"a": true, "b": true}
 
-	taken, err := first.takeOver(ctx, p, 0, dead, nil)
+	taken, err := first.takeOver(ctx, p, observation{deadNodes: dead})
 	require.NoError(t, err)
 	assert.Nil(t, taken.handover)
 	owned := &ownedShard{partition: p, epoch: taken.epoch, sequence: taken.sequence}
@@ -28,14 +28,14 @@
 	require.NoError(t, first.appendHandover(owned, rec))
 
 	incarnations := map[string]int64{"a": first.incarnation, "b": second.incarnation}
-	next, err := second.takeOver(ctx, p, taken.epoch, dead, incarnations)
+	next, err := second.takeOver(ctx, p, observation{knownEpoch: taken.epoch, deadNodes: dead, incarnations: incarnations})
 	require.NoError(t, err)
 	require.NotNil(t, next.handover)
 	assert.Equal(t, rec.SilentWorkers, next.handover.SilentWorkers)
 	assert.False(t, next.previousMayBeAlive, "the owner has stopped to send orders")
 	assert.Empty(t, next.records, "the record is none of the core's")
 
-	last, err := first.takeOver(ctx, p, next.epoch, dead, incarnations)
+	last, err := first.takeOver(ctx, p, observation{knownEpoch: next.epoch, deadNodes: dead, incarnations: incarnations})
 	require.NoError(t, err)
 	assert.Nil(t, last.handover, "the owner in between has not handed over")
 	assert.True(t, last.previousMayBeAlive)
--- a/node/jobhost/homes.go
+++ b/node/jobhost/homes.go
@@ -79,7 +79,7 @@
 func newQueueHomes(h *Host) *queueHomes { return &queueHomes{host: h, turn: make(chan struct{}, 1)} }
 
 func (q *queueHomes) currentBasis() homesBasis {
-	b := homesBasis{owned: *q.host.ownedView.Load()}
+	b := homesBasis{owned: q.host.ownedView.Load().claims}
 	if cfg := q.host.config.Load(); cfg != nil {
 		b.version = cfg.Version
 	}
--- a/node/jobhost/host.go
+++ b/node/jobhost/host.go
@@ -64,7 +64,7 @@
 	owners             atomic.Pointer[map[deps.Partition]ownership]
 	confirmedHeartbeat atomic.Pointer[confirmedHeartbeat]
 	customerView       atomic.Pointer[[]shard.CustomerSummary]
-	ownedView          atomic.Pointer[[]ownership]
+	ownedView          atomic.Pointer[ownedView]
 	runTimesView       atomic.Pointer[runTimesView]
 	heartbeatTrigger   chan struct{}
 	leaving            atomic.Bool
@@ -115,7 +115,7 @@
 	h.relays, h.orders = newRelayedOrders(h), newOrderQueues()
 	h.homes = newQueueHomes(h)
 	h.owners.Store(&map[deps.Partition]ownership{})
-	h.ownedView.Store(&[]ownership{})
+	h.ownedView.Store(&ownedView{})
 	h.pending.waiting = map[uint64]chan reply{}
 	h.mesh = cfg.Peers
 	if h.mesh == nil {
--- a/node/jobhost/host_test.go
+++ b/node/jobhost/host_test.go
@@ -71,7 +71,7 @@
 		var wait sync.WaitGroup
 		for i, h := range hosts {
 			wait.Go(func() {
-				results[i], errs[i] = h.takeOver(context.Background(), p, int64(round), map[string]bool{"a": true, "b": true}, nil)
+				results[i], errs[i] = h.takeOver(context.Background(), p, observation{knownEpoch: int64(round), deadNodes: map[string]bool{"a": true, "b": true}})
 			})
 		}
 		wait.Wait()
--- a/node/jobhost/latecordon_test.go
+++ b/node/jobhost/latecordon_test.go
@@ -16,7 +16,7 @@
 func TestLateCordonDoesNotWriteTheAnswer(t *testing.T) {
 	h := New(newTestSite(t, 0).config("a", "127.0.0.1"))
 	p := deps.Partition{Topic: deps.TopicJobs}
-	taken, err := h.takeOver(t.Context(), p, 0, nil, nil)
+	taken, err := h.takeOver(t.Context(), p, observation{})
 	require.NoError(t, err)
 	h.startOwning(taken)
 	ctx, cancel := context.WithTimeout(t.Context(), 20*time.Millisecond)
--- a/node/jobhost/leave.go
+++ b/node/jobhost/leave.go
@@ -26,7 +26,7 @@
 		h.record(events.ShardReleased, events.Fields{Detail: describe(s.partition), Epoch: s.epoch, Shard: s.partition.Index})
 	}
 	h.handOver(owned)
-	h.ownedView.Store(&[]ownership{})
+	h.ownedView.Store(&ownedView{})
 	h.publishOwners(monotonicMS())
 	ctx, cancel := context.WithTimeout(context.Background(), storeTimeout)
 	defer cancel()
--- a/node/jobhost/members.go
+++ b/node/jobhost/members.go
@@ -52,6 +52,8 @@
 	// Idle reports that the next heartbeat may follow only after
 	// idleHeartbeatInterval.
 	Idle bool `cbor:"11,keyasint,omitempty"`
+	// EarlierLeases are the leases of the owners before this one, by its epochs.
+	EarlierLeases []earlierLease `cbor:"12,keyasint,omitempty"`
 }
 
 // nodeState is what this node knows about a node, itself included.
--- a/node/jobhost/metrics.go
+++ b/node/jobhost/metrics.go
@@ -16,7 +16,7 @@
 			{Labels: label("result", "answered"), Value: float64(h.stats.relayedAnswered.Load())},
 			{Labels: label("result", "given_up"), Value: float64(h.stats.relayedGivenUp.Load())},
 		},
-		telemetry.MetricShardsOwned: {{Value: float64(len(*h.ownedView.Load()))}},
+		telemetry.MetricShardsOwned: {{Value: float64(len(h.ownedView.Load().claims))}},
 	}
 	if v := h.runTimesView.Load(); v != nil {
 		r[telemetry.MetricRunTimeHistories] = []telemetry.Reading{{Value: float64(v.histories)}}
--- a/node/jobhost/owners.go
+++ b/node/jobhost/owners.go
@@ -33,6 +33,8 @@
 	ctx                context.Context
 	cancel             context.CancelFunc
 	ownedSince         int64
+	// earlierLeasesUntil is when the leases of earlier owners have ended.
+	earlierLeasesUntil int64
 	// verifiedAt is when this owner sent its last append that the store
 	// accepted.
 	verifiedAt atomic.Int64
@@ -244,14 +246,6 @@
 	return ownership{Topic: int(p.Topic), Index: p.Index, Epoch: epoch, Node: h.cfg.Node, Incarnation: h.incarnation}
 }
 
-// ownerRecord returns the record that names this node as the owner of a
-// partition. Appending it again verifies that no newer owner has fenced this
-// one.
-func (h *Host) ownerRecord(p deps.Partition, epoch int64) (shard.Record, error) {
-	value, err := encMode.Marshal(h.ownership(p, epoch))
-	return shard.Record{Key: ownerKey, Value: value}, err
-}
-
 // verifiedHeartbeat returns the last confirmed heartbeat, from which the
 // ownership windows are counted. ok is false while the owner must first verify
 // that no other node has taken over.
@@ -276,7 +270,7 @@
 	if s.appendInFlight || len(s.extraRecords) > 0 {
 		return
 	}
-	rec, err := h.ownerRecord(s.partition, s.epoch)
+	rec, err := h.ownerRecord(s.partition, s.epoch, s.earlierLeaseMS(monotonicMS()))
 	if err != nil {
 		h.dropShard(s, err.Error())
 		return
@@ -287,9 +281,10 @@
 // publishOwnership publishes the partitions that this node owns and sends a
 // heartbeat.
 func (h *Host) publishOwnership() {
-	view := make([]ownership, 0, len(h.owned))
+	view := ownedView{claims: make([]ownership, 0, len(h.owned))}
 	for _, s := range h.sortedOwned() {
-		view = append(view, h.ownership(s.partition, s.epoch))
+		view.claims = append(view.claims, h.ownership(s.partition, s.epoch))
+		view.leaseEnds = append(view.leaseEnds, leaseEnd{s.epoch, s.earlierLeasesUntil})
 	}
 	h.ownedView.Store(&view)
 	h.publishOwners(monotonicMS())
--- a/node/jobhost/relays_test.go
+++ b/node/jobhost/relays_test.go
@@ -98,7 +98,7 @@
 		return ok
 	}, 10*time.Second, 20*time.Millisecond)
 	for name, h := range r.hosts {
-		if name != owner && len(*h.ownedView.Load()) == 0 {
+		if name != owner && len(h.ownedView.Load().claims) == 0 {
 			idle = name
 		}
 	}
--- a/node/jobhost/shardrun.go
+++ b/node/jobhost/shardrun.go
@@ -87,7 +87,7 @@
 		return
 	}
 	if len(batch.Records) == 0 {
-		rec, err := h.ownerRecord(s.partition, s.epoch)
+		rec, err := h.ownerRecord(s.partition, s.epoch, s.earlierLeaseMS(monotonicMS()))
 		if err != nil {
 			h.dropShard(s, err.Error())
 			return
--- a/node/jobhost/takeover.go
+++ b/node/jobhost/takeover.go
@@ -15,21 +15,11 @@
 // startTakeover takes over a partition on another goroutine.
 func (h *Host) startTakeover(p deps.Partition, now int64) {
 	h.takingOver[p] = true
-	deadNodes := map[string]bool{}
-	knownEpoch := h.newestKnownEpoch(p)
-	for name, n := range h.nodes {
-		if !h.presumedAlive(n, now) {
-			deadNodes[name] = true
-		}
-	}
-	incarnations := map[string]int64{}
-	for name, n := range h.nodes {
-		incarnations[name] = n.record.Incarnation
-	}
+	seen := h.observe(p, now)
 	go func() {
 		ctx, cancel := context.WithTimeout(context.Background(), 4*storeTimeout)
 		defer cancel()
-		t, err := h.takeOver(ctx, p, knownEpoch, deadNodes, incarnations)
+		t, err := h.takeOver(ctx, p, seen)
 		h.post(func() {
 			delete(h.takingOver, p)
 			if err != nil {
@@ -57,7 +47,10 @@
 	// previousMayBeAlive reports that the previous owner's process may still
 	// run and extend leases.
 	previousMayBeAlive bool
-	startedAt          int64
+	// earlierLeaseMS is for how long after the takeover leases of earlier owners may
+	// hold.
+	earlierLeaseMS int64
+	startedAt      int64
 }
 
 // The store treats an append with the epoch and sequence of an earlier append
@@ -72,7 +65,7 @@
 
 // takeOver fences a partition with a higher epoch, provided that the partition
 // has not changed since it was read.
-func (h *Host) takeOver(ctx context.Context, p deps.Partition, knownEpoch int64, deadNodes map[string]bool, incarnations map[string]int64) (takenPartition, error) {
+func (h *Host) takeOver(ctx context.Context, p deps.Partition, seen observation) (takenPartition, error) {
 	startedAt := monotonicMS()
 	snapshot, err := h.cfg.Store.Newest(ctx, p)
 	if err != nil {
@@ -81,8 +74,8 @@
 	if snapshot.End != snapshot.EndAtStart {
 		return takenPartition{}, errors.New("the partition changed while it was read")
 	}
-	t := takenPartition{partition: p, epoch: max(knownEpoch+1, newEpoch()), sequence: rand.Int64N(maxFirstSequence) + 1, startedAt: startedAt}
-	var previous ownership
+	t := takenPartition{partition: p, epoch: max(seen.knownEpoch+1, newEpoch()), sequence: rand.Int64N(maxFirstSequence) + 1, startedAt: startedAt}
+	var previous storedOwner
 	var handover handoverRecord
 	for _, r := range snapshot.Records {
 		switch r.Key {
@@ -99,17 +92,18 @@
 			t.records = append(t.records, r)
 		}
 	}
-	if previous.Epoch > knownEpoch && previous.Node != h.cfg.Node && !deadNodes[previous.Node] && incarnations[previous.Node] == previous.Incarnation {
-		h.post(func() { h.applyAnnouncement(previous) })
+	if previous.Epoch > seen.knownEpoch && previous.Node != h.cfg.Node && !seen.deadNodes[previous.Node] && seen.incarnations[previous.Node] == previous.Incarnation {
+		h.post(func() { h.applyAnnouncement(previous.ownership) })
 		return takenPartition{}, errors.Errorf("node %s has just taken over the partition", previous.Node)
 	}
 	t.epoch = max(t.epoch, previous.Epoch+1)
-	t.previous = previous
-	t.previousMayBeAlive = previous.Node != "" && deadNodes[previous.Node] && incarnations[previous.Node] == previous.Incarnation
+	t.previous = previous.ownership
+	t.previousMayBeAlive = previous.Node != "" && seen.deadNodes[previous.Node] && seen.incarnations[previous.Node] == previous.Incarnation
 	if handover.Epoch != 0 && handover.Epoch == previous.Epoch {
 		t.handover, t.previousMayBeAlive = &handover, false
 	}
-	rec, err := h.ownerRecord(p, t.epoch)
+	t.earlierLeaseMS = h.earlierLeaseMS(seen, previous, t.previousMayBeAlive)
+	rec, err := h.ownerRecord(p, t.epoch, t.earlierLeaseMS)
 	if err != nil {
 		return takenPartition{}, err
 	}
@@ -141,7 +135,7 @@
 func (h *Host) startOwning(t takenPartition) {
 	now := monotonicMS()
 	ctx, cancel := context.WithCancel(context.Background())
-	s := &ownedShard{partition: t.partition, epoch: t.epoch, sequence: t.sequence, ctx: ctx, cancel: cancel, ownedSince: now, records: map[string][]byte{}}
+	s := &ownedShard{partition: t.partition, epoch: t.epoch, sequence: t.sequence, ctx: ctx, cancel: cancel, ownedSince: now, earlierLeasesUntil: now + t.earlierLeaseMS, records: map[string][]byte{}}
 	s.verifiedAt.Store(t.startedAt)
 	h.owned[t.partition] = s
 	if t.partition.Topic == deps.TopicJobs {
@@ -156,7 +150,7 @@
 		h.startArbiter(s, now)
 	}
 	h.record(events.ShardTaken, events.Fields{Peer: t.previous.Node, Detail: fmt.Sprintf("%s epoch=%d records=%d stale=%v handed_over=%v previous_epoch=%d earlier_leases_ms=%d took_ms=%d",
-		describe(t.partition), t.epoch, len(t.records), t.previousMayBeAlive, t.handover != nil, t.previous.Epoch, h.cfg.previousLeaseMS(t.previousMayBeAlive), now-t.startedAt)})
+		describe(t.partition), t.epoch, len(t.records), t.previousMayBeAlive, t.handover != nil, t.previous.Epoch, t.earlierLeaseMS, now-t.startedAt)})
 	h.publishOwnership()
 	h.announce(t.partition, t.epoch)
 	if t.partition.Topic == deps.TopicJobs {
@@ -181,7 +175,7 @@
 }
 
 func (h *Host) restoreShard(s *ownedShard, t takenPartition, now int64) {
-	s.core = shard.New(h.cfg.shardConfig(t.partition.Index, t.epoch, t.previousMayBeAlive), now, wallMS())
+	s.core = shard.New(h.cfg.shardConfig(t.partition.Index, t.epoch, t.earlierLeaseMS), now, wallMS())
 	for _, r := range t.records {
 		if err := s.core.Restore(r); err != nil {
 			h.record(events.RecordUnreadable, events.Fields{Detail: describe(s.partition) + " " + r.Key, Err: err})
