Take an owner for ended only if a later process of its node is known

An owner of which it knew only an earlier process, or nothing, or no heartbeat since its takeover, counted as ended. Absence of knowledge was taken for proof. Change: only a later process of the owner's node, or its handover, proves that it has ended. The test's owner record is one of this version now, as one of an earlier version counts as the longest in any case.

--- a/node/jobhost/earlierleases.go
+++ b/node/jobhost/earlierleases.go
@@ -97,6 +97,17 @@
 	return 0
 }
 
+// mayBeAlive reports whether the process of an owner may still run and extend leases. Only a
+// later process of its node proves that it does not.
+func (o observation) mayBeAlive(owner ownership) bool {
+	return owner.Node != "" && o.incarnations[owner.Node] <= owner.Incarnation
+}
+
+// isOwn reports whether this process made a claim itself.
+func (h *Host) isOwn(o ownership) bool {
+	return o.Node == h.cfg.Node && o.Incarnation == h.incarnation
+}
+
 // earlierLeaseMS is for how long after a takeover leases of all earlier owners may hold.
 func (h *Host) earlierLeaseMS(o observation, previous storedOwner, previousMayBeAlive bool) int64 {
 	leaseMS := h.cfg.previousLeaseMS(previousMayBeAlive)
--- a/node/jobhost/earlierleases_test.go
+++ b/node/jobhost/earlierleases_test.go
@@ -93,3 +93,13 @@
 	assert.Equal(t, map[int64]int64{7: 3_000}, h.observe(p, now+1_500).earlierLeaseMS)
 	assert.Equal(t, map[int64]int64{7: 0}, h.observe(p, now+9_000).earlierLeaseMS)
 }
+
+// Only a later process of its node proves that an owner's process has ended.
+func TestOwnerMayBeAliveUnlessItsNodeWasRestarted(t *testing.T) {
+	owner := ownership{Node: "b", Incarnation: 3}
+	assert.True(t, observation{}.mayBeAlive(owner), "nothing is known of the node")
+	for incarnation, want := range map[int64]bool{2: true, 3: true, 4: false} {
+		assert.Equal(t, want, observation{incarnations: map[string]int64{"b": incarnation}}.mayBeAlive(owner), incarnation)
+	}
+	assert.False(t, observation{}.mayBeAlive(ownership{}), "nobody owned the partition")
+}
--- a/node/jobhost/ownerheardlate_test.go
+++ b/node/jobhost/ownerheardlate_test.go
@@ -29,7 +29,7 @@
 	o.host.confirmedHeartbeat.Store(&confirmedHeartbeat{sentAt: monotonicMS(), chainStart: monotonicMS() - 60_000})
 	o.part = o.host.partitionOf("s")
 	o.previous = ownership{Topic: int(o.part.Topic), Index: o.part.Index, Epoch: 7, Node: "a", Incarnation: 2}
-	value, err := encMode.Marshal(o.previous)
+	value, err := encMode.Marshal(storedOwner{o.previous, new(int64)})
 	require.NoError(t, err)
 	require.NoError(t, o.site.store.Append(context.Background(), deps.Append{Partition: o.part, Fence: &deps.Fence{Epoch: 7, Sequence: 1},
 		Records: append(placedRecords(t), shard.Record{Key: ownerKey, Value: value})}))
--- a/node/jobhost/takeover.go
+++ b/node/jobhost/takeover.go
@@ -98,7 +98,7 @@
 	}
 	t.epoch = max(t.epoch, previous.Epoch+1)
 	t.previous = previous.ownership
-	t.previousMayBeAlive = previous.Node != "" && seen.deadNodes[previous.Node] && seen.incarnations[previous.Node] == previous.Incarnation
+	t.previousMayBeAlive = !h.isOwn(previous.ownership) && seen.mayBeAlive(previous.ownership)
 	if handover.Epoch != 0 && handover.Epoch == previous.Epoch {
 		t.handover, t.previousMayBeAlive = &handover, false
 	}
