Judge the silence of an owner by reads, not by the clock

Cause: an owner counted as silent when 1.6 s had passed since its last heartbeat was read, also while reads failed: what the store had accepted since was not known. A read counted from when the control loop came to its answer. The bound on the owner's leases starts from the silence. Change: the silence lasts up to when the last successful read was sent. Two tests of silent nodes say now that this node has just read.

--- a/node/jobhost/beats.go
+++ b/node/jobhost/beats.go
@@ -92,10 +92,12 @@
 		}
 	}
 	h.largeFleet.Store(members > smallFleetNodes)
+	nextCandidate := h.onStandby(now)
+	h.nextCandidate.Store(nextCandidate)
 	mode := heartbeatOwner
 	switch {
 	case members <= smallFleetNodes || len(h.owned)+len(h.takingOver) > 0 || now-h.startedAt < startupHeartbeatPeriod.Milliseconds():
-	case h.onStandby(now):
+	case nextCandidate:
 		mode = heartbeatStandby
 	default:
 		mode = heartbeatIdle
--- a/node/jobhost/beats_test.go
+++ b/node/jobhost/beats_test.go
@@ -172,6 +172,7 @@
 	h, now := newLargeFleetHost(t)
 	dead := h.nodes["A"]
 	dead.heartbeatAt = now - silentAfter.Milliseconds() - 1
+	h.nodesReadAt = now
 	h.largeFleet.Store(true)
 	h.confirmedHeartbeat.Store(&confirmedHeartbeat{sentAt: now - 100, chainStart: now - standbyObservation.Milliseconds()})
 	h.readsUnbrokenSince = now - 10_000
--- a/node/jobhost/host.go
+++ b/node/jobhost/host.go
@@ -39,7 +39,8 @@
 	waves            map[int]*deps.Wave
 	waveSeenAt       map[int]int64
 	startedAt        int64
-	nodesReadAt      int64
+	// nodesReadAt is when the last successful read of nodesPartition was sent.
+	nodesReadAt int64
 	// workersReadAt is when the last successful read of the workers' entries was
 	// sent.
 	workersReadAt int64
@@ -73,6 +74,9 @@
 	// heartbeats.
 	heartbeatMode atomic.Int32
 	largeFleet    atomic.Bool
+	// nextCandidate reports that the owner of a shard is late or missing and this node
+	// is among the next takeover candidates.
+	nextCandidate atomic.Bool
 	ticket        atomic.Uint64
 	pending       pendingReplies
 	// needWorkers reports that this node owns a job shard. workersNeeded wakes
--- a/node/jobhost/host_test.go
+++ b/node/jobhost/host_test.go
@@ -123,6 +123,7 @@
 func TestNodesArePresumedAliveAfterOwnHeartbeatGap(t *testing.T) {
 	h := New(newTestSite(t, time.Millisecond).config("a", "127.0.0.1"))
 	now := monotonicMS()
+	h.nodesReadAt = now
 	other := &nodeState{record: heartbeatRecord{Node: "b", Incarnation: 1}, heartbeatAt: now - 10_000}
 	h.confirmedHeartbeat.Store(&confirmedHeartbeat{sentAt: now, chainStart: now - 100})
 	assert.True(t, h.presumedAlive(other, now))
--- a/node/jobhost/members.go
+++ b/node/jobhost/members.go
@@ -79,8 +79,8 @@
 // followNodes reads the heartbeats in nodesPartition, and followIdle those in
 // idlePartition, which only a large fleet uses.
 func (h *Host) followNodes(ctx context.Context) {
-	f := partitionReader{host: h, partition: nodesPartition, pause: readInterval}
-	f.run(ctx, h.postHeartbeats, func(int64) { h.post(h.markNodesRead) })
+	f := partitionReader{host: h, partition: nodesPartition, pause: readInterval, urgent: h.nextCandidate.Load}
+	f.run(ctx, h.postHeartbeats, func(sentAt int64) { h.post(func() { h.markNodesRead(sentAt) }) })
 }
 
 func (h *Host) followIdle(ctx context.Context) {
@@ -92,13 +92,12 @@
 	h.post(func() { h.applyHeartbeats(records) })
 }
 
-// markNodesRead records a successful read of nodesPartition.
-func (h *Host) markNodesRead() {
-	now := monotonicMS()
-	if now-h.nodesReadAt > startWindow.Milliseconds() {
-		h.readsUnbrokenSince = now
+// markNodesRead records a successful read of nodesPartition that was sent at the given time.
+func (h *Host) markNodesRead(sentAt int64) {
+	if sentAt-h.nodesReadAt > startWindow.Milliseconds() {
+		h.readsUnbrokenSince = sentAt
 	}
-	h.nodesReadAt = now
+	h.nodesReadAt = sentAt
 }
 
 func (h *Host) applyHeartbeats(records []shard.Record) {
--- a/node/jobhost/owners.go
+++ b/node/jobhost/owners.go
@@ -109,7 +109,16 @@
 	if n.record.Leaving {
 		return false
 	}
-	return n.fresh(now) || !h.silenceIsConclusive(now)
+	return n.fresh(h.heartbeatsKnownAt(n, now)) || !h.silenceIsConclusive(now)
+}
+
+// heartbeatsKnownAt returns the time until which this node has read the heartbeats of another
+// node. What the store has accepted since is not known.
+func (h *Host) heartbeatsKnownAt(n *nodeState, now int64) int64 {
+	if n.record.Idle {
+		return now
+	}
+	return min(now, h.nodesReadAt)
 }
 
 // silenceIsConclusive reports whether missing heartbeats of other nodes mean
