Look again for the owner before its shard is fenced

Cause: what is known of the other nodes was taken before the read of the records, which may last 0.9 s, and was not looked at again. Change: a takeover reads the partition first, then asks the control loop whether the shard is still vacant and what is known of its owners, and fences it by that. The tests of takeOver read and claim in one step as before.

--- a/node/jobhost/host_test.go
+++ b/node/jobhost/host_test.go
@@ -59,6 +59,15 @@
 	}
 }
 
+// takeOver reads a partition and claims it by what is known of the other nodes.
+func (h *Host) takeOver(ctx context.Context, p deps.Partition, seen observation) (takenPartition, error) {
+	t, err := h.readPartition(ctx, p)
+	if err != nil {
+		return t, err
+	}
+	return h.claim(ctx, t, seen)
+}
+
 // Two nodes that take over one partition at the same time must not both
 // succeed, although the store answers a repeated append like the first one.
 func TestConcurrentTakeoversLeaveOneOwner(t *testing.T) {
--- a/node/jobhost/ownerheardlate_test.go
+++ b/node/jobhost/ownerheardlate_test.go
@@ -26,7 +26,8 @@
 	t.Helper()
 	o := &successorSite{site: newTestSite(t, time.Millisecond)}
 	o.host = New(o.site.config("b", "127.0.0.2"))
-	o.host.confirmedHeartbeat.Store(&confirmedHeartbeat{sentAt: monotonicMS(), chainStart: monotonicMS() - 60_000})
+	o.host.startedAt = monotonicMS() - 60_000
+	o.host.confirmedHeartbeat.Store(&confirmedHeartbeat{sentAt: monotonicMS(), chainStart: o.host.startedAt})
 	o.part = o.host.partitionOf("s")
 	o.previous = ownership{Topic: int(o.part.Topic), Index: o.part.Index, Epoch: 7, Node: "a", Incarnation: 2}
 	value, err := encMode.Marshal(storedOwner{o.previous, new(int64)})
@@ -109,9 +110,9 @@
 				o.host.announcedOwners[o.part] = o.previous
 				o.host.ownerAnnouncedAt[o.part] = monotonicMS() - c.announcedMS
 			}
-			now := monotonicMS()
-			require.False(t, o.host.hasLiveOwner(o.part, now))
-			o.host.startTakeover(o.part, now)
+			o.host.nodesReadAt = monotonicMS()
+			require.False(t, o.host.hasLiveOwner(o.part, o.host.nodesReadAt))
+			o.host.startTakeover(o.part)
 			o.finishTakeover()
 			if c.ended {
 				assert.Equal(t, o.host.cfg.previousLeaseMS(false), o.earlierLeasesMS(t))
@@ -185,9 +186,10 @@
 	slow := slowNewest{Store: o.site.store, part: o.part, reading: make(chan struct{}), release: make(chan struct{})}
 	h.cfg.Store = slow
 	now := monotonicMS()
+	h.nodesReadAt = now
 	h.applyHeartbeat(now-silentAfter.Milliseconds()-1, o.heartbeat(2, 1, o.previous))
 	require.False(t, h.hasLiveOwner(o.part, now))
-	h.startTakeover(o.part, now)
+	h.startTakeover(o.part)
 	<-slow.reading
 	h.applyHeartbeat(monotonicMS(), o.heartbeat(2, 2, o.previous))
 	require.True(t, h.hasLiveOwner(o.part, monotonicMS()))
--- a/node/jobhost/owners.go
+++ b/node/jobhost/owners.go
@@ -87,7 +87,7 @@
 		planned[candidates[0]]++
 		for rank, name := range candidates {
 			if name == h.cfg.Node && now-h.vacantSince[p] >= int64(rank)*takeoverRankDelay.Milliseconds() {
-				h.startTakeover(p, now)
+				h.startTakeover(p)
 			}
 		}
 	}
--- a/node/jobhost/takeover.go
+++ b/node/jobhost/takeover.go
@@ -12,14 +12,16 @@
 	"wigeonwinch/node/events"
 )
 
+// errOwnerAlive means that the owner of a partition was heard of while this node read it.
+var errOwnerAlive = errors.New("the owner of the partition is alive")
+
 // startTakeover takes over a partition on another goroutine.
-func (h *Host) startTakeover(p deps.Partition, now int64) {
+func (h *Host) startTakeover(p deps.Partition) {
 	h.takingOver[p] = true
-	seen := h.observe(p, now)
 	go func() {
 		ctx, cancel := context.WithTimeout(context.Background(), 4*storeTimeout)
 		defer cancel()
-		t, err := h.takeOver(ctx, p, seen)
+		t, err := h.takeOverIfVacant(ctx, p)
 		h.post(func() {
 			delete(h.takingOver, p)
 			if err != nil {
@@ -32,6 +34,28 @@
 	}()
 }
 
+// takeOverIfVacant reads a partition and claims it unless a live owner was heard of
+// meanwhile.
+func (h *Host) takeOverIfVacant(ctx context.Context, p deps.Partition) (takenPartition, error) {
+	t, err := h.readPartition(ctx, p)
+	if err != nil {
+		return t, err
+	}
+	var seen observation
+	vacant := false
+	err = h.runOnLoop(ctx, func() {
+		now := monotonicMS()
+		vacant, seen = h.mayTakeOver(now) && !h.hasLiveOwner(p, now), h.observe(p, now)
+	})
+	if err == nil && !vacant {
+		err = errOwnerAlive
+	}
+	if err != nil {
+		return t, err
+	}
+	return h.claim(ctx, t, seen)
+}
+
 // takenPartition is a partition that this node has just fenced and read.
 type takenPartition struct {
 	partition deps.Partition
@@ -42,8 +66,10 @@
 	records  []shard.Record
 	// handover is what the previous owner left; nil if it did not hand over.
 	handover *handoverRecord
+	// end is the offset at which the partition ended when it was read.
+	end int64
 	// previous is the previous owner.
-	previous ownership
+	previous storedOwner
 	// previousMayBeAlive reports that the previous owner's process may still
 	// run and extend leases.
 	previousMayBeAlive bool
@@ -63,52 +89,56 @@
 
 func newEpoch() int64 { return wallMS()*epochsPerMS + rand.Int64N(epochsPerMS) }
 
-// takeOver fences a partition with a higher epoch, provided that the partition
-// has not changed since it was read.
-func (h *Host) takeOver(ctx context.Context, p deps.Partition, seen observation) (takenPartition, error) {
-	startedAt := monotonicMS()
+// readPartition reads the records of a partition that is to be taken over.
+func (h *Host) readPartition(ctx context.Context, p deps.Partition) (takenPartition, error) {
+	t := takenPartition{partition: p, sequence: rand.Int64N(maxFirstSequence) + 1, startedAt: monotonicMS()}
 	snapshot, err := h.cfg.Store.Newest(ctx, p)
 	if err != nil {
-		return takenPartition{}, err
+		return t, err
 	}
 	if snapshot.End != snapshot.EndAtStart {
-		return takenPartition{}, errors.New("the partition changed while it was read")
+		return t, errors.New("the partition changed while it was read")
 	}
-	t := takenPartition{partition: p, epoch: max(seen.knownEpoch+1, newEpoch()), sequence: rand.Int64N(maxFirstSequence) + 1, startedAt: startedAt}
-	var previous storedOwner
-	var handover handoverRecord
+	t.end = snapshot.End
 	for _, r := range snapshot.Records {
 		switch r.Key {
 		case ownerKey:
-			if err := decMode.Unmarshal(r.Value, &previous); err != nil {
-				return takenPartition{}, errors.Wrap(err, "cannot decode the owner record")
+			if err := decMode.Unmarshal(r.Value, &t.previous); err != nil {
+				return t, errors.Wrap(err, "cannot decode the owner record")
 			}
 		case handoverKey:
+			var handover handoverRecord
 			if err := decMode.Unmarshal(r.Value, &handover); err != nil {
 				h.record(events.RecordUnreadable, events.Fields{Detail: describe(p) + " " + handoverKey, Err: err})
-				handover = handoverRecord{}
+				continue
 			}
+			t.handover = &handover
 		default:
 			t.records = append(t.records, r)
 		}
 	}
-	if previous.Epoch > seen.knownEpoch && previous.Node != h.cfg.Node && !seen.deadNodes[previous.Node] && seen.incarnations[previous.Node] == previous.Incarnation {
-		h.post(func() { h.applyAnnouncement(previous.ownership) })
-		return takenPartition{}, errors.Errorf("node %s has just taken over the partition", previous.Node)
+	if t.handover != nil && (t.handover.Epoch == 0 || t.handover.Epoch != t.previous.Epoch) {
+		t.handover = nil
 	}
-	t.epoch = max(t.epoch, previous.Epoch+1)
-	t.previous = previous.ownership
-	t.previousMayBeAlive = !h.isOwn(previous.ownership) && seen.mayBeAlive(previous.ownership)
-	if handover.Epoch != 0 && handover.Epoch == previous.Epoch {
-		t.handover, t.previousMayBeAlive = &handover, false
+	return t, nil
+}
+
+// claim fences a partition with a higher epoch, provided that the partition has not
+// changed since it was read.
+func (h *Host) claim(ctx context.Context, t takenPartition, seen observation) (takenPartition, error) {
+	previous := t.previous.ownership
+	if previous.Epoch > seen.knownEpoch && previous.Node != h.cfg.Node && !seen.deadNodes[previous.Node] && seen.incarnations[previous.Node] == previous.Incarnation {
+		h.post(func() { h.applyAnnouncement(previous) })
+		return t, errors.Errorf("node %s has just taken over the partition", previous.Node)
 	}
-	t.earlierLeaseMS = h.earlierLeaseMS(seen, previous, t.previousMayBeAlive)
-	rec, err := h.ownerRecord(p, t.epoch, t.earlierLeaseMS)
+	t.epoch = max(seen.knownEpoch+1, previous.Epoch+1, newEpoch())
+	t.previousMayBeAlive = t.handover == nil && !h.isOwn(previous) && seen.mayBeAlive(previous)
+	t.earlierLeaseMS = h.earlierLeaseMS(seen, t.previous, t.previousMayBeAlive)
+	rec, err := h.ownerRecord(t.partition, t.epoch, t.earlierLeaseMS)
 	if err != nil {
-		return takenPartition{}, err
+		return t, err
 	}
-	end := snapshot.End
-	err = h.cfg.Store.Append(ctx, deps.Append{Partition: p, ExpectedEnd: &end, Fence: &deps.Fence{Epoch: t.epoch, Sequence: t.sequence},
+	err = h.cfg.Store.Append(ctx, deps.Append{Partition: t.partition, ExpectedEnd: &t.end, Fence: &deps.Fence{Epoch: t.epoch, Sequence: t.sequence},
 		Records: []shard.Record{rec}})
 	if err != nil && deps.KindOf(err) == deps.KindUnknown {
 		return h.confirmTakeover(ctx, t, err)
@@ -120,7 +150,7 @@
 func (h *Host) confirmTakeover(ctx context.Context, t takenPartition, cause error) (takenPartition, error) {
 	snapshot, err := h.cfg.Store.Newest(ctx, t.partition)
 	if err != nil {
-		return takenPartition{}, cause
+		return t, cause
 	}
 	for _, r := range snapshot.Records {
 		var o ownership
@@ -128,7 +158,7 @@
 			return t, nil
 		}
 	}
-	return takenPartition{}, cause
+	return t, cause
 }
 
 // startOwning begins to schedule for a partition that this node has taken over.
@@ -146,7 +176,7 @@
 		}
 		s.hadPredecessor = t.previous.Node != ""
 		h.fleet = newFleetController(h, s)
-		h.fleet.predecessorIdleMS = h.predecessorIdleMS(t.previous, now)
+		h.fleet.predecessorIdleMS = h.predecessorIdleMS(t.previous.ownership, now)
 		h.startArbiter(s, now)
 	}
 	h.record(events.ShardTaken, events.Fields{Peer: t.previous.Node, Detail: fmt.Sprintf("%s epoch=%d records=%d stale=%v handed_over=%v previous_epoch=%d earlier_leases_ms=%d took_ms=%d",
