Wait for handed-over leases of a later life of a worker

Cause: an owner that stops hands over how long the leases on silent workers may hold. Its successor dropped the entry of a worker whose records name an earlier life than the owner knew, and counted its own, shorter time. Evidence: TestHandoverOfLaterIncarnationIsWaitedOut failed in 20 of 20 runs. Change: such an entry can prolong the wait; only one of the life of the records can shorten it.

--- a/jobs/shard/handover.go
+++ b/jobs/shard/handover.go
@@ -24,11 +24,17 @@
 
 // RestoreSilentWorkers sets until when the leases of earlier owners hold on the workers
 // that were silent when the previous owner stopped. It is called after the records are
-// restored.
+// restored. A bound for another incarnation than that of the records can only prolong the
+// wait.
 func (c *Core) RestoreSilentWorkers(list []SilentWorker) {
 	for _, s := range list {
-		if w := c.workers[s.Worker]; w != nil && w.incarnation == s.Incarnation {
+		w := c.workers[s.Worker]
+		switch {
+		case w == nil:
+		case w.incarnation == s.Incarnation:
 			w.earlierLeasesUntil = c.now + s.LeaseMS
+		default:
+			w.earlierLeasesUntil = max(w.earlierLeasesUntil, c.now+s.LeaseMS)
 		}
 	}
 }
