Tell the successor of leases that a restarted worker may hold

Cause: an order in the clock of an earlier life makes a later one grant its longest lease. The owner waits for that, but its successor knew only of the 6 s that owners give: one more fact that was in memory alone. Change: the time for which earlier leases hold, as published with the heartbeats, includes these leases, and those that a handover names; a heartbeat of the owner counts in place of what it stored with its claim. The test's successor takes the published bound, as the host does. Not covered: an owner that ends between the answer of the restarted worker and its next heartbeat.

--- a/jobs/shard/handover.go
+++ b/jobs/shard/handover.go
@@ -9,6 +9,17 @@
 	LeaseMS int64
 }
 
+// EarlierLeasesUntil returns until when leases may hold that are not bounded by the end of
+// this owner's orders: those of earlier owners, and those that workers may have granted on
+// orders for an earlier incarnation.
+func (c *Core) EarlierLeasesUntil() int64 {
+	until := c.earlierLeasesUntil
+	for _, w := range c.workers {
+		until = max(until, w.earlierLeasesUntil, w.laterLeasesUntil)
+	}
+	return until
+}
+
 // SilentWorkers lists the silent workers for the next owner, which can't learn from them
 // until when their leases hold. The owner must send no orders any more.
 func (c *Core) SilentWorkers(now int64) []SilentWorker {
--- a/jobs/shard/laterlease_test.go
+++ b/jobs/shard/laterlease_test.go
@@ -18,9 +18,11 @@
 	return records
 }
 
-// succeed replaces the owner by one that knows its records and what it has handed over.
+// succeed replaces the owner by one that knows its records, the bound that it has published and
+// what it has handed over.
 func (h *harness) succeed(records []Record, handover []SilentWorker) {
-	h.core = New(Config{Epoch: h.core.cfg.Epoch + 1, MaxLeaseMS: 10_000, EarlierLeaseMS: 6_423, StatusKeepMS: 1_000}, h.now, h.now)
+	earlierLeaseMS := max(6_423, h.core.EarlierLeasesUntil()-h.now)
+	h.core = New(Config{Epoch: h.core.cfg.Epoch + 1, MaxLeaseMS: 10_000, EarlierLeaseMS: earlierLeaseMS, StatusKeepMS: 1_000}, h.now, h.now)
 	for _, rec := range records {
 		require.NoError(h.t, h.core.Restore(rec))
 	}
--- a/node/jobhost/earlierleases.go
+++ b/node/jobhost/earlierleases.go
@@ -36,6 +36,15 @@
 // earlierLeaseMS is for how long leases of earlier owners may hold.
 func (s *ownedShard) earlierLeaseMS(now int64) int64 { return max(s.earlierLeasesUntil-now, 0) }
 
+// prolongEarlierLeases publishes that leases which a successor does not know of may hold for
+// longer than was known at the takeover.
+func (h *Host) prolongEarlierLeases(s *ownedShard) {
+	if until := s.core.EarlierLeasesUntil(); until > s.earlierLeasesUntil {
+		s.earlierLeasesUntil = until
+		h.publishOwnership()
+	}
+}
+
 // ownedView is what a node publishes of the shards that it owns.
 type ownedView struct {
 	claims    []ownership
@@ -117,9 +126,8 @@
 	case previous.EarlierLeaseMS == nil:
 		return h.cfg.previousLeaseMS(true)
 	}
-	inheritedMS := *previous.EarlierLeaseMS
 	if ms, known := o.earlierLeaseMS[previous.Epoch]; known {
-		inheritedMS = min(inheritedMS, ms)
+		return max(leaseMS, ms)
 	}
-	return max(leaseMS, inheritedMS)
+	return max(leaseMS, *previous.EarlierLeaseMS)
 }
--- a/node/jobhost/earlierleases_test.go
+++ b/node/jobhost/earlierleases_test.go
@@ -103,3 +103,27 @@
 	}
 	assert.False(t, observation{}.mayBeAlive(ownership{}), "nobody owned the partition")
 }
+
+// A worker that has started again may hold a longer lease than its owner gave; the successor
+// learns of it from the heartbeats.
+func TestLongerLeasesAreToldToTheSuccessor(t *testing.T) {
+	s := newTestSite(t, time.Millisecond)
+	p := deps.Partition{Topic: deps.TopicJobs, Index: 1}
+	h, next := New(s.config("a", "127.0.0.1")), New(s.config("b", "127.0.0.2"))
+	taken, err := h.takeOver(t.Context(), p, observation{})
+	require.NoError(t, err)
+	h.startOwning(taken)
+	owned := h.owned[p]
+	now := monotonicMS()
+	owned.core = shard.New(h.cfg.shardConfig(p.Index, owned.epoch, 10_500), now, wallMS())
+	h.prolongEarlierLeases(owned)
+	leases := h.ownedView.Load().earlierLeases(now)
+	require.Len(t, leases, 1)
+	assert.GreaterOrEqual(t, leases[0].LeaseMS, int64(10_500))
+	next.nodes["a"] = &nodeState{record: heartbeatRecord{Node: "a", Incarnation: h.incarnation, Owned: h.ownedView.Load().claims, EarlierLeases: leases}, heartbeatAt: now}
+	next.nodes["a"].record.Incarnation++
+	taken, err = next.takeOver(t.Context(), p, next.observe(p, now))
+	require.NoError(t, err)
+	assert.False(t, taken.previousMayBeAlive)
+	assert.GreaterOrEqual(t, taken.earlierLeaseMS, int64(10_500))
+}
--- a/node/jobhost/host.go
+++ b/node/jobhost/host.go
@@ -301,6 +301,7 @@
 			h.dropShard(s, "a worker reported a newer owner")
 			continue
 		}
+		h.prolongEarlierLeases(s)
 		h.exchangeRoom(s, now)
 		h.dispatchOrders(s)
 	}
