Store when the leases of earlier owners have ended

Cause: the bound that an owner stores with its claim counted in full for ever. A restart or an orderly stop replaced the heartbeat that said that nothing was left, and the next owner stored the same bound again. Two shards taken in one millisecond could have one epoch, and the shorter bound of the two. Change: an owner stores its claim once more when these leases have ended, one append a takeover; the longest of equal epochs counts.

--- a/node/jobhost/earlierleases.go
+++ b/node/jobhost/earlierleases.go
@@ -36,11 +36,21 @@
 // earlierLeaseMS is for how long leases of earlier owners may hold.
 func (s *ownedShard) earlierLeaseMS(now int64) int64 { return max(s.earlierLeasesUntil-now, 0) }
 
+// storeLeaseEnd stores the claim again once the leases of earlier owners have ended, so that
+// a later successor does not wait for them.
+func (h *Host) storeLeaseEnd(s *ownedShard, now int64) {
+	if s.leaseEndStored || now < s.earlierLeasesUntil || s.appendInFlight || len(s.extraRecords) > 0 {
+		return
+	}
+	s.leaseEndStored = true
+	h.verifyOwnership(s)
+}
+
 // prolongEarlierLeases publishes that leases which a successor does not know of may hold for
 // longer than was known at the takeover.
 func (h *Host) prolongEarlierLeases(s *ownedShard) {
 	if until := s.core.EarlierLeasesUntil(); until > s.earlierLeasesUntil {
-		s.earlierLeasesUntil = until
+		s.earlierLeasesUntil, s.leaseEndStored = until, false
 		h.publishOwnership()
 	}
 }
@@ -98,12 +108,13 @@
 // earlierLeaseMS is for how long leases of the owners before an epoch of this node may hold
 // by its last heartbeat, which is at least as old as its reading.
 func (n *nodeState) earlierLeaseMS(epoch, now int64) int64 {
+	longestMS := int64(0)
 	for _, l := range n.record.EarlierLeases {
 		if l.Epoch == epoch {
-			return max(l.LeaseMS-(now-n.heartbeatAt), 0)
+			longestMS = max(longestMS, l.LeaseMS-(now-n.heartbeatAt))
 		}
 	}
-	return 0
+	return longestMS
 }
 
 // mayBeAlive reports whether the process of an owner may still run and extend leases. Only a
--- a/node/jobhost/earlierleases_test.go
+++ b/node/jobhost/earlierleases_test.go
@@ -127,3 +127,40 @@
 	assert.False(t, taken.previousMayBeAlive)
 	assert.GreaterOrEqual(t, taken.earlierLeaseMS, int64(10_500))
 }
+
+// The bound that was stored with a claim counted in full an hour later, and was handed on, when
+// the owner's last heartbeat said nothing of it.
+func TestStoredLeaseBoundEndsWithTheLeases(t *testing.T) {
+	s := newTestSite(t, time.Millisecond)
+	p := deps.Partition{Topic: deps.TopicJobs, Index: 1}
+	h, next := New(s.config("a", "127.0.0.1")), New(s.config("b", "127.0.0.2"))
+	taken, err := h.takeOver(t.Context(), p, observation{})
+	require.NoError(t, err)
+	h.startOwning(taken)
+	owned := h.owned[p]
+	h.storeLeaseEnd(owned, owned.earlierLeasesUntil-1)
+	assert.Empty(t, owned.extraRecords, "leases may hold")
+	owned.earlierLeasesUntil = monotonicMS()
+	h.storeLeaseEnd(owned, owned.earlierLeasesUntil)
+	h.appendNext(owned)
+	for owned.appendInFlight {
+		(<-h.inbox)()
+	}
+	h.storeLeaseEnd(owned, owned.earlierLeasesUntil+1_000)
+	assert.Empty(t, owned.extraRecords, "it is stored once")
+	read, err := next.readPartition(t.Context(), p)
+	require.NoError(t, err)
+	assert.Equal(t, taken.epoch, read.previous.Epoch)
+	assert.Equal(t, new(int64), read.previous.EarlierLeaseMS)
+}
+
+// Two shards that were taken in one millisecond may have equal epochs.
+func TestLongestLeaseOfEqualEpochsCounts(t *testing.T) {
+	const now = 50_000
+	p := deps.Partition{Topic: deps.TopicJobs, Index: 3}
+	h := New(newTestSite(t, time.Millisecond).config("a", "127.0.0.1"))
+	view := ownedView{leaseEnds: []leaseEnd{{7, now + 1_000}, {7, now + 9_000}}}
+	h.nodes["b"] = &nodeState{heartbeatAt: now, record: heartbeatRecord{Node: "b", Incarnation: 1, EarlierLeases: view.earlierLeases(now),
+		Owned: []ownership{{Topic: int(p.Topic), Index: 2, Epoch: 7}, {Topic: int(p.Topic), Index: 3, Epoch: 7}}}}
+	assert.Equal(t, map[int64]int64{7: 9_000}, h.observe(p, now).earlierLeaseMS)
+}
--- a/node/jobhost/host.go
+++ b/node/jobhost/host.go
@@ -287,6 +287,7 @@
 		if !verified {
 			h.verifyOwnership(s)
 		}
+		h.storeLeaseEnd(s, now)
 		if s.core == nil {
 			h.appendNext(s)
 			continue
--- a/node/jobhost/owners.go
+++ b/node/jobhost/owners.go
@@ -35,6 +35,8 @@
 	ownedSince         int64
 	// earlierLeasesUntil is when the leases of earlier owners have ended.
 	earlierLeasesUntil int64
+	// leaseEndStored reports that the stored claim says that they have ended.
+	leaseEndStored bool
 	// verifiedAt is when this owner sent its last append that the store
 	// accepted.
 	verifiedAt atomic.Int64
