Hand on lease bounds of single workers over two takeovers

Cause: a handover says how long leases on single workers may hold. A worker that answers was left out, although it may hold a longer lease than its owner gave. Change: the stored bound covers the longest lease of the handover; handovers name workers that may hold longer leases also if they answer.

--- a/jobs/shard/handover.go
+++ b/jobs/shard/handover.go
@@ -1,6 +1,7 @@
 package shard
 
-// SilentWorker is a worker that does not answer its owner and may still run tasks.
+// SilentWorker is a worker that does not answer its owner and may still run tasks, or that may
+// hold a longer lease than its owner gave.
 type SilentWorker struct {
 	_           struct{} `cbor:",toarray"`
 	Worker      string
@@ -26,7 +27,7 @@
 	c.now = now
 	var list []SilentWorker
 	for _, w := range c.sortedWorkers() {
-		if len(w.runs) > 0 && w.silent() {
+		if len(w.runs) > 0 && (w.silent() || w.laterLeasesUntil > now) {
 			list = append(list, SilentWorker{Worker: w.info.ID, Incarnation: w.incarnation, LeaseMS: max(w.leasesUntil()-now, 0)})
 		}
 	}
--- a/jobs/shard/laterlease_test.go
+++ b/jobs/shard/laterlease_test.go
@@ -68,3 +68,15 @@
 	h.succeed(records, silent)
 	assert.GreaterOrEqual(t, h.core.workers["w0"].leasesUntil(), end)
 }
+
+// A worker that answers may hold a longer lease than its owner gave, too.
+func TestLongerLeasesAreHandedOverForWorkersThatAnswer(t *testing.T) {
+	h := newHarness(t, 1)
+	h.acceptStarts(h.submit(testJob(1, smallStep(1))).Starts)
+	assert.Empty(t, h.core.SilentWorkers(h.now))
+	h.core.longestLeaseMS = 10_000
+	h.core.expectLongestLease(h.core.workers["w0"])
+	handedOver := h.core.SilentWorkers(h.now)
+	require.Len(t, handedOver, 1)
+	assert.Greater(t, handedOver[0].LeaseMS, int64(10_000))
+}
--- a/node/jobhost/earlierleases_test.go
+++ b/node/jobhost/earlierleases_test.go
@@ -164,3 +164,22 @@
 		Owned: []ownership{{Topic: int(p.Topic), Index: 2, Epoch: 7}, {Topic: int(p.Topic), Index: 3, Epoch: 7}}}}
 	assert.Equal(t, map[int64]int64{7: 9_000}, h.observe(p, now).earlierLeaseMS)
 }
+
+// A bound that was handed over for one worker was forgotten in the takeover after the next.
+func TestHandedOverLeaseOutlivesTheSecondTakeover(t *testing.T) {
+	s := newTestSite(t, time.Millisecond)
+	p := deps.Partition{Topic: deps.TopicJobs, Index: 1}
+	a, b, c := New(s.config("a", "127.0.0.1")), New(s.config("b", "127.0.0.2")), New(s.config("c", "127.0.0.3"))
+	first, err := a.takeOver(t.Context(), p, observation{})
+	require.NoError(t, err)
+	const handedOverMS = 10_304
+	require.NoError(t, a.appendHandover(&ownedShard{partition: p, epoch: first.epoch, sequence: first.sequence},
+		handoverRecord{Epoch: first.epoch, SilentWorkers: []shard.SilentWorker{{Worker: "w", Incarnation: 3, LeaseMS: handedOverMS}}}))
+	second, err := b.takeOver(t.Context(), p, observation{knownEpoch: first.epoch, deadNodes: map[string]bool{"a": true}, incarnations: map[string]int64{"a": a.incarnation}})
+	require.NoError(t, err)
+	require.NotNil(t, second.handover)
+	assert.Equal(t, b.cfg.previousLeaseMS(false), second.earlierLeaseMS, "the other workers")
+	third, err := c.takeOver(t.Context(), p, observation{knownEpoch: second.epoch, incarnations: map[string]int64{"a": a.incarnation, "b": b.incarnation + 1}})
+	require.NoError(t, err)
+	assert.GreaterOrEqual(t, third.earlierLeaseMS, int64(handedOverMS))
+}
--- a/node/jobhost/handover.go
+++ b/node/jobhost/handover.go
@@ -17,6 +17,17 @@
 	SilentWorkers []shard.SilentWorker `cbor:"1,keyasint,omitempty"`
 }
 
+// longestLeaseMS is for how long leases on the silent workers may hold.
+func (r *handoverRecord) longestLeaseMS() int64 {
+	longestMS := int64(0)
+	if r != nil {
+		for _, w := range r.SilentWorkers {
+			longestMS = max(longestMS, w.LeaseMS)
+		}
+	}
+	return longestMS
+}
+
 // handOver stores the handover records of stopped shards on which workers are silent;
 // for others it makes no difference to the next owner.
 func (h *Host) handOver(stopped []*ownedShard) {
--- a/node/jobhost/takeover.go
+++ b/node/jobhost/takeover.go
@@ -74,9 +74,9 @@
 	// run and extend leases.
 	previousMayBeAlive bool
 	// earlierLeaseMS is for how long after the takeover leases of earlier owners may
-	// hold.
-	earlierLeaseMS int64
-	startedAt      int64
+	// hold on workers of which the handover says nothing; longestLeaseMS covers all.
+	earlierLeaseMS, longestLeaseMS int64
+	startedAt                      int64
 }
 
 // The store treats an append with the epoch and sequence of an earlier append
@@ -134,7 +134,8 @@
 	t.epoch = max(seen.knownEpoch+1, previous.Epoch+1, newEpoch())
 	t.previousMayBeAlive = t.handover == nil && !h.isOwn(previous) && seen.mayBeAlive(previous)
 	t.earlierLeaseMS = h.earlierLeaseMS(seen, t.previous, t.previousMayBeAlive)
-	rec, err := h.ownerRecord(t.partition, t.epoch, t.earlierLeaseMS)
+	t.longestLeaseMS = max(t.earlierLeaseMS, t.handover.longestLeaseMS())
+	rec, err := h.ownerRecord(t.partition, t.epoch, t.longestLeaseMS)
 	if err != nil {
 		return t, err
 	}
@@ -165,7 +166,7 @@
 func (h *Host) startOwning(t takenPartition) {
 	now := monotonicMS()
 	ctx, cancel := context.WithCancel(context.Background())
-	s := &ownedShard{partition: t.partition, epoch: t.epoch, sequence: t.sequence, ctx: ctx, cancel: cancel, ownedSince: now, earlierLeasesUntil: now + t.earlierLeaseMS, records: map[string][]byte{}}
+	s := &ownedShard{partition: t.partition, epoch: t.epoch, sequence: t.sequence, ctx: ctx, cancel: cancel, ownedSince: now, earlierLeasesUntil: now + t.longestLeaseMS, records: map[string][]byte{}}
 	s.verifiedAt.Store(t.startedAt)
 	h.owned[t.partition] = s
 	if t.partition.Topic == deps.TopicJobs {
