Count an owner as silent only up to the fence of its shard

Cause: the wait of 10.3 s for the leases of an owner supposes that it has confirmed no heartbeat for 1.6 s before the takeover. That was not so for an owner that had taken the shard a moment ago as a process of which nothing was heard, nor for one that was back while its successor's reads failed: such an owner may hold leases for 11.7 s after the takeover. Change: a takeover reads the heartbeats after the partition and before the fence. An owner that was heard of keeps its shard; one that comes back later has to change the partition first, at which the fence fails. If the silence is not known the wait is 11.9 s, and an owner of which nothing was heard is announced first, as one that was. The test of owners that may be alive asks for 11.9 s now, 10.3 s before.

--- a/node/jobhost/config.go
+++ b/node/jobhost/config.go
@@ -148,12 +148,26 @@
 	maxLeaseMS = 6000
 )
 
+// previousOwner is what is known of the owner of a partition that is taken over.
+type previousOwner int
+
+// The states of a previous owner. One that was seen as silent has not confirmed a heartbeat for
+// silentAfter before the takeover; one that may be alive may have done so until the takeover.
+const (
+	ownerEnded previousOwner = iota
+	ownerSilent
+	ownerMaybeAlive
+)
+
 // previousLeaseMS is for how long after a takeover leases of the previous owner may hold.
-func (c Config) previousLeaseMS(previousMayBeAlive bool) int64 {
+func (c Config) previousLeaseMS(previous previousOwner) int64 {
 	leaseMS := min(c.MaxLeaseMS, maxLeaseMS)
 	durationMS := int64(float64(leaseMS)*(1+maxLeaseOverrun)) + leaseSlackMS
-	if previousMayBeAlive {
+	switch previous {
+	case ownerSilent:
 		durationMS += (leaseExtensionWindow - silentAfter).Milliseconds()
+	case ownerMaybeAlive:
+		durationMS += leaseExtensionWindow.Milliseconds()
 	}
 	return durationMS
 }
--- a/node/jobhost/earlierleases.go
+++ b/node/jobhost/earlierleases.go
@@ -117,10 +117,17 @@
 	return longestMS
 }
 
-// mayBeAlive reports whether the process of an owner may still run and extend leases. Only a
-// later process of its node proves that it does not.
-func (o observation) mayBeAlive(owner ownership) bool {
-	return owner.Node != "" && o.incarnations[owner.Node] <= owner.Incarnation
+// stateOf returns what is known of the owner that made a claim. Only a later process of its
+// node proves that it has ended.
+func (o observation) stateOf(owner ownership) previousOwner {
+	newest, known := o.incarnations[owner.Node]
+	switch {
+	case owner.Node == "" || newest > owner.Incarnation:
+		return ownerEnded
+	case known && newest == owner.Incarnation && o.deadNodes[owner.Node]:
+		return ownerSilent
+	}
+	return ownerMaybeAlive
 }
 
 // isOwn reports whether this process made a claim itself.
@@ -129,13 +136,13 @@
 }
 
 // earlierLeaseMS is for how long after a takeover leases of all earlier owners may hold.
-func (h *Host) earlierLeaseMS(o observation, previous storedOwner, previousMayBeAlive bool) int64 {
-	leaseMS := h.cfg.previousLeaseMS(previousMayBeAlive)
+func (h *Host) earlierLeaseMS(o observation, previous storedOwner, state previousOwner) int64 {
+	leaseMS := h.cfg.previousLeaseMS(state)
 	switch {
 	case previous.Node == "":
 		return leaseMS
 	case previous.EarlierLeaseMS == nil:
-		return h.cfg.previousLeaseMS(true)
+		return h.cfg.previousLeaseMS(ownerMaybeAlive)
 	}
 	if ms, known := o.earlierLeaseMS[previous.Epoch]; known {
 		return max(leaseMS, ms)
--- a/node/jobhost/earlierleases_test.go
+++ b/node/jobhost/earlierleases_test.go
@@ -21,38 +21,39 @@
 	silent := observation{deadNodes: map[string]bool{"a": true}, incarnations: map[string]int64{"a": first.incarnation}}
 	taken, err = second.takeOver(t.Context(), p, silent)
 	require.NoError(t, err)
-	require.True(t, taken.previousMayBeAlive)
-	longest := second.cfg.previousLeaseMS(true)
+	require.Equal(t, ownerSilent, taken.previousState)
+	longest := second.cfg.previousLeaseMS(ownerSilent)
 	assert.Equal(t, longest, taken.earlierLeaseMS)
 	// The second owner is killed and back at once.
 	restarted := observation{incarnations: map[string]int64{"b": second.incarnation + 1}}
 	taken, err = third.takeOver(t.Context(), p, restarted)
 	require.NoError(t, err)
-	assert.False(t, taken.previousMayBeAlive)
+	assert.Equal(t, ownerEnded, taken.previousState)
 	assert.Equal(t, longest, taken.earlierLeaseMS)
 }
 
 func TestEarlierLeases(t *testing.T) {
 	h := New(newTestSite(t, time.Millisecond).config("a", "127.0.0.1"))
-	shortest, longest := h.cfg.previousLeaseMS(false), h.cfg.previousLeaseMS(true)
+	shortest, silent, longest := h.cfg.previousLeaseMS(ownerEnded), h.cfg.previousLeaseMS(ownerSilent), h.cfg.previousLeaseMS(ownerMaybeAlive)
 	ms := func(n int64) *int64 { return &n }
 	owner := ownership{Epoch: 7, Node: "b", Incarnation: 3}
 	for name, c := range map[string]struct {
 		stored *int64
 		heard  map[int64]int64
-		alive  bool
+		state  previousOwner
 		want   int64
 	}{
-		"none of the owners before":         {ms(0), nil, false, shortest},
-		"the owner itself may be alive":     {ms(0), nil, true, longest},
-		"as stored with its claim":          {ms(9_000), nil, false, 9_000},
-		"as stored, of another epoch heard": {ms(9_000), map[int64]int64{6: 0}, false, 9_000},
-		"some time has passed since":        {ms(9_000), map[int64]int64{7: 7_500}, false, 7_500},
-		"they have ended since":             {ms(9_000), map[int64]int64{7: 0}, false, shortest},
-		"stored by an earlier version":      {nil, map[int64]int64{7: 0}, false, longest},
+		"none of the owners before":         {ms(0), nil, ownerEnded, shortest},
+		"the owner itself is silent":        {ms(0), nil, ownerSilent, silent},
+		"the owner itself may be alive":     {ms(0), nil, ownerMaybeAlive, longest},
+		"as stored with its claim":          {ms(9_000), nil, ownerEnded, 9_000},
+		"as stored, of another epoch heard": {ms(9_000), map[int64]int64{6: 0}, ownerEnded, 9_000},
+		"some time has passed since":        {ms(9_000), map[int64]int64{7: 7_500}, ownerEnded, 7_500},
+		"they have ended since":             {ms(9_000), map[int64]int64{7: 0}, ownerEnded, shortest},
+		"stored by an earlier version":      {nil, map[int64]int64{7: 0}, ownerEnded, longest},
 	} {
 		t.Run(name, func(t *testing.T) {
-			got := h.earlierLeaseMS(observation{earlierLeaseMS: c.heard}, storedOwner{owner, c.stored}, c.alive)
+			got := h.earlierLeaseMS(observation{earlierLeaseMS: c.heard}, storedOwner{owner, c.stored}, c.state)
 			assert.Equal(t, c.want, got)
 		})
 	}
@@ -94,14 +95,17 @@
 	assert.Equal(t, map[int64]int64{7: 0}, h.observe(p, now+9_000).earlierLeaseMS)
 }
 
-// Only a later process of its node proves that an owner's process has ended.
+// Only a later process of its node proves that an owner's process has ended, and only silence
+// after its claim that it had no right to decide lately.
 func TestOwnerMayBeAliveUnlessItsNodeWasRestarted(t *testing.T) {
 	owner := ownership{Node: "b", Incarnation: 3}
-	assert.True(t, observation{}.mayBeAlive(owner), "nothing is known of the node")
-	for incarnation, want := range map[int64]bool{2: true, 3: true, 4: false} {
-		assert.Equal(t, want, observation{incarnations: map[string]int64{"b": incarnation}}.mayBeAlive(owner), incarnation)
+	dead := map[string]bool{"b": true}
+	assert.Equal(t, ownerMaybeAlive, observation{deadNodes: dead}.stateOf(owner), "nothing is known of the process")
+	for incarnation, want := range map[int64]previousOwner{2: ownerMaybeAlive, 3: ownerSilent, 4: ownerEnded} {
+		assert.Equal(t, want, observation{incarnations: map[string]int64{"b": incarnation}, deadNodes: dead}.stateOf(owner), incarnation)
 	}
-	assert.False(t, observation{}.mayBeAlive(ownership{}), "nobody owned the partition")
+	assert.Equal(t, ownerMaybeAlive, observation{incarnations: map[string]int64{"b": 3}}.stateOf(owner), "it was heard of lately")
+	assert.Equal(t, ownerEnded, observation{}.stateOf(ownership{}), "nobody owned the partition")
 }
 
 // A worker that has started again may hold a longer lease than its owner gave; the successor
@@ -124,7 +128,7 @@
 	next.nodes["a"].record.Incarnation++
 	taken, err = next.takeOver(t.Context(), p, next.observe(p, now))
 	require.NoError(t, err)
-	assert.False(t, taken.previousMayBeAlive)
+	assert.Equal(t, ownerEnded, taken.previousState)
 	assert.GreaterOrEqual(t, taken.earlierLeaseMS, int64(10_500))
 }
 
@@ -178,7 +182,7 @@
 	second, err := b.takeOver(t.Context(), p, observation{knownEpoch: first.epoch, deadNodes: map[string]bool{"a": true}, incarnations: map[string]int64{"a": a.incarnation}})
 	require.NoError(t, err)
 	require.NotNil(t, second.handover)
-	assert.Equal(t, b.cfg.previousLeaseMS(false), second.earlierLeaseMS, "the other workers")
+	assert.Equal(t, b.cfg.previousLeaseMS(ownerEnded), second.earlierLeaseMS, "the other workers")
 	third, err := c.takeOver(t.Context(), p, observation{knownEpoch: second.epoch, incarnations: map[string]int64{"a": a.incarnation, "b": b.incarnation + 1}})
 	require.NoError(t, err)
 	assert.GreaterOrEqual(t, third.earlierLeaseMS, int64(handedOverMS))
--- a/node/jobhost/handover_test.go
+++ b/node/jobhost/handover_test.go
@@ -32,13 +32,13 @@
 	require.NoError(t, err)
 	require.NotNil(t, next.handover)
 	assert.Equal(t, rec.SilentWorkers, next.handover.SilentWorkers)
-	assert.False(t, next.previousMayBeAlive, "the owner has stopped to send orders")
+	assert.Equal(t, ownerEnded, next.previousState, "the owner has stopped to send orders")
 	assert.Empty(t, next.records, "the record is none of the core's")
 
 	last, err := first.takeOver(ctx, p, observation{knownEpoch: next.epoch, deadNodes: dead, incarnations: incarnations})
 	require.NoError(t, err)
 	assert.Nil(t, last.handover, "the owner in between has not handed over")
-	assert.True(t, last.previousMayBeAlive)
+	assert.Equal(t, ownerSilent, last.previousState)
 	owned.sequence++
 	err = first.appendHandover(owned, rec)
 	assert.Equal(t, deps.KindFenced, deps.KindOf(err), "an owner that was replaced can't hand over")
--- a/node/jobhost/members.go
+++ b/node/jobhost/members.go
@@ -97,7 +97,7 @@
 	if sentAt-h.nodesReadAt > startWindow.Milliseconds() {
 		h.readsUnbrokenSince = sentAt
 	}
-	h.nodesReadAt = sentAt
+	h.nodesReadAt = max(h.nodesReadAt, sentAt)
 }
 
 func (h *Host) applyHeartbeats(records []shard.Record) {
--- a/node/jobhost/ownerheardlate_test.go
+++ b/node/jobhost/ownerheardlate_test.go
@@ -85,19 +85,19 @@
 	for name, c := range map[string]struct {
 		known       func(o *successorSite) *nodeState
 		announcedMS int64
-		ended       bool
+		state       previousOwner
 	}{
-		"only an earlier process is known": {known: func(o *successorSite) *nodeState {
+		"only an earlier process is known": {state: ownerMaybeAlive, known: func(o *successorSite) *nodeState {
 			return &nodeState{record: o.heartbeat(1, 1), heartbeatAt: monotonicMS() - silent}
 		}},
-		"only an earlier process is known, which was heard of a moment ago": {known: func(o *successorSite) *nodeState {
+		"only an earlier process is known, which was heard of a moment ago": {state: ownerMaybeAlive, known: func(o *successorSite) *nodeState {
 			return &nodeState{record: o.heartbeat(1, 1), heartbeatAt: monotonicMS() - fresh}
 		}},
-		"nothing is known of the node": {known: func(*successorSite) *nodeState { return nil }},
-		"its last known heartbeat is older than its takeover": {announcedMS: silentAfter.Milliseconds() + 1, known: func(o *successorSite) *nodeState {
+		"nothing is known of the node": {state: ownerMaybeAlive, known: func(*successorSite) *nodeState { return nil }},
+		"its last known heartbeat is older than its takeover": {state: ownerMaybeAlive, announcedMS: silentAfter.Milliseconds() + 1, known: func(o *successorSite) *nodeState {
 			return &nodeState{record: o.heartbeat(2, 1), heartbeatAt: monotonicMS() - fresh}
 		}},
-		"a later process is known": {ended: true, known: func(o *successorSite) *nodeState {
+		"a later process is known": {state: ownerEnded, known: func(o *successorSite) *nodeState {
 			return &nodeState{record: o.heartbeat(3, 1), heartbeatAt: monotonicMS() - fresh}
 		}},
 	} {
@@ -114,10 +114,10 @@
 			require.False(t, o.host.hasLiveOwner(o.part, o.host.nodesReadAt))
 			o.host.startTakeover(o.part)
 			o.finishTakeover()
-			if c.ended {
-				assert.Equal(t, o.host.cfg.previousLeaseMS(false), o.earlierLeasesMS(t))
+			if c.state == ownerEnded {
+				assert.Equal(t, o.host.cfg.previousLeaseMS(ownerEnded), o.earlierLeasesMS(t))
 			} else if o.host.owned[o.part] != nil {
-				assert.GreaterOrEqual(t, o.earlierLeasesMS(t), o.host.cfg.previousLeaseMS(true))
+				assert.GreaterOrEqual(t, o.earlierLeasesMS(t), o.host.cfg.previousLeaseMS(c.state))
 			}
 		})
 	}
@@ -206,7 +206,43 @@
 	longestMS := int64((maxLeaseMS + drift*float64(windowMS)) / (1 - drift))
 	for _, workersGrantMS := range []int64{6_000, 10_000} {
 		cfg := Config{MaxLeaseMS: workersGrantMS}
-		assert.LessOrEqual(t, longestMS, cfg.previousLeaseMS(false), "an owner that has stopped")
-		assert.LessOrEqual(t, windowMS+longestMS, silentAfter.Milliseconds()+cfg.previousLeaseMS(true), "an owner silent before its takeover")
+		assert.LessOrEqual(t, longestMS, cfg.previousLeaseMS(ownerEnded), "an owner that has stopped")
+		assert.LessOrEqual(t, windowMS+longestMS, silentAfter.Milliseconds()+cfg.previousLeaseMS(ownerSilent), "an owner silent before its takeover")
+		assert.LessOrEqual(t, windowMS+longestMS, cfg.previousLeaseMS(ownerMaybeAlive), "an owner heard of until its takeover")
 	}
 }
+
+// A process of which nothing was heard had taken the shard a moment ago. Its successor counted it
+// as silent, and its leases from an earlier moment.
+func TestUnheardOwnerIsNotTakenForSilent(t *testing.T) {
+	s := newTestSite(t, time.Millisecond)
+	p := deps.Partition{Topic: deps.TopicJobs, Index: 1}
+	a, c := New(s.config("a", "127.0.0.1")), New(s.config("c", "127.0.0.3"))
+	_, err := a.takeOver(t.Context(), p, observation{})
+	require.NoError(t, err)
+	now := monotonicMS()
+	c.applyHeartbeat(now-100, heartbeatRecord{Node: "a", Incarnation: a.incarnation - 1, Sequence: 9})
+	_, err = c.takeOver(t.Context(), p, c.observe(p, now))
+	require.Error(t, err, "the owner gets time to be heard of")
+	(<-c.inbox)()
+	taken, err := c.takeOver(t.Context(), p, c.observe(p, now))
+	require.NoError(t, err)
+	assert.GreaterOrEqual(t, taken.earlierLeaseMS, c.cfg.previousLeaseMS(ownerMaybeAlive))
+}
+
+// An owner was silent, and back before its successor fenced the shard, while the successor's
+// reads failed.
+func TestOwnerThatIsBackBeforeTheFenceKeepsItsShard(t *testing.T) {
+	o := newSuccessorSite(t)
+	h := o.host
+	now := monotonicMS()
+	h.applyHeartbeat(now-silentAfter.Milliseconds()-700, o.heartbeat(2, 1, o.previous))
+	h.nodesReadAt = now - 600
+	require.False(t, h.hasLiveOwner(o.part, now))
+	value, err := encMode.Marshal(o.heartbeat(2, 2, o.previous))
+	require.NoError(t, err)
+	require.NoError(t, o.site.store.Append(t.Context(), deps.Append{Partition: nodesPartition, Records: []shard.Record{{Key: "a", Value: value}}}))
+	h.startTakeover(o.part)
+	o.finishTakeover()
+	assert.NotContains(t, h.owned, o.part)
+}
--- a/node/jobhost/takeover.go
+++ b/node/jobhost/takeover.go
@@ -35,15 +35,24 @@
 }
 
 // takeOverIfVacant reads a partition and claims it unless a live owner was heard of
-// meanwhile.
+// meanwhile. The heartbeats are read last: an owner that was back before that is not silent,
+// and one that comes back later must change the partition before it may extend leases.
 func (h *Host) takeOverIfVacant(ctx context.Context, p deps.Partition) (takenPartition, error) {
 	t, err := h.readPartition(ctx, p)
 	if err != nil {
 		return t, err
 	}
+	readAt := monotonicMS()
+	h.stats.storeReads.Add(1)
+	heartbeats, err := h.cfg.Store.Newest(ctx, nodesPartition)
+	if err != nil {
+		return t, err
+	}
 	var seen observation
 	vacant := false
 	err = h.runOnLoop(ctx, func() {
+		h.applyHeartbeats(heartbeats.Records)
+		h.markNodesRead(readAt)
 		now := monotonicMS()
 		vacant, seen = h.mayTakeOver(now) && !h.hasLiveOwner(p, now), h.observe(p, now)
 	})
@@ -69,10 +78,8 @@
 	// end is the offset at which the partition ended when it was read.
 	end int64
 	// previous is the previous owner.
-	previous storedOwner
-	// previousMayBeAlive reports that the previous owner's process may still
-	// run and extend leases.
-	previousMayBeAlive bool
+	previous      storedOwner
+	previousState previousOwner
 	// earlierLeaseMS is for how long after the takeover leases of earlier owners may
 	// hold on workers of which the handover says nothing; longestLeaseMS covers all.
 	earlierLeaseMS, longestLeaseMS int64
@@ -127,13 +134,15 @@
 // changed since it was read.
 func (h *Host) claim(ctx context.Context, t takenPartition, seen observation) (takenPartition, error) {
 	previous := t.previous.ownership
-	if previous.Epoch > seen.knownEpoch && previous.Node != h.cfg.Node && !seen.deadNodes[previous.Node] && seen.incarnations[previous.Node] == previous.Incarnation {
+	if previous.Epoch > seen.knownEpoch && previous.Node != h.cfg.Node && seen.stateOf(previous) == ownerMaybeAlive {
 		h.post(func() { h.applyAnnouncement(previous) })
 		return t, errors.Errorf("node %s has just taken over the partition", previous.Node)
 	}
 	t.epoch = max(seen.knownEpoch+1, previous.Epoch+1, newEpoch())
-	t.previousMayBeAlive = t.handover == nil && !h.isOwn(previous) && seen.mayBeAlive(previous)
-	t.earlierLeaseMS = h.earlierLeaseMS(seen, t.previous, t.previousMayBeAlive)
+	if t.handover == nil && !h.isOwn(previous) {
+		t.previousState = seen.stateOf(previous)
+	}
+	t.earlierLeaseMS = h.earlierLeaseMS(seen, t.previous, t.previousState)
 	t.longestLeaseMS = max(t.earlierLeaseMS, t.handover.longestLeaseMS())
 	rec, err := h.ownerRecord(t.partition, t.epoch, t.longestLeaseMS)
 	if err != nil {
@@ -181,7 +190,7 @@
 		h.startArbiter(s, now)
 	}
 	h.record(events.ShardTaken, events.Fields{Peer: t.previous.Node, Detail: fmt.Sprintf("%s epoch=%d records=%d stale=%v handed_over=%v previous_epoch=%d earlier_leases_ms=%d took_ms=%d",
-		describe(t.partition), t.epoch, len(t.records), t.previousMayBeAlive, t.handover != nil, t.previous.Epoch, t.earlierLeaseMS, now-t.startedAt)})
+		describe(t.partition), t.epoch, len(t.records), t.previousState != ownerEnded, t.handover != nil, t.previous.Epoch, t.earlierLeaseMS, now-t.startedAt)})
 	h.publishOwnership()
 	h.announce(t.partition, t.epoch)
 	if t.partition.Topic == deps.TopicJobs {
