Keep the gap after a fleet controller over two takeovers

Evidence: TestSecondTakeoverForgetsTheFirstFleetController fails without the change, in order and killed. Change: an idle time counts only if the controller had outlived its own gap, which its stored claim says. Otherwise the successor keeps the whole gap, for the announced VMs alone. Measured: the test passes, and the others of the fleet controller do.

--- a/node/jobhost/takeover.go
+++ b/node/jobhost/takeover.go
@@ -144,6 +144,9 @@
 	}
 	t.earlierLeaseMS = h.earlierLeaseMS(seen, t.previous, t.previousState)
 	t.longestLeaseMS = max(t.earlierLeaseMS, t.handover.longestLeaseMS())
+	if t.partition == fleetPartition {
+		t.longestLeaseMS = max(t.longestLeaseMS, h.cfg.TakeoverGapMS+verificationTTL.Milliseconds())
+	}
 	rec, err := h.ownerRecord(t.partition, t.epoch, t.longestLeaseMS)
 	if err != nil {
 		return t, err
@@ -186,7 +189,7 @@
 		}
 		s.hadPredecessor = t.previous.Node != ""
 		h.fleet = newFleetController(h, s)
-		h.fleet.predecessorIdleMS = h.predecessorIdleMS(t.previous.ownership, now)
+		h.fleet.predecessorIdleMS = h.predecessorIdleMS(t.previous, now)
 		h.startArbiter(s, now)
 	}
 	h.record(events.ShardTaken, events.Fields{Peer: t.previous.Node, Detail: fmt.Sprintf("%s epoch=%d records=%d stale=%v handed_over=%v previous_epoch=%d earlier_leases_ms=%d took_ms=%d",
@@ -198,10 +201,14 @@
 	}
 }
 
-// predecessorIdleMS returns how long a previous fleet controller has certainly
-// not acted: as reported in its last heartbeat, or since its process was
-// replaced. It returns 0 if nothing is known.
-func (h *Host) predecessorIdleMS(previous ownership, now int64) int64 {
+// predecessorIdleMS returns how long a previous fleet controller, and those before it, have
+// certainly not acted: as reported in its last heartbeat, or since its process was replaced.
+// It returns 0 if nothing is known, as of a controller that has not outlived the gap after
+// the one before it.
+func (h *Host) predecessorIdleMS(previous storedOwner, now int64) int64 {
+	if previous.EarlierLeaseMS == nil || *previous.EarlierLeaseMS > 0 {
+		return 0
+	}
 	n := h.nodes[previous.Node]
 	switch {
 	case n == nil:
