soak: check that the second takeover knows of the end of its predecessor

Cause: by the review, the scenario could pass on faulty code if the killed node came back late, as the third owner would wait for the long bound. Change: the log of the third owner must say so (stale=false, previous_epoch).

--- a/soak/formerowner_test.go
+++ b/soak/formerowner_test.go
@@ -1,8 +1,10 @@
 package soak
 
 import (
+	"fmt"
 	"maps"
 	"net/http"
+	"os"
 	"slices"
 	"testing"
 	"time"
@@ -10,8 +12,8 @@
 	"github.com/stretchr/testify/require"
 )
 
-// seriesWork is the work of a task that outlasts two takeovers and the wait for leases.
 const (
+	// seriesWork is the work of a task that outlasts two takeovers and the wait for leases.
 	seriesWork  = 25 * time.Second
 	seriesTasks = 4
 )
@@ -48,7 +50,11 @@
 	second.Kill()
 	require.NoError(t, second.Start())
 	require.Eventually(t, func() bool { return c.judge.ownerToken(q.service) > token }, 10*time.Second, time.Millisecond)
-	t.Logf("%s was cut off, %s was killed, %s gives the orders", first.name, second.name, c.judge.Owner(q.service))
+	third := c.node(c.judge.Owner(q.service))
+	t.Logf("%s was cut off, %s was killed, %s gives the orders", first.name, second.name, third.name)
+	log, err := os.ReadFile(third.log)
+	require.NoError(t, err)
+	require.Contains(t, string(log), fmt.Sprintf("stale=false handed_over=false previous_epoch=%d", token), "the second owner is known to have ended")
 
 	time.Sleep(12 * time.Second)
 	restore(links)
