Test that waits for a job to begin before it counts the others

A submission is answered when the job is stored; the job counts as waiting until a worker has accepted a start, which may be a moment later. The test asked in between. Change: it waits until the first job has begun; the counts that it is about are checked as before.

--- a/node/jobhost/host_test.go
+++ b/node/jobhost/host_test.go
@@ -428,7 +428,7 @@
 	}
 	require.Eventually(t, func() bool { return ask(OpSubmit, "s", 1, 2).Outcome == Done }, 20*time.Second, 50*time.Millisecond)
 	require.Equal(t, Done, ask(OpSubmit, "s", 2, 1).Outcome)
-	require.Equal(t, 1, ask(OpWaiting, "s", 0, 1).Waiting)
+	require.Eventually(t, func() bool { return ask(OpWaiting, "s", 0, 1).Waiting == 1 }, 20*time.Second, 10*time.Millisecond, "a worker has begun the first job")
 	next := *h.config.Load()
 	next.Version++
 	next.Routes = []deps.Route{{Host: "h", PathPrefix: "/q/", Queue: shard.Queue{Name: "q", Service: "other", MaxAttempts: 3, Stretch: 2, TargetMS: 5_000}}}
