jobs/model: bounds on leases as hosts set them, split owners, drains, old lists

Change: a successor takes the bound of its host, which is shorter after an owner that is proved dead (earlierLeasesUntil in takeovers.go). Owners can be split from the store and a part of the workers, be replaced within seconds, or stop in order. Workers can drain and be replaced, be cut from one owner, or run at the slowest clock. Lists, commits and answers can be old or late. HandOnLeases models a bound that is handed on.

--- a/jobs/model/cuts.go
+++ b/jobs/model/cuts.go
@@ -15,6 +15,14 @@
 	// rejects reports whether connections to the worker are rejected; else they get no
 	// answer.
 	rejects bool
+	// only is the one owner that is cut off from the worker, except the one that is not; nil
+	// if there is none.
+	only, except *owner
+}
+
+// holds reports whether an owner can't reach the worker.
+func (c *cut) holds(o *owner, now int64) bool {
+	return now < c.until && o != c.except && (c.only == nil || c.only == o)
 }
 
 // cutOffWorker cuts a random worker off and closes its connections. The worker and its runs
@@ -25,6 +33,9 @@
 		return
 	}
 	k.cut = cut{since: w.now, until: w.now + minCutMS + w.rng.Int64N(maxCutMS-minCutMS), rejects: w.rng.IntN(2) == 0}
+	if w.draw(w.opts.OneOwnerCutShare) {
+		k.cut.only = w.owner
+	}
 	w.noteFault(k.cut.until + listIntervalMS)
 	polls := k.waitingPolls
 	k.waitingPolls = nil
@@ -43,7 +54,9 @@
 }
 
 // hidesEntry reports whether the worker's entry has been removed from the list.
-func (c *cut) hidesEntry(now int64) bool { return now >= c.since+entryKeepMS && now < c.until }
+func (c *cut) hidesEntry(now int64) bool {
+	return c.only == nil && c.except == nil && now >= c.since+entryKeepMS && now < c.until
+}
 
 // noteLapse records that the worker's leases have lapsed. If a cut is the reason, the platform
 // does not count earlier ends as acknowledged, whenever the acknowledgement comes.
--- a/jobs/model/owner.go
+++ b/jobs/model/owner.go
@@ -1,10 +1,6 @@
 package model
 
 import (
-	"maps"
-	"math"
-	"slices"
-
 	"wigeonwinch/jobs/shard"
 	"wigeonwinch/jobs/spec"
 )
@@ -23,57 +19,12 @@
 	// cutOffUntil is the time until which neither the store nor the workers hear
 	// from a deposed owner.
 	cutOffUntil int64
-}
-
-// takeover replaces the owner. The previous owner may keep running for a while
-// without knowing that it was deposed: it starts nothing more but may extend
-// leases.
-func (w *World) takeover() {
-	if old := w.owner; old != nil {
-		old.startsUntil = w.now
-		old.leasesUntil = w.now + deposedLeaseMS
-		if w.opts.OpenWindowShare > 0 && w.rng.Float64() < w.opts.OpenWindowShare {
-			old.startsUntil = w.now + openWindowMS
-		}
-		if w.opts.CutOffShare > 0 && w.rng.Float64() < w.opts.CutOffShare {
-			old.cutOffUntil = w.now + minCutOffMS + w.rng.Int64N(maxCutOffMS-minCutOffMS)
-		}
-		w.deposed = append(w.deposed, old)
-		w.runDeposed(old)
-	}
-	w.noteFault(w.now)
-	w.epoch++
-	o := &owner{world: w, epoch: w.epoch, replyHandlers: map[uint64]func(shard.Reply){}, startsUntil: math.MaxInt64, leasesUntil: math.MaxInt64}
-	o.core = shard.New(shard.Config{
-		Epoch: w.epoch, MaxLeaseMS: maxLeaseMS, EarlierLeaseMS: deposedLeaseMS + maxLeaseMS + 500, StatusKeepMS: 1_000_000, Policy: w.opts.Policy,
-	}, w.now, wallStartMS+w.now)
-	for _, key := range slices.Sorted(maps.Keys(w.store)) {
-		if err := o.core.Restore(shard.Record{Key: key, Value: w.store[key]}); err != nil {
-			w.addViolation("restore failed: %v", err)
-		}
-	}
-	w.applyQueues(o)
-	o.core.SetCustomers(w.customersVersion, w.customers)
-	w.owner = o
-	o.refreshWorkers()
-	o.pump()
-}
-
-// How long a replaced owner is cut off, shorter than runDeposed keeps it, and how long its
-// window for decisions may stay open.
-const (
-	openWindowMS = 1_000
-	minCutOffMS  = 500
-	maxCutOffMS  = 4_200
-)
-
-func (w *World) runDeposed(o *owner) {
-	if o.stopped || w.now > o.leasesUntil+1_000 {
-		w.deposed = slices.DeleteFunc(w.deposed, func(other *owner) bool { return other == o })
-		return
-	}
-	o.pump()
-	w.after(tickMS, func() { w.runDeposed(o) })
+	// split reports whether some workers hear from the owner while it is cut off, and only
+	// from it.
+	split bool
+	// earlierLeasesUntil is the time until which leases of earlier owners may hold, as far
+	// as this owner knows.
+	earlierLeasesUntil int64
 }
 
 // refreshWorkers passes the current list of workers to the owner,
@@ -82,13 +33,7 @@
 	if o.stopped || o != o.world.owner {
 		return
 	}
-	var list []shard.Worker
-	for _, w := range o.world.workers {
-		if w.up && o.world.now >= w.unlistedUntil && !w.cut.hidesEntry(o.world.now) {
-			list = append(list, w.listEntry())
-		}
-	}
-	o.core.SetWorkers(o.world.now, list)
+	o.core.SetWorkers(o.world.now, o.world.readList())
 	o.world.after(listIntervalMS, o.refreshWorkers)
 }
 
@@ -144,23 +89,30 @@
 	}
 	o.appendInFlight = true
 	w := o.world
-	w.after(appendMS+max(o.cutOffUntil-w.now, 0), func() {
-		if w.epoch > o.epoch {
-			o.stopped = true
+	w.after(appendMS+max(o.cutOffUntil-w.now, 0), func() { o.finishAppend(batch) })
+}
+
+func (o *owner) finishAppend(batch shard.Batch) {
+	w := o.world
+	if o.split && w.now < o.cutOffUntil {
+		w.after(o.cutOffUntil-w.now, func() { o.finishAppend(batch) })
+		return
+	}
+	if w.epoch > o.epoch {
+		o.stopped = true
+		return
+	}
+	for _, r := range batch.Records {
+		w.store[r.Key] = r.Value
+	}
+	w.after(w.commitDelayMS(), func() {
+		o.appendInFlight = false
+		if o.stopped {
 			return
 		}
-		for _, r := range batch.Records {
-			w.store[r.Key] = r.Value
-		}
-		w.after(networkDelayMS, func() {
-			o.appendInFlight = false
-			if o.stopped {
-				return
-			}
-			o.core.HandleCommit(w.now, batch)
-			w.recordCompletions(o, batch)
-			o.pump()
-		})
+		o.core.HandleCommit(w.now, batch)
+		w.recordCompletions(o, batch)
+		o.pump()
 	})
 }
 
--- a/jobs/model/worker.go
+++ b/jobs/model/worker.go
@@ -15,16 +15,18 @@
 	world *World
 	vm    string
 	// id is the worker's name in its present life.
-	id           string
-	incarnation  int64
-	up           bool
-	highestEpoch int64
-	clockRate    float64
-	leaseUntil   int64
-	running      map[shard.Key]*run
-	ended        []shard.ListedEnd
-	lastEnd      int
-	acked        int
+	id          string
+	incarnation int64
+	up          bool
+	// draining reports whether the worker is about to leave, left whether it has.
+	draining, left bool
+	highestEpoch   int64
+	clockRate      float64
+	leaseUntil     int64
+	running        map[shard.Key]*run
+	ended          []shard.ListedEnd
+	lastEnd        int
+	acked          int
 	// reportedEnd is the highest number of an end in an answer to a poll.
 	reportedEnd int
 	// closedRuns holds the highest run number of each task that ended or was
@@ -61,12 +63,18 @@
 func newWorker(w *World, i int) *worker {
 	full := spec.Resources{MilliCPU: w.opts.MilliCPU, MemoryMB: w.opts.MemoryMB}
 	wk := &worker{world: w, vm: fmt.Sprintf("w-%03d", i), capacity: full, room: full}
-	wk.clockRate = 0.98 + 0.02*w.rng.Float64()
+	wk.clockRate = slowestClock + (1-slowestClock)*w.rng.Float64()
+	if w.opts.SlowClocks {
+		wk.clockRate = slowestClock
+	}
 	wk.boot()
 	return wk
 }
 
 func (k *worker) boot() {
+	if k.left {
+		return
+	}
 	k.up = true
 	k.incarnation = wallStartMS + k.world.now
 	k.id = k.vm
@@ -80,7 +88,7 @@
 }
 
 func (k *worker) listEntry() shard.Worker {
-	return shard.Worker{ID: k.id, Address: k.vm, VM: k.vm, Rack: "r", Service: serviceName, Capacity: k.capacity, Incarnation: k.incarnation}
+	return shard.Worker{ID: k.id, Address: k.vm, VM: k.vm, Rack: "r", Service: serviceName, Capacity: k.capacity, Incarnation: k.incarnation, Draining: k.draining}
 }
 
 func (k *worker) clock() int64 {
@@ -101,64 +109,6 @@
 // isTarget reports whether the worker is up in the life that an order is for.
 func (k *worker) isTarget(t shard.Target) bool { return k.up && k.id == t.Worker }
 
-// callWorker delivers one order to a worker. do runs on the worker and returns
-// the function that handles the answer; lost is called with the reason if there
-// is no answer.
-func (w *World) callWorker(o *owner, t shard.Target, do func(k *worker) func(), lost func(shard.PollError)) {
-	unanswered := func() { lost(shard.PollUnanswered) }
-	k := w.findWorker(t)
-	if k == nil {
-		w.after(networkDelayMS, func() { lost(shard.PollRefused) })
-		return
-	}
-	if w.now < o.cutOffUntil {
-		w.after(answerTimeoutMS, unanswered)
-		return
-	}
-	if w.now < k.cut.until {
-		k.cut.fail(w, lost)
-		return
-	}
-	roll := w.rng.Float64()
-	faulty := w.faulty()
-	switch {
-	case faulty && roll < w.opts.LostRequestShare:
-		w.noteFault(w.now)
-		w.after(answerTimeoutMS, unanswered)
-	case faulty && roll < w.opts.LostRequestShare+w.opts.DelayedShare:
-		w.noteFault(w.now)
-		w.after(2_000+w.rng.Int64N(10_000), func() {
-			if k.isTarget(t) && k.incarnation == t.Incarnation {
-				k.carryingOutLate = true
-				do(k)
-				k.carryingOutLate = false
-			}
-		})
-		w.after(answerTimeoutMS, unanswered)
-	case faulty && roll < w.opts.LostRequestShare+w.opts.DelayedShare+w.opts.LostAnswerShare:
-		w.noteFault(w.now)
-		w.after(networkDelayMS, func() {
-			if k.isTarget(t) {
-				do(k)
-			}
-		})
-		w.after(answerTimeoutMS, unanswered)
-	default:
-		w.after(networkDelayMS, func() {
-			switch {
-			case !k.up:
-				lost(shard.PollConnectionRejected)
-				return
-			case !k.isTarget(t):
-				lost(shard.PollReplaced)
-				return
-			}
-			answer := do(k)
-			w.after(networkDelayMS, answer)
-		})
-	}
-}
-
 func (w *World) sendPoll(o *owner, p shard.Poll) {
 	sent := w.now
 	if k := w.findWorker(p.Target); p.WaitMS > 0 && k != nil && k.isTarget(p.Target) && len(k.ended) == 0 {
--- a/jobs/model/world.go
+++ b/jobs/model/world.go
@@ -59,12 +59,40 @@
 	// CutIntervalMS is the mean time between cuts of a worker from the owner and the
 	// list of workers for some seconds; 0 disables them. The worker runs on.
 	CutIntervalMS int64
+	// OneOwnerCutShare of the cuts are cuts from the current owner only.
+	OneOwnerCutShare float64
+	// DrainIntervalMS is the mean time between workers that leave for another VM; 0 disables
+	// them.
+	DrainIntervalMS int64
+	// StaleListShare of the reads of the list of workers bring the one of some seconds
+	// before.
+	StaleListShare float64
+	// SlowCommitShare of the answers to appends take up to maxSlowCommitMS.
+	SlowCommitShare float64
+	// SlowAnswerShare of the answers of workers take up to maxSlowAnswerMS, so that they
+	// overtake each other.
+	SlowAnswerShare float64
+	// SlowClocks lets all clocks of workers run as slowly as may be.
+	SlowClocks bool
+	// LateAcrossRestarts lets delayed orders reach a later incarnation of their worker.
+	LateAcrossRestarts bool
 	// UnlistIntervalMS is the mean time between losses of a worker's entry in the
 	// list of workers for some seconds; 0 disables them.
 	UnlistIntervalMS int64
 	// CutOffShare of the replaced owners are cut off from the store and the
 	// workers for some seconds, so that they do not learn that they are deposed.
 	CutOffShare float64
+	// DeadOwnerShare of the replaced owners have ended and are proved dead. SecondTakeoverShare
+	// of the owners are proved dead and replaced within seconds of their takeover.
+	DeadOwnerShare, SecondTakeoverShare float64
+	// SplitShare of the replaced owners reach some workers while they are cut off from the
+	// store and the other workers, and other owners do not reach these for some seconds.
+	SplitShare float64
+	// HandoverShare of the replaced owners stop as planned and tell their successors which
+	// workers are silent.
+	HandoverShare float64
+	// HandOnLeases lets owners hand on until when leases of earlier owners may hold.
+	HandOnLeases bool
 	// OpenWindowShare of the replaced owners believe for openWindowMS more that they may
 	// decide, as after a takeover that they could not observe.
 	OpenWindowShare float64
@@ -102,6 +130,7 @@
 	wallStartMS        = int64(1_700_000_000_000)
 	stopGraceMS        = 200
 	defaultMaxAttempts = 4
+	slowestClock       = 0.98
 )
 
 type event struct {
@@ -137,7 +166,9 @@
 	epoch int64
 	owner *owner
 	// deposed holds the replaced owners that still run.
-	deposed     []*owner
+	deposed []*owner
+	// lists are the last lists of workers, if owners may read old ones.
+	lists       []listAt
 	groundTruth map[string]*groundTruth
 	// lastFaultAt is the end of the last disruption that may delay a stop.
 	lastFaultAt int64
@@ -212,6 +243,7 @@
 	w.scheduleFault(o.ResizeIntervalMS, w.resizeWorker)
 	w.scheduleFault(o.UnlistIntervalMS, w.unlistWorker)
 	w.scheduleFault(o.CutIntervalMS, w.cutOffWorker)
+	w.scheduleFault(o.DrainIntervalMS, w.drainWorker)
 	w.scheduleFault(o.ArbiterIntervalMS, w.startArbiter)
 	return w
 }
