jobs/model: owners hand on the bound of earlier leases

TestPollForEarlierLifeAcknowledgesLaterEnds stays red: another class, the ends of a worker that has started again under its ID.

--- a/jobs/model/takeovers.go
+++ b/jobs/model/takeovers.go
@@ -55,11 +55,7 @@
 	if old == nil || !dead {
 		return w.now + aliveLeaseMS
 	}
-	until := w.now + deadLeaseMS
-	if w.opts.HandOnLeases {
-		until = max(until, old.earlierLeasesUntil)
-	}
-	return until
+	return max(w.now+deadLeaseMS, old.earlierLeasesUntil)
 }
 
 // replaceOwner replaces the owner, which is dead or may keep running for a while without
--- a/jobs/model/takeovers_test.go
+++ b/jobs/model/takeovers_test.go
@@ -59,7 +59,6 @@
 		seed := uint64(i + 1)
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			o := troubledOwners(seed)
-			o.HandOnLeases = true
 			w := longTasks(o)
 			require.Empty(t, w.Violations)
 			require.Empty(t, w.Unfinished())
@@ -80,7 +79,6 @@
 func TestPollForEarlierLifeAcknowledgesLaterEnds(t *testing.T) {
 	for _, seed := range []uint64{38, 46} {
 		o := troubledOwners(seed)
-		o.HandOnLeases = true
 		o.SlowCommitShare, o.DarkRestartIntervalMS, o.TakeoverIntervalMS, o.StaleListShare = 0.3, 1_000, 0, 0
 		require.Empty(t, longTasks(o).Violations, seed)
 	}
--- a/jobs/model/world.go
+++ b/jobs/model/world.go
@@ -91,8 +91,6 @@
 	// HandoverShare of the replaced owners stop as planned and tell their successors which
 	// workers are silent.
 	HandoverShare float64
-	// HandOnLeases lets owners hand on until when leases of earlier owners may hold.
-	HandOnLeases bool
 	// OpenWindowShare of the replaced owners believe for openWindowMS more that they may
 	// decide, as after a takeover that they could not observe.
 	OpenWindowShare float64
