soak: partitions of a zone, killed successors, and work that outlasts both

It had no partition with workers on both sides, killed no node just after its takeover, and its longest tasks ended within 8 s. Short tasks beside long ones hide the fault, too: an owner that the store does not answer polls a worker, and extends its leases, only until the next end on it, which it can't store.

Change: fault cut-zone cuts the nodes and workers of an availability zone off from all others and from the store; in half of the cases the entries of its workers expire. The end of another fault on a link does not end the partition. Fault kill-successor disturbs the owner (freeze, cut off, cut zone) until another node gives the orders, and kills and restarts that one. In every third run without caps all work that ends takes 13 to 17 s. The plans of all seeds change.

--- a/soak/client.go
+++ b/soak/client.go
@@ -136,7 +136,7 @@
 
 // runJob lives through one job, from its submission to its end or its cancel.
 func (c *Client) runJob(ctx context.Context) {
-	id, q, job := fmt.Sprintf("%016x", c.random.Uint64()), queues[c.random.IntN(len(queues))], randomJob(c.random)
+	id, q, job := fmt.Sprintf("%016x", c.random.Uint64()), queues[c.random.IntN(len(queues))], randomJob(c.random, c.cluster.options.withOutlastingWork())
 	if !c.submitUntilAccepted(ctx, q, id, job) {
 		return
 	}
--- a/soak/cluster.go
+++ b/soak/cluster.go
@@ -78,6 +78,8 @@
 	machines *Machines
 	keys     *Keys
 	nodes    []*Node
+	// partitions holds the zones that are cut off.
+	partitions partitions
 
 	mu       sync.Mutex
 	launched uint64
@@ -93,7 +95,7 @@
 		return nil, err
 	}
 	calm := NewCalm()
-	c := &Cluster{options: o, record: record, calm: calm, judge: NewJudge(record, calm), store: NewStore(), keys: NewKeys(o.withCaps())}
+	c := &Cluster{options: o, record: record, calm: calm, judge: NewJudge(record, calm), store: NewStore(), keys: NewKeys(o.withCaps()), partitions: newPartitions()}
 	c.judge.caps = o.withCaps()
 	c.machines = NewMachines(record, c.launchWorker)
 	if err := c.start(); err != nil {
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -36,6 +36,12 @@
 	FaultCutPeers     FaultKind = "cut-peers"
 	FaultCutOwnerOff  FaultKind = "cut-owner-off"
 	FaultSilencePeers FaultKind = "silence-peers"
+	// FaultCutZone cuts the nodes and workers of an availability zone off from all
+	// others and from the store. Clients still reach all nodes.
+	FaultCutZone FaultKind = "cut-zone"
+	// FaultKillSuccessor disturbs the owner of a service until another node gives the
+	// orders, and then kills that one and starts it again at once.
+	FaultKillSuccessor FaultKind = "kill-successor"
 	// FaultRoll stops and starts all nodes in turn.
 	FaultRoll FaultKind = "roll"
 	// FaultConfigure writes a new version of the configuration.
@@ -58,10 +64,16 @@
 	Service      string
 	// Directions are the directions that are cut.
 	Directions []Direction
+	// Unlisted means that the workers of a zone that is cut off do not reach the store
+	// either, so that their entries expire.
+	Unlisted bool
+	// First is what disturbs the owner whose successor is killed.
+	First FaultKind
 }
 
 func (f Fault) String() string {
-	return fmt.Sprintf("%s at %.1f for %.1f s (node %d, VM %d, service %s, directions %v)", f.Kind, f.At.Seconds(), f.Duration.Seconds(), f.Node+1, f.VM, f.Service, f.Directions)
+	return fmt.Sprintf("%s at %.1f for %.1f s (node %d, VM %d, service %s, directions %v, unlisted %v, first %s)",
+		f.Kind, f.At.Seconds(), f.Duration.Seconds(), f.Node+1, f.VM, f.Service, f.Directions, f.Unlisted, f.First)
 }
 
 // faultWeights tells how often each kind is drawn.
@@ -91,6 +103,8 @@
 	{FaultCutPeers, 1, 500 * time.Millisecond, 5 * time.Second},
 	{FaultCutOwnerOff, 2, 2 * time.Second, 7 * time.Second},
 	{FaultSilencePeers, 1, 0, 0},
+	{FaultCutZone, 2, 4 * time.Second, 14 * time.Second},
+	{FaultKillSuccessor, 3, 8 * time.Second, 16 * time.Second},
 	{FaultRoll, 1, 100 * time.Millisecond, time.Second},
 	{FaultConfigure, 2, 0, 0},
 }
@@ -135,6 +149,7 @@
 	return Fault{
 		Kind: w.kind, Duration: between(random, w.low, w.high), Node: random.IntN(o.Nodes), VM: random.IntN(o.Workers),
 		Service: queues[random.IntN(len(queues))].service, Directions: [][]Direction{{Requests}, {Answers}, {Requests, Answers}}[random.IntN(3)],
+		Unlisted: random.IntN(2) == 0, First: []FaultKind{FaultFreezeOwner, FaultCutOwnerOff, FaultCutZone, FaultCutZone}[random.IntN(4)],
 	}
 }
 
@@ -155,7 +170,7 @@
 // inject carries out one fault.
 func (c *Cluster) inject(ctx context.Context, f Fault) {
 	node := c.nodes[f.Node]
-	if slices.Contains([]FaultKind{FaultFreezeOwner, FaultKillOwner, FaultCutOwner, FaultCutOwnerOff}, f.Kind) {
+	if slices.Contains([]FaultKind{FaultFreezeOwner, FaultKillOwner, FaultCutOwner, FaultCutOwnerOff, FaultKillSuccessor}, f.Kind) {
 		if owner := c.node(c.judge.Owner(f.Service)); owner != nil {
 			node = owner
 		}
@@ -207,6 +222,10 @@
 		cut(links, f.Directions)
 		sleep(ctx, f.Duration)
 		restore(links)
+	case FaultCutZone:
+		c.cutZone(ctx, f)
+	case FaultKillSuccessor:
+		c.killSuccessor(ctx, node, f)
 	case FaultSilencePeers:
 		defer c.calm.Begin(node.name)()
 		for _, link := range c.peerLinks(node) {
--- a/soak/job.go
+++ b/soak/job.go
@@ -45,6 +45,17 @@
 	chainShare      = 0.8
 )
 
+// Outlasting work is longer than two takeovers and the wait for leases.
+const (
+	minOutlastingWork = 13 * time.Second
+	maxOutlastingWork = 17 * time.Second
+)
+
+// withOutlastingWork reports whether all work that ends is outlasting: in every third run
+// without caps. An owner that the store does not answer extends a worker's leases only
+// until the next end on it, so that shorter work beside it would hide what comes of that.
+func (o Options) withOutlastingWork() bool { return !o.withCaps() && o.Seed%3 == 0 }
+
 // NewJob returns a job whose steps follow one another and whose tasks all work for
 // the given time.
 func NewJob(work time.Duration, failures int, counts ...int) Job {
@@ -68,7 +79,7 @@
 	return job
 }
 
-func randomJob(random *rand.Rand) Job {
+func randomJob(random *rand.Rand, outlasting bool) Job {
 	if random.Float64() < lastingJobShare {
 		return lastingJob(1 + random.IntN(maxTasks))
 	}
@@ -76,6 +87,9 @@
 	if random.Float64() < longWorkShare {
 		work = between(random, minLongWork, maxLongWork)
 	}
+	if outlasting {
+		work = between(random, minOutlastingWork, maxOutlastingWork)
+	}
 	failures := 0
 	if random.Float64() < failingJobShare {
 		failures = 1
--- a/soak/keys.go
+++ b/soak/keys.go
@@ -130,7 +130,7 @@
 		c.keyOf = func(string) string { return key }
 		path := queues[c.random.IntN(len(queues))].path
 		if unknown {
-			c.call(ctx, c.anyNode(), http.MethodPost, fmt.Sprintf("%s%016x", path, c.random.Uint64()), randomJob(c.random), clientTimeout)
+			c.call(ctx, c.anyNode(), http.MethodPost, fmt.Sprintf("%s%016x", path, c.random.Uint64()), randomJob(c.random, false), clientTimeout)
 			continue
 		}
 		c.call(ctx, c.anyNode(), http.MethodGet, path, nil, clientTimeout)
--- a/soak/machines.go
+++ b/soak/machines.go
@@ -105,6 +105,19 @@
 	return ""
 }
 
+// Workers returns the workers that are up.
+func (m *Machines) Workers() []*Worker {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	var workers []*Worker
+	for _, v := range m.vms {
+		if v.worker != nil {
+			workers = append(workers, v.worker)
+		}
+	}
+	return workers
+}
+
 // Crash ends a worker without notice. After a time, a new one follows on its VM, or
 // it starts again under its ID.
 func (m *Machines) Crash(worker string, down time.Duration, sameID bool) {
--- a/soak/proxy.go
+++ b/soak/proxy.go
@@ -34,6 +34,8 @@
 	mu sync.Mutex
 	// cut tells for each direction whether bytes are held back.
 	cut [2]bool
+	// isolated tells whether a partition holds back the bytes of both directions.
+	isolated bool
 	// restored is closed and replaced whenever a cut ends.
 	restored chan struct{}
 	delay    time.Duration
@@ -72,11 +74,27 @@
 	p.delay = delay
 }
 
-// Restore ends all cuts and delays. Held back bytes arrive now.
+// Restore ends all cuts and delays, but not a partition. Held back bytes arrive now.
 func (p *Proxy) Restore() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.cut, p.delay = [2]bool{}, 0
+	p.release()
+}
+
+// Isolate begins or ends a partition between the two ends of the link.
+func (p *Proxy) Isolate(isolated bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.isolated && !isolated {
+		defer p.release()
+	}
+	p.isolated = isolated
+}
+
+// release lets held back bytes go on where nothing cuts the link any more. The caller
+// holds the lock.
+func (p *Proxy) release() {
 	close(p.restored)
 	p.restored = make(chan struct{})
 }
@@ -175,7 +193,7 @@
 func (p *Proxy) state(d Direction) (cut bool, restored <-chan struct{}, delay time.Duration) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.cut[d], p.restored, p.delay
+	return p.cut[d] || p.isolated, p.restored, p.delay
 }
 
 // proxyConn is a connection of a client and the one that carries it on.
--- a/soak/worker.go
+++ b/soak/worker.go
@@ -60,6 +60,9 @@
 	lastEnd int
 	changed chan struct{}
 	ending  bool
+	// held reports that heartbeats do not reach the store; missed counts them.
+	held   bool
+	missed int
 }
 
 type taskRun struct {
@@ -146,6 +149,14 @@
 		return false
 	}
 	w.sequence++
+	if w.held {
+		w.missed++
+		if w.missed == missedHeartbeats {
+			w.store.Delete(topicWorkers, w.id)
+		}
+		return true
+	}
+	w.missed = 0
 	err := w.store.Put(topicWorkers, w.id, map[string]any{
 		"service": w.service, "address": w.address, "zone": w.zone, "version": "v1", "slots": workerSlots, "state": "ready",
 		"cold_remaining_ms": 0, "capacity": workerCapacity(), "labels": []string{"a", w.rack},
@@ -154,6 +165,14 @@
 	return err == nil
 }
 
+// HoldHeartbeats tells whether the worker's heartbeats are held back from the store, so
+// that its entry expires.
+func (w *Worker) HoldHeartbeats(held bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.held = held
+}
+
 func workerCapacity() map[string]int {
 	return map[string]int{"cpu": workerMilliCPU, "mem_mb": workerMemMB, "gpu": 0}
 }
