--- a/soak/regressions.go
+++ b/soak/regressions.go
@@ -20,5 +20,7 @@
 	return []Regression{
 		run(403, "issue 37: a former owner that was frozen answered a cancel from memory"),
 		run(405, "issue 37: the same, asked by a client that kept its connection"),
+		run(10635, "issue 58: a second successor did not wait for the leases of an owner behind a partition"),
+		run(15981, "issue 58: the same, with the workers' entries expired"),
 	}
 }
