Bound the wait after a fleet controller by its gap alone

Cause: a fleet controller's stored claim had the bound of leases, 6.4 to 10.3 s, which it does not give. One that ended within that time passed on no idle time, although the gap after the controller before it, 4.2 s, was over. Change: the claim of the fleet partition has that gap. Measured: TestSecondTakeoverForgetsTheFirstFleetController and the tests of the gap pass.

--- a/node/jobhost/takeover.go
+++ b/node/jobhost/takeover.go
@@ -145,7 +145,8 @@
 	t.earlierLeaseMS = h.earlierLeaseMS(seen, t.previous, t.previousState)
 	t.longestLeaseMS = max(t.earlierLeaseMS, t.handover.longestLeaseMS())
 	if t.partition == fleetPartition {
-		t.longestLeaseMS = max(t.longestLeaseMS, h.cfg.TakeoverGapMS+verificationTTL.Milliseconds())
+		// A fleet controller gives no leases; its successors wait for its actions.
+		t.longestLeaseMS = h.cfg.TakeoverGapMS + verificationTTL.Milliseconds()
 	}
 	rec, err := h.ownerRecord(t.partition, t.epoch, t.longestLeaseMS)
 	if err != nil {
