Store the longer leases of a restarted worker with the claim

Cause: since an owner publishes these leases with its heartbeats alone. If its process is replaced at once, the new one's heartbeat says nothing of the earlier claim, and the successor went by the stored bound, which was over. TestLongerLeasesAreToldToTheSuccessor gave the new process the claims of the old one, which no process sends. Change: the claim is stored again when the bound grows, and when it is over. The test uses the heartbeats as they are sent. The read of the heartbeats in a takeover has a time-out of its own.

--- a/node/jobhost/earlierleases.go
+++ b/node/jobhost/earlierleases.go
@@ -36,22 +36,24 @@
 // earlierLeaseMS is for how long leases of earlier owners may hold.
 func (s *ownedShard) earlierLeaseMS(now int64) int64 { return max(s.earlierLeasesUntil-now, 0) }
 
-// storeLeaseEnd stores the claim again once the leases of earlier owners have ended, so that
-// a later successor does not wait for them.
-func (h *Host) storeLeaseEnd(s *ownedShard, now int64) {
-	if s.leaseEndStored || now < s.earlierLeasesUntil || s.appendInFlight || len(s.extraRecords) > 0 {
+// storeEarlierLeases stores the claim again if leases of earlier owners may hold for longer than
+// it says, and once they have ended, so that a later successor does not wait for them.
+func (h *Host) storeEarlierLeases(s *ownedShard, now int64) {
+	ended := now >= s.earlierLeasesUntil
+	if s.earlierLeasesUntil == s.storedLeasesUntil && (!ended || s.leaseEndStored) || s.appendInFlight || len(s.extraRecords) > 0 {
 		return
 	}
-	s.leaseEndStored = true
+	s.storedLeasesUntil, s.leaseEndStored = s.earlierLeasesUntil, ended
 	h.verifyOwnership(s)
 }
 
-// prolongEarlierLeases publishes that leases which a successor does not know of may hold for
-// longer than was known at the takeover.
-func (h *Host) prolongEarlierLeases(s *ownedShard) {
+// prolongEarlierLeases publishes that leases of which a successor does not know, such as those
+// that a worker has granted on orders for an earlier life, may hold for longer than was known.
+func (h *Host) prolongEarlierLeases(s *ownedShard, now int64) {
 	if until := s.core.EarlierLeasesUntil(); until > s.earlierLeasesUntil {
-		s.earlierLeasesUntil, s.leaseEndStored = until, false
+		s.earlierLeasesUntil = until
 		h.publishOwnership()
+		h.storeEarlierLeases(s, now)
 	}
 }
 
@@ -106,7 +108,7 @@
 }
 
 // earlierLeaseMS is for how long leases of the owners before an epoch of this node may hold
-// by its last heartbeat, which is at least as old as its reading.
+// by its last heartbeat, which was sent before it was read.
 func (n *nodeState) earlierLeaseMS(epoch, now int64) int64 {
 	longestMS := int64(0)
 	for _, l := range n.record.EarlierLeases {
--- a/node/jobhost/earlierleases_test.go
+++ b/node/jobhost/earlierleases_test.go
@@ -109,7 +109,7 @@
 }
 
 // A worker that has started again may hold a longer lease than its owner gave; the successor
-// learns of it from the heartbeats.
+// learns of it from the heartbeats, or from the claim if the owner's process has been replaced.
 func TestLongerLeasesAreToldToTheSuccessor(t *testing.T) {
 	s := newTestSite(t, time.Millisecond)
 	p := deps.Partition{Topic: deps.TopicJobs, Index: 1}
@@ -120,16 +120,22 @@
 	owned := h.owned[p]
 	now := monotonicMS()
 	owned.core = shard.New(h.cfg.shardConfig(p.Index, owned.epoch, 10_500), now, wallMS())
-	h.prolongEarlierLeases(owned)
+	h.prolongEarlierLeases(owned, now)
 	leases := h.ownedView.Load().earlierLeases(now)
 	require.Len(t, leases, 1)
 	assert.GreaterOrEqual(t, leases[0].LeaseMS, int64(10_500))
-	next.nodes["a"] = &nodeState{record: heartbeatRecord{Node: "a", Incarnation: h.incarnation, Owned: h.ownedView.Load().claims, EarlierLeases: leases}, heartbeatAt: now}
-	next.nodes["a"].record.Incarnation++
+	h.appendNext(owned)
+	for owned.appendInFlight {
+		(<-h.inbox)()
+	}
+	// The owner is killed and back at once: its new process claims nothing.
+	next.applyHeartbeat(now, heartbeatRecord{Node: "a", Incarnation: h.incarnation, Sequence: 9, Owned: h.ownedView.Load().claims, EarlierLeases: leases})
+	assert.Equal(t, map[int64]int64{owned.epoch: leases[0].LeaseMS}, next.observe(p, now).earlierLeaseMS)
+	next.applyHeartbeat(now, heartbeatRecord{Node: "a", Incarnation: h.incarnation + 1, Sequence: 1})
 	taken, err = next.takeOver(t.Context(), p, next.observe(p, now))
 	require.NoError(t, err)
 	assert.Equal(t, ownerEnded, taken.previousState)
-	assert.GreaterOrEqual(t, taken.earlierLeaseMS, int64(10_500))
+	assert.GreaterOrEqual(t, taken.earlierLeaseMS, int64(10_000))
 }
 
 // The bound that was stored with a claim counted in full an hour later, and was handed on, when
@@ -142,15 +148,15 @@
 	require.NoError(t, err)
 	h.startOwning(taken)
 	owned := h.owned[p]
-	h.storeLeaseEnd(owned, owned.earlierLeasesUntil-1)
+	h.storeEarlierLeases(owned, owned.earlierLeasesUntil-1)
 	assert.Empty(t, owned.extraRecords, "leases may hold")
 	owned.earlierLeasesUntil = monotonicMS()
-	h.storeLeaseEnd(owned, owned.earlierLeasesUntil)
+	h.storeEarlierLeases(owned, owned.earlierLeasesUntil)
 	h.appendNext(owned)
 	for owned.appendInFlight {
 		(<-h.inbox)()
 	}
-	h.storeLeaseEnd(owned, owned.earlierLeasesUntil+1_000)
+	h.storeEarlierLeases(owned, owned.earlierLeasesUntil+1_000)
 	assert.Empty(t, owned.extraRecords, "it is stored once")
 	read, err := next.readPartition(t.Context(), p)
 	require.NoError(t, err)
--- a/node/jobhost/host.go
+++ b/node/jobhost/host.go
@@ -287,7 +287,7 @@
 		if !verified {
 			h.verifyOwnership(s)
 		}
-		h.storeLeaseEnd(s, now)
+		h.storeEarlierLeases(s, now)
 		if s.core == nil {
 			h.appendNext(s)
 			continue
@@ -302,7 +302,7 @@
 			h.dropShard(s, "a worker reported a newer owner")
 			continue
 		}
-		h.prolongEarlierLeases(s)
+		h.prolongEarlierLeases(s, now)
 		h.exchangeRoom(s, now)
 		h.dispatchOrders(s)
 	}
--- a/node/jobhost/owners.go
+++ b/node/jobhost/owners.go
@@ -35,8 +35,10 @@
 	ownedSince         int64
 	// earlierLeasesUntil is when the leases of earlier owners have ended.
 	earlierLeasesUntil int64
-	// leaseEndStored reports that the stored claim says that they have ended.
-	leaseEndStored bool
+	// storedLeasesUntil is the end that the stored claim gives, leaseEndStored reports that
+	// a claim was stored, or is queued, that says that they have ended.
+	storedLeasesUntil int64
+	leaseEndStored    bool
 	// verifiedAt is when this owner sent its last append that the store
 	// accepted.
 	verifiedAt atomic.Int64
--- a/node/jobhost/takeover.go
+++ b/node/jobhost/takeover.go
@@ -12,8 +12,9 @@
 	"wigeonwinch/node/events"
 )
 
-// errOwnerAlive means that the owner of a partition was heard of while this node read it.
-var errOwnerAlive = errors.New("the owner of the partition is alive")
+// errNotVacant means that the owner of a partition was heard of while this node read it, or that
+// this node may not take shards over any more.
+var errNotVacant = errors.New("the partition has a live owner, or this node may not take it over now")
 
 // startTakeover takes over a partition on another goroutine.
 func (h *Host) startTakeover(p deps.Partition) {
@@ -44,7 +45,9 @@
 	}
 	readAt := monotonicMS()
 	h.stats.storeReads.Add(1)
-	heartbeats, err := h.cfg.Store.Newest(ctx, nodesPartition)
+	readCtx, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
+	heartbeats, err := h.cfg.Store.Newest(readCtx, nodesPartition)
 	if err != nil {
 		return t, err
 	}
@@ -57,7 +60,7 @@
 		vacant, seen = h.mayTakeOver(now) && !h.hasLiveOwner(p, now), h.observe(p, now)
 	})
 	if err == nil && !vacant {
-		err = errOwnerAlive
+		err = errNotVacant
 	}
 	if err != nil {
 		return t, err
@@ -179,7 +182,7 @@
 func (h *Host) startOwning(t takenPartition) {
 	now := monotonicMS()
 	ctx, cancel := context.WithCancel(context.Background())
-	s := &ownedShard{partition: t.partition, epoch: t.epoch, sequence: t.sequence, ctx: ctx, cancel: cancel, ownedSince: now, earlierLeasesUntil: now + t.longestLeaseMS, records: map[string][]byte{}}
+	s := &ownedShard{partition: t.partition, epoch: t.epoch, sequence: t.sequence, ctx: ctx, cancel: cancel, ownedSince: now, earlierLeasesUntil: now + t.longestLeaseMS, storedLeasesUntil: now + t.longestLeaseMS, records: map[string][]byte{}}
 	s.verifiedAt.Store(t.startedAt)
 	h.owned[t.partition] = s
 	if t.partition.Topic == deps.TopicJobs {
