--- a/node/jobhost/earlierleases.go
+++ b/node/jobhost/earlierleases.go
@@ -36,11 +36,21 @@
 // earlierLeaseMS is for how long leases of earlier owners may hold.
 func (s *ownedShard) earlierLeaseMS(now int64) int64 { return max(s.earlierLeasesUntil-now, 0) }
 
+// storeLeaseEnd stores the claim again once the leases of earlier owners have ended, so that
+// a later successor does not wait for them.
+func (h *Host) storeLeaseEnd(s *ownedShard, now int64) {
+	if s.leaseEndStored || now < s.earlierLeasesUntil || s.appendInFlight || len(s.extraRecords) > 0 {
+		return
+	}
+	s.leaseEndStored = true
+	h.verifyOwnership(s)
+}
+
 // prolongEarlierLeases publishes that leases which a successor does not know of may hold for
 // longer than was known at the takeover.
 func (h *Host) prolongEarlierLeases(s *ownedShard) {
 	if until := s.core.EarlierLeasesUntil(); until > s.earlierLeasesUntil {
-		s.earlierLeasesUntil = until
+		s.earlierLeasesUntil, s.leaseEndStored = until, false
 		h.publishOwnership()
 	}
 }
@@ -98,18 +108,26 @@
 // earlierLeaseMS is for how long leases of the owners before an epoch of this node may hold
 // by its last heartbeat, which is at least as old as its reading.
 func (n *nodeState) earlierLeaseMS(epoch, now int64) int64 {
+	longestMS := int64(0)
 	for _, l := range n.record.EarlierLeases {
 		if l.Epoch == epoch {
-			return max(l.LeaseMS-(now-n.heartbeatAt), 0)
+			longestMS = max(longestMS, l.LeaseMS-(now-n.heartbeatAt))
 		}
 	}
-	return 0
+	return longestMS
 }
 
-// mayBeAlive reports whether the process of an owner may still run and extend leases. Only a
-// later process of its node proves that it does not.
-func (o observation) mayBeAlive(owner ownership) bool {
-	return owner.Node != "" && o.incarnations[owner.Node] <= owner.Incarnation
+// stateOf returns what is known of the owner that made a claim. Only a later process of its
+// node proves that it has ended.
+func (o observation) stateOf(owner ownership) previousOwner {
+	newest, known := o.incarnations[owner.Node]
+	switch {
+	case owner.Node == "" || newest > owner.Incarnation:
+		return ownerEnded
+	case known && newest == owner.Incarnation && o.deadNodes[owner.Node]:
+		return ownerSilent
+	}
+	return ownerMaybeAlive
 }
 
 // isOwn reports whether this process made a claim itself.
@@ -118,13 +136,13 @@
 }
 
 // earlierLeaseMS is for how long after a takeover leases of all earlier owners may hold.
-func (h *Host) earlierLeaseMS(o observation, previous storedOwner, previousMayBeAlive bool) int64 {
-	leaseMS := h.cfg.previousLeaseMS(previousMayBeAlive)
+func (h *Host) earlierLeaseMS(o observation, previous storedOwner, state previousOwner) int64 {
+	leaseMS := h.cfg.previousLeaseMS(state)
 	switch {
 	case previous.Node == "":
 		return leaseMS
 	case previous.EarlierLeaseMS == nil:
-		return h.cfg.previousLeaseMS(true)
+		return h.cfg.previousLeaseMS(ownerMaybeAlive)
 	}
 	if ms, known := o.earlierLeaseMS[previous.Epoch]; known {
 		return max(leaseMS, ms)
--- a/node/jobhost/takeover.go
+++ b/node/jobhost/takeover.go
@@ -35,15 +35,24 @@
 }
 
 // takeOverIfVacant reads a partition and claims it unless a live owner was heard of
-// meanwhile.
+// meanwhile. The heartbeats are read last: an owner that was back before that is not silent,
+// and one that comes back later must change the partition before it may extend leases.
 func (h *Host) takeOverIfVacant(ctx context.Context, p deps.Partition) (takenPartition, error) {
 	t, err := h.readPartition(ctx, p)
 	if err != nil {
 		return t, err
 	}
+	readAt := monotonicMS()
+	h.stats.storeReads.Add(1)
+	heartbeats, err := h.cfg.Store.Newest(ctx, nodesPartition)
+	if err != nil {
+		return t, err
+	}
 	var seen observation
 	vacant := false
 	err = h.runOnLoop(ctx, func() {
+		h.applyHeartbeats(heartbeats.Records)
+		h.markNodesRead(readAt)
 		now := monotonicMS()
 		vacant, seen = h.mayTakeOver(now) && !h.hasLiveOwner(p, now), h.observe(p, now)
 	})
@@ -69,14 +78,12 @@
 	// end is the offset at which the partition ended when it was read.
 	end int64
 	// previous is the previous owner.
-	previous storedOwner
-	// previousMayBeAlive reports that the previous owner's process may still
-	// run and extend leases.
-	previousMayBeAlive bool
+	previous      storedOwner
+	previousState previousOwner
 	// earlierLeaseMS is for how long after the takeover leases of earlier owners may
-	// hold.
-	earlierLeaseMS int64
-	startedAt      int64
+	// hold on workers of which the handover says nothing; longestLeaseMS covers all.
+	earlierLeaseMS, longestLeaseMS int64
+	startedAt                      int64
 }
 
 // The store treats an append with the epoch and sequence of an earlier append
@@ -127,14 +134,20 @@
 // changed since it was read.
 func (h *Host) claim(ctx context.Context, t takenPartition, seen observation) (takenPartition, error) {
 	previous := t.previous.ownership
-	if previous.Epoch > seen.knownEpoch && previous.Node != h.cfg.Node && !seen.deadNodes[previous.Node] && seen.incarnations[previous.Node] == previous.Incarnation {
+	if previous.Epoch > seen.knownEpoch && previous.Node != h.cfg.Node && seen.stateOf(previous) == ownerMaybeAlive {
 		h.post(func() { h.applyAnnouncement(previous) })
 		return t, errors.Errorf("node %s has just taken over the partition", previous.Node)
 	}
 	t.epoch = max(seen.knownEpoch+1, previous.Epoch+1, newEpoch())
-	t.previousMayBeAlive = t.handover == nil && !h.isOwn(previous) && seen.mayBeAlive(previous)
-	t.earlierLeaseMS = h.earlierLeaseMS(seen, t.previous, t.previousMayBeAlive)
-	rec, err := h.ownerRecord(t.partition, t.epoch, t.earlierLeaseMS)
+	if t.handover == nil && !h.isOwn(previous) {
+		t.previousState = seen.stateOf(previous)
+	}
+	t.earlierLeaseMS = h.earlierLeaseMS(seen, t.previous, t.previousState)
+	t.longestLeaseMS = max(t.earlierLeaseMS, t.handover.longestLeaseMS())
+	if t.partition == fleetPartition {
+		t.longestLeaseMS = max(t.longestLeaseMS, h.cfg.TakeoverGapMS+verificationTTL.Milliseconds())
+	}
+	rec, err := h.ownerRecord(t.partition, t.epoch, t.longestLeaseMS)
 	if err != nil {
 		return t, err
 	}
@@ -165,7 +178,7 @@
 func (h *Host) startOwning(t takenPartition) {
 	now := monotonicMS()
 	ctx, cancel := context.WithCancel(context.Background())
-	s := &ownedShard{partition: t.partition, epoch: t.epoch, sequence: t.sequence, ctx: ctx, cancel: cancel, ownedSince: now, earlierLeasesUntil: now + t.earlierLeaseMS, records: map[string][]byte{}}
+	s := &ownedShard{partition: t.partition, epoch: t.epoch, sequence: t.sequence, ctx: ctx, cancel: cancel, ownedSince: now, earlierLeasesUntil: now + t.longestLeaseMS, records: map[string][]byte{}}
 	s.verifiedAt.Store(t.startedAt)
 	h.owned[t.partition] = s
 	if t.partition.Topic == deps.TopicJobs {
@@ -176,11 +189,11 @@
 		}
 		s.hadPredecessor = t.previous.Node != ""
 		h.fleet = newFleetController(h, s)
-		h.fleet.predecessorIdleMS = h.predecessorIdleMS(t.previous.ownership, now)
+		h.fleet.predecessorIdleMS = h.predecessorIdleMS(t.previous, now)
 		h.startArbiter(s, now)
 	}
 	h.record(events.ShardTaken, events.Fields{Peer: t.previous.Node, Detail: fmt.Sprintf("%s epoch=%d records=%d stale=%v handed_over=%v previous_epoch=%d earlier_leases_ms=%d took_ms=%d",
-		describe(t.partition), t.epoch, len(t.records), t.previousMayBeAlive, t.handover != nil, t.previous.Epoch, t.earlierLeaseMS, now-t.startedAt)})
+		describe(t.partition), t.epoch, len(t.records), t.previousState != ownerEnded, t.handover != nil, t.previous.Epoch, t.earlierLeaseMS, now-t.startedAt)})
 	h.publishOwnership()
 	h.announce(t.partition, t.epoch)
 	if t.partition.Topic == deps.TopicJobs {
@@ -188,10 +201,14 @@
 	}
 }
 
-// predecessorIdleMS returns how long a previous fleet controller has certainly
-// not acted: as reported in its last heartbeat, or since its process was
-// replaced. It returns 0 if nothing is known.
-func (h *Host) predecessorIdleMS(previous ownership, now int64) int64 {
+// predecessorIdleMS returns how long a previous fleet controller, and those before it, have
+// certainly not acted: as reported in its last heartbeat, or since its process was replaced.
+// It returns 0 if nothing is known, as of a controller that has not outlived the gap after
+// the one before it.
+func (h *Host) predecessorIdleMS(previous storedOwner, now int64) int64 {
+	if previous.EarlierLeaseMS == nil || *previous.EarlierLeaseMS > 0 {
+		return 0
+	}
 	n := h.nodes[previous.Node]
 	switch {
 	case n == nil:
