--- a/jobs/shard/orders.go
+++ b/jobs/shard/orders.go
@@ -131,6 +131,7 @@
 	EventGivenUp      EventName = "task_given_up"
 	EventUntried      EventName = "jobs_untried"
 	EventLearned      EventName = "run_times_learned"
+	EventEndsMissing  EventName = "ends_missing"
 	// EventCustomerRefused is a refusal for the sake of the other customers.
 	EventCustomerRefused EventName = "customer_refused"
 )
--- a/jobs/shard/polls.go
+++ b/jobs/shard/polls.go
@@ -43,10 +43,15 @@
 		if c.needsPollNow(w) || w.failedPolls > 0 && c.losesCalls() {
 			p.WaitMS = 0
 		}
-		c.orders.Polls = append(c.orders.Polls, p)
+		c.sendPoll(w, p)
 	}
 }
 
+func (c *Core) sendPoll(w *worker, p Poll) {
+	w.namedEnd = max(w.namedEnd, p.AckedUpto)
+	c.orders.Polls = append(c.orders.Polls, p)
+}
+
 // needsPollNow reports whether the worker's lists are needed at once to settle
 // a run.
 func (c *Core) needsPollNow(w *worker) bool {
@@ -125,7 +130,7 @@
 		w.backoffUntil = now + workerBackoffMS
 	}
 	if w.failedPolls <= 2 {
-		c.event(Event{Name: EventPollFailed, Worker: w.info.ID, Outcome: string(reason), Detail: fmt.Sprintf("in_a_row=%d runs=%d", w.failedPolls, len(w.runs)), AgeMS: now - w.listedAt})
+		c.event(Event{Name: EventPollFailed, Worker: w.info.ID, Outcome: string(reason), Detail: fmt.Sprintf("in_a_row=%d runs=%d named_end=%d", w.failedPolls, len(w.runs), w.namedEnd), AgeMS: now - w.listedAt})
 	}
 }
 
--- a/jobs/shard/runs.go
+++ b/jobs/shard/runs.go
@@ -152,11 +152,12 @@
 // settleRun discards a run without a reported end that certainly does not run
 // and never will.
 func (c *Core) settleRun(r *run, reason string) {
-	e := Event{Name: EventSettled, Job: r.key.Job, Run: RunRef{r.key, r.number}, Worker: r.worker.info.ID, Outcome: reason, AgeMS: c.now - r.phaseSince}
+	e := Event{Name: EventSettled, Job: r.key.Job, Run: RunRef{r.key, r.number}, Worker: r.worker.info.ID, Outcome: reason, AgeMS: c.now - r.phaseSince,
+		Detail: fmt.Sprintf("seen_end=%d named_end=%d", r.worker.seenEnd, r.worker.namedEnd)}
 	if r.startSentAt == 0 && r.phase != phasePlaced {
-		e.Detail = "started_by=earlier_owner"
+		e.Detail += " started_by=earlier_owner"
 	} else if lostAt := r.worker.contactLostAt; lostAt != 0 && r.startSentAt != 0 {
-		e.Detail = fmt.Sprintf("start_to_loss_ms=%d listed=%v", lostAt-r.startSentAt, r.worker.listed)
+		e.Detail += fmt.Sprintf(" start_to_loss_ms=%d listed=%v", lostAt-r.startSentAt, r.worker.listed)
 	}
 	c.event(e)
 	guilty := false
@@ -196,165 +197,6 @@
 	}
 }
 
-// recordEnds records a worker's new ends. They are acknowledged after they are
-// stored.
-func (c *Core) recordEnds(w *worker, ends []ListedEnd) {
-	hasNew := false
-	for _, e := range ends {
-		if e.End <= w.seenEnd {
-			continue
-		}
-		w.seenEnd = e.End
-		hasNew = true
-		c.recordEnd(w, e)
-	}
-	if !hasNew {
-		return
-	}
-	upto, incarnation := w.seenEnd, w.incarnation
-	c.afterCommit(func() {
-		if w.incarnation == incarnation {
-			w.ackedEnd = max(w.ackedEnd, upto)
-			w.nextPollAt = c.now
-		}
-	})
-}
-
-func (c *Core) recordEnd(w *worker, e ListedEnd) {
-	c.event(Event{Name: EventEnd, Job: e.Key.Job, Run: e.RunRef, Worker: w.info.ID, Outcome: string(e.Kind), Detail: fmt.Sprintf("end=%d", e.End) + w.runs[runID{e.Key, e.Number}].runDetail(c.now)})
-	r := w.runs[runID{e.Key, e.Number}]
-	if r != nil {
-		w.removeRun(r)
-	}
-	j := c.jobs[e.Key.Job]
-	if j == nil || j.state.Final() {
-		return
-	}
-	tk := j.findTask(e.Key)
-	if tk == nil || tk.done || e.Number <= tk.lastEnded {
-		return
-	}
-	c.recordBegun(j)
-	if e.Number > tk.lastRun {
-		tk.lastRun = e.Number
-	}
-	tk.lastEnded = e.Number
-	if e.Checkpoint != "" {
-		j.saveCheckpoint(e.Key, e.Checkpoint)
-	}
-	c.markDirty(j)
-	c.noteRunTime(j, r, e)
-	if tk.current != nil && (r == tk.current || tk.current.number <= e.Number) {
-		tk.current.worker.removeRun(tk.current)
-		tk.current = nil
-	}
-	c.applyEnd(w, j, tk, e)
-}
-
-func (c *Core) applyEnd(w *worker, j *job, tk *task, e ListedEnd) {
-	st := &j.spec.Steps[e.Key.Step]
-	switch e.Kind {
-	case EndDone:
-		w.failStreak = 0
-		if st.Lasting {
-			c.enqueue(j)
-			return
-		}
-		c.completeTask(j, tk, e)
-	case EndFailed:
-		c.failTask(w, j, tk, e)
-	default:
-		if st.Gang && tk.current == nil {
-			c.stopGang(j.step(e.Key), e.Number)
-		}
-		c.enqueue(j)
-	}
-}
-
-// completeTask marks the task, or its whole gang, as done.
-func (c *Core) completeTask(j *job, tk *task, e ListedEnd) {
-	o := j.occurrences[e.Key.Occurrence]
-	so := &o.steps[e.Key.Step]
-	if j.spec.Steps[e.Key.Step].Gang {
-		for i := range so.tasks {
-			c.markDone(j, o, so, &so.tasks[i], e.Key.Step)
-		}
-	} else {
-		c.markDone(j, o, so, tk, e.Key.Step)
-	}
-	if o.openTasks == 0 {
-		delete(j.occurrences, o.number)
-		c.holdState(j)
-	}
-	if len(j.occurrences) == 0 && j.nextOccurrence >= j.occurrenceCount() {
-		c.finishJob(j, spec.Completed)
-		return
-	}
-	if so.openTasks == 0 {
-		c.enqueue(j)
-	}
-}
-
-func (c *Core) markDone(j *job, o *occurrence, so *step, tk *task, index int) {
-	if tk.done {
-		return
-	}
-	tk.done = true
-	if r := tk.current; r != nil {
-		if j.spec.Steps[index].Gang {
-			r.worker.removeRun(r)
-			tk.current = nil
-		} else {
-			c.stopRun(r, "task_done")
-		}
-	}
-	so.openTasks--
-	o.openTasks--
-	work := j.stepWork(index)
-	j.remainingWork -= work
-	c.ensurePool(j.service).remainingWork -= work
-	c.learnFrom(j, so, index)
-}
-
-// failTask counts a failed run and fails the job after too many.
-func (c *Core) failTask(w *worker, j *job, tk *task, e ListedEnd) {
-	st := &j.spec.Steps[e.Key.Step]
-	w.failStreak++
-	if w.failStreak >= maxFailStreak {
-		w.backoffUntil = max(w.backoffUntil, c.now+failingWorkerBackoffMS)
-	}
-	tk.avoidWorker = w.info.ID
-	if st.Lasting {
-		c.enqueue(j)
-		return
-	}
-	failures := 0
-	if st.Gang {
-		so := j.step(e.Key)
-		if so.gangRun == e.Number {
-			so.failures++
-			so.gangRun = 0
-		}
-		failures = so.failures
-		c.stopGang(so, e.Number)
-	} else {
-		tk.failures++
-		failures = tk.failures
-	}
-	if failures >= j.maxAttempts {
-		c.finishJob(j, spec.Failed)
-		return
-	}
-	c.enqueue(j)
-}
-
-// A worker with maxFailStreak failed runs in a row gets no starts for
-// failingWorkerBackoffMS; after that a single failure pauses it again.
-const (
-	maxFailStreak          = 3
-	failingWorkerBackoffMS = 3_000
-)
-
 // step returns the step of a key, which must identify one of the job's tasks.
 func (j *job) step(k Key) *step { return &j.occurrences[k.Occurrence].steps[k.Step] }
 
--- a/jobs/shard/worker.go
+++ b/jobs/shard/worker.go
@@ -45,11 +45,15 @@
 	// seenEnd is the highest end that was processed, ackedEnd the highest one
 	// that is stored.
 	seenEnd, ackedEnd int
-	pollInFlight      bool
-	watch             pollWatch
-	nextPollAt        int64
-	failedPolls       int
-	backoffUntil      int64
+	// namedEnd is the highest end that a poll for this incarnation has named as
+	// stored. countsEnds reports whether the next end must follow seenEnd.
+	namedEnd     int
+	countsEnds   bool
+	pollInFlight bool
+	watch        pollWatch
+	nextPollAt   int64
+	failedPolls  int
+	backoffUntil int64
 	// failStreak counts consecutive failed runs.
 	failStreak int
 	// cordoned reports whether no new work may be placed, evicting whether
@@ -271,12 +275,13 @@
 			// An order for the earlier incarnation may have reached this one.
 			c.expectLongestLease(w)
 		}
-		c.event(Event{Name: EventWorker, Worker: w.info.ID, Outcome: "reborn", Detail: fmt.Sprintf("was=%d now=%d runs=%d", w.incarnation, incarnation, len(w.runs))})
+		c.event(Event{Name: EventWorker, Worker: w.info.ID, Outcome: "reborn", Detail: fmt.Sprintf("was=%d now=%d runs=%d named_end=%d", w.incarnation, incarnation, len(w.runs), w.namedEnd)})
 		c.loseIncarnation(w)
 	}
+	w.countsEnds = w.incarnation != 0
 	w.incarnation = incarnation
 	w.pollInFlight, w.doubtedAt, w.watch = false, 0, pollWatch{}
-	w.seenEnd, w.ackedEnd, w.clockMS, w.clockReadAt, w.leaseUntil = 0, 0, 0, 0, 0
+	w.seenEnd, w.ackedEnd, w.namedEnd, w.clockMS, w.clockReadAt, w.leaseUntil = 0, 0, 0, 0, 0, 0
 	w.reached, w.failStreak, w.failedPolls, w.contactLostAt, w.connectionLost = false, 0, 0, 0, false
 	w.held = false
 	w.strays = map[RunRef]int64{}
--- a/node/events/jobs.go
+++ b/node/events/jobs.go
@@ -52,6 +52,7 @@
 	RunTimesLearned
 	RoomUnanswered
 	CustomerRefused
+	EndsMissing
 )
 
 var jobEvents = []Definition{
@@ -104,5 +105,6 @@
 	{RunTimesLearned, "run_times_learned", SeverityInfo, "The owner of a shard has seen enough finished steps of a queue to expect run times by them in place of the declared ones.", ""},
 	{RoomUnanswered, "room_unanswered", SeverityWarning, "The owner of the fleet partition did not answer what a shard may run of the customers' caps; the shard keeps what it had, and asks again.", "Check the links between the nodes; customers with a cap get no more room on this shard meanwhile."},
 	{CustomerRefused, "customer_refused", SeverityInfo, "A job was refused because its customer is at its share of the pool or at its cap; the detail has the customer's share, what it runs and what waits.", ""},
+	{EndsMissing, "ends_missing", SeverityWarning, "The numbers of a worker's ends have a gap: it has forgotten ends that this owner has not seen; the detail has the highest end that a poll has named.", "Compare it with worker_changed and worker_poll_failed of the same worker: a poll for an earlier life may have reached a later one."},
 	{AdviceFailed, "advice_failed", SeverityWarning, "The placement advisor did not answer; it is asked again.", "Check the placement advisor; queues that need its permits wait."},
 }
--- a/node/jobhost/shardrun.go
+++ b/node/jobhost/shardrun.go
@@ -299,5 +299,5 @@
 	shard.EventRecordFailed: events.RecordUnwritable, shard.EventPaced: events.RunPaced,
 	shard.EventSuspected: events.TaskSuspected, shard.EventUntried: events.JobsUntried, shard.EventCustomerRefused: events.CustomerRefused, shard.EventGivenUp: events.TaskGivenUp,
 	shard.EventInvariant: events.JobInvariantBroken, shard.EventAdvice: events.AdviceGiven,
-	shard.EventLearned: events.RunTimesLearned,
+	shard.EventLearned: events.RunTimesLearned, shard.EventEndsMissing: events.EndsMissing,
 }
