--- a/jobs/model/world.go
+++ b/jobs/model/world.go
@@ -74,8 +74,9 @@
 	SlowAnswerShare float64
 	// SlowClocks lets all clocks of workers run as slowly as may be.
 	SlowClocks bool
-	// LateAcrossRestarts lets delayed orders reach a later incarnation of their worker.
-	LateAcrossRestarts bool
+	// LateAcrossRestarts lets delayed orders reach a later incarnation of their worker,
+	// LatePollsAcrossRestarts polls only.
+	LateAcrossRestarts, LatePollsAcrossRestarts bool
 	// UnlistIntervalMS is the mean time between losses of a worker's entry in the
 	// list of workers for some seconds; 0 disables them.
 	UnlistIntervalMS int64
--- a/soak/cluster.go
+++ b/soak/cluster.go
@@ -40,6 +40,9 @@
 	Nodes, Workers int
 	// Duration is how long clients hand in jobs.
 	Duration time.Duration
+	// Kinds are the kinds of faults of a run whose faults follow one another without a
+	// pause; none stands for all kinds, with pauses.
+	Kinds []FaultKind
 	// MemoryMB and MaxFDs are the limits in the nodes' settings; 0 stands for those of a
 	// common VM.
 	MemoryMB, MaxFDs int
@@ -61,6 +64,7 @@
 	streamPlan uint64 = iota
 	streamAccess
 	streamKeys
+	streamLate
 	streamWorkers   uint64 = 1 << 8
 	streamClients   uint64 = 1 << 16
 	streamScenarios uint64 = 1 << 24
@@ -76,6 +80,7 @@
 	judge    *Judge
 	store    *Store
 	machines *Machines
+	late     *LateCalls
 	keys     *Keys
 	nodes    []*Node
 	// partitions holds the zones that are cut off.
@@ -98,6 +103,8 @@
 	c := &Cluster{options: o, record: record, calm: calm, judge: NewJudge(record, calm), store: NewStore(), keys: NewKeys(o.withCaps()), partitions: newPartitions()}
 	c.judge.caps = o.withCaps()
 	c.machines = NewMachines(record, c.launchWorker)
+	c.late = NewLateCalls(o.random(streamLate))
+	c.late.current = c.machines.Life
 	if err := c.start(); err != nil {
 		c.Close()
 		return nil, err
@@ -246,14 +253,19 @@
 	random := c.options.random(streamWorkers + c.launched)
 	c.mu.Unlock()
 	w := NewWorker(place, c.store, c.judge, random)
+	w.late = c.late
 	var links []*Proxy
+	firstBeat, restartBeat := time.Duration(0), between(random, 0, workerHeartbeat)
 	for _, n := range c.nodes {
 		address, err := w.ListenFor(n.name)
 		if err != nil {
 			return nil, err
 		}
-		link, err := NewProxy(address)
-		if err != nil {
+		link := n.link(w.id)
+		if link != nil {
+			link.Retarget(address)
+			firstBeat = restartBeat
+		} else if link, err = NewProxy(address); err != nil {
 			return nil, err
 		}
 		n.addLink(w.id, link)
@@ -261,11 +273,14 @@
 	}
 	go func() {
 		<-w.gone
+		if w.restarts {
+			return
+		}
 		for _, link := range links {
 			link.Close()
 		}
 	}()
-	w.Register(w.id)
+	w.Register(w.id, firstBeat)
 	return w, nil
 }
 
--- a/soak/cmd/soak/main.go
+++ b/soak/cmd/soak/main.go
@@ -37,6 +37,7 @@
 			&cli.IntFlag{Name: "seconds", Value: 30, Usage: "time of the traffic"},
 			&cli.IntFlag{Name: "nodes", Value: 5, Usage: "number of entry nodes"},
 			&cli.IntFlag{Name: "workers", Value: 10, Usage: "number of workers"},
+			&cli.StringSliceFlag{Name: "kinds", Usage: "kinds of faults, such as restart-worker,late-calls, that follow one another without a pause"},
 			&cli.StringFlag{Name: "program", Value: "target/wigeonwinchd", Usage: "path of the program"},
 			&cli.StringFlag{Name: "keep", Usage: "directory that keeps the logs; without it only those of runs that break a promise are kept"},
 		},
@@ -61,12 +62,18 @@
 // runSeed runs the seed that the flags name.
 func runSeed(ctx context.Context, cmd *cli.Command) error {
 	o := soak.Options{Seed: cmd.Uint64("seed"), Nodes: cmd.Int("nodes"), Workers: cmd.Int("workers"), Duration: time.Duration(cmd.Int("seconds")) * time.Second}
+	for _, kind := range cmd.StringSlice("kinds") {
+		o.Kinds = append(o.Kinds, soak.FaultKind(kind))
+	}
 	if o.Seed == 0 {
 		o.Seed = uint64(time.Now().UnixNano())
 	}
 	if o.Nodes < 1 || o.Workers < 1 || o.Duration <= 0 {
 		return errors.New("--nodes, --workers and --seconds must be at least 1")
 	}
+	if unknown := o.UnknownKinds(); len(unknown) > 0 {
+		return errors.Errorf("unknown kinds of faults: %v", unknown)
+	}
 	return run(ctx, cmd, o)
 }
 
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -53,6 +53,10 @@
 	FaultCrashWorker   FaultKind = "crash-worker"
 	// FaultRestartWorker lets a worker start again under its ID.
 	FaultRestartWorker FaultKind = "restart-worker"
+	// FaultRestartDark is the same, with connections that stay open and silent.
+	FaultRestartDark FaultKind = "restart-dark"
+	// FaultLateCalls lets calls to workers get no answer; many are carried out later.
+	FaultLateCalls FaultKind = "late-calls"
 )
 
 // Fault is one fault of a plan. What a kind does not need is not used.
@@ -76,12 +80,14 @@
 		f.Kind, f.At.Seconds(), f.Duration.Seconds(), f.Node+1, f.VM, f.Service, f.Directions, f.Unlisted, f.First)
 }
 
-// faultWeights tells how often each kind is drawn.
-var faultWeights = []struct {
+type faultWeight struct {
 	kind      FaultKind
 	weight    int
 	low, high time.Duration
-}{
+}
+
+// faultWeights tells how often each kind is drawn.
+var faultWeights = []faultWeight{
 	{FaultFreezeOwner, 6, 2 * time.Second, 8 * time.Second},
 	{FaultFreeze, 2, 200 * time.Millisecond, 5 * time.Second},
 	{FaultKillOwner, 2, 100 * time.Millisecond, 3 * time.Second},
@@ -99,6 +105,8 @@
 	{FaultSilenceWorker, 1, 0, 0},
 	{FaultCrashWorker, 1, 500 * time.Millisecond, 3 * time.Second},
 	{FaultRestartWorker, 1, 300 * time.Millisecond, 3 * time.Second},
+	{FaultRestartDark, 1, 100 * time.Millisecond, 900 * time.Millisecond},
+	{FaultLateCalls, 2, 2 * time.Second, 8 * time.Second},
 	{FaultRefuseNode, 1, 500 * time.Millisecond, 5 * time.Second},
 	{FaultCutPeers, 1, 500 * time.Millisecond, 5 * time.Second},
 	{FaultCutOwnerOff, 2, 2 * time.Second, 7 * time.Second},
@@ -109,6 +117,13 @@
 	{FaultConfigure, 2, 0, 0},
 }
 
+// UnknownKinds returns the kinds of the options that no fault has.
+func (o Options) UnknownKinds() []FaultKind {
+	return slices.DeleteFunc(slices.Clone(o.Kinds), func(k FaultKind) bool {
+		return slices.ContainsFunc(faultWeights, func(w faultWeight) bool { return w.kind == k })
+	})
+}
+
 // Rhythm of faults: series with overlaps, and calm between them.
 const (
 	firstFault     = time.Second
@@ -118,11 +133,24 @@
 	maxCalmBetween = 7 * time.Second
 	storeDelay     = 300 * time.Millisecond
 	lostShare      = 0.3
+	// restlessGap is the longest pause in a run of some kinds of faults only.
+	restlessGap = 700 * time.Millisecond
 )
 
+// lateShares are the shares of the calls to workers that get no answer.
+var lateShares = LateShares{Holds: 0.2, Orders: 0.05, Answers: 0.05}
+
 // Plan returns the faults of a run. They begin in the traffic's time.
 func Plan(random *rand.Rand, o Options) []Fault {
 	var plan []Fault
+	if len(o.Kinds) > 0 {
+		for at := firstFault; at < o.Duration; at += between(random, 0, restlessGap) {
+			f := randomFault(random, o)
+			f.At = at
+			plan = append(plan, f)
+		}
+		return plan
+	}
 	for at := firstFault; at < o.Duration; at += between(random, minCalmBetween, maxCalmBetween) {
 		for range 1 + random.IntN(maxSeries) {
 			f := randomFault(random, o)
@@ -135,17 +163,21 @@
 }
 
 func randomFault(random *rand.Rand, o Options) Fault {
+	weights := faultWeights
+	if len(o.Kinds) > 0 {
+		weights = slices.DeleteFunc(slices.Clone(weights), func(w faultWeight) bool { return !slices.Contains(o.Kinds, w.kind) })
+	}
 	total := 0
-	for _, w := range faultWeights {
+	for _, w := range weights {
 		total += w.weight
 	}
 	n := random.IntN(total)
 	i := 0
-	for n >= faultWeights[i].weight {
-		n -= faultWeights[i].weight
+	for n >= weights[i].weight {
+		n -= weights[i].weight
 		i++
 	}
-	w := faultWeights[i]
+	w := weights[i]
 	return Fault{
 		Kind: w.kind, Duration: between(random, w.low, w.high), Node: random.IntN(o.Nodes), VM: random.IntN(o.Workers),
 		Service: queues[random.IntN(len(queues))].service, Directions: [][]Direction{{Requests}, {Answers}, {Requests, Answers}}[random.IntN(3)],
@@ -239,10 +271,19 @@
 		if err := c.configure(); err != nil {
 			c.record.Printf("the configuration is not written: %v", err)
 		}
-	case FaultCrashWorker, FaultRestartWorker:
+	case FaultCrashWorker, FaultRestartWorker, FaultRestartDark:
 		defer c.calm.Begin(worker)()
-		c.machines.Crash(worker, f.Duration, f.Kind == FaultRestartWorker)
+		if f.Kind == FaultRestartDark {
+			c.silenceLinks(worker)
+		}
+		c.machines.Crash(worker, f.Duration, f.Kind != FaultCrashWorker)
+		sleep(ctx, f.Duration)
+	case FaultLateCalls:
+		defer c.calm.Begin(everything)()
+		end := c.late.Begin(lateShares)
 		sleep(ctx, f.Duration)
+		end()
+		sleep(ctx, maxLateness)
 	}
 	c.record.Printf("fault: %s is over", f.Kind)
 }
@@ -284,9 +325,7 @@
 	}
 	defer c.calm.Begin(worker)()
 	if f.Kind == FaultSilenceWorker {
-		for _, link := range links {
-			link.Silence()
-		}
+		c.silenceLinks(worker)
 		return
 	}
 	cut(links, f.Directions)
@@ -294,6 +333,15 @@
 	restore(links)
 }
 
+// silenceLinks makes the open connections of all nodes to a worker silent for good.
+func (c *Cluster) silenceLinks(worker string) {
+	for _, n := range c.nodes {
+		if link := n.link(worker); link != nil {
+			link.Silence()
+		}
+	}
+}
+
 // peerLinks returns the links between a node and all others, in both ways.
 func (c *Cluster) peerLinks(node *Node) []*Proxy {
 	var links []*Proxy
--- a/soak/machines.go
+++ b/soak/machines.go
@@ -105,6 +105,18 @@
 	return ""
 }
 
+// Life returns the present life of a worker, or nil.
+func (m *Machines) Life(id string) *Worker {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, v := range m.vms {
+		if v.worker != nil && v.worker.id == id {
+			return v.worker
+		}
+	}
+	return nil
+}
+
 // Workers returns the workers that are up.
 func (m *Machines) Workers() []*Worker {
 	m.mu.Lock()
@@ -129,6 +141,7 @@
 		}
 		old := v.worker
 		v.worker, v.state = nil, vmDown
+		old.restarts = sameID
 		old.End(true)
 		if sameID {
 			m.bootLater(v, down, old)
--- a/soak/proxy.go
+++ b/soak/proxy.go
@@ -27,11 +27,11 @@
 // Proxy forwards the TCP connections of one process to one server. Faults apply to
 // the connections that pass through it.
 type Proxy struct {
-	target   string
 	listener net.Listener
 	closed   chan struct{}
 
-	mu sync.Mutex
+	mu     sync.Mutex
+	target string
 	// cut tells for each direction whether bytes are held back.
 	cut [2]bool
 	// isolated tells whether a partition holds back the bytes of both directions.
@@ -59,6 +59,13 @@
 // Address returns the address at which the proxy listens.
 func (p *Proxy) Address() string { return p.listener.Addr().String() }
 
+// Retarget lets new connections go to another address.
+func (p *Proxy) Retarget(target string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.target = target
+}
+
 // Cut holds back all bytes of a direction, also on connections that are opened
 // later.
 func (p *Proxy) Cut(d Direction) {
@@ -151,8 +158,11 @@
 func (p *Proxy) serve(client net.Conn) {
 	ctx, cancel := context.WithTimeout(context.Background(), proxyDialTimeout)
 	defer cancel()
+	p.mu.Lock()
+	target := p.target
+	p.mu.Unlock()
 	var dialer net.Dialer
-	server, err := dialer.DialContext(ctx, "tcp", p.target)
+	server, err := dialer.DialContext(ctx, "tcp", target)
 	if err != nil {
 		_ = client.Close()
 		return
--- a/soak/worker.go
+++ b/soak/worker.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"context"
 	"encoding/json"
 	"math/rand/v2"
 	"net"
@@ -60,9 +61,16 @@
 	lastEnd int
 	changed chan struct{}
 	ending  bool
+	// waitingAcks are the ends that waiting holds have named. They take effect until the
+	// hold is answered.
+	waitingAcks map[*order]int
 	// held reports that heartbeats do not reach the store; missed counts them.
 	held   bool
 	missed int
+	// late are the calls that get no answer.
+	late *LateCalls
+	// restarts reports that the worker starts again under its ID and address.
+	restarts bool
 }
 
 type taskRun struct {
@@ -102,6 +110,7 @@
 		id: place.ID, vm: place.VM, service: place.Service, zone: place.Zone, rack: place.Rack, born: time.Now(),
 		clockRate: slowestClock + (1-slowestClock)*random.Float64(), store: store, judge: judge, gone: make(chan struct{}),
 		random: random, senders: map[string]string{}, runs: map[string]*taskRun{}, highest: map[string]int{}, changed: make(chan struct{}),
+		waitingAcks: map[*order]int{}, late: NewLateCalls(random),
 	}
 	w.server = &http.Server{Handler: w}
 	w.lapse = time.AfterFunc(time.Hour, w.checkLease)
@@ -123,13 +132,14 @@
 	return address, nil
 }
 
-// Register writes the worker's entry until the worker is gone. Nodes see address in
-// a form of their own.
-func (w *Worker) Register(address string) {
+// Register writes the worker's entry until the worker is gone, for the first time after
+// a delay. Nodes see address in a form of their own.
+func (w *Worker) Register(address string, delay time.Duration) {
 	w.mu.Lock()
 	w.address = address
 	w.mu.Unlock()
 	go func() {
+		time.Sleep(delay)
 		tick := time.NewTicker(workerHeartbeat)
 		defer tick.Stop()
 		for w.beat() {
@@ -190,7 +200,7 @@
 	for _, r := range w.runs {
 		r.timer.Stop()
 	}
-	w.judge.WorkerDown(w.id)
+	w.judge.WorkerDown(w.id, crashed)
 	close(w.gone)
 	w.mu.Unlock()
 	_ = w.server.Close()
@@ -233,16 +243,28 @@
 		rw.WriteHeader(http.StatusBadRequest)
 		return
 	}
-	a := w.carryOut(r, o)
+	local, _ := r.Context().Value(http.LocalAddrContextKey).(net.Addr)
+	w.mu.Lock()
+	sender := w.senders[local.String()]
+	w.mu.Unlock()
+	if w.late.divert(lateCall{life: w, path: r.URL.Path, sender: sender, order: o}) {
+		w.leaveUnanswered(r)
+	}
+	a := w.carryOut(r.Context(), r.URL.Path, sender, o)
 	if a.status == 0 {
 		panic(http.ErrAbortHandler)
 	}
 	answerJSON(rw, a.status, a.body)
 }
 
-func (w *Worker) carryOut(r *http.Request, o order) answer {
+func (w *Worker) carryOut(ctx context.Context, path, sender string, o order) answer {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	return w.obey(ctx, path, sender, o)
+}
+
+// obey carries out a call. The caller holds the lock.
+func (w *Worker) obey(ctx context.Context, path, sender string, o order) answer {
 	if w.ending {
 		return answer{}
 	}
@@ -250,17 +272,15 @@
 		return w.conflict("fence")
 	}
 	w.token = o.Token
-	local, _ := r.Context().Value(http.LocalAddrContextKey).(net.Addr)
-	sender := w.senders[local.String()]
 	w.judge.OrderSeen(w.service, sender, o.Token)
-	switch r.URL.Path {
-	case "/wigeonwinch/run-start":
+	switch path {
+	case pathStart:
 		return w.start(sender, o)
-	case "/wigeonwinch/run-stop":
+	case pathStop:
 		return w.stop(sender, o)
-	case "/wigeonwinch/hold":
-		return w.hold(r, o)
-	case "/wigeonwinch/pace":
+	case pathHold:
+		return w.hold(ctx, o)
+	case pathPace:
 		return w.ok()
 	}
 	return answer{http.StatusNotFound, struct{}{}}
@@ -310,6 +330,12 @@
 	w.lastEnd++
 	w.ended = append(w.ended, endedRun{number: w.lastEnd, task: r.task, run: r.run, how: how})
 	w.judge.RunEnded(w.id, r.task, r.run, how)
+	for _, upTo := range w.waitingAcks {
+		w.forget(upTo)
+	}
+	for _, c := range w.late.takeAtEnd(w) {
+		w.obey(context.Background(), c.path, c.sender, c.order)
+	}
 	close(w.changed)
 	w.changed = make(chan struct{})
 }
--- a/soak/workerruns.go
+++ b/soak/workerruns.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"context"
 	"fmt"
 	"net/http"
 	"strconv"
@@ -81,11 +82,13 @@
 
 // hold extends the lease, takes note of acknowledged ends, and returns what runs
 // and what has ended. The caller holds the lock.
-func (w *Worker) hold(r *http.Request, o order) answer {
+func (w *Worker) hold(ctx context.Context, o order) answer {
 	if o.Deadline != 0 {
 		w.extend(o.Deadline)
 	}
 	w.forget(o.Acked)
+	w.waitingAcks[&o] = o.Acked
+	defer delete(w.waitingAcks, &o)
 	timeout := time.NewTimer(time.Duration(min(o.WaitMS, maxHoldWaitMS)) * time.Millisecond)
 	defer timeout.Stop()
 	for waiting := o.WaitMS > 0; waiting && len(w.ended) == 0 && !w.ending; {
@@ -96,7 +99,7 @@
 		case <-timeout.C:
 			waiting = false
 		case <-w.gone:
-		case <-r.Context().Done():
+		case <-ctx.Done():
 			waiting = false
 		}
 		w.mu.Lock()
