--- a/jobs/model/takeovers.go
+++ b/jobs/model/takeovers.go
@@ -71,7 +71,7 @@
 		w.deposeOwner(old)
 	}
 	w.noteFault(w.now)
-	w.epoch++
+	w.epoch += shard.TokensPerEpoch
 	o := &owner{world: w, epoch: w.epoch, replyHandlers: map[uint64]func(shard.Reply){}, startsUntil: math.MaxInt64, leasesUntil: math.MaxInt64, earlierLeasesUntil: w.earlierLeasesUntil(old, dead)}
 	o.core = shard.New(shard.Config{
 		Epoch: w.epoch, MaxLeaseMS: maxLeaseMS, EarlierLeaseMS: o.earlierLeasesUntil - w.now, StatusKeepMS: 1_000_000, Policy: w.opts.Policy,
--- a/jobs/shard/ends.go
+++ b/jobs/shard/ends.go
@@ -24,6 +24,7 @@
 	if !hasNew {
 		return
 	}
+	w.acks.seenAt = c.now
 	upto, incarnation := w.seenEnd, w.incarnation
 	c.afterCommit(func() {
 		if w.incarnation == incarnation {
--- a/jobs/shard/expect_test.go
+++ b/jobs/shard/expect_test.go
@@ -125,7 +125,7 @@
 		h.step(200)
 		h.finish(o.Starts, h.core.workers[o.Starts[0].Worker].estimateClock(h.now))
 		h.stepAndStore(1, stored)
-		h.core.TakeOrders()
+		h.answerAcks()
 	}
 	var records []Record
 	for _, key := range sortedKeys(stored) {
@@ -192,7 +192,7 @@
 		h.step(200)
 		h.finish(o.Starts, h.core.workers[o.Starts[0].Worker].estimateClock(h.now))
 		h.step(1)
-		h.core.TakeOrders()
+		h.answerAcks()
 	}
 	_, learned := h.core.learner.QueueStats("q")
 	require.True(t, learned)
--- a/jobs/shard/moved_advice_test.go
+++ b/jobs/shard/moved_advice_test.go
@@ -66,7 +66,9 @@
 			move(h.core, advised)
 			h.core.HandlePollResponse(h.now, h.now, starts[0].Target, PollResponse{ClockMS: 200, Incarnation: 1, Ended: []ListedEnd{{End: 1, RunRef: starts[0].RunRef, Kind: EndDone}}})
 			h.step(1)
-			h.requirePermittedStart(h.core.TakeOrders())
+			o = h.core.TakeOrders()
+			h.answerAcksOf(o)
+			h.requirePermittedStart(o)
 		})
 	}
 }
--- a/jobs/shard/orders.go
+++ b/jobs/shard/orders.go
@@ -24,7 +24,8 @@
 	Worker      string
 	Address     string
 	Incarnation int64
-	// Epoch is the fencing token of the order.
+	// Epoch is the fencing token of the order: the owner's epoch, or up to TokensPerEpoch-1
+	// more.
 	Epoch int64
 }
 
@@ -33,7 +34,7 @@
 	Target
 	// LeaseUntil is in the worker's clock; 0 does not extend the lease.
 	LeaseUntil int64
-	// AckedUpto is the highest end that is stored.
+	// AckedUpto is the highest end that is stored; 0 names none.
 	AckedUpto int
 	// WaitMS is how long the worker may wait for an end before it answers.
 	WaitMS int64
--- a/jobs/shard/overdue.go
+++ b/jobs/shard/overdue.go
@@ -28,7 +28,7 @@
 		return
 	}
 	w.watch.checking, w.watch.checkedAt = true, c.now
-	c.sendPoll(w, Poll{Target: c.target(w), AckedUpto: w.ackedEnd})
+	c.orders.Polls = append(c.orders.Polls, Poll{Target: c.target(w)})
 }
 
 func (c *Core) pollOverdue(w *worker) bool {
--- a/jobs/shard/polls.go
+++ b/jobs/shard/polls.go
@@ -11,8 +11,10 @@
 	for _, w := range c.sortedWorkers() {
 		id := w.info.ID
 		if !w.listed && len(w.runs) == 0 && len(w.strays) == 0 && !w.pollInFlight {
-			delete(c.workers, id)
-			c.workersByID = nil
+			if !w.keepsToken(c.now) {
+				delete(c.workers, id)
+				c.workersByID = nil
+			}
 			continue
 		}
 		if w.pollInFlight {
@@ -22,13 +24,12 @@
 		if c.now < w.nextPollAt || w.seenEnd > w.ackedEnd || w.info.Address == "" {
 			continue
 		}
+		ackDue, mayAck := w.ackDue(), !w.mayHoldOtherRuns()
+		if ackDue && !mayAck && c.pauseAck(w) {
+			continue
+		}
 		w.pollInFlight, w.watch.orderedAt = true, c.now
 		p := Poll{Target: c.target(w)}
-		if w.failedPolls == 0 && !w.inDoubt() {
-			// A later incarnation would forget ends of its own that have these
-			// numbers.
-			p.AckedUpto = w.ackedEnd
-		}
 		if w.reached {
 			p.WaitMS = pollWaitMS
 		}
@@ -43,15 +44,16 @@
 		if c.needsPollNow(w) || w.failedPolls > 0 && c.losesCalls() {
 			p.WaitMS = 0
 		}
-		c.sendPoll(w, p)
+		if ackDue {
+			p.WaitMS = 0
+		}
+		if ackDue && mayAck {
+			c.nameEnds(w, &p)
+		}
+		c.orders.Polls = append(c.orders.Polls, p)
 	}
 }
 
-func (c *Core) sendPoll(w *worker, p Poll) {
-	w.namedEnd = max(w.namedEnd, p.AckedUpto)
-	c.orders.Polls = append(c.orders.Polls, p)
-}
-
 // needsPollNow reports whether the worker's lists are needed at once to settle
 // a run.
 func (c *Core) needsPollNow(w *worker) bool {
@@ -107,10 +109,15 @@
 	if w == nil || w.incarnation != t.Incarnation {
 		return
 	}
+	c.failAck(w, sentAt, reason)
 	if w.watch.replaced(sentAt) {
 		return
 	}
 	w.watch.checking = false
+	if reason == PollFenced && c.isOutdated(w, t) {
+		w.pollInFlight, w.nextPollAt = false, now
+		return
+	}
 	if reason.unanswered() {
 		c.noteLostCall()
 	}
@@ -173,6 +180,7 @@
 		w.reached = true
 		c.event(Event{Name: EventWorker, Worker: w.info.ID, Outcome: "reached", Detail: fmt.Sprintf("running=%d ended=%d epoch=%d", len(l.Running), len(l.Ended), c.cfg.Epoch)})
 	}
+	c.noteListedEnds(w, sentAt, l.Ended)
 	c.recordEnds(w, l.Ended)
 	c.reconcileRunning(w, sentAt, l)
 	if c.needsPollNow(w) {
--- a/jobs/shard/runs.go
+++ b/jobs/shard/runs.go
@@ -61,6 +61,10 @@
 			c.stopRun(r, "start_unanswered")
 		}
 	case StartFenced:
+		if c.isOutdated(w, s.Target) {
+			c.rejectRun(r, outcome)
+			break
+		}
 		c.depose(w.info.ID)
 	case StartNoPermit:
 		c.rejectPermit(r)
@@ -69,6 +73,7 @@
 		w.backoffUntil = now + workerBackoffMS
 		c.rejectRun(r, outcome)
 	}
+	c.resumeAck(w)
 }
 
 // rejectRun settles a run that the worker has not started. It was not lost with an
@@ -115,11 +120,17 @@
 	if w == nil {
 		return
 	}
+	r := w.runs[runID{s.Key, s.Number}]
+	if fenced && c.isOutdated(w, s.Target) {
+		if r != nil && r.phase == phaseStopping {
+			c.sendStop(r)
+		}
+		return
+	}
 	if fenced {
 		c.depose(w.info.ID)
 		return
 	}
-	r := w.runs[runID{s.Key, s.Number}]
 	if r == nil || w.incarnation != s.Incarnation || !answered {
 		return
 	}
--- a/jobs/shard/schedule.go
+++ b/jobs/shard/schedule.go
@@ -335,7 +335,7 @@
 // sendStart orders the start of a stored placement that is still wanted.
 func (c *Core) sendStart(r *run) {
 	tk := r.task()
-	if tk == nil || tk.current != r || r.phase != phasePlaced {
+	if tk == nil || tk.current != r || r.phase != phasePlaced || r.worker.holdStart(r) {
 		return
 	}
 	if !c.checkStart(r) {
--- a/jobs/shard/shard_test.go
+++ b/jobs/shard/shard_test.go
@@ -54,6 +54,24 @@
 	}
 }
 
+// answerAcks answers the polls that name ends and drops all other orders.
+func (h *harness) answerAcks() { h.answerAcksOf(h.core.TakeOrders()) }
+
+// answerAcksOf answers the polls that name ends; the workers have forgotten these.
+func (h *harness) answerAcksOf(o Orders) {
+	for _, p := range o.Polls {
+		if p.AckedUpto == 0 {
+			continue
+		}
+		w := h.core.workers[p.Worker]
+		var running []ListedRun
+		for id := range w.runs {
+			running = append(running, ListedRun{RunRef: RunRef{id.key, id.number}, Percent: 100})
+		}
+		h.core.HandlePollResponse(h.now, h.now, p.Target, PollResponse{ClockMS: w.estimateClock(h.now), Incarnation: 1, Running: running})
+	}
+}
+
 func testJob(id int, steps ...spec.Step) spec.Job {
 	return spec.Job{ID: fmt.Sprintf("%016x", id), Queue: "q", Steps: steps}
 }
--- a/jobs/shard/state_test.go
+++ b/jobs/shard/state_test.go
@@ -70,6 +70,7 @@
 		h.endRuns(starts, EndStopped)
 		h.stepAndStore(1, records)
 		require.Equal(t, int64((id+1)*settledStateBytes), h.core.StateBytes())
+		h.answerAcks()
 	}
 	for range 2 {
 		for id := range rounds {
--- a/jobs/shard/worker.go
+++ b/jobs/shard/worker.go
@@ -51,6 +51,7 @@
 	countsEnds   bool
 	pollInFlight bool
 	watch        pollWatch
+	acks         acks
 	nextPollAt   int64
 	failedPolls  int
 	backoffUntil int64
@@ -165,11 +166,11 @@
 
 // schedulable reports whether starts may be sent to the worker now.
 func (w *worker) schedulable(now int64) bool {
-	return w.usable() && w.failedPolls == 0 && !w.inDoubt() && now >= w.backoffUntil && len(w.strays) == 0
+	return w.usable() && w.failedPolls == 0 && !w.inDoubt() && now >= max(w.backoffUntil, w.acks.barredUntil) && len(w.strays) == 0
 }
 
 func (c *Core) target(w *worker) Target {
-	return Target{Worker: w.info.ID, Address: w.info.Address, Incarnation: w.incarnation, Epoch: c.cfg.Epoch}
+	return Target{Worker: w.info.ID, Address: w.info.Address, Incarnation: w.incarnation, Epoch: c.token(w)}
 }
 
 // estimateClock estimates the current time of the worker's clock.
@@ -286,6 +287,7 @@
 	w.held = false
 	w.strays = map[RunRef]int64{}
 	w.nextPollAt = c.now
+	c.resetAcks(w)
 	c.carryRuns(w)
 }
 
@@ -317,6 +319,15 @@
 // unanswered reports whether the poll ended by its time-out.
 func (e PollError) unanswered() bool { return e == PollUnanswered || e == PollUnansweredKept }
 
+// notCarriedOut reports whether the worker has certainly not carried out the poll.
+func (e PollError) notCarriedOut() bool {
+	switch e {
+	case PollFenced, PollReplaced, PollRefused, PollConnectionRejected:
+		return true
+	}
+	return false
+}
+
 // NoAnswer reports whether the poll got no answer of any kind from the worker.
 func (e PollError) NoAnswer() bool {
 	return e.unanswered() || e == PollConnectionClosed || e == PollConnectionRejected
--- a/node/jobhost/takeover.go
+++ b/node/jobhost/takeover.go
@@ -141,7 +141,7 @@
 		h.post(func() { h.applyAnnouncement(previous) })
 		return t, errors.Errorf("node %s has just taken over the partition", previous.Node)
 	}
-	t.epoch = max(seen.knownEpoch+1, previous.Epoch+1, newEpoch())
+	t.epoch = max(seen.knownEpoch+shard.TokensPerEpoch, previous.Epoch+shard.TokensPerEpoch, newEpoch())
 	if t.handover == nil && !h.isOwn(previous) {
 		t.previousState = seen.stateOf(previous)
 	}
