--- a/jobs/shard/acks.go
+++ b/jobs/shard/acks.go
@@ -9,8 +9,11 @@
 //
 //   - ends are named until the worker has forgotten them, and by polls that do not wait;
 //   - no start is on its way to the worker while such a poll is, nor the other way round;
-//   - after such a poll has got no answer, the orders to the worker carry a higher token:
-//     any incarnation that has taken a start since refuses the poll.
+//   - after a poll has got no answer, the orders to the worker carry a higher token: any
+//     incarnation that has taken a start since refuses the poll.
+//
+// A poll that does not name ends extends leases, by an end in the clock of the incarnation
+// for which it is; a later one would hold its longest lease from whenever it came.
 //
 // A successor does the same with tokens above those of this owner.
 
@@ -43,7 +46,7 @@
 	// heldStarts wait for the answer to the poll in flight.
 	heldStarts []*run
 	// raises is how far the token of orders to the worker's ID is above the epoch. lostAt is
-	// when the last poll that named ends remained without an answer; 0 if none did.
+	// when a poll last remained without an answer; 0 if none did.
 	// barredUntil is the time until which the worker gets no starts, for want of tokens.
 	raises, lostAt, barredUntil int64
 }
@@ -129,27 +132,34 @@
 	}
 }
 
-// failAck records that a poll has failed, which may be the one that names ends.
-func (c *Core) failAck(w *worker, sentAt int64, reason PollError) {
+// losePoll records that a poll has failed. The worker may carry it out later.
+func (c *Core) losePoll(w *worker, sentAt int64, reason PollError) {
+	isAck := w.acks.inFlight && sentAt >= w.acks.orderedAt
 	switch {
-	case !w.acks.inFlight || sentAt < w.acks.orderedAt:
-	case reason.notCarriedOut():
+	case isAck && reason.notCarriedOut():
 		c.endAck(w)
-	default:
+	case isAck:
 		c.loseAck(w)
+	case w.failedPolls == 0 && !reason.notCarriedOut():
+		c.raiseToken(w)
 	}
 }
 
 // loseAck records that a poll which names ends may be carried out at any time from now on.
 func (c *Core) loseAck(w *worker) {
+	c.raiseToken(w)
+	c.endAck(w)
+}
+
+// raiseToken lets every life of a worker that obeys an order from now on refuse those before.
+func (c *Core) raiseToken(w *worker) {
 	a := &w.acks
 	a.lostAt = c.now
 	if a.raises < TokensPerEpoch-1 {
 		a.raises++
-	} else {
-		a.barredUntil = c.now + lateCallMS
+		return
 	}
-	c.endAck(w)
+	a.barredUntil = c.now + lateCallMS
 }
 
 // endAck sends the starts that have waited for the answer to a poll that names ends.
@@ -162,11 +172,14 @@
 	}
 }
 
-// resetAcks forgets the ends of an earlier incarnation. A poll that names them may still
-// reach this one.
-func (c *Core) resetAcks(w *worker) {
-	if w.acks.inFlight {
+// resetAcks forgets the ends of an earlier incarnation. A poll in flight may still reach
+// this one.
+func (c *Core) resetAcks(w *worker, pollInFlight bool) {
+	switch {
+	case w.acks.inFlight:
 		c.loseAck(w)
+	case pollInFlight:
+		c.raiseToken(w)
 	}
 	w.acks.named, w.acks.orderedAt, w.acks.forgotten, w.acks.seenAt, w.acks.paused = 0, 0, 0, 0, false
 }
--- a/jobs/shard/polls.go
+++ b/jobs/shard/polls.go
@@ -109,7 +109,7 @@
 	if w == nil || w.incarnation != t.Incarnation {
 		return
 	}
-	c.failAck(w, sentAt, reason)
+	c.losePoll(w, sentAt, reason)
 	if w.watch.replaced(sentAt) {
 		return
 	}
--- a/jobs/shard/worker.go
+++ b/jobs/shard/worker.go
@@ -281,13 +281,14 @@
 	}
 	w.countsEnds = w.incarnation != 0
 	w.incarnation = incarnation
+	pollInFlight := w.pollInFlight
 	w.pollInFlight, w.doubtedAt, w.watch = false, 0, pollWatch{}
 	w.seenEnd, w.ackedEnd, w.namedEnd, w.clockMS, w.clockReadAt, w.leaseUntil = 0, 0, 0, 0, 0, 0
 	w.reached, w.failStreak, w.failedPolls, w.contactLostAt, w.connectionLost = false, 0, 0, 0, false
 	w.held = false
 	w.strays = map[RunRef]int64{}
 	w.nextPollAt = c.now
-	c.resetAcks(w)
+	c.resetAcks(w, pollInFlight)
 	c.carryRuns(w)
 }
 
