Leave a worker to its owner when another writer's entry names an unknown service

Cause: an entry under a worker's ID whose service the configuration does not name went to the shard to which the name hashes. Its owner polled the worker with its own, higher token, which fenced the real owner off, stopped the runs as strays and acknowledged ends of jobs that it does not know. Of all places that acknowledge, this one named ends of others.

Change (node/jobhost/workerentries.go): such an entry names no worker, and the one before holds. It counts once a configuration names the service. An entry with the service that the worker had before still counts, and so do those of a service that has left the configuration while the shard has jobs for it, so that their runs can end.

--- a/jobs/shard/worker.go
+++ b/jobs/shard/worker.go
@@ -366,3 +366,13 @@
 	}
 	return c.workersByID
 }
+
+// HasJobsFor reports whether the shard has jobs that run on the workers of a service.
+func (c *Core) HasJobsFor(service string) bool {
+	for _, j := range c.jobs {
+		if j.service == service {
+			return true
+		}
+	}
+	return false
+}
--- a/node/jobhost/feeds.go
+++ b/node/jobhost/feeds.go
@@ -4,12 +4,10 @@
 	"context"
 	"fmt"
 	"hash/fnv"
-	"slices"
 	"sort"
 	"strings"
 	"time"
 
-	"wigeonwinch/jobs/relay"
 	"wigeonwinch/jobs/shard"
 	"wigeonwinch/node/deps"
 	"wigeonwinch/node/events"
@@ -58,6 +56,7 @@
 	for _, s := range h.sortedOwned() {
 		h.updateShardQueues(s)
 	}
+	h.nameWorkers()
 	h.updateArbiter()
 	go h.homes.refresh()
 }
@@ -158,54 +157,6 @@
 	}
 }
 
-func (h *Host) applyWorkerRecords(records []shard.Record, whole bool) {
-	if whole {
-		h.workers = map[string]deps.WorkerChange{}
-	}
-	for _, r := range records {
-		if r.Key == "" {
-			continue
-		}
-		change, err := h.cfg.Codec.Worker(r)
-		if err != nil {
-			h.record(events.RecordUnreadable, events.Fields{Detail: "worker", Err: err})
-		}
-		if change.Removed {
-			delete(h.workers, change.ID)
-			continue
-		}
-		h.workers[change.ID] = change
-	}
-	h.workersKnown.Store(true)
-	for _, s := range h.sortedOwned() {
-		h.updateShardWorkers(s)
-	}
-}
-
-// updateShardWorkers sets the workers of a shard to those of its services.
-func (h *Host) updateShardWorkers(s *ownedShard) {
-	if s.core == nil || !h.workersKnown.Load() {
-		return
-	}
-	var list []shard.Worker
-	for _, w := range h.workers {
-		if h.partitionOf(w.Worker.Service) == s.partition {
-			list = append(list, w.Worker)
-		}
-	}
-	sort.Slice(list, func(i, j int) bool { return list[i].ID < list[j].ID })
-	relayWorkers := make([]relay.Worker, 0, len(list))
-	for _, w := range list {
-		relayWorkers = append(relayWorkers, relay.Worker{ID: w.ID, Zone: w.Zone})
-	}
-	if !slices.Equal(s.relayWorkers, relayWorkers) {
-		s.relayWorkers = relayWorkers
-		h.relays.plannedAt = 0
-	}
-	s.core.SetWorkers(monotonicMS(), list)
-	s.core.ConfirmWorkers(h.workersReadAt)
-}
-
 // updateShardQueues tells a shard which queues of the configuration are its own, and which go
 // to other shards.
 func (h *Host) updateShardQueues(s *ownedShard) {
--- a/node/jobhost/host.go
+++ b/node/jobhost/host.go
@@ -36,9 +36,11 @@
 	announcedOwners  map[deps.Partition]ownership
 	ownerAnnouncedAt map[deps.Partition]int64
 	workers          map[string]deps.WorkerChange
-	waves            map[int]*deps.Wave
-	waveSeenAt       map[int]int64
-	startedAt        int64
+	// unnamedWorkers are the entries whose service the configuration does not name.
+	unnamedWorkers map[string]deps.WorkerChange
+	waves          map[int]*deps.Wave
+	waveSeenAt     map[int]int64
+	startedAt      int64
 	// nodesReadAt is when the last successful read of nodesPartition was sent.
 	nodesReadAt int64
 	// workersReadAt is when the last successful read of the workers' entries was
@@ -111,7 +113,7 @@
 		inbox: make(chan func(), inboxSize), nodes: map[string]*nodeState{},
 		owned: map[deps.Partition]*ownedShard{}, takingOver: map[deps.Partition]bool{},
 		vacantSince: map[deps.Partition]int64{}, announcedOwners: map[deps.Partition]ownership{}, ownerAnnouncedAt: map[deps.Partition]int64{},
-		workers: map[string]deps.WorkerChange{}, waves: map[int]*deps.Wave{}, waveSeenAt: map[int]int64{},
+		workers: map[string]deps.WorkerChange{}, unnamedWorkers: map[string]deps.WorkerChange{}, waves: map[int]*deps.Wave{}, waveSeenAt: map[int]int64{},
 		startedAt: monotonicMS(), heartbeatTrigger: make(chan struct{}, 1), workersNeeded: make(chan struct{}, 1),
 		handedOver: make(chan struct{}), closed: make(chan struct{}),
 	}
