--- a/jobs/shard/acks.go
+++ b/jobs/shard/acks.go
@@ -1,6 +1,10 @@
 package shard
 
-import "math"
+import (
+	"math"
+
+	"wigeonwinch/jobs/overdue"
+)
 
 // A worker forgets the ends up to the number that a poll names as stored. The numbers
 // start anew with each incarnation, an order for one incarnation may reach the next one
@@ -151,6 +155,14 @@
 	c.endAck(w)
 }
 
+// checkAck lets starts go on that have waited for long for the answer to a poll that names
+// ends, as long as there are tokens for the cases without any other way.
+func (c *Core) checkAck(w *worker) {
+	if a := &w.acks; a.inFlight && len(a.heldStarts) > 0 && c.now-a.orderedAt >= overdue.StartMS && a.raises < TokensPerEpoch/2 {
+		c.loseAck(w)
+	}
+}
+
 // raiseToken lets every life of a worker that obeys an order from now on refuse those before.
 func (c *Core) raiseToken(w *worker) {
 	a := &w.acks
--- a/jobs/shard/acks_test.go
+++ b/jobs/shard/acks_test.go
@@ -5,6 +5,8 @@
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
+
+	"wigeonwinch/jobs/overdue"
 )
 
 // ackedRun returns a harness with one worker whose first end is stored, and the poll that
@@ -131,6 +133,16 @@
 	}
 }
 
+// A start that waited for a lost acknowledgement until its time-out came a second late.
+func TestStartDoesNotWaitForAnOverdueAcknowledgement(t *testing.T) {
+	h, ack := ackedRun(t)
+	require.Empty(t, h.submit(testJob(2, smallStep(1))).Starts)
+	h.step(overdue.StartMS)
+	starts := h.core.TakeOrders().Starts
+	require.Len(t, starts, 1)
+	assert.Equal(t, ack.Epoch+1, starts[0].Epoch)
+}
+
 // A worker refuses an order that was on its way while the token rose. That is no sign of a
 // newer owner.
 func TestRefusalOfAnOutdatedTokenDeposesNobody(t *testing.T) {
--- a/jobs/shard/polls.go
+++ b/jobs/shard/polls.go
@@ -18,6 +18,7 @@
 			continue
 		}
 		if w.pollInFlight {
+			c.checkAck(w)
 			c.checkPoll(w)
 			continue
 		}
