Count the end done of a run after which a later one has ended otherwise

What callers saw: a job ended later than it should; jobs/model had the task run again after an end that was acknowledged. Allowed where the lease had lapsed, but work was lost.

Cause: an owner passes over the end of a run below the last one that ended, since a successor gets ends again that its predecessor has stored, and acknowledges it. An end done that was passed over had not been recorded: the task would be done.

Change: such an end completes its task, and a later run is stopped. Not for gangs, whose later run may be at work on other workers.

--- a/jobs/shard/ends.go
+++ b/jobs/shard/ends.go
@@ -52,7 +52,7 @@
 	if e.Number > tk.lastRun {
 		tk.lastRun = e.Number
 	}
-	tk.lastEnded = e.Number
+	tk.lastEnded = max(tk.lastEnded, e.Number)
 	if e.Checkpoint != "" {
 		j.saveCheckpoint(e.Key, e.Checkpoint)
 	}
@@ -80,12 +80,19 @@
 		return j, nil, "task_unknown"
 	case tk.done:
 		return j, tk, "task_done"
-	case e.Number <= tk.lastEnded:
+	case e.Number <= tk.lastEnded && !j.completes(e):
 		return j, tk, "later_run_ended"
 	}
 	return j, tk, ""
 }
 
+// completes reports whether the end completes its task, whatever became of later runs. A
+// later run of a gang may still be at work on workers that do not list this end.
+func (j *job) completes(e ListedEnd) bool {
+	st := &j.spec.Steps[e.Key.Step]
+	return e.Kind == EndDone && !st.Lasting && !st.Gang
+}
+
 func (c *Core) applyEnd(w *worker, j *job, tk *task, e ListedEnd) {
 	st := &j.spec.Steps[e.Key.Step]
 	switch e.Kind {
