Remember the tokens of unlisted workers apart from the workers

Cause: a worker without an entry and without runs stayed among the workers for an hour if a poll of it had been lost, for the token of its orders: it was reported as a worker of the shard, and as drained if it had been cordoned.

Change: only the token stays, by the worker's ID, for the same hour.

--- a/jobs/shard/acks.go
+++ b/jobs/shard/acks.go
@@ -1,6 +1,7 @@
 package shard
 
 import (
+	"maps"
 	"math"
 
 	"wigeonwinch/jobs/overdue"
@@ -28,7 +29,7 @@
 const (
 	// lateCallMS is how long a call to a worker that got no answer may be carried out.
 	lateCallMS = 15_000
-	// keepTokenMS is how long a worker is remembered that takes raised tokens only.
+	// keepTokenMS is how long the tokens of a worker without an entry are remembered.
 	keepTokenMS = 3_600_000
 	// ackPauseMS is the time between two polls while starts hold up an acknowledgement.
 	ackPauseMS = 60
@@ -196,9 +197,28 @@
 	w.acks.named, w.acks.orderedAt, w.acks.forgotten, w.acks.seenAt, w.acks.paused = 0, 0, 0, 0, false
 }
 
-// keepsToken reports whether a worker without an entry is remembered for the token of its
-// orders. It refuses lower ones if it comes back in the same life, and a late poll may reach
+// formerToken is what is kept of a worker that is not listed any more, for the tokens of its
+// orders: it refuses lower ones if it comes back in the same life, and a late poll may reach
 // the next one.
-func (w *worker) keepsToken(now int64) bool {
-	return w.acks.inFlight || w.acks.raises > 0 && now-w.acks.lostAt < keepTokenMS
+type formerToken struct{ raises, lostAt int64 }
+
+// forgetWorker removes a worker without an entry and without runs.
+func (c *Core) forgetWorker(w *worker) {
+	if w.acks.inFlight {
+		c.loseAck(w)
+	}
+	delete(c.workers, w.info.ID)
+	c.workersByID = nil
+	maps.DeleteFunc(c.formerTokens, func(_ string, f formerToken) bool { return c.now-f.lostAt > keepTokenMS })
+	if w.acks.raises > 0 {
+		c.formerTokens[w.info.ID] = formerToken{w.acks.raises, w.acks.lostAt}
+	}
+}
+
+// restoreToken continues the tokens of a worker that was known before.
+func (c *Core) restoreToken(w *worker) {
+	if f, ok := c.formerTokens[w.info.ID]; ok {
+		w.acks.raises, w.acks.lostAt = f.raises, f.lostAt
+		delete(c.formerTokens, w.info.ID)
+	}
 }
--- a/jobs/shard/core.go
+++ b/jobs/shard/core.go
@@ -170,6 +170,8 @@
 	// removed.
 	workersByID []*worker
 	openLosses  openLosses
+	// formerTokens are the tokens of workers that are not known any more, by ID.
+	formerTokens map[string]formerToken
 	// workersListed reports whether the list of workers was set since the
 	// takeover. listConfirmedAt is when the read was sent that last confirmed it;
 	// 0 if the owner does not say.
@@ -222,7 +224,7 @@
 		customers: newCustomers(cfg),
 		cfg:       cfg, longestLeaseMS: longestLeaseMS, now: now, takeoverAt: now, wallMS: wallMS, earlierLeasesUntil: now + cfg.EarlierLeaseMS,
 		queues: map[string]Queue{}, jobs: map[string]*job{}, settled: newSettledJobs(), unreadable: map[string]bool{}, scheduled: map[string]*job{}, workers: map[string]*worker{}, openLosses: openLosses{},
-		learner: expect.New(), workerKinds: map[string]Worker{}, pools: map[string]*pool{}, firstSeenAt: newRecentTimes(firstSeenKeepMS), declinedAt: newRecentTimes(declineKeepMS),
+		learner: expect.New(), formerTokens: map[string]formerToken{}, workerKinds: map[string]Worker{}, pools: map[string]*pool{}, firstSeenAt: newRecentTimes(firstSeenKeepMS), declinedAt: newRecentTimes(declineKeepMS),
 	}
 }
 
--- a/jobs/shard/polls.go
+++ b/jobs/shard/polls.go
@@ -9,12 +9,8 @@
 // pollWorkers orders the next poll of each worker that is due.
 func (c *Core) pollWorkers() {
 	for _, w := range c.sortedWorkers() {
-		id := w.info.ID
 		if !w.listed && len(w.runs) == 0 && len(w.strays) == 0 && !w.pollInFlight {
-			if !w.keepsToken(c.now) {
-				delete(c.workers, id)
-				c.workersByID = nil
-			}
+			c.forgetWorker(w)
 			continue
 		}
 		if w.pollInFlight {
--- a/jobs/shard/worker.go
+++ b/jobs/shard/worker.go
@@ -91,6 +91,7 @@
 	w := c.workers[id]
 	if w == nil {
 		w = &worker{info: Worker{ID: id}, incarnation: incarnation, customers: &c.customers, runs: map[runID]*run{}, strays: map[RunRef]int64{}, earlierLeasesUntil: c.earlierLeasesUntil}
+		c.restoreToken(w)
 		c.workers[id] = w
 		c.workersByID = nil
 	}
