--- a/soak/faults.go
+++ b/soak/faults.go
@@ -117,6 +117,10 @@
 	{FaultConfigure, 2, 0, 0},
 }
 
+// RestartKinds are the faults of workers that start again under their IDs while calls to
+// them come late.
+var RestartKinds = []FaultKind{FaultRestartWorker, FaultRestartDark, FaultLateCalls}
+
 // UnknownKinds returns the kinds of the options that no fault has.
 func (o Options) UnknownKinds() []FaultKind {
 	return slices.DeleteFunc(slices.Clone(o.Kinds), func(k FaultKind) bool {
--- a/soak/laterlife_test.go
+++ b/soak/laterlife_test.go
@@ -9,9 +9,6 @@
 	"github.com/stretchr/testify/require"
 )
 
-// restarts are the faults of workers that start again under their IDs while calls come late.
-var restarts = []FaultKind{FaultRestartWorker, FaultRestartDark, FaultLateCalls}
-
 // laterLife is a cluster whose workers start again under their IDs.
 type laterLife struct {
 	*Cluster
@@ -128,7 +125,7 @@
 // Workers start again under their IDs all the time, and calls to them come late or get no
 // answer.
 func TestWorkersRestartWhileCallsComeLate(t *testing.T) {
-	report, err := Run(t.Context(), Options{Program: program, Dir: logsOf(t), Seed: 23, Nodes: 5, Workers: 10, Duration: 20 * time.Second, Kinds: restarts})
+	report, err := Run(t.Context(), Options{Program: program, Dir: logsOf(t), Seed: 23, Nodes: 5, Workers: 10, Duration: 20 * time.Second, Kinds: RestartKinds})
 	require.NoError(t, err)
 	var text strings.Builder
 	report.Write(&text)
